Tempo: a restarted node keeps its new-epoch promises through a replica change

Cause: a node that had crossed a replica change, crashed, and came back from a frame taken before the change held commands of the new epoch while still in the old one. Taking a newer frame, or running the change again, dropped everything not executed, its own attached promises among it, so that others counted those stamps as detached and executed past them. Ruled out: the checker (what a crash undid is no longer counted), reuse of command numbers, two slots wiped at once. Change: only commands of an epoch that is over are dropped; promises above the boundary are told again. Conclusion: dropping by epoch, not by moment, is the rule.

--- a/lib/tempo/tempo.cpp
+++ b/lib/tempo/tempo.cpp
@@ -552,7 +552,7 @@
   for (auto slot : others())
     if (nowMs - heardMs_.try_emplace(slot, nowMs).first->second < props_.suspectMs) alive_ |= bit(slot);
   for (auto& [id, e] : entries_) {
-    if (e.executed || e.final || !e.command) continue;
+    if (e.executed || e.final || !e.command || e.command->epoch != epoch_) continue;
     eachPart(e.command->parts, [&](uint8_t part) { decide(id, e, part, nowMs); });
     if (nowMs - e.sinceMs < props_.recoveryMs || nowMs - e.triedMs < props_.recoveryMs) continue;
     e.triedMs = nowMs;
@@ -673,6 +673,7 @@
 
 // A replica change: everything of the old epoch stamped above the boundary is void, everywhere alike; the
 // new life starts with its clock at the boundary and counts only for commands of the new epoch.
+// A restarted node may hold commands of the new epoch already; those stay.
 auto Node::change(Stamp stamp, Slot slot, Incarnation incarnation) -> void {
   members_[slot] = incarnation;
   heardMs_[slot] = -props_.suspectMs;  // not believed alive before it is heard
@@ -680,27 +681,34 @@
   boundary_ = stamp;
   for (auto& p : parts_) {
     p.executed = std::max(p.executed, stamp);
-    p.queue.clear();
     p.acked.erase(slot);
-    p.known[slot] = Known{stamp, stamp, {}};
-    for (auto& [other, known] : p.known) {
-      known.attached.clear();
-      known.upTo = std::max(known.upTo, stamp);
+    // Promises above the boundary are told again, without what is void now.
+    for (const auto& [other, inc] : members_) {
+      auto executed = other == slot ? stamp : p.known[other].executed;
+      p.known[other] = Known{stamp, executed, {}};
     }
-    std::erase_if(p.own, [&](const auto& one) { return !isDone(one.second); });
     p.clock = std::max(p.clock, stamp);
   }
+  dropVoid();
+}
+
+// Forgets every command of an epoch that is over and that did not run in it.
+auto Node::dropVoid() -> void {
   for (auto it = entries_.begin(); it != entries_.end();) {
     auto& e = it->second;
-    if (e.executed) {
+    if (e.executed || (e.command && e.command->epoch >= epoch_)) {
       ++it;
       continue;
     }
-    ++figures_.voided;
-    if (e.isOwn) out_.answers.push_back({it->first, true, {}});
+    for (auto& p : parts_) p.queue.erase({e.final, it->first});
+    if (e.isOwn && !isDone(it->first)) {
+      ++figures_.voided;
+      out_.answers.push_back({it->first, true, {}});
+    }
     it = entries_.erase(it);
   }
-  if (!isMember()) out_.writes.push_back(Writer().put(Write::kClock).put(uint8_t{0}).put(parts_[0].clock).take());
+  for (auto& p : parts_)
+    std::erase_if(p.own, [&](const auto& one) { return !isDone(one.second) && !entries_.count(one.second); });
 }
 
 // Executed commands are forgotten once every replica has executed them, or when too many are kept; whoever
@@ -869,7 +877,7 @@
     // A blank life starts its clock at the boundary of the change that seated it.
     mine.clock = std::max({mine.clock, boundary_, parts[part].executed});
     mine.executed = mine.floor = parts[part].executed;
-    std::erase_if(mine.own, [&](const auto& one) { return isDone(one.second) || (!own && isNewEpoch); });
+    std::erase_if(mine.own, [&](const auto& one) { return isDone(one.second); });
     if (isNewEpoch && !own) {
       mine.known.clear();
       mine.acked.clear();
@@ -897,17 +905,16 @@
   }
   for (auto it = entries_.begin(); it != entries_.end();) {
     auto& e = it->second;
-    auto isOver = e.executed || isDone(it->first) || isNewEpoch;
-    if (isOver && !e.executed && e.isOwn) {
-      // Executed elsewhere: the result is not known here, and the submitter asks by its change id.
-      auto isVoid = !isDone(it->first);
-      if (isVoid) ++figures_.voided;
-      out_.answers.push_back({it->first, isVoid, {}});
+    if (!isDone(it->first)) {
+      ++it;
+      continue;
     }
-    if (isOver && e.final && e.command)
-      eachPart(e.command->parts, [&](uint8_t part) { parts_[part].queue.erase({e.final, it->first}); });
-    it = isOver ? entries_.erase(it) : std::next(it);
+    // Executed elsewhere: the result is not known here, and the submitter asks by its change id.
+    if (!e.executed && e.isOwn) out_.answers.push_back({it->first, false, {}});
+    for (auto& p : parts_) p.queue.erase({e.final, it->first});
+    it = entries_.erase(it);
   }
+  if (isNewEpoch) dropVoid();
   doneStamps_.clear();
   return true;
 }
--- a/lib/tempo/tempo.hpp
+++ b/lib/tempo/tempo.hpp
@@ -274,6 +274,7 @@
   auto readFrame(const std::string& frame, bool own) -> bool;
   auto execute() -> void;
   auto change(Stamp stamp, Slot slot, Incarnation incarnation) -> void;
+  auto dropVoid() -> void;
   auto forget() -> void;
   auto note(const Id& id, const Entry& e, uint8_t part) -> void;
   auto noteCommand(const Command& command) -> void;
