--- /dev/null
+++ b/lib/agent/feed.cpp
@@ -0,0 +1,83 @@
+#include "agent/feed.hpp"
+
+#include <algorithm>
+
+namespace dykestage::agent {
+
+using neighbour::Feed;
+using neighbour::Poll;
+
+auto Giver::take(std::string from, Poll poll, int64_t nowMs) -> void {
+  // A newer question of the same asker takes the place of the older one.
+  std::erase_if(held_, [&](const Held& h) { return h.from == from && h.poll.name == poll.name; });
+  held_.push_back({std::move(from), std::move(poll), nowMs});
+}
+
+auto Giver::give(const core::Frame& frame, int64_t asOfMs, int64_t nowMs) -> std::vector<std::pair<std::string, Feed>> {
+  std::vector<std::pair<std::string, Feed>> given;
+  std::erase_if(held_, [&](const Held& h) {
+    auto it = frame.members.find(h.poll.name);
+    auto isMember = asOfMs >= 0 && it != frame.members.end() && it->second == h.poll.member;
+    auto hasNews = isMember && frame.revision != h.poll.has && frame.revision.covers(h.poll.has);
+    if (!hasNews && nowMs - h.sinceMs < holdMs_) return false;
+    Feed feed;
+    feed.nonce = h.poll.nonce;
+    feed.ageMs = nowMs - asOfMs;
+    feed.heldMs = nowMs - h.sinceMs;
+    feed.isMember = isMember;
+    if (isMember) feed.news = newsSince(frame, h.poll.has);
+    given.emplace_back(h.from, std::move(feed));
+    return true;
+  });
+  return given;
+}
+
+auto Follower::tick(const std::vector<std::string>& targets, const core::Revision& inForce, const std::map<std::string, bool>& probes,
+                    int64_t nowMs) -> std::optional<std::pair<std::string, Poll>> {
+  if (targets.empty()) return std::nullopt;
+  if (isAsking_) {
+    if (nowMs - askedMs_ < answerMs_) return std::nullopt;
+    ++index_;  // no answer: the next one is asked
+  }
+  // Whoever had to move on tries the first again after a while.
+  if (index_ % targets.size() != 0 && nowMs - firstMs_ > 20 * answerMs_) {
+    index_ = 0;
+    firstMs_ = nowMs;
+  }
+  target_ = targets[index_ % targets.size()];
+  isAsking_ = true;
+  askedMs_ = nowMs;
+  Poll poll;
+  poll.nonce = ++nonce_;
+  poll.name = name_;
+  poll.member = member_;
+  poll.revision = inForce;
+  poll.has = held_.frame->revision;
+  poll.probes = probes;
+  return std::pair{target_, std::move(poll)};
+}
+
+auto Follower::take(const Feed& feed, int64_t nowMs) -> bool {
+  if (!isAsking_ || feed.nonce != nonce_) return false;
+  isAsking_ = false;
+  (void)nowMs;
+  if (!feed.isMember) {
+    ++index_;  // perhaps another one knows of this node already
+    return false;
+  }
+  if (!feed.news.revision.covers(held_.frame->revision)) {
+    ++index_;
+    return false;
+  }
+  auto isNew = feed.news.revision != held_.frame->revision;
+  if (isNew) {
+    auto next = std::make_shared<core::Frame>(*held_.frame);
+    if (!join(*next, feed.news)) return false;
+    held_.frame = next;
+  }
+  // The giver's age, and all of the way there and back that was not spent waiting at the giver.
+  held_.asOfMs = std::max(held_.asOfMs, askedMs_ + feed.heldMs - feed.ageMs);
+  return true;
+}
+
+}  // namespace dykestage::agent
--- /dev/null
+++ b/lib/agent/feed.hpp
@@ -0,0 +1,66 @@
+// Agent: how news of the control plane travels. A follower asks with what it has; a giver answers when there
+// is news, or after a while to say how old its own knowledge is. Registries, agents and proxies all use these.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "caller/edge.hpp"
+#include "neighbour/messages.hpp"
+
+namespace dykestage::agent {
+
+/// Holds questions and answers them. Example:
+///   giver.take(letter.from, poll, nowMs);
+///   for (auto& [to, feed] : giver.give(frame, asOfMs, nowMs)) post->send(to, kFeed, pack(feed));
+class Giver {
+ public:
+  explicit Giver(int64_t holdMs) : holdMs_(holdMs) {}
+  auto take(std::string from, neighbour::Poll poll, int64_t nowMs) -> void;
+  /// The answers that are due. `asOfMs` is when the frame was current, on this process's steady clock.
+  auto give(const core::Frame& frame, int64_t asOfMs, int64_t nowMs) -> std::vector<std::pair<std::string, neighbour::Feed>>;
+
+ private:
+  struct Held {
+    std::string from;
+    neighbour::Poll poll;
+    int64_t sinceMs;
+  };
+  int64_t holdMs_;
+  std::vector<Held> held_;
+};
+
+/// Asks one giver after another and keeps the newest frame. A frame never slides back; its age counts from
+/// the moment at which the core is known to have agreed, whatever the way took.
+/// Example:
+///   if (auto poll = follower.tick(targets, nowMs)) post->send(poll->first, kPoll, pack(poll->second));
+///   if (follower.take(feed, nowMs)) machine.takeFrame(follower.held(), nowMs);
+class Follower {
+ public:
+  Follower(std::string name, int64_t answerMs) : name_(std::move(name)), answerMs_(answerMs) {}
+  /// Who asks: a new incarnation is a new node. Example: `follower.be(member);`
+  auto be(const core::Member& member) -> void { member_ = member; }
+  /// The next question, when one is due. `inForce` is the revision that the data node acts on.
+  auto tick(const std::vector<std::string>& targets, const core::Revision& inForce, const std::map<std::string, bool>& probes, int64_t nowMs)
+      -> std::optional<std::pair<std::string, neighbour::Poll>>;
+  /// Takes an answer; true when the frame or its age is newer now.
+  auto take(const neighbour::Feed& feed, int64_t nowMs) -> bool;
+  auto held() const -> const caller::HeldFrame& { return held_; }
+  auto target() const -> const std::string& { return target_; }
+
+ private:
+  std::string name_;
+  int64_t answerMs_;
+  core::Member member_;
+  caller::HeldFrame held_;
+  uint64_t nonce_ = 0;
+  bool isAsking_ = false;
+  int64_t askedMs_ = 0, firstMs_ = 0;
+  size_t index_ = 0;
+  std::string target_;
+};
+
+}  // namespace dykestage::agent
--- /dev/null
+++ b/lib/agent/link.cpp
@@ -0,0 +1,52 @@
+#include "agent/link.hpp"
+
+#include <glog/logging.h>
+#include <poll.h>
+
+#include <random>
+
+namespace dykestage::agent {
+
+Link::Link(Props props, std::function<void(caller::HeldFrame)> take) : props_(std::move(props)), take_(std::move(take)) {
+  thread_ = std::thread([this] { run(); });
+}
+
+Link::~Link() {
+  isStopping_ = true;
+  thread_.join();
+}
+
+auto Link::inForce(core::Revision revision, std::map<std::string, bool> probes) -> void { told_.push({revision, std::move(probes)}); }
+
+auto Link::run() -> void {
+  std::string reason;
+  auto post = neighbour::Post::open({"127.0.0.1:0"}, [this](neighbour::Letter l) { letters_.push(std::move(l)); }, reason);
+  if (!post) {
+    LOG(ERROR) << "link: " << reason;
+    return;
+  }
+  // A question is held a tenth of the bound; a quarter without an answer means that it is lost.
+  Follower follower(props_.name, props_.boundMs / 4);
+  follower.be(props_.member);
+  Told told;
+  while (!isStopping_) {
+    pollfd fds[] = {{letters_.fd(), POLLIN, 0}, {told_.fd(), POLLIN, 0}};
+    ::poll(fds, 2, static_cast<int>(props_.boundMs / 200));
+    for (auto& one : told_.take()) told = std::move(one);
+    auto nowMs = neighbour::steadyMs();
+    for (auto& letter : letters_.take()) {
+      Reader r(letter.body);
+      auto feed = r.get<neighbour::Feed>();
+      if (letter.kind == neighbour::kFeed && r.done() && follower.take(feed, nowMs)) take_(follower.held());
+    }
+    auto poll = follower.tick({props_.agent}, told.revision, told.probes, nowMs);
+    if (poll) post->send(poll->first, neighbour::kPoll, Writer().put(poll->second).take());
+  }
+}
+
+auto freshIncarnation() -> uint64_t {
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 31 ^ device()) | 1;
+}
+
+}  // namespace dykestage::agent
--- /dev/null
+++ b/lib/caller/codes.cpp
@@ -0,0 +1,56 @@
+#include "caller/codes.hpp"
+
+#include <map>
+
+namespace dykestage::caller {
+
+namespace {
+struct Row {
+  int status;
+  const char* text;
+  bool isTurnedAway;
+};
+const std::map<uint32_t, Row> kRows = {
+    {kOk, {200, "done", false}},
+    {kInvalid, {400, "the input has faults", false}},
+    {kConflict, {409, "another change won", false}},
+    {kChangeUnknown, {504, "the outcome is not known yet; ask by the change's id", false}},
+    {kNotMember, {503, "this registry takes no part now", true}},
+    {kNoSuchChange, {404, "no such change is remembered", false}},
+    {kNoSuchPage, {404, "no such page", false}},
+    {kNoService, {404, "no service is configured for this host and path", false}},
+    {kNotCurrent, {503, "this node is not current", true}},
+    {kEdgeFull, {503, "this edge is full", true}},
+    {kShieldFull, {503, "the shield is full", true}},
+    {kOriginRate, {503, "the origin's agreed rate is used up", true}},
+    {kNoUpstream, {503, "no upstream can take this now", true}},
+    {kNoShield, {503, "no shield can be reached", true}},
+    {kDeadline, {504, "the time ran out", true}},
+    {kUnknown, {504, "the outcome is unknown: it may have run", false}},
+    {kNotWhole, {502, "the upstream's answer was not whole", false}},
+    {kAnswerTooLarge, {502, "the upstream's answer is too large", false}},
+    {kRequestTooLarge, {413, "the request is too large", false}},
+    {kMisdirected, {502, "the upstream is not the one meant", true}},
+    {kKeyReused, {422, "the Idempotency-Key belongs to another request", false}},
+    {kEmptying, {503, "this process is about to stop", true}},
+    {kBadRequest, {400, "the request is malformed", false}},
+    {kUpstreamLost, {503, "the upstream failed", true}},
+};
+}  // namespace
+
+auto statusOf(uint32_t code) -> int {
+  auto it = kRows.find(code);
+  return it == kRows.end() ? 500 : it->second.status;
+}
+
+auto textOf(uint32_t code) -> std::string {
+  auto it = kRows.find(code);
+  return it == kRows.end() ? "unknown code" : it->second.text;
+}
+
+auto isTurnedAway(uint32_t code) -> bool {
+  auto it = kRows.find(code);
+  return it != kRows.end() && it->second.isTurnedAway;
+}
+
+}  // namespace dykestage::caller
--- /dev/null
+++ b/lib/caller/edge.cpp
@@ -0,0 +1,253 @@
+#include "caller/edge.hpp"
+
+#include <algorithm>
+
+#include "neighbour/post.hpp"
+
+namespace dykestage::caller {
+
+using neighbour::Ask;
+using neighbour::Reply;
+
+auto isWrite(const std::string& method) -> bool { return method != "GET" && method != "HEAD" && method != "OPTIONS" && method != "TRACE"; }
+
+auto findPath(const core::Frame& frame, const std::string& host, const std::string& target)
+    -> std::optional<std::pair<std::string, core::Path>> {
+  auto name = lower(host.substr(0, host.find(':')));
+  for (const auto& [service, props] : frame.services) {
+    if (std::none_of(props.hosts.begin(), props.hosts.end(), [&](const auto& h) { return lower(h) == name; })) continue;
+    const core::Path* best = nullptr;
+    for (const auto& path : props.paths)
+      if (target.rfind(path.prefix, 0) == 0 && (!best || path.prefix.size() > best->prefix.size())) best = &path;
+    if (!best) return std::nullopt;
+    return std::pair{service, *best};
+  }
+  return std::nullopt;
+}
+
+auto Edge::shields() const -> std::vector<std::string> {
+  std::vector<std::string> list;
+  for (const auto& [name, member] : held_.frame->members)
+    if (member.kind == "shield") list.push_back(member.address);
+  return list;
+}
+
+auto Edge::budget(const std::string& service) -> policy::TryBudget& {
+  auto& budget = budgets_.try_emplace(service, 0.0, 0.0).first->second;
+  auto it = held_.frame->services.find(service);
+  if (it == held_.frame->services.end()) return budget;
+  auto edges = std::count_if(held_.frame->members.begin(), held_.frame->members.end(), [](const auto& m) { return m.second.kind == "edge"; });
+  budget.set(static_cast<double>(it->second.triesPercent) / 100 * props_.triesPart,
+             static_cast<double>(it->second.triesAllowance) * props_.triesPart / static_cast<double>(std::max<int64_t>(1, edges)));
+  return budget;
+}
+
+auto Edge::take(Request request, int64_t nowMs) -> void {
+  ++figures_.requests;
+  auto turnAway = [&](uint32_t code) {
+    ++figures_.turnedAway;
+    out_.answers.push_back({request.stream, request.method, request.keep, codeAnswer(code, 1)});
+  };
+  if (!isCurrent(nowMs)) return turnAway(kNotCurrent);
+  if (request.target.empty() || request.target[0] != '/') return turnAway(kBadRequest);
+  auto found = findPath(*held_.frame, header(request.headers, "host"), request.target);
+  if (!found) return turnAway(kNoService);
+  const auto& [service, path] = *found;
+  Waiting w;
+  w.service = service;
+  w.path = path;
+  w.startMs = nowMs;
+  w.untilMs = nowMs + held_.frame->services.at(service).deadlineMs;
+  w.isWrite = isWrite(request.method);
+  w.isShared = path.kind == core::UpstreamKind::kStore && path.keepMs > 0 && policy::isShareable(request.method, request.headers);
+  if (w.isShared) {
+    const auto* copy = cache_.get(service, request.target, request.headers, nowMs);
+    if (copy && nowMs - copy->bornMs < path.keepMs) {
+      ++figures_.hits;
+      Answer answer{copy->status, copy->headers, copy->body};
+      answer.headers.emplace_back("Age", std::to_string((nowMs - copy->bornMs) / 1000));
+      out_.answers.push_back({request.stream, request.method, request.keep, std::move(answer)});
+      return;
+    }
+    w.joinKey = service + "\n" + request.target;
+  }
+  auto joinKey = w.joinKey;
+  auto stream = request.stream;
+  auto method = request.method;
+  auto keep = request.keep;
+  w.request = std::move(request);
+  auto id = waiting_.add(std::move(w));
+  if (!id) {
+    ++figures_.turnedAway;
+    out_.answers.push_back({stream, method, keep, codeAnswer(kEdgeFull, 1)});
+    return;
+  }
+  budget(service).asked(nowMs);
+  if (!joinKey.empty()) {
+    auto [it, isFirst] = joins_.try_emplace(joinKey, *id);
+    if (!isFirst) {
+      if (auto* leader = waiting_.get(it->second)) {
+        ++figures_.joins;
+        leader->followers.push_back(*id);
+        return;
+      }
+      it->second = *id;
+    }
+  }
+  ask(*id, false, nowMs);
+}
+
+auto Edge::ask(uint64_t id, bool isExtra, int64_t nowMs) -> void {
+  auto& w = *waiting_.get(id);
+  std::vector<std::string> names;
+  for (const auto& [name, member] : held_.frame->members)
+    if (member.kind == "shield" && !w.tried.count(name)) names.push_back(name);
+  if (names.empty()) return giveUp(id, kNoShield, nowMs);
+  if (nowMs >= w.untilMs) return giveUp(id, kDeadline, nowMs);
+  // A kept object and a key belong to one shield, whoever asks; the rest stays near.
+  auto key = header(w.request.headers, "idempotency-key");
+  std::vector<std::string> order;
+  if (w.isShared)
+    order = neighbour::rendezvous(w.service + "\n" + w.request.target, names);
+  else if (w.isWrite && !key.empty())
+    order = neighbour::rendezvous(w.service + "\n" + key, names);
+  else {
+    order = neighbour::rendezvous(std::to_string(id), names);
+    std::stable_sort(order.begin(), order.end(), [&](const auto& a, const auto& b) {
+      const auto& members = held_.frame->members;
+      return (members.at(a).site == props_.site) > (members.at(b).site == props_.site);
+    });
+  }
+  const auto& member = held_.frame->members.at(order.front());
+  w.tried.insert(order.front());
+  w.shield = member.address;
+  w.wasSent = true;
+  w.askedMs = nowMs;
+  Ask ask;
+  ask.id = id;
+  ask.service = w.service;
+  ask.kind = w.path.kind;
+  ask.method = w.request.method;
+  ask.target = w.request.target;
+  ask.headers = endToEnd(w.request.headers);
+  ask.body = w.request.body;
+  ask.remainingMs = w.untilMs - nowMs;
+  ask.keepMs = w.path.keepMs;
+  ask.purges = held_.frame->revision.purges;
+  ask.isShared = w.isShared;
+  ask.isExtra = isExtra;
+  if (w.isWrite) ask.key = key;
+  ++figures_.asks;
+  if (isExtra) {
+    ++figures_.extras;
+    budget(w.service).tried(nowMs);
+  }
+  out_.asks.push_back({w.shield, std::move(ask)});
+}
+
+auto Edge::unsent(uint64_t id, int64_t nowMs) -> void {
+  auto* w = waiting_.get(id);
+  if (!w) return;
+  w->wasSent = false;
+  ask(id, false, nowMs);
+}
+
+auto Edge::lost(const std::string& shield, int64_t nowMs) -> void {
+  for (auto id : waiting_.ids()) {
+    auto* w = waiting_.get(id);
+    if (!w || w->shield != shield || !w->wasSent) continue;
+    if (w->isWrite)
+      giveUp(id, kUnknown, nowMs);
+    else if (budget(w->service).mayTry(nowMs))
+      ask(id, true, nowMs);
+    else
+      giveUp(id, kUpstreamLost, nowMs);
+  }
+}
+
+auto Edge::takeFrame(const HeldFrame& held, int64_t nowMs) -> void {
+  auto before = shields();
+  auto isNew = held.frame != held_.frame;
+  held_ = held;
+  if (!isNew) return;
+  cache_.purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor);
+  auto after = shields();
+  for (const auto& shield : before)
+    if (std::find(after.begin(), after.end(), shield) == after.end()) lost(shield, nowMs);
+}
+
+auto Edge::takeReply(const Reply& reply, int64_t nowMs) -> void {
+  auto* w = waiting_.get(reply.id);
+  if (!w) return;
+  if (reply.code != kOk) {
+    // What a shield turned away untouched may go to another one; that costs the upstreams nothing.
+    auto mayMove = reply.isUntouched && isTurnedAway(reply.code) && reply.code != kDeadline;
+    if (mayMove && w->tried.size() < shields().size()) {
+      w->wasSent = false;
+      return ask(reply.id, false, nowMs);
+    }
+    if (reply.isUntouched) w->wasSent = false;
+    return giveUp(reply.id, reply.code, nowMs);
+  }
+  Answer answer{static_cast<int>(reply.status), reply.headers, reply.body};
+  auto ageMs = reply.ageMs + std::max<int64_t>(0, nowMs - w->askedMs - reply.heldMs);
+  auto terms = policy::termsOf(answer.status, answer.headers, w->path.keepMs);
+  if (!w->isShared || terms.keepMs <= 0 || reply.keepMs <= 0) return finish(reply.id, answer, nullptr, nowMs);
+  policy::Copy copy{answer.status, answer.headers, answer.body, nowMs - ageMs, std::min(terms.keepMs, reply.keepMs), reply.purges, terms.vary};
+  cache_.put(w->service, w->request.target, w->request.headers, copy, terms.labels);
+  answer.headers.emplace_back("Age", std::to_string(ageMs / 1000));
+  finish(reply.id, answer, &copy, nowMs);
+}
+
+auto Edge::giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void {
+  auto& w = *waiting_.get(id);
+  // A write that was handed on may have run, whatever became of the answer.
+  if (w.isWrite && w.wasSent && (isTurnedAway(code) || code == kDeadline)) code = kUnknown;
+  if (code == kUnknown)
+    ++figures_.unknown;
+  else
+    ++figures_.turnedAway;
+  finish(id, codeAnswer(code, 1), nullptr, nowMs);
+}
+
+// Ends a request, and those that joined it: they share a copy that may be shared, or the same refusal; an
+// answer meant for one caller alone sends them on their own way.
+auto Edge::finish(uint64_t id, const Answer& answer, const policy::Copy* copy, int64_t nowMs) -> void {
+  auto w = waiting_.take(id);
+  if (auto it = joins_.find(w->joinKey); it != joins_.end() && it->second == id) joins_.erase(it);
+  auto isRefusal = !header(answer.headers, "dykestage-code").empty();
+  auto variant = [&](const Headers& headers) {
+    std::vector<std::string> values;
+    if (copy)
+      for (const auto& name : copy->vary)
+        for (const auto& [key, value] : headers)
+          if (lower(key) == name) values.push_back(name + "=" + value);
+    return values;
+  };
+  auto own = variant(w->request.headers);
+  for (auto follower : w->followers) {
+    auto* f = waiting_.get(follower);
+    if (!f) continue;
+    if (isRefusal || (copy && variant(f->request.headers) == own && nowMs - copy->bornMs < copy->keepMs)) {
+      auto taken = waiting_.take(follower);
+      this->answer(*taken, answer);
+    } else {
+      f->joinKey.clear();
+      ask(follower, false, nowMs);
+    }
+  }
+  this->answer(*w, answer);
+}
+
+auto Edge::answer(Waiting& w, Answer answer) -> void {
+  out_.answers.push_back({w.request.stream, w.request.method, w.request.keep, std::move(answer)});
+}
+
+auto Edge::tick(int64_t nowMs) -> void {
+  for (auto id : waiting_.ids()) {
+    auto* w = waiting_.get(id);
+    if (w && nowMs >= w->untilMs) giveUp(id, kDeadline, nowMs);
+  }
+}
+
+}  // namespace dykestage::caller
--- /dev/null
+++ b/lib/caller/edge.hpp
@@ -0,0 +1,113 @@
+// Caller: what an edge does with callers' requests. A state machine: requests, replies, frames and time go
+// in; answers and asks come out.
+#pragma once
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "caller/codes.hpp"
+#include "caller/face.hpp"
+#include "core/state.hpp"
+#include "neighbour/messages.hpp"
+#include "policy/cache.hpp"
+#include "policy/slab.hpp"
+
+namespace dykestage::caller {
+
+/// A frame as a data node holds it: what it says, and the latest moment (own steady clock) at which the core
+/// is known to have agreed.
+struct HeldFrame {
+  std::shared_ptr<const core::Frame> frame = std::make_shared<core::Frame>();
+  int64_t asOfMs = -1;
+  /// True while the node may act on it. Example: `if (!held.isCurrent(nowMs, 1500)) turnAway(kNotCurrent);`
+  auto isCurrent(int64_t nowMs, int64_t limitMs) const -> bool { return asOfMs >= 0 && nowMs - asOfMs < limitMs; }
+};
+
+class Edge {
+ public:
+  struct Props {
+    std::string name, site;
+    int64_t staleMs = 1500;       // age of the frame from which requests are turned away
+    size_t requests = 4000;       // under way at a time
+    size_t cacheBytes = 64u << 20;
+    double triesPart = 0.25;      // part of a service's extra tries that the edges may use
+  };
+  struct Output {
+    struct Answered {
+      std::shared_ptr<Stream> stream;
+      std::string method;
+      bool keep;
+      Answer answer;
+    };
+    struct Asked {
+      std::string to;
+      neighbour::Ask ask;
+    };
+    std::vector<Answered> answers;
+    std::vector<Asked> asks;
+  };
+  struct Figures {
+    uint64_t requests = 0, hits = 0, joins = 0, asks = 0, extras = 0, turnedAway = 0, unknown = 0;
+  };
+
+  explicit Edge(Props props) : props_(std::move(props)), waiting_(props_.requests), cache_(props_.cacheBytes) {}
+
+  /// Takes a caller's request. Example: `edge.take(request, nowMs); post(edge.output());`
+  auto take(Request request, int64_t nowMs) -> void;
+  /// Takes a shield's reply. Example: `edge.takeReply(reply, nowMs);`
+  auto takeReply(const neighbour::Reply& reply, int64_t nowMs) -> void;
+  /// An ask that surely did not leave. Example: `if (!post->send(...)) edge.unsent(ask.id, nowMs);`
+  auto unsent(uint64_t id, int64_t nowMs) -> void;
+  /// A shield that can't be reached any more. Example: `edge.lost(address, nowMs);`
+  auto lost(const std::string& shield, int64_t nowMs) -> void;
+  /// Puts a newer frame, or newer knowledge of its age, in force. Example: `edge.takeFrame(held, nowMs);`
+  auto takeFrame(const HeldFrame& held, int64_t nowMs) -> void;
+  /// Ends what has run out of time. Example: every 10 ms `edge.tick(nowMs);`
+  auto tick(int64_t nowMs) -> void;
+  /// Hands over answers and asks. Example: `auto out = edge.output();`
+  auto output() -> Output { return std::exchange(out_, {}); }
+  /// Where the shields of the frame are. Example: `for (auto& at : edge.shields()) post->warm(at);`
+  auto shields() const -> std::vector<std::string>;
+  auto isCurrent(int64_t nowMs) const -> bool { return held_.isCurrent(nowMs, props_.staleMs); }
+  auto revision() const -> core::Revision { return held_.frame->revision; }
+  auto figures() const -> Figures { return figures_; }
+  auto open() const -> size_t { return waiting_.size(); }
+  auto cache() const -> const policy::Cache& { return cache_; }
+
+ private:
+  struct Waiting {
+    Request request;
+    std::string service;
+    core::Path path;
+    int64_t startMs = 0, untilMs = 0, askedMs = 0;
+    std::string shield;
+    std::set<std::string> tried;
+    bool isWrite = false, isShared = false, wasSent = false;
+    std::string joinKey;
+    std::vector<uint64_t> followers;
+  };
+  auto ask(uint64_t id, bool isExtra, int64_t nowMs) -> void;
+  auto giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void;
+  auto finish(uint64_t id, const Answer& answer, const policy::Copy* copy, int64_t nowMs) -> void;
+  auto answer(Waiting& waiting, Answer answer) -> void;
+  auto budget(const std::string& service) -> policy::TryBudget&;
+
+  Props props_;
+  HeldFrame held_;
+  policy::Slab<Waiting> waiting_;
+  policy::Cache cache_;
+  std::map<std::string, uint64_t> joins_;
+  std::map<std::string, policy::TryBudget> budgets_;
+  Output out_;
+  Figures figures_;
+};
+
+/// Finds the service and path for a request. Example: `if (auto found = findPath(frame, "shop.example", "/a")) ...`
+auto findPath(const core::Frame& frame, const std::string& host, const std::string& target)
+    -> std::optional<std::pair<std::string, core::Path>>;
+/// True for methods that change something. Example: `isWrite("POST")`
+auto isWrite(const std::string& method) -> bool;
+
+}  // namespace dykestage::caller
--- /dev/null
+++ b/lib/core/registry.cpp
@@ -0,0 +1,541 @@
+#include "core/registry.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+#include "neighbour/post.hpp"
+#include "operator/configuration.hpp"
+
+namespace dykestage::core {
+
+using namespace caller;
+using neighbour::Bundle;
+using neighbour::Have;
+using neighbour::Hello;
+using neighbour::Poll;
+
+namespace {
+auto diskFrame(const std::string& bytes, uint64_t fresh) -> DiskFrame {
+  if (bytes.empty()) return DiskFrame{fresh, {}, false, {}};
+  return Reader(bytes).get<DiskFrame>();
+}
+}  // namespace
+
+Registry::Registry(Props props, const std::string& frame, const std::vector<std::string>& writes, uint64_t freshIncarnation)
+    : props_(std::move(props)),
+      disk_(diskFrame(frame, freshIncarnation)),
+      node_(props_.core, props_.slot, disk_.incarnation, state_),
+      giver_(props_.holdMs) {
+  if (!disk_.node.empty()) node_.load(disk_.node);
+  for (const auto& write : writes) node_.replay(write);
+  node_.replayed();
+  taken_ = published_ = std::make_shared<Frame>(state_.frame());
+  if (frame.empty()) saveFrame();
+  LOG(INFO) << "core: Slot " << props_.slot << ", life " << disk_.incarnation << (frame.empty() ? ", blank disk." : ", disk read.");
+}
+
+auto Registry::isReady(int64_t nowMs) const -> bool { return node_.isMember() && ageMs(nowMs) < props_.staleMs; }
+
+// ---- steps and the disk -------------------------------------------------------------------------------
+
+auto Registry::saveFrame() -> void {
+  disk_.node = node_.isMember() || node_.epoch() > 0 ? node_.save() : std::string();
+  DiskJob job{nextJob_++, {}, Writer().put(disk_).take()};
+  lastJob_ = frameJob_ = job.number;
+  out_.jobs.push_back(std::move(job));
+}
+
+// Gathers what the node asks for; it leaves when the writes of this step and all before are synced.
+auto Registry::collect(int64_t nowMs) -> void {
+  auto made = node_.take();
+  if (made.frameTaken) {
+    saveFrame();
+  } else if (!made.writes.empty()) {
+    DiskJob job{nextJob_++, std::move(made.writes), {}};
+    lastJob_ = job.number;
+    out_.jobs.push_back(std::move(job));
+  }
+  Step step;
+  step.job = lastJob_;
+  std::map<uint32_t, Bundle> bundles;
+  for (auto& send : made.sends) {
+    bundles[send.to].slot = props_.slot;
+    bundles[send.to].messages.push_back(std::move(send.message));
+  }
+  for (auto& [slot, bundle] : bundles)
+    if (auto it = props_.addresses.find(slot); it != props_.addresses.end())
+      step.letters.push_back({it->second, neighbour::kTempo, Writer().put(bundle).take()});
+  step.answers = std::move(made.answers);
+  if (state_.frame().revision != taken_->revision) taken_ = step.published = std::make_shared<Frame>(state_.frame());
+  if (!step.letters.empty() || !step.answers.empty() || step.published) steps_.push_back(std::move(step));
+  if (wantsFrame_ && node_.isMember()) {
+    wantsFrame_ = false;
+    saveFrame();
+  }
+  release(nowMs);
+}
+
+auto Registry::synced(uint64_t number, double fill, int64_t nowMs) -> void {
+  syncedJob_ = std::max(syncedJob_, number);
+  if (fill > 0.5 && number >= frameJob_) wantsFrame_ = true;
+  release(nowMs);
+}
+
+auto Registry::release(int64_t nowMs) -> void {
+  while (!steps_.empty() && steps_.front().job <= syncedJob_) {
+    auto step = std::move(steps_.front());
+    steps_.pop_front();
+    if (step.published) published_ = step.published;
+    for (auto& letter : step.letters) out_.letters.push_back(std::move(letter));
+    for (auto& answer : step.answers) {
+      auto it = running_.find(answer.id);
+      if (it == running_.end()) continue;
+      auto pending = std::move(it->second);
+      running_.erase(it);
+      runningSinceMs_.erase(answer.id);
+      if (answer.isVoid) {  // surely did not run: it is submitted again in the new epoch
+        for (auto& one : pending) submit(std::move(one.op), std::move(one.done));
+        continue;
+      }
+      auto results = Reader(answer.result).get<std::vector<OpResult>>();
+      for (size_t i = 0; i < pending.size(); ++i) pending[i].done(i < results.size() ? &results[i] : nullptr, nowMs);
+    }
+    if (step.published) feed(nowMs);
+  }
+}
+
+// ---- submissions --------------------------------------------------------------------------------------
+
+auto Registry::submit(Op op, Done done) -> void { batch_.push_back({std::move(op), std::move(done)}); }
+
+auto Registry::flushBatch(int64_t nowMs) -> void {
+  if (batch_.empty()) {
+    batchSinceMs_ = nowMs;
+    return;
+  }
+  if (nowMs - batchSinceMs_ < props_.batchMs || !node_.isMember()) return;
+  batchSinceMs_ = nowMs;
+  // Operations that touch the same partitions travel as one command.
+  std::map<uint8_t, std::vector<Pending>> groups;
+  for (auto& one : std::exchange(batch_, {})) groups[one.op.parts()].push_back(std::move(one));
+  for (auto& [parts, group] : groups) {
+    std::vector<Op> ops;
+    for (auto& one : group) ops.push_back(one.op);
+    auto id = node_.submit(parts, Writer().put(ops).take(), nowMs);
+    running_[id] = std::move(group);
+    runningSinceMs_[id] = nowMs;
+  }
+}
+
+auto Registry::answer(const Who& who, const Answer& answer) -> void { out_.answers.push_back({who.stream, who.method, who.keep, answer}); }
+
+auto Registry::json(const Who& who, int status, const std::string& body) -> void {
+  answer(who, Answer{status, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, body + "\n"});
+}
+
+auto Registry::configure(const std::string& body, Who who, int tries) -> void {
+  std::vector<op::Fault> faults;
+  auto op = op::readConfiguration(body, published_->services, faults);
+  if (!op) {
+    op::Json list(cJSON_CreateArray(), cJSON_Delete);
+    for (const auto& fault : faults) {
+      auto* item = cJSON_CreateObject();
+      cJSON_AddStringToObject(item, "place", fault.place.c_str());
+      cJSON_AddStringToObject(item, "what", fault.what.c_str());
+      cJSON_AddItemToArray(list.get(), item);
+    }
+    return answer(who, codeAnswer(kInvalid, 0, ",\"faults\":" + op::print(list.get())));
+  }
+  auto hasBase = op::namesBase(body);
+  if (!hasBase) op->base = published_->revision.configuration;
+  if (op->changeId.empty()) op->changeId = "r" + std::to_string(disk_.incarnation) + "-" + std::to_string(++changeNumber_);
+  auto id = op->changeId;
+  submit(*op, [this, body, who, tries, hasBase, id](const OpResult* result, int64_t nowMs) {
+    op::Json text(cJSON_CreateString(id.c_str()), cJSON_Delete);
+    auto change = ",\"change\":" + op::print(text.get());
+    std::optional<OpResult> known = result ? std::optional(*result) : state_.changed(id);
+    if (!known) return answer(who, codeAnswer(kChangeUnknown, 0, change));
+    if (known->outcome == Outcome::kConflict) {
+      ++conflicts_;
+      // Without a base of its own the change is checked again against what won.
+      if (!hasBase && tries > 0) return configure(body, who, tries - 1);
+      return answer(who, codeAnswer(kConflict, 0, change + ",\"revision\":" + std::to_string(known->revision.configuration)));
+    }
+    acknowledge(known->revision, nowMs, [this, who, change, known] {
+      json(who, 200, "{\"code\":0" + change + ",\"revision\":" + std::to_string(known->revision.configuration) + "}");
+    });
+  });
+}
+
+auto Registry::take(const Request& request, int64_t nowMs) -> void {
+  Who who{request.stream, request.method, request.keep};
+  auto path = request.target.substr(0, request.target.find('?'));
+  auto isGet = request.method == "GET" || request.method == "HEAD";
+  auto isPost = request.method == "POST";
+  if (isGet && path == "/ready") {
+    if (isReady(nowMs)) return json(who, 200, "{\"ready\":true}");
+    return answer(who, codeAnswer(node_.isMember() ? kNotCurrent : kNotMember, 1));
+  }
+  if (isGet && path == "/status") return json(who, 200, statusPage(nowMs));
+  if (!isReady(nowMs)) return answer(who, codeAnswer(node_.isMember() ? kNotCurrent : kNotMember, 1));
+  if (isGet && path == "/configuration") return json(who, 200, op::writeConfiguration(*published_));
+  if (isGet && path == "/roster") return json(who, 200, op::writeRoster(*published_));
+  if (isGet && path.rfind("/changes/", 0) == 0) {
+    auto result = state_.changed(path.substr(9));
+    if (!result) return answer(who, codeAnswer(kNoSuchChange, 0));
+    return json(who, 200, "{\"code\":0,\"revision\":" + std::to_string(result->revision.configuration) +
+                              ",\"purge\":" + std::to_string(result->revision.purges) + "}");
+  }
+  if (running_.size() + batch_.size() + acks_.size() > props_.waiting) return answer(who, codeAnswer(kEdgeFull, 1));
+  if (isPost && path == "/configuration") return configure(request.body, who, 5);
+  if (isPost && path == "/purge") {
+    std::vector<op::Fault> faults;
+    auto op = op::readPurge(request.body, faults);
+    if (!op) return answer(who, codeAnswer(kInvalid, 0, ",\"place\":\"" + faults.front().place + "\",\"what\":\"" + faults.front().what + "\""));
+    submit(*op, [this, who, id = op->changeId](const OpResult* result, int64_t nowMs) {
+      auto known = result ? std::optional(*result) : state_.changed(id);
+      if (!known) return answer(who, codeAnswer(kChangeUnknown, 0));
+      acknowledge(known->revision, nowMs, [this, who, known] {
+        json(who, 200, "{\"code\":0,\"purge\":" + std::to_string(known->revision.purges) + "}");
+      });
+    });
+    return;
+  }
+  if (isPost && path == "/announce") {
+    std::vector<op::Fault> faults;
+    auto op = op::readAnnouncement(request.body, faults);
+    if (!op) return answer(who, codeAnswer(kInvalid, 0, ",\"place\":\"" + faults.front().place + "\",\"what\":\"" + faults.front().what + "\""));
+    beats_[op->name] = nowMs;
+    auto it = published_->upstreams.find(op->name);
+    if (it != published_->upstreams.end()) {
+      auto known = it->second;
+      known.isHeld = op->upstream.isHeld;
+      // A beat that changes nothing is no command.
+      if (Writer().put(known).take() == Writer().put(op->upstream).take())
+        return json(who, 200, std::string("{\"code\":0,\"state\":\"") + (it->second.isHeld ? "held" : "known") + "\"}");
+    }
+    submit(*op, [this, who](const OpResult* result, int64_t) {
+      if (!result) return answer(who, codeAnswer(kChangeUnknown, 0));
+      json(who, 200, "{\"code\":0,\"state\":\"taken\"}");
+    });
+    return;
+  }
+  answer(who, codeAnswer(kNoSuchPage, 0));
+}
+
+// ---- acknowledgement ----------------------------------------------------------------------------------
+
+auto Registry::everyoneHas(const Revision& revision) const -> bool {
+  return std::all_of(published_->members.begin(), published_->members.end(), [&](const auto& one) {
+    auto it = heard_.find(one.first);
+    return it != heard_.end() && it->second.incarnation == one.second.incarnation && it->second.revision.covers(revision);
+  });
+}
+
+// A change is acknowledged when every node has it, or when whoever lacks it has stopped acting on what it has.
+auto Registry::acknowledge(const Revision& revision, int64_t nowMs, std::function<void()> done) -> void {
+  acks_.push_back({revision, nowMs, std::move(done)});
+  checkAcks(nowMs);
+}
+
+auto Registry::checkAcks(int64_t nowMs) -> void {
+  auto waiting = std::exchange(acks_, {});
+  for (auto& ack : waiting) {
+    auto isOver = nowMs - ack.sinceMs > props_.staleMs + props_.tickMs / 4 || everyoneHas(ack.revision);
+    if (!isOver) {
+      acks_.push_back(std::move(ack));
+      continue;
+    }
+    ++acked_;
+    ack.done();
+  }
+}
+
+// ---- agents -------------------------------------------------------------------------------------------
+
+auto Registry::onPoll(const std::string& from, Poll poll, int64_t nowMs) -> void {
+  heard_[poll.name] = {poll.member.incarnation, poll.revision, nowMs, poll.probes};
+  checkAcks(nowMs);
+  auto it = published_->members.find(poll.name);
+  auto isMember = it != published_->members.end() && it->second == poll.member;
+  if (!isMember && isReady(nowMs)) {
+    auto& triedMs = joinTriedMs_[poll.name];
+    if (triedMs == 0 || nowMs - triedMs > props_.boundMs / 4) {
+      triedMs = nowMs;
+      LOG(INFO) << "core: " << poll.name << " wants to join as " << poll.member.kind << ".";
+      Op op;
+      op.kind = OpKind::kJoin;
+      op.name = poll.name;
+      op.member = poll.member;
+      submit(std::move(op), [](const OpResult*, int64_t) {});
+    }
+  }
+  giver_.take(from, std::move(poll), nowMs);
+  feed(nowMs);
+}
+
+auto Registry::feed(int64_t nowMs) -> void {
+  for (auto& [to, feed] : giver_.give(*published_, asOfMs_, nowMs)) out_.letters.push_back({to, neighbour::kFeed, Writer().put(feed).take()});
+}
+
+// ---- letters ------------------------------------------------------------------------------------------
+
+auto Registry::take(const std::string& from, uint8_t kind, const std::string& body, int64_t nowMs) -> void {
+  Reader r(body);
+  if (kind == neighbour::kTempo) {
+    auto bundle = r.get<Bundle>();
+    if (!r.done()) return;
+    for (const auto& message : bundle.messages) node_.receive(bundle.slot, message, nowMs);
+    collect(nowMs);
+  } else if (kind == neighbour::kHello) {
+    auto hello = r.get<Hello>();
+    if (r.done() && props_.addresses.count(hello.slot)) onHello(hello, nowMs);
+  } else if (kind == neighbour::kHave) {
+    auto have = r.get<Have>();
+    if (!r.done()) return;
+    for (const auto& [name, told] : have.members) {
+      auto& heard = heard_[name];
+      auto heardMs = nowMs - told.second.second;
+      if (heardMs <= heard.heardMs && heard.incarnation == told.first) continue;
+      heard = {told.first, told.second.first, heardMs, heard.probes};
+    }
+    for (const auto& [name, age] : have.beats) beats_[name] = std::max(beats_[name], nowMs - age);
+    for (const auto& [name, told] : have.probes) heard_[name].probes = told;
+    checkAcks(nowMs);
+  } else if (kind == neighbour::kPoll) {
+    auto poll = r.get<Poll>();
+    if (r.done()) onPoll(from, std::move(poll), nowMs);
+  }
+}
+
+// ---- formation and replacement ------------------------------------------------------------------------
+
+auto Registry::hello() -> void {
+  Hello hello;
+  hello.slot = props_.slot;
+  hello.incarnation = disk_.incarnation;
+  hello.epoch = node_.epoch();
+  hello.isMember = node_.isMember();
+  hello.isFormed = node_.isMember() || disk_.isFormed;
+  hello.proposed = hello.isMember ? node_.members() : disk_.proposed;
+  auto body = Writer().put(hello).take();
+  // A proposal of first members is told only when it is synced.
+  Step step;
+  step.job = lastJob_;
+  for (const auto& [slot, address] : props_.addresses)
+    if (slot != props_.slot) step.letters.push_back({address, neighbour::kHello, body});
+  steps_.push_back(std::move(step));
+}
+
+auto Registry::onHello(const Hello& hello, int64_t nowMs) -> void {
+  hellos_[hello.slot] = hello;
+  if (node_.isMember()) {
+    auto seat = node_.members().find(hello.slot);
+    auto isStranger = !hello.isMember && seat != node_.members().end() && seat->second != hello.incarnation;
+    if (!isStranger || (node_.alive() & tempo::Node::bit(hello.slot))) {
+      strangers_.erase(hello.slot);
+      return;
+    }
+    // A blank life in a slot whose seated life is silent: one living member seats it.
+    auto since = strangers_.try_emplace(hello.slot, nowMs).first->second;
+    auto isFirst = true;
+    for (const auto& [slot, incarnation] : node_.members())
+      if (slot < props_.slot && (node_.alive() & tempo::Node::bit(slot))) isFirst = false;
+    if (!isFirst || nowMs - since < props_.boundMs / 2 || nowMs - seatMs_ < props_.boundMs / 2) return;
+    seatMs_ = nowMs;
+    LOG(INFO) << "core: Seating life " << hello.incarnation << " in slot " << hello.slot << ".";
+    node_.submit(tempo::kAllParts, tempo::Node::seat(hello.slot, hello.incarnation), nowMs, tempo::kReplaceReplica);
+    collect(nowMs);
+    return;
+  }
+  if (hello.isMember) {
+    auto seat = hello.proposed.find(props_.slot);
+    if (seat == hello.proposed.end() || seat->second != disk_.incarnation) return;
+    if (disk_.proposed == hello.proposed && hello.epoch == 0) {  // the formation ended elsewhere
+      node_.form(disk_.proposed);
+      disk_.isFormed = true;
+      saveFrame();
+      return;
+    }
+    tempo::Message ask;
+    ask.kind = tempo::Kind::kFrameAsk;
+    ask.from = disk_.incarnation;
+    out_.letters.push_back({props_.addresses.at(hello.slot), neighbour::kTempo, Writer().put(Bundle{props_.slot, {ask}}).take()});
+    return;
+  }
+  // First formation: every initial member must be blank, and must have synced the same list of lives.
+  if (hellos_.size() + 1 < props_.addresses.size()) return;
+  if (disk_.proposed.empty()) {
+    std::map<uint32_t, uint64_t> proposed{{props_.slot, disk_.incarnation}};
+    for (const auto& [slot, other] : hellos_) {
+      if (other.isFormed || other.isMember) return;
+      proposed[slot] = other.incarnation;
+    }
+    disk_.proposed = proposed;
+    saveFrame();
+    return;
+  }
+  for (const auto& [slot, other] : hellos_)
+    if (other.proposed != disk_.proposed) return;
+  LOG(INFO) << "core: The first members are formed.";
+  node_.form(disk_.proposed);
+  disk_.isFormed = true;
+  saveFrame();
+}
+
+// ---- the watch duty -----------------------------------------------------------------------------------
+
+auto Registry::watch(int64_t nowMs) -> void {
+  auto duty = state_.duty(kWatchDuty);
+  // The duty is vacant when its holder's ticks stop being executed while others' go on.
+  auto silence = static_cast<uint64_t>(props_.boundMs / props_.tickMs) * props_.addresses.size();
+  auto isVacant = duty.term == 0 || state_.ticks() > state_.lastTick(duty.holder) + silence;
+  if (isVacant && !watches() && nowMs - claimMs_ > props_.boundMs) {
+    claimMs_ = nowMs;
+    Op op;
+    op.kind = OpKind::kClaim;
+    op.name = kWatchDuty;
+    op.term = duty.term + 1;
+    op.incarnation = disk_.incarnation;
+    submit(std::move(op), [term = op.term](const OpResult* result, int64_t) {
+      if (result && result->outcome == Outcome::kDone) LOG(INFO) << "core: Won the watch, term " << term << ".";
+    });
+  }
+  if (!watches()) {
+    watchSinceMs_ = -1;
+    return;
+  }
+  if (watchSinceMs_ < 0) watchSinceMs_ = nowMs;
+  if (nowMs - watchedMs_ < props_.tickMs) return;
+  watchedMs_ = nowMs;
+  auto decide = [&](OpKind kind, const std::string& name, uint64_t incarnation) {
+    Op op;
+    op.kind = kind;
+    op.name = name;
+    op.incarnation = incarnation;
+    op.term = duty.term;
+    submit(std::move(op), [](const OpResult*, int64_t) {});
+  };
+  auto shields = std::count_if(published_->members.begin(), published_->members.end(), [](const auto& m) { return m.second.kind == "shield"; });
+  std::set<std::string> stillHeld;
+  for (const auto& [name, upstream] : published_->upstreams) {
+    // Silence counts from the moment at which this holder could have heard.
+    auto beat = beats_.find(name);
+    auto silentMs = nowMs - std::max(watchSinceMs_, beat == beats_.end() ? 0 : beat->second);
+    auto failing = 0;
+    for (const auto& [member, heard] : heard_) {
+      auto probe = heard.probes.find(name);
+      if (published_->members.count(member) && probe != heard.probes.end() && !probe->second) ++failing;
+    }
+    auto isFailing = shields > 0 && failing * 2 > shields;
+    if (silentMs > props_.beatMissMs || (isFailing && silentMs > props_.beatMissMs / 2)) {
+      LOG(INFO) << "core: Signing off upstream " << name << ", silent for " << silentMs << " ms" << (isFailing ? ", probes fail." : ".");
+      ++signOffs_;
+      decide(OpKind::kSignOff, name, 0);
+    }
+    if (upstream.isHeld) {
+      stillHeld.insert(name);
+      auto since = heldSinceMs_.try_emplace(name, nowMs).first->second;
+      Revision needed;
+      needed.upstreams = published_->revision.upstreams;
+      if (nowMs - since > props_.staleMs + props_.tickMs / 4 || (nowMs > since && everyoneHas(needed))) decide(OpKind::kRelease, name, 0);
+    }
+  }
+  std::erase_if(heldSinceMs_, [&](const auto& one) { return !stillHeld.count(one.first); });
+  for (const auto& [name, member] : published_->members) {
+    auto it = heard_.find(name);
+    auto heardMs = it == heard_.end() || it->second.incarnation != member.incarnation ? 0 : it->second.heardMs;
+    if (nowMs - std::max(watchSinceMs_, heardMs) > props_.memberMissMs) {
+      LOG(INFO) << "core: Signing off " << member.kind << " " << name << ".";
+      decide(OpKind::kLeave, name, member.incarnation);
+    }
+  }
+  std::erase_if(beats_, [&](const auto& one) { return nowMs - one.second > 10 * props_.beatMissMs; });
+}
+
+// ---- time ---------------------------------------------------------------------------------------------
+
+auto Registry::tick(int64_t nowMs) -> void {
+  if (nowMs - helloMs_ >= props_.boundMs / 10) {
+    helloMs_ = nowMs;
+    hello();
+  }
+  if (node_.isMember()) {
+    if (nowMs - tickedMs_ >= props_.tickMs) {
+      tickedMs_ = nowMs;
+      Op op;
+      op.kind = OpKind::kTick;
+      op.incarnation = disk_.incarnation;
+      // Everything acknowledged before the tick was submitted is ordered before it.
+      submit(std::move(op), [this, nowMs](const OpResult* result, int64_t) {
+        if (result) asOfMs_ = std::max(asOfMs_, nowMs);
+      });
+    }
+    if (isReady(nowMs)) watch(nowMs);
+    if (nowMs - haveMs_ >= props_.boundMs / 40) {
+      haveMs_ = nowMs;
+      Have have;
+      for (const auto& [name, heard] : heard_)
+        if (nowMs - heard.heardMs < props_.boundMs) {
+          have.members[name] = {heard.incarnation, {heard.revision, nowMs - heard.heardMs}};
+          if (!heard.probes.empty()) have.probes[name] = heard.probes;
+        }
+      for (const auto& [name, beatMs] : beats_)
+        if (nowMs - beatMs < props_.boundMs) have.beats[name] = nowMs - beatMs;
+      auto body = Writer().put(have).take();
+      for (const auto& [slot, address] : props_.addresses)
+        if (slot != props_.slot) out_.letters.push_back({address, neighbour::kHave, body});
+    }
+    flushBatch(nowMs);
+    node_.tick(nowMs);
+  }
+  collect(nowMs);
+  checkAcks(nowMs);
+  feed(nowMs);
+  for (auto it = runningSinceMs_.begin(); it != runningSinceMs_.end();) {
+    if (nowMs - it->second < props_.answerMs) {
+      ++it;
+      continue;
+    }
+    auto pending = std::move(running_.at(it->first));
+    running_.erase(it->first);
+    it = runningSinceMs_.erase(it);
+    for (auto& one : pending) one.done(nullptr, nowMs);
+  }
+  std::erase_if(heard_, [&](const auto& one) { return nowMs - one.second.heardMs > 20 * props_.memberMissMs; });
+}
+
+auto Registry::statusPage(int64_t nowMs) const -> std::string {
+  auto f = node_.figures();
+  auto duty = state_.duty(kWatchDuty);
+  op::Json json(cJSON_CreateObject(), cJSON_Delete);
+  auto number = [&](const char* key, double value) { cJSON_AddNumberToObject(json.get(), key, value); };
+  cJSON_AddStringToObject(json.get(), "program", "registry");
+  cJSON_AddStringToObject(json.get(), "life", std::to_string(disk_.incarnation).c_str());
+  cJSON_AddBoolToObject(json.get(), "ready", isReady(nowMs));
+  cJSON_AddBoolToObject(json.get(), "member", node_.isMember());
+  cJSON_AddBoolToObject(json.get(), "watches", watches());
+  number("slot", props_.slot);
+  number("epoch", node_.epoch());
+  number("ageMs", static_cast<double>(std::min<int64_t>(ageMs(nowMs), 1 << 30)));
+  number("watchTerm", static_cast<double>(duty.term));
+  number("configuration", static_cast<double>(published_->revision.configuration));
+  number("purges", static_cast<double>(published_->revision.purges));
+  number("upstreams", static_cast<double>(published_->revision.upstreams));
+  number("members", static_cast<double>(published_->revision.members));
+  number("fast", static_cast<double>(f.fast));
+  number("slow", static_cast<double>(f.slow));
+  number("recovered", static_cast<double>(f.recovered));
+  number("executed", static_cast<double>(f.executed));
+  number("voided", static_cast<double>(f.voided));
+  number("framesTaken", static_cast<double>(f.frames));
+  number("pending", static_cast<double>(f.pending));
+  number("unsynced", static_cast<double>(lastJob_ - syncedJob_));
+  number("signOffs", static_cast<double>(signOffs_));
+  number("conflicts", static_cast<double>(conflicts_));
+  number("acknowledged", static_cast<double>(acked_));
+  return op::print(json.get());
+}
+
+}  // namespace dykestage::core
--- /dev/null
+++ b/lib/core/registry.hpp
@@ -0,0 +1,166 @@
+// Core: one registry. A state machine on the control thread: letters, HTTP requests, ended disk jobs and time
+// go in; letters, answers and disk jobs come out.
+#pragma once
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "agent/feed.hpp"
+#include "caller/codes.hpp"
+#include "caller/face.hpp"
+#include "core/state.hpp"
+#include "neighbour/messages.hpp"
+#include "tempo/tempo.hpp"
+
+namespace dykestage::core {
+
+/// Work for the disk thread: writes, then perhaps a frame, synced as one.
+struct DiskJob {
+  uint64_t number = 0;
+  std::vector<std::string> writes;
+  std::string frame;
+};
+
+/// What a registry's disk holds besides the writes behind it.
+struct DiskFrame {
+  uint64_t incarnation = 0;
+  std::map<uint32_t, uint64_t> proposed;  // the first members
+  bool isFormed = false;
+  std::string node;
+  DYKESTAGE_FIELDS(incarnation, proposed, isFormed, node)
+};
+
+class Registry {
+ public:
+  struct Props {
+    tempo::Props core;
+    tempo::Slot slot = 1;
+    std::map<tempo::Slot, std::string> addresses;  // of all registries
+    int64_t boundMs = 2000;        // the freshness bound
+    int64_t staleMs = 1500;        // 3/4 of it
+    int64_t tickMs = 250;          // 1/8 of it
+    int64_t holdMs = 200;          // 1/10: how long a question for news is held
+    int64_t batchMs = 2;
+    int64_t beatMissMs = 3000;     // silence after which an upstream is signed off
+    int64_t memberMissMs = 5000;   // silence after which a data node is signed off
+    int64_t answerMs = 5000;       // after it a submission's outcome is called unknown
+    size_t waiting = 4000;         // submissions under way
+  };
+  struct Output {
+    struct Sent {
+      std::string to;
+      uint8_t kind;
+      std::string body;
+    };
+    struct Answered {
+      std::shared_ptr<caller::Stream> stream;
+      std::string method;
+      bool keep;
+      caller::Answer answer;
+    };
+    std::vector<Sent> letters;
+    std::vector<Answered> answers;
+    std::vector<DiskJob> jobs;
+  };
+
+  /// Starts from what the disk held; a blank disk is a new life.
+  /// Example: `Registry registry(props, found.frame, found.writes, freshIncarnation);`
+  Registry(Props props, const std::string& frame, const std::vector<std::string>& writes, uint64_t freshIncarnation);
+
+  /// Takes a letter from another process. Example: `registry.take(letter.from, letter.kind, letter.body, nowMs);`
+  auto take(const std::string& from, uint8_t kind, const std::string& body, int64_t nowMs) -> void;
+  /// Takes an operator's or upstream's request. Example: `registry.take(request, nowMs);`
+  auto take(const caller::Request& request, int64_t nowMs) -> void;
+  /// A disk job has been synced. Example: `registry.synced(job.number, ring.fill(), nowMs);`
+  auto synced(uint64_t number, double fill, int64_t nowMs) -> void;
+  auto tick(int64_t nowMs) -> void;
+  auto output() -> Output { return std::exchange(out_, {}); }
+  /// Ready to serve operators, upstreams and agents. Example: `registry.isReady(nowMs)`
+  auto isReady(int64_t nowMs) const -> bool;
+  auto incarnation() const -> uint64_t { return disk_.incarnation; }
+
+ private:
+  using Done = std::function<void(const OpResult*, int64_t nowMs)>;  // null: the outcome is not known
+  struct Pending {
+    Op op;
+    Done done;
+  };
+  struct Step {  // what may leave once a disk job is synced
+    uint64_t job = 0;
+    std::vector<Output::Sent> letters;
+    std::vector<tempo::Answer> answers;
+    std::shared_ptr<const Frame> published;
+  };
+  struct Heard {
+    uint64_t incarnation = 0;
+    Revision revision;
+    int64_t heardMs = 0;
+    std::map<std::string, bool> probes;
+  };
+  struct Ack {
+    Revision revision;
+    int64_t sinceMs = 0;
+    std::function<void()> done;
+  };
+  struct Who {  // where an HTTP answer goes
+    std::shared_ptr<caller::Stream> stream;
+    std::string method;
+    bool keep = true;
+  };
+
+  auto submit(Op op, Done done) -> void;
+  auto flushBatch(int64_t nowMs) -> void;
+  auto collect(int64_t nowMs) -> void;
+  auto release(int64_t nowMs) -> void;
+  auto saveFrame() -> void;
+  auto hello() -> void;
+  auto onHello(const neighbour::Hello& hello, int64_t nowMs) -> void;
+  auto onPoll(const std::string& from, neighbour::Poll poll, int64_t nowMs) -> void;
+  auto feed(int64_t nowMs) -> void;
+  auto watch(int64_t nowMs) -> void;
+  auto checkAcks(int64_t nowMs) -> void;
+  auto everyoneHas(const Revision& revision) const -> bool;
+  auto acknowledge(const Revision& revision, int64_t nowMs, std::function<void()> done) -> void;
+  auto configure(const std::string& body, Who who, int tries) -> void;
+  auto answer(const Who& who, const caller::Answer& answer) -> void;
+  auto json(const Who& who, int status, const std::string& body) -> void;
+  auto statusPage(int64_t nowMs) const -> std::string;
+  auto ageMs(int64_t nowMs) const -> int64_t { return asOfMs_ < 0 ? 1LL << 40 : nowMs - asOfMs_; }
+  auto watches() const -> bool { return state_.duty(kWatchDuty).holder == disk_.incarnation; }
+
+  Props props_;
+  DiskFrame disk_;
+  State state_;
+  tempo::Node node_;
+  Output out_;
+
+  uint64_t nextJob_ = 1, lastJob_ = 0, syncedJob_ = 0, frameJob_ = 0;
+  std::deque<Step> steps_;
+  bool wantsFrame_ = false;
+  std::shared_ptr<const Frame> published_ = std::make_shared<Frame>();
+  std::shared_ptr<const Frame> taken_ = published_;
+  int64_t asOfMs_ = -1;
+
+  std::vector<Pending> batch_;
+  int64_t batchSinceMs_ = 0;
+  std::map<tempo::Id, std::vector<Pending>> running_;
+  std::map<tempo::Id, int64_t> runningSinceMs_;
+  int64_t tickedMs_ = -1'000'000;
+  std::map<std::string, Heard> heard_;
+  std::map<std::string, int64_t> beats_;  // instance → when last heard
+  std::map<std::string, int64_t> heldSinceMs_;
+  std::map<std::string, int64_t> joinTriedMs_;
+  std::vector<Ack> acks_;
+  agent::Giver giver_;
+  std::map<uint32_t, neighbour::Hello> hellos_;
+  std::map<uint32_t, int64_t> strangers_;  // slot → since when an unseated life says hello
+  int64_t helloMs_ = 0, haveMs_ = 0, seatMs_ = 0, claimMs_ = 0, watchSinceMs_ = -1, watchedMs_ = 0;
+  uint64_t changeNumber_ = 0;
+  uint64_t signOffs_ = 0, conflicts_ = 0, acked_ = 0;
+};
+
+}  // namespace dykestage::core
--- /dev/null
+++ b/lib/core/state.cpp
@@ -0,0 +1,235 @@
+#include "core/state.hpp"
+
+#include <algorithm>
+
+namespace dykestage::core {
+
+namespace {
+constexpr size_t kPurgesKept = 2000;
+constexpr size_t kChangesKept = 10000;
+constexpr auto bitOf(uint8_t part) -> uint8_t { return static_cast<uint8_t>(1u << part); }
+}  // namespace
+
+auto newsSince(const Frame& frame, const Revision& since) -> News {
+  News news{frame.revision, {}, {}, frame.purgeFloor, {}, {}};
+  if (frame.revision.configuration > since.configuration) news.services = frame.services;
+  if (frame.revision.upstreams > since.upstreams) news.upstreams = frame.upstreams;
+  if (frame.revision.members > since.members) news.members = frame.members;
+  for (const auto& purge : frame.purges)
+    if (purge.number > since.purges) news.purges.push_back(purge);
+  return news;
+}
+
+auto join(Frame& frame, const News& news) -> bool {
+  if (!news.revision.covers(frame.revision)) return false;
+  auto isWhole = (news.revision.configuration == frame.revision.configuration || news.services) &&
+                 (news.revision.upstreams == frame.revision.upstreams || news.upstreams) &&
+                 (news.revision.members == frame.revision.members || news.members);
+  if (!isWhole) return false;
+  if (news.services) frame.services = *news.services;
+  if (news.upstreams) frame.upstreams = *news.upstreams;
+  if (news.members) frame.members = *news.members;
+  frame.purgeFloor = std::max(frame.purgeFloor, news.purgeFloor);
+  for (const auto& purge : news.purges)
+    if (purge.number > frame.revision.purges) frame.purges.push_back(purge);
+  std::erase_if(frame.purges, [&](const Purge& p) { return p.number <= frame.purgeFloor; });
+  frame.revision = news.revision;
+  return true;
+}
+
+auto Op::parts() const -> uint8_t {
+  switch (kind) {
+    case OpKind::kTick:
+      return tempo::kAllParts;  // a registry is current in all it serves, or in none
+    case OpKind::kConfigure: {
+      auto parts = bitOf(tempo::kConfiguration);
+      auto retires = isWhole;
+      for (const auto& [service, props] : services) retires = retires || !props;
+      return retires ? parts | bitOf(tempo::kUpstreams) : parts;  // a retired service takes its upstreams along
+    }
+    case OpKind::kPurge:
+      return bitOf(tempo::kConfiguration);
+    case OpKind::kAnnounce:
+      return bitOf(tempo::kUpstreams);
+    case OpKind::kSignOff:
+    case OpKind::kRelease:
+      return bitOf(tempo::kUpstreams) | bitOf(tempo::kMembers);  // decided under a duty's term
+    case OpKind::kJoin:
+    case OpKind::kLeave:
+    case OpKind::kClaim:
+      return bitOf(tempo::kMembers);
+  }
+  return tempo::kAllParts;
+}
+
+auto readOps(const std::string& payload) -> std::vector<Op> { return Reader(payload).get<std::vector<Op>>(); }
+
+auto State::apply(const tempo::Command& command, tempo::Stamp) -> std::string {
+  std::vector<OpResult> results;
+  for (const auto& op : readOps(command.payload)) results.push_back(applyOp(op));
+  return Writer().put(results).take();
+}
+
+auto State::applyOp(const Op& op) -> OpResult {
+  auto& revision = frame_.revision;
+  auto isOldTerm = [&] { return duty(kWatchDuty).term != op.term; };
+  switch (op.kind) {
+    case OpKind::kTick:
+      ++ticks_;
+      lastTicks_[op.incarnation] = ticks_;
+      return {Outcome::kDone, revision};
+    case OpKind::kConfigure:
+      return configure(op);
+    case OpKind::kPurge: {
+      if (auto first = changed(op.changeId)) return *first;
+      auto purge = op.purge;
+      purge.number = ++revision.purges;
+      frame_.purges.push_back(purge);
+      if (frame_.purges.size() > kPurgesKept) {
+        frame_.purgeFloor = frame_.purges[frame_.purges.size() / 2].number;
+        std::erase_if(frame_.purges, [&](const Purge& p) { return p.number <= frame_.purgeFloor; });
+      }
+      OpResult result{Outcome::kDone, {}};
+      result.revision.purges = revision.purges;
+      remember(op.changeId, result);
+      return result;
+    }
+    case OpKind::kAnnounce:
+      return announce(op);
+    case OpKind::kSignOff: {
+      if (isOldTerm()) return {Outcome::kOldTerm, {}};
+      if (!frame_.upstreams.erase(op.name)) return {Outcome::kNoChange, {}};
+      ++revision.upstreams;
+      break;
+    }
+    case OpKind::kRelease: {
+      if (isOldTerm()) return {Outcome::kOldTerm, {}};
+      auto it = frame_.upstreams.find(op.name);
+      if (it == frame_.upstreams.end() || !it->second.isHeld) return {Outcome::kNoChange, {}};
+      it->second.isHeld = false;
+      ++revision.upstreams;
+      break;
+    }
+    case OpKind::kJoin: {
+      auto it = frame_.members.find(op.name);
+      if (it != frame_.members.end() && it->second == op.member) return {Outcome::kNoChange, {}};
+      frame_.members[op.name] = op.member;
+      ++revision.members;
+      OpResult result{Outcome::kDone, {}};
+      result.revision.members = revision.members;
+      return result;
+    }
+    case OpKind::kLeave: {
+      if (isOldTerm()) return {Outcome::kOldTerm, {}};
+      auto it = frame_.members.find(op.name);
+      if (it == frame_.members.end() || it->second.incarnation != op.incarnation) return {Outcome::kNoChange, {}};
+      frame_.members.erase(it);
+      ++revision.members;
+      OpResult result{Outcome::kDone, {}};
+      result.revision.members = revision.members;
+      return result;
+    }
+    case OpKind::kClaim: {
+      // The first claim of a term wins; the ballots that order it decide which one is first.
+      auto& duty = duties_[op.name];
+      if (duty.term + 1 != op.term) return {Outcome::kOldTerm, {}};
+      duty = {op.term, op.incarnation};
+      return {Outcome::kDone, {}};
+    }
+  }
+  OpResult result{Outcome::kDone, {}};
+  result.revision.upstreams = revision.upstreams;
+  return result;
+}
+
+auto State::configure(const Op& op) -> OpResult {
+  if (auto first = changed(op.changeId)) return *first;
+  auto& revision = frame_.revision;
+  if (op.base != revision.configuration) {
+    OpResult conflict{Outcome::kConflict, {}};
+    conflict.revision.configuration = revision.configuration;
+    return conflict;  // not remembered: the same id may be tried again on the revision that won
+  }
+  std::set<std::string> retired;
+  for (const auto& [name, service] : op.services) {
+    if (service)
+      frame_.services[name] = *service;
+    else if (frame_.services.erase(name))
+      retired.insert(name);
+  }
+  if (op.isWhole)
+    for (auto it = frame_.services.begin(); it != frame_.services.end();) {
+      auto isNamed = op.services.count(it->first) != 0;
+      if (!isNamed) retired.insert(it->first);
+      it = isNamed ? std::next(it) : frame_.services.erase(it);
+    }
+  ++revision.configuration;
+  OpResult result{Outcome::kDone, {}};
+  result.revision.configuration = revision.configuration;
+  if (op.parts() & (1u << tempo::kUpstreams)) {
+    auto before = frame_.upstreams.size();
+    std::erase_if(frame_.upstreams, [&](const auto& one) { return retired.count(one.second.service) != 0; });
+    if (before != frame_.upstreams.size()) ++revision.upstreams;
+    result.revision.upstreams = revision.upstreams;
+  }
+  remember(op.changeId, result);
+  return result;
+}
+
+auto State::announce(const Op& op) -> OpResult {
+  auto next = op.upstream;
+  auto it = frame_.upstreams.find(op.name);
+  next.isHeld = it != frame_.upstreams.end() && it->second.isHeld;
+  // An address belongs to one instance at a time. One that passes to another service is held until no node
+  // can know the old entry any more, even where that entry has long been signed off.
+  std::erase_if(frame_.upstreams, [&](const auto& one) { return one.first != op.name && one.second.address == next.address; });
+  auto [owner, isNew] = owners_.try_emplace(next.address, next.service);
+  if (!isNew && owner->second != next.service) next.isHeld = true;
+  owner->second = next.service;
+  frame_.upstreams[op.name] = next;
+  ++frame_.revision.upstreams;
+  OpResult result{Outcome::kDone, {}};
+  result.revision.upstreams = frame_.revision.upstreams;
+  return result;
+}
+
+auto State::remember(const std::string& changeId, const OpResult& result) -> void {
+  if (changeId.empty()) return;
+  changes_[changeId] = result;
+  changeOrder_.push_back(changeId);
+  if (changeOrder_.size() <= kChangesKept) return;
+  for (size_t i = 0; i < kChangesKept / 2; ++i) changes_.erase(changeOrder_[i]);
+  changeOrder_.erase(changeOrder_.begin(), changeOrder_.begin() + kChangesKept / 2);
+}
+
+auto State::changed(const std::string& changeId) const -> std::optional<OpResult> {
+  auto it = changes_.find(changeId);
+  return changeId.empty() || it == changes_.end() ? std::nullopt : std::optional(it->second);
+}
+
+auto State::duty(const std::string& name) const -> Duty {
+  auto it = duties_.find(name);
+  return it == duties_.end() ? Duty{} : it->second;
+}
+
+auto State::lastTick(uint64_t incarnation) const -> uint64_t {
+  auto it = lastTicks_.find(incarnation);
+  return it == lastTicks_.end() ? 0 : it->second;
+}
+
+auto State::save() const -> std::string {
+  return Writer().put(frame_).put(owners_).put(changes_).put(changeOrder_).put(duties_).put(ticks_).put(lastTicks_).take();
+}
+
+auto State::load(const std::string& frame) -> void {
+  Reader r(frame);
+  r.read(frame_);
+  r.read(owners_);
+  r.read(changes_);
+  r.read(changeOrder_);
+  r.read(duties_);
+  r.read(ticks_);
+  r.read(lastTicks_);
+}
+
+}  // namespace dykestage::core
--- /dev/null
+++ b/lib/neighbour/post.cpp
@@ -0,0 +1,120 @@
+#include "neighbour/post.hpp"
+
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstring>
+
+namespace dykestage::neighbour {
+
+namespace {
+constexpr int64_t kIdleMs = 60000;
+}
+
+auto Post::open(Props props, std::function<void(Letter)> take, std::string& reason) -> std::unique_ptr<Post> {
+  std::unique_ptr<Post> post(new Post(std::move(props)));
+  post->take_ = std::move(take);
+  auto fail = [&](const char* what, int code) {
+    reason = std::string(what) + " " + post->props_.address + ": " + nng_strerror(code);
+    return nullptr;
+  };
+  if (auto code = nng_pull0_open(&post->pull_)) return fail("cannot open", code);
+  nng_socket_set_size(post->pull_, NNG_OPT_RECVMAXSZ, post->props_.maxBytes);
+  nng_socket_set_int(post->pull_, NNG_OPT_RECVBUF, 1024);
+  nng_listener listener;
+  if (auto code = nng_listen(post->pull_, ("tcp://" + post->props_.address).c_str(), &listener, 0)) return fail("cannot listen on", code);
+  if (post->props_.address.ends_with(":0")) {
+    nng_sockaddr at;
+    if (auto code = nng_listener_get_addr(listener, NNG_OPT_LOCADDR, &at)) return fail("cannot learn the port of", code);
+    auto port = at.s_in.sa_port;  // network order
+    post->props_.address = post->props_.address.substr(0, post->props_.address.size() - 1) + std::to_string((port >> 8 | port << 8) & 0xffff);
+  }
+  if (post->props_.advertise.empty()) post->props_.advertise = post->props_.address;
+  auto* self = post.get();
+  post->reader_ = std::thread([self] {
+    for (;;) {
+      nng_msg* raw = nullptr;
+      if (nng_recvmsg(self->pull_, &raw, 0) != 0) return;
+      std::unique_ptr<nng_msg, decltype(&nng_msg_free)> message(raw, nng_msg_free);
+      Reader r({static_cast<const char*>(nng_msg_body(raw)), nng_msg_len(raw)});
+      auto letter = r.get<Letter>();
+      if (r.done()) self->take_(std::move(letter));
+    }
+  });
+  return post;
+}
+
+Post::~Post() {
+  lines_.clear();
+  nng_close(pull_);
+  if (reader_.joinable()) reader_.join();
+}
+
+auto Post::line(const std::string& to) -> Line* {
+  auto& held = lines_[to];
+  if (!held) {
+    auto made = std::make_unique<Line>();
+    if (nng_push0_open(&made->socket) != 0) return nullptr;
+    nng_socket_set_int(made->socket, NNG_OPT_SENDBUF, props_.queued);
+    nng_socket_set_ms(made->socket, NNG_OPT_RECONNMINT, 50);
+    nng_socket_set_ms(made->socket, NNG_OPT_RECONNMAXT, 400);
+    auto count = [](nng_pipe, nng_pipe_ev event, void* at) {
+      *static_cast<std::atomic<int>*>(at) += event == NNG_PIPE_EV_ADD_POST ? 1 : -1;
+    };
+    nng_pipe_notify(made->socket, NNG_PIPE_EV_ADD_POST, count, &made->pipes);
+    nng_pipe_notify(made->socket, NNG_PIPE_EV_REM_POST, count, &made->pipes);
+    // Lines leave from this process's own IP number, so that the other side can tell machines apart.
+    auto local = props_.address.substr(0, props_.address.rfind(':'));
+    if (nng_dial(made->socket, ("tcp://" + local + ";" + to).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) return nullptr;
+    held = std::move(made);
+  }
+  held->usedMs = steadyMs();
+  return held.get();
+}
+
+auto Post::isUp(const std::string& to) -> bool {
+  auto it = lines_.find(to);
+  return it != lines_.end() && it->second && it->second->pipes > 0;
+}
+
+auto Post::send(const std::string& to, uint8_t kind, const std::string& body) -> bool {
+  auto* line = this->line(to);
+  // Nothing is left waiting for a line to come up: it would leave long after it was given up on.
+  if (!line || line->pipes <= 0) return false;
+  auto bytes = Writer().put(Letter{kind, props_.advertise, body}).take();
+  if (bytes.size() > props_.maxBytes) return false;
+  nng_msg* raw = nullptr;
+  if (nng_msg_alloc(&raw, bytes.size()) != 0) return false;
+  std::memcpy(nng_msg_body(raw), bytes.data(), bytes.size());
+  if (nng_sendmsg(line->socket, raw, NNG_FLAG_NONBLOCK) == 0) return true;
+  nng_msg_free(raw);
+  return false;
+}
+
+auto Post::prune(int64_t nowMs) -> void {
+  std::erase_if(lines_, [&](const auto& one) { return !one.second || (one.second->pipes <= 0 && nowMs - one.second->usedMs > kIdleMs); });
+}
+
+auto steadyMs() -> int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+auto hash(const std::string& text) -> uint64_t {
+  uint64_t h = 14695981039346656037ull;
+  for (unsigned char c : text) h = (h ^ c) * 1099511628211ull;
+  // Mixed once more, since the plain sum keeps near names near.
+  h ^= h >> 33, h *= 0xff51afd7ed558ccdull, h ^= h >> 33, h *= 0xc4ceb9fe1a85ec53ull, h ^= h >> 33;
+  return h;
+}
+
+auto rendezvous(const std::string& key, std::vector<std::string> names) -> std::vector<std::string> {
+  std::sort(names.begin(), names.end(), [&](const auto& a, const auto& b) {
+    auto x = hash(key + "\n" + a), y = hash(key + "\n" + b);
+    return x != y ? x > y : a < b;
+  });
+  return names;
+}
+
+}  // namespace dykestage::neighbour
--- /dev/null
+++ b/lib/neighbour/post.hpp
@@ -0,0 +1,83 @@
+// Neighbour: messages between the system's own processes, over nng.
+//
+// Every process listens on one PULL socket and keeps a PUSH line to each process that it talks to. Neither
+// kind of socket ever sends a message again by itself; ids and retries are the business of the caller.
+#pragma once
+#include <nng/nng.h>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tempo/bytes.hpp"
+
+namespace dykestage::neighbour {
+
+/// What a letter holds; the kinds are listed in messages.hpp.
+struct Letter {
+  uint8_t kind = 0;
+  std::string from;  // where answers go
+  std::string body;
+  DYKESTAGE_FIELDS(kind, from, body)
+};
+
+class Post {
+ public:
+  struct Props {
+    std::string address;           // where it listens, ip:port; port 0 takes a free one
+    std::string advertise;         // what others are told; empty: the address itself
+    size_t maxBytes = 24u << 20;   // of one letter
+    int queued = 4096;             // letters that may wait on one line
+  };
+  /// Opens the listening side; letters go to `take` on a thread of the post's own.
+  /// Example: `auto post = Post::open({"127.0.0.1:0"}, [&](Letter l) { inbox.push(std::move(l)); }, reason);`
+  static auto open(Props props, std::function<void(Letter)> take, std::string& reason) -> std::unique_ptr<Post>;
+  ~Post();
+  Post(const Post&) = delete;
+  auto operator=(const Post&) -> Post& = delete;
+
+  /// Where this process can be reached. Example: `post->address()`
+  auto address() const -> const std::string& { return props_.advertise; }
+  /// Passes a letter; false when it surely did not leave. Only one thread may call this.
+  /// Example: `if (!post->send(to, kAsk, body)) tryNext();`
+  auto send(const std::string& to, uint8_t kind, const std::string& body) -> bool;
+  /// Opens a line ahead of its first letter. Example: `post->warm(shield.address);`
+  auto warm(const std::string& to) -> void { line(to); }
+  /// True while a line is connected. Example: `if (!post->isUp(address)) ...`
+  auto isUp(const std::string& to) -> bool;
+  /// Closes the lines that are not named and have long been idle. Example: `post->prune(nowMs);`
+  auto prune(int64_t nowMs) -> void;
+
+ private:
+  struct Line {
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    std::atomic<int> pipes{0};
+    int64_t usedMs = 0;
+    ~Line() { nng_close(socket); }
+  };
+  explicit Post(Props props) : props_(std::move(props)) {}
+  auto line(const std::string& to) -> Line*;
+
+  Props props_;
+  nng_socket pull_ = NNG_SOCKET_INITIALIZER;
+  std::function<void(Letter)> take_;
+  std::map<std::string, std::unique_ptr<Line>> lines_;
+  int64_t nowMs_ = 0;
+  std::thread reader_;
+};
+
+/// The steady clock in milliseconds. Example: `auto ageMs = steadyMs() - sinceMs;`
+auto steadyMs() -> int64_t;
+
+/// Orders names by their weight for a key, heaviest first (rendezvous hashing).
+/// Example: `auto owner = rendezvous("shop/cover/7", shields).front();`
+auto rendezvous(const std::string& key, std::vector<std::string> names) -> std::vector<std::string>;
+/// A stable 64-bit hash. Example: `hash("tenant-7") % 100`
+auto hash(const std::string& text) -> uint64_t;
+
+}  // namespace dykestage::neighbour
--- /dev/null
+++ b/lib/operator/configuration.hpp
@@ -0,0 +1,72 @@
+// Operator: reading and checking what operators and upstreams send as JSON.
+#pragma once
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <cjson/cJSON.h>
+
+#include "core/state.hpp"
+
+namespace dykestage::op {
+
+/// Owns a parsed JSON value. Example: `auto json = parse(text); if (!json) ...`
+using Json = std::unique_ptr<cJSON, decltype(&cJSON_Delete)>;
+/// Parses text; null when it is no JSON, or when something stands behind it. Example: `parse("{}")`
+auto parse(const std::string& text) -> Json;
+/// Prints compactly. Example: `print(json.get())`
+auto print(const cJSON* json) -> std::string;
+
+/// A fault of an input and where it stands. Example: `{"services.shop.paths[0].prefix", "must start with /"}`
+struct Fault {
+  std::string place, what;
+};
+
+/// Reads fields of a JSON object, collects every fault, and finds unknown keys.
+/// Example:
+///   Fields f(json, "services.shop", faults);
+///   f.integer("deadlineMs", 10, 60000, service.deadlineMs);
+///   f.close();
+class Fields {
+ public:
+  Fields(const cJSON* json, std::string place, std::vector<Fault>& faults);
+  /// Each takes a field when it is there; false when it is missing. Wrong types and ranges become faults.
+  auto integer(const std::string& key, int64_t low, int64_t high, int64_t& into) -> bool;
+  auto text(const std::string& key, std::string& into, bool needed = false) -> bool;
+  auto flag(const std::string& key, bool& into) -> bool;
+  auto texts(const std::string& key, std::vector<std::string>& into) -> bool;
+  /// The raw value, for objects and lists. Example: `if (auto* list = f.raw("paths")) ...`
+  auto raw(const std::string& key) -> const cJSON*;
+  /// Adds a fault at a key. Example: `f.fault("kind", "must be store or application");`
+  auto fault(const std::string& key, const std::string& what) -> void;
+  /// Reports the keys that nothing asked for. Example: `f.close();`
+  auto close() -> void;
+
+ private:
+  const cJSON* json_;
+  std::string place_;
+  std::vector<Fault>& faults_;
+  std::vector<std::string> seen_;
+};
+
+/// Takes a submitted configuration, whole or partial. Every fault is reported; with any fault nothing is kept.
+/// Example: `auto op = readConfiguration(body, frame.services, faults); if (!op) return turnAway(faults);`
+auto readConfiguration(const std::string& body, const std::map<std::string, core::Service>& now, std::vector<Fault>& faults)
+    -> std::optional<core::Op>;
+/// True when the submission named the revision it builds on itself. Example: `namesBase(body)`
+auto namesBase(const std::string& body) -> bool;
+/// Takes a purge: {"change": id, "service": s, "path": p} or with "label".
+auto readPurge(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op>;
+/// Takes an upstream's announcement. Example: `auto op = readAnnouncement(body, faults);`
+auto readAnnouncement(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op>;
+/// The configuration as JSON. Example: `writeConfiguration(frame)`
+auto writeConfiguration(const core::Frame& frame) -> std::string;
+/// The live roster as JSON. Example: `writeRoster(frame)`
+auto writeRoster(const core::Frame& frame) -> std::string;
+
+/// True for "ip:port" with a numeric IPv4 address. Example: `isAddress("127.0.0.1:80")`
+auto isAddress(const std::string& text) -> bool;
+
+}  // namespace dykestage::op
--- /dev/null
+++ b/lib/operator/program.hpp
@@ -0,0 +1,52 @@
+// Operator: what every program of dykestage shares: command line, checked settings, logs, signals.
+#pragma once
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "operator/configuration.hpp"
+
+namespace dykestage::op {
+
+inline constexpr auto kVersion = "0.1.0";
+
+/// Reads the command line and the settings; a fault names the field, nothing is started, exit code 2.
+/// Example:
+///   auto program = Program::start(argc, argv, "edge: takes callers' requests");
+///   program.settings().text("name", props.name, true);
+///   program.ready();
+class Program {
+ public:
+  static auto start(int argc, char** argv, const std::string& about) -> Program;
+  /// The settings, to be asked field by field. Example: `program.settings().integer("boundMs", 500, 60000, ms);`
+  auto settings() -> Fields& { return *fields_; }
+  /// A needed "ip:port". Example: `program.address("http", props.http);`
+  auto address(const std::string& key, std::string& into, bool needed = true) -> void;
+  /// A needed list of them. Example: `program.addresses("seeds", props.seeds, 3);`
+  auto addresses(const std::string& key, std::vector<std::string>& into, size_t least) -> void;
+  /// Ends the checking: exits with 2 on any fault, with 0 after --check; then logs and signals are set up.
+  auto ready() -> void;
+  /// True once SIGTERM or SIGINT came; a second one changes nothing. Example: `while (!Program::isStopping()) ...`
+  static auto isStopping() -> bool;
+  /// Readable once isStopping() is true. Example: `pollfd{Program::stopFd(), POLLIN, 0}`
+  static auto stopFd() -> int;
+  /// The words that are no flags. Example: `console purge shop /cover/7`
+  auto words() const -> const std::vector<std::string>& { return words_; }
+
+ private:
+  Program();
+  std::unique_ptr<std::vector<Fault>> faults_;
+  Json json_;
+  std::unique_ptr<Fields> fields_;
+  std::vector<std::string> words_;
+  std::string name_;
+};
+
+/// Splits "ip:port". Example: `auto [ip, port] = splitAddress("127.0.0.1:80");`
+auto splitAddress(const std::string& address) -> std::pair<std::string, uint16_t>;
+/// Reads a file whole; empty when it can't be read. Example: `readFile("a.json")`
+auto readFile(const std::string& path) -> std::optional<std::string>;
+
+}  // namespace dykestage::op
--- /dev/null
+++ b/lib/policy/cache.cpp
@@ -0,0 +1,259 @@
+#include "policy/cache.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "caller/face.hpp"
+
+namespace dykestage::policy {
+
+using caller::has;
+using caller::header;
+using caller::listOf;
+using caller::lower;
+
+namespace {
+auto baseOf(const std::string& service, const std::string& target) -> std::string { return service + "\n" + target; }
+
+auto keyOf(const std::string& base, const std::vector<std::string>& vary, const Headers& request) -> std::string {
+  auto key = base;
+  for (const auto& name : vary) {
+    key += "\n" + name + "=";
+    for (const auto& [other, value] : request)
+      if (lower(other) == name) key += value + "\t";
+  }
+  return key;
+}
+
+// A purge of a path means that path with every query.
+auto isAt(const std::string& target, const std::string& path) -> bool {
+  return target == path || (target.size() > path.size() && target.compare(0, path.size(), path) == 0 && target[path.size()] == '?');
+}
+}  // namespace
+
+auto isShareable(const std::string& method, const Headers& headers) -> bool {
+  if (method != "GET" || has(headers, "authorization") || has(headers, "range") || has(headers, "cookie")) return false;
+  for (const auto& name : {"if-none-match", "if-modified-since", "if-match", "if-unmodified-since", "if-range"})
+    if (has(headers, name)) return false;
+  auto wishes = listOf(header(headers, "cache-control"));
+  return std::none_of(wishes.begin(), wishes.end(), [](const auto& w) { return w == "no-store" || w == "no-cache" || w == "max-age=0"; });
+}
+
+auto termsOf(int status, const Headers& headers, int64_t pathKeepMs) -> Terms {
+  Terms terms;
+  if (status != 200 && status != 404 && status != 410 && status != 301) return terms;
+  if (has(headers, "set-cookie")) return terms;
+  auto keepMs = pathKeepMs;
+  auto isShared = false;
+  for (const auto& [name, value] : headers) {
+    auto n = lower(name);
+    if (n == "vary")
+      for (auto& one : listOf(value)) terms.vary.push_back(one);
+    if (n == "dykestage-labels")
+      for (auto& one : listOf(value)) terms.labels.push_back(one);
+    if (n != "cache-control") continue;
+    for (const auto& wish : listOf(value)) {
+      if (wish == "no-store" || wish == "private" || wish == "no-cache") keepMs = 0;
+      auto isOwn = wish.rfind("s-maxage=", 0) == 0;
+      if (!isOwn && (wish.rfind("max-age=", 0) != 0 || isShared)) continue;
+      auto digits = wish.substr(wish.find('=') + 1);
+      if (digits.empty() || digits.size() > 9 || !std::all_of(digits.begin(), digits.end(), [](char c) { return c >= '0' && c <= '9'; }))
+        keepMs = 0;
+      else
+        keepMs = std::min<int64_t>(keepMs, std::stoll(digits) * 1000);
+      isShared = isShared || isOwn;
+    }
+  }
+  if (std::find(terms.vary.begin(), terms.vary.end(), "*") != terms.vary.end()) keepMs = 0;
+  std::sort(terms.vary.begin(), terms.vary.end());
+  terms.keepMs = keepMs;
+  return terms;
+}
+
+auto Cache::varyOf(const std::string& service, const std::string& target) const -> std::vector<std::string> {
+  auto it = vary_.find(baseOf(service, target));
+  return it == vary_.end() ? std::vector<std::string>() : it->second;
+}
+
+auto Cache::get(const std::string& service, const std::string& target, const Headers& request, int64_t nowMs) -> const Copy* {
+  auto base = baseOf(service, target);
+  auto vary = vary_.find(base);
+  auto& byKey = items_.get<ByKey>();
+  auto it = byKey.find(keyOf(base, vary == vary_.end() ? std::vector<std::string>() : vary->second, request));
+  if (it == byKey.end()) return nullptr;
+  if (nowMs - it->copy->bornMs >= it->copy->keepMs) {
+    drop(items_.project<0>(it));
+    return nullptr;
+  }
+  auto& byUse = items_.get<ByUse>();
+  byUse.relocate(byUse.end(), items_.project<ByUse>(it));
+  return it->copy.get();
+}
+
+auto Cache::drop(Items::iterator it) -> void {
+  bytes_ -= it->bytes;
+  auto base = it->base;
+  for (const auto& label : it->labels) {
+    auto held = labelled_.find(label);
+    if (held == labelled_.end()) continue;
+    held->second.erase(it->key);
+    if (held->second.empty()) labelled_.erase(held);
+  }
+  items_.erase(it);
+  if (items_.get<ByBase>().count(base) == 0) vary_.erase(base);
+}
+
+auto Cache::put(const std::string& service, const std::string& target, const Headers& request, Copy copy, const std::vector<std::string>& labels)
+    -> bool {
+  if (copy.keepMs <= 0 || isPurgedSince(copy.purges, service, target, labels)) return false;
+  auto base = baseOf(service, target);
+  auto known = vary_.find(base);
+  if (known != vary_.end() && known->second != copy.vary) {
+    auto& byBase = items_.get<ByBase>();
+    while (true) {
+      auto it = byBase.find(base);
+      if (it == byBase.end()) break;
+      drop(items_.project<0>(it));
+    }
+  }
+  Item item;
+  item.base = base;
+  item.key = keyOf(base, copy.vary, request);
+  item.bytes = 512 + copy.body.size() + 2 * item.key.size();
+  for (const auto& [name, value] : copy.headers) item.bytes += name.size() + value.size();
+  if (item.bytes > boundBytes_ / 4) return false;
+  for (const auto& label : labels) item.labels.push_back(service + "\n" + label);
+  if (auto old = items_.get<ByKey>().find(item.key); old != items_.get<ByKey>().end()) {
+    if (old->copy->bornMs > copy.bornMs) return false;  // what is here is newer
+    drop(items_.project<0>(old));
+  }
+  vary_[base] = copy.vary;
+  for (const auto& label : item.labels) labelled_[label].insert(item.key);
+  bytes_ += item.bytes;
+  item.copy = std::make_shared<const Copy>(std::move(copy));
+  items_.insert(std::move(item));
+  while (bytes_ > boundBytes_) drop(items_.project<0>(items_.get<ByUse>().begin()));
+  return true;
+}
+
+auto Cache::purge(const std::vector<core::Purge>& purges, uint64_t upTo, uint64_t floor) -> void {
+  if (floor > purges_) {  // some purges can no longer be known: nothing kept is sure
+    while (!items_.empty()) drop(items_.begin());
+    floor_ = std::max(floor_, floor);
+  }
+  for (const auto& purge : purges) {
+    if (purge.number <= purges_) continue;
+    if (!purge.label.empty()) {
+      auto it = labelled_.find(purge.service + "\n" + lower(purge.label));
+      if (it != labelled_.end()) {
+        auto keys = it->second;
+        for (const auto& key : keys)
+          if (auto item = items_.get<ByKey>().find(key); item != items_.get<ByKey>().end()) drop(items_.project<0>(item));
+      }
+    } else {
+      auto& byBase = items_.get<ByBase>();
+      for (const auto& from : {baseOf(purge.service, purge.path), baseOf(purge.service, purge.path + "?")})
+        for (auto it = byBase.lower_bound(from); it != byBase.end() && it->base.compare(0, from.size(), from) == 0;) {
+          auto next = std::next(it);
+          if (isAt(it->base.substr(purge.service.size() + 1), purge.path)) drop(items_.project<0>(it));
+          it = next;
+        }
+    }
+    log_.push_back(purge);
+  }
+  purges_ = std::max(purges_, upTo);
+  constexpr size_t kLog = 4000;
+  if (log_.size() > kLog) {
+    floor_ = log_[kLog / 2].number;
+    log_.erase(log_.begin(), log_.begin() + kLog / 2 + 1);
+  }
+}
+
+auto Cache::isPurgedSince(uint64_t since, const std::string& service, const std::string& target, const std::vector<std::string>& labels) const
+    -> bool {
+  if (since >= purges_) return false;
+  if (since < floor_) return true;
+  for (auto it = log_.rbegin(); it != log_.rend() && it->number > since; ++it) {
+    if (it->service != service) continue;
+    if (it->label.empty() ? isAt(target, it->path) : std::find(labels.begin(), labels.end(), lower(it->label)) != labels.end()) return true;
+  }
+  return false;
+}
+
+auto TryBudget::at(int64_t nowMs) -> Slice& {
+  auto number = nowMs / 100;
+  auto& slice = slices_[number % 101];
+  if (slice.number != number) slice = {number, 0, 0};
+  return slice;
+}
+
+auto TryBudget::mayTry(int64_t nowMs) -> bool {
+  auto number = nowMs / 100;
+  double asked = 0, tried = 0;
+  for (const auto& slice : slices_) {
+    if (slice.number > number - 101) tried += slice.tried;
+    // Traffic counts over the last half only, so that the bound holds for windows that begin later.
+    if (slice.number > number - 50) asked += slice.asked;
+  }
+  return tried + 1 <= share_ * asked + allowance_;
+}
+
+auto Split::set(size_t shields, int64_t nowMs) -> void {
+  if (sinceMs_ < 0) sinceMs_ = nowMs;
+  if (shields == now_) return;
+  if (now_ > 0) seen_.emplace_back(nowMs, now_);
+  now_ = shields;
+}
+
+auto Split::count(int64_t nowMs) -> size_t {
+  std::erase_if(seen_, [&](const auto& one) { return nowMs - one.first >= leaseMs_; });
+  auto most = std::max<size_t>(1, now_);
+  for (const auto& [untilMs, count] : seen_) most = std::max(most, count);
+  return most;
+}
+
+auto RateShare::set(double share, int64_t nowMs) -> void {
+  settle(nowMs);
+  if (share_ <= 0) tokens_ = std::max(1.0, share / 20);
+  share_ = share;
+}
+
+auto RateShare::settle(int64_t nowMs) -> void {
+  auto passedMs = filledMs_ < 0 ? 0 : std::max<int64_t>(0, nowMs - filledMs_);
+  filledMs_ = nowMs;
+  // A twentieth of a second's worth may gather: a window of 5 s then holds about 1% above the share.
+  tokens_ = std::min(std::max(1.0, share_ / 20), tokens_ + share_ * static_cast<double>(passedMs) / 1000.0);
+}
+
+auto RateShare::take(int64_t nowMs) -> bool {
+  if (share_ <= 0) return true;
+  settle(nowMs);
+  if (tokens_ < 1) return false;
+  tokens_ -= 1;
+  return true;
+}
+
+auto place(const std::map<std::string, core::Upstream>& candidates, std::map<std::string, Health>& health, const std::string& site,
+           const std::set<std::string>& tried, int64_t easeMs, int64_t nowMs, uint64_t dice) -> std::optional<std::string> {
+  std::vector<std::pair<std::string, double>> weighted;
+  auto sum = 0.0;
+  for (const auto& [name, upstream] : candidates) {
+    if (tried.count(name)) continue;
+    auto& h = health.try_emplace(name, Health{.sinceMs = nowMs}).first->second;
+    if (h.shunUntilMs > nowMs) continue;
+    auto eased = easeMs > 0 ? std::clamp(static_cast<double>(nowMs - h.sinceMs) / static_cast<double>(easeMs), 0.1, 1.0) : 1.0;
+    auto weight = static_cast<double>(upstream.capacity) * eased / ((1 + std::max(0.0, h.load)) * (5 + h.tookMs) * (1 + h.open));
+    if (upstream.site == site) weight *= 3;
+    weighted.emplace_back(name, weight);
+    sum += weight;
+  }
+  if (weighted.empty()) return std::nullopt;
+  auto at = sum * static_cast<double>(dice % 1000003) / 1000003.0;
+  for (const auto& [name, weight] : weighted) {
+    at -= weight;
+    if (at <= 0) return name;
+  }
+  return weighted.back().first;
+}
+
+}  // namespace dykestage::policy
--- /dev/null
+++ b/lib/upstream/shield.cpp
@@ -0,0 +1,357 @@
+#include "upstream/shield.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+
+#include "caller/codes.hpp"
+#include "neighbour/post.hpp"
+
+namespace dykestage::upstream {
+
+using namespace caller;
+using neighbour::Ask;
+using neighbour::Reply;
+
+namespace {
+constexpr uint64_t kProbeBit = 1ull << 63;
+constexpr int64_t kLeastMs = 20;  // less time than this is not worth a try
+}  // namespace
+
+auto Shield::edges() const -> std::vector<std::string> {
+  std::vector<std::string> list;
+  for (const auto& [name, member] : held_.frame->members)
+    if (member.kind == "edge") list.push_back(member.address);
+  return list;
+}
+
+auto Shield::budget(const std::string& service) -> policy::TryBudget& {
+  auto& budget = budgets_.try_emplace(service, 0.0, 0.0).first->second;
+  auto it = held_.frame->services.find(service);
+  if (it == held_.frame->services.end()) return budget;
+  auto shields = std::count_if(held_.frame->members.begin(), held_.frame->members.end(), [](const auto& m) { return m.second.kind == "shield"; });
+  budget.set(static_cast<double>(it->second.triesPercent) / 100 * props_.triesPart,
+             static_cast<double>(it->second.triesAllowance) * props_.triesPart / static_cast<double>(std::max<int64_t>(1, shields)));
+  return budget;
+}
+
+auto Shield::refuse(const std::string& from, uint64_t id, uint32_t code) -> void {
+  ++figures_.turnedAway;
+  Reply reply;
+  reply.id = id;
+  reply.code = code;
+  out_.replies.push_back({from, std::move(reply)});
+}
+
+auto Shield::take(const std::string& from, Ask ask, int64_t nowMs) -> void {
+  ++figures_.asks;
+  auto id = ask.id;
+  if (!held_.isCurrent(nowMs, props_.staleMs) || !split_.isSettled(nowMs)) return refuse(from, id, kNotCurrent);
+  if (isEmptying_) return refuse(from, id, kEmptying);
+  if (!held_.frame->services.count(ask.service)) return refuse(from, id, kNoService);
+  if (ask.remainingMs <= kLeastMs) return refuse(from, id, kDeadline);
+  if (!ask.isExtra) budget(ask.service).asked(nowMs);
+  Waiting w;
+  w.from = from;
+  w.startMs = nowMs;
+  w.untilMs = nowMs + ask.remainingMs;
+  w.isWrite = isWrite(ask.method);
+  if (ask.isShared) {
+    const auto* copy = cache_.get(ask.service, ask.target, ask.headers, nowMs);
+    if (copy && nowMs - copy->bornMs < ask.keepMs) {
+      ++figures_.hits;
+      Reply reply;
+      reply.id = id;
+      reply.status = static_cast<uint32_t>(copy->status);
+      reply.headers = copy->headers;
+      reply.body = copy->body;
+      reply.ageMs = nowMs - copy->bornMs;
+      reply.keepMs = copy->keepMs;
+      reply.purges = copy->purges;
+      out_.replies.push_back({from, std::move(reply)});
+      return;
+    }
+    w.joinKey = ask.service + "\n" + ask.target;
+  }
+  if (w.isWrite && !ask.key.empty()) w.memoryKey = ask.service + "\n" + ask.key;
+  auto joinKey = w.joinKey, memoryKey = w.memoryKey;
+  auto print = neighbour::hash(ask.method + "\n" + ask.target + "\n" + ask.body);
+  if (!memoryKey.empty()) {
+    auto it = memory_.find(memoryKey);
+    if (it != memory_.end()) {
+      if (it->second.print != print) return refuse(from, id, kKeyReused);
+      if (it->second.isDone) {
+        auto reply = it->second.reply;
+        reply.id = id;
+        out_.replies.push_back({from, std::move(reply)});
+        return;
+      }
+    } else if (memory_.size() >= props_.keys) {
+      return refuse(from, id, kShieldFull);  // what is remembered is never pushed out early
+    }
+  }
+  w.ask = std::move(ask);
+  auto place = waiting_.add(std::move(w));
+  if (!place) return refuse(from, id, kShieldFull);
+  auto join = [&](uint64_t leader) {
+    auto* l = waiting_.get(leader);
+    if (!l) return false;
+    ++figures_.joins;
+    l->followers.push_back(*place);
+    return true;
+  };
+  if (!memoryKey.empty()) {
+    auto [it, isFirst] = memory_.try_emplace(memoryKey, Memory{print, *place, false, {}, nowMs});
+    if (!isFirst && join(it->second.running)) return;
+    it->second.running = *place;
+    if (isFirst) memoryOrder_.emplace_back(nowMs, memoryKey);
+  }
+  if (!joinKey.empty()) {
+    auto [it, isFirst] = joins_.try_emplace(joinKey, *place);
+    if (!isFirst) {
+      // A fetch that began before a purge of the object is not joined.
+      auto* leader = waiting_.get(it->second);
+      auto isOld = leader && cache_.purges() > leader->purges;
+      if (leader && !isOld && join(it->second)) return;
+      it->second = *place;
+    }
+  }
+  dispatch(*place, false, nowMs);
+}
+
+auto Shield::dispatch(uint64_t id, bool isExtra, int64_t nowMs) -> void {
+  auto& w = *waiting_.get(id);
+  // What was held (in an inbox, or by a frozen process) is looked at again before anything leaves.
+  if (!held_.isCurrent(nowMs, props_.staleMs)) return giveUp(id, kNotCurrent, nowMs);
+  auto left = w.untilMs - nowMs;
+  if (left <= kLeastMs) return giveUp(id, kDeadline, nowMs);
+  auto service = held_.frame->services.find(w.ask.service);
+  if (service == held_.frame->services.end()) return giveUp(id, kNoService, nowMs);
+  std::map<std::string, core::Upstream> candidates;
+  for (const auto& [name, upstream] : held_.frame->upstreams)
+    if (upstream.service == w.ask.service && upstream.kind == w.ask.kind && !upstream.isEmptying && !upstream.isHeld)
+      candidates.emplace(name, upstream);
+  dice_ = dice_ * 6364136223846793005ull + 1442695040888963407ull;
+  auto chosen = policy::place(candidates, health_, props_.site, w.tried, props_.easeMs, nowMs, dice_ >> 33);
+  if (!chosen) return giveUp(id, kNoUpstream, nowMs);
+  auto& rate = rates_[w.ask.service];
+  rate.set(static_cast<double>(service->second.originRate) / static_cast<double>(split_.count(nowMs)), nowMs);
+  if (!rate.take(nowMs)) {
+    ++figures_.rateTurnedAway;
+    return giveUp(id, kOriginRate, nowMs);
+  }
+  const auto& upstream = candidates.at(*chosen);
+  w.tried.insert(*chosen);
+  w.instance = *chosen;
+  w.fetchedMs = nowMs;
+  w.purges = cache_.purges();
+  w.isSent = true;
+  ++w.tries;
+  ++health_[*chosen].open;
+  ++figures_.fetches;
+  if (isExtra) {
+    ++figures_.extras;
+    budget(w.ask.service).tried(nowMs);
+  }
+  Fetch fetch;
+  fetch.id = id;
+  fetch.address = upstream.address;
+  fetch.method = w.ask.method;
+  fetch.target = w.ask.target;
+  fetch.headers = w.ask.headers;
+  fetch.headers.emplace_back("Dykestage-Service", w.ask.service);
+  fetch.headers.emplace_back("Dykestage-Instance", *chosen);
+  if (isExtra || w.ask.isExtra) fetch.headers.emplace_back("Dykestage-Extra", "1");
+  fetch.body = w.ask.body;
+  fetch.isWrite = w.isWrite;
+  fetch.answerBytes = props_.answerBytes;
+  // A read leaves time for one more try; a write has all there is.
+  fetch.timeoutMs = w.isWrite || w.tries > 1 ? left - kLeastMs / 2 : left * 6 / 10;
+  fetch.connectMs = std::max<int64_t>(kLeastMs, left / 4);
+  out_.fetches.push_back(std::move(fetch));
+}
+
+auto Shield::judge(const std::string& instance, const Fetched& f, int64_t nowMs) -> void {
+  auto it = health_.find(instance);
+  if (it == health_.end()) return;
+  auto& h = it->second;
+  h.open = std::max(0, h.open - 1);
+  if (f.fault == Fault::kNone && f.status != 421) {
+    h.failures = 0;
+    h.tookMs = 0.9 * h.tookMs + 0.1 * static_cast<double>(f.tookMs);
+    auto load = header(f.headers, "dykestage-load");
+    if (!load.empty()) h.load = std::clamp(std::atof(load.c_str()), 0.0, 100.0);
+    return;
+  }
+  if (f.fault == Fault::kTimeout) h.tookMs = 0.7 * h.tookMs + 0.3 * static_cast<double>(f.tookMs);
+  ++h.failures;
+  if (h.failures >= 2 || f.isUntouched || f.status == 421) h.shunUntilMs = nowMs + std::min<int64_t>(props_.boundMs, 250LL << std::min(h.failures, 4));
+}
+
+auto Shield::takeFetched(const Fetched& f, int64_t nowMs) -> void {
+  if (f.id & kProbeBit) {
+    auto it = probing_.find(f.id);
+    if (it == probing_.end()) return;
+    auto isWell = f.fault == Fault::kNone && f.status == 200;
+    probes_[it->second] = isWell;
+    auto& h = health_.try_emplace(it->second, policy::Health{.sinceMs = nowMs}).first->second;
+    if (!isWell) h.shunUntilMs = std::max(h.shunUntilMs, nowMs + props_.probeMs * 3 / 2);
+    probing_.erase(it);
+    return;
+  }
+  auto* w = waiting_.get(f.id);
+  if (!w) return;
+  judge(w->instance, f, nowMs);
+  w->wasTouched = w->wasTouched || !f.isUntouched;
+  w->isSent = false;
+  if (f.fault == Fault::kNotSent) {
+    // Nothing left for this upstream: another may be taken, for a write as well.
+    if (w->tries < 4) return dispatch(f.id, false, nowMs);
+    return giveUp(f.id, kNoUpstream, nowMs);
+  }
+  if (f.fault == Fault::kNone && f.status == 421) return retryOr(f.id, kMisdirected, nowMs);
+  if (f.fault == Fault::kNone && !w->isWrite && f.status == 503 && w->tries < 2 && budget(w->ask.service).mayTry(nowMs))
+    return dispatch(f.id, true, nowMs);
+  if (f.fault != Fault::kNone) {
+    auto code = f.fault == Fault::kTooLarge ? kAnswerTooLarge : f.fault == Fault::kNotWhole ? kNotWhole : f.fault == Fault::kTimeout ? kDeadline : kUpstreamLost;
+    return retryOr(f.id, code, nowMs);
+  }
+  Reply reply;
+  reply.status = static_cast<uint32_t>(f.status);
+  reply.headers = endToEnd(f.headers);
+  if (w->ask.method == "HEAD" || f.status == 304)
+    for (const auto& [name, value] : f.headers)
+      if (lower(name) == "content-length") reply.headers.emplace_back(name, value);
+  reply.body = f.body;
+  reply.isUntouched = false;
+  reply.ageMs = nowMs - w->fetchedMs;
+  reply.purges = w->purges;
+  auto terms = policy::termsOf(f.status, f.headers, w->ask.keepMs);
+  if (!w->ask.isShared || terms.keepMs <= 0) return finish(f.id, std::move(reply), nullptr, nowMs);
+  reply.keepMs = terms.keepMs;
+  policy::Copy copy{f.status, reply.headers, f.body, w->fetchedMs, terms.keepMs, w->purges, terms.vary};
+  cache_.put(w->ask.service, w->ask.target, w->ask.headers, copy, terms.labels);
+  finish(f.id, std::move(reply), &copy, nowMs);
+}
+
+auto Shield::retryOr(uint64_t id, uint32_t code, int64_t nowMs) -> void {
+  auto& w = *waiting_.get(id);
+  auto mayTry = !w.isWrite && w.tries < 3 && code != kAnswerTooLarge && w.untilMs - nowMs > kLeastMs && budget(w.ask.service).mayTry(nowMs);
+  if (mayTry) return dispatch(id, true, nowMs);
+  giveUp(id, code, nowMs);
+}
+
+auto Shield::giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void {
+  auto& w = *waiting_.get(id);
+  if (w.isWrite && w.wasTouched && code != kNotWhole && code != kAnswerTooLarge && code != kMisdirected) code = kUnknown;
+  if (code == kUnknown)
+    ++figures_.unknown;
+  else
+    ++figures_.turnedAway;
+  Reply reply;
+  reply.code = code;
+  reply.isUntouched = !w.wasTouched;
+  finish(id, std::move(reply), nullptr, nowMs);
+}
+
+auto Shield::finish(uint64_t id, Reply reply, const policy::Copy* copy, int64_t nowMs) -> void {
+  auto w = waiting_.take(id);
+  if (auto it = joins_.find(w->joinKey); it != joins_.end() && it->second == id) joins_.erase(it);
+  auto isKeyed = !w->memoryKey.empty();
+  if (isKeyed) {
+    auto it = memory_.find(w->memoryKey);
+    if (it != memory_.end() && it->second.running == id) {
+      // What surely did not run may be tried again under the same key.
+      if (reply.code != kOk && reply.isUntouched) {
+        memory_.erase(it);
+      } else {
+        it->second.isDone = true;
+        it->second.reply = reply;
+      }
+    }
+  }
+  auto variant = [&](const Headers& headers) {
+    std::vector<std::string> values;
+    if (copy)
+      for (const auto& name : copy->vary)
+        for (const auto& [key, value] : headers)
+          if (lower(key) == name) values.push_back(name + "=" + value);
+    return values;
+  };
+  auto own = variant(w->ask.headers);
+  for (auto follower : w->followers) {
+    auto* f = waiting_.get(follower);
+    if (!f) continue;
+    if (isKeyed || reply.code != kOk || (copy && variant(f->ask.headers) == own && nowMs - copy->bornMs < copy->keepMs)) {
+      auto taken = waiting_.take(follower);
+      this->reply(*taken, reply, nowMs);
+    } else {
+      f->joinKey.clear();
+      dispatch(follower, false, nowMs);
+    }
+  }
+  this->reply(*w, std::move(reply), nowMs);
+}
+
+auto Shield::reply(const Waiting& w, Reply reply, int64_t nowMs) -> void {
+  reply.id = w.ask.id;
+  reply.heldMs = nowMs - w.startMs;
+  out_.replies.push_back({w.from, std::move(reply)});
+}
+
+auto Shield::takeFrame(const HeldFrame& held, int64_t nowMs) -> void {
+  auto before = held_.frame;
+  held_ = held;
+  if (before == held_.frame) return;
+  cache_.purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor);
+  auto shields = std::count_if(held_.frame->members.begin(), held_.frame->members.end(), [](const auto& m) { return m.second.kind == "shield"; });
+  if (held_.frame->members.count(props_.name)) split_.set(static_cast<size_t>(shields), nowMs);
+  // Streams to an address that no longer is what it was are ended while idle.
+  for (const auto& [name, upstream] : before->upstreams) {
+    auto it = held_.frame->upstreams.find(name);
+    if (it == held_.frame->upstreams.end() || it->second.address != upstream.address || it->second.service != upstream.service) {
+      out_.drops.push_back(upstream.address);
+      health_.erase(name);
+      probes_.erase(name);
+    }
+  }
+}
+
+auto Shield::probe(int64_t nowMs) -> void {
+  for (const auto& [name, upstream] : held_.frame->upstreams) {
+    if (upstream.isHeld) continue;
+    auto isBusy = std::any_of(probing_.begin(), probing_.end(), [&](const auto& one) { return one.second == name; });
+    if (isBusy) continue;
+    Fetch fetch;
+    fetch.id = kProbeBit | nextProbe_++;
+    fetch.address = upstream.address;
+    fetch.target = "/health";
+    fetch.headers = {{"Host", upstream.address}, {"Dykestage-Service", upstream.service}, {"Dykestage-Instance", name}};
+    fetch.timeoutMs = props_.probeMs * 3 / 4;
+    fetch.connectMs = props_.probeMs / 2;
+    fetch.answerBytes = 4096;
+    probing_[fetch.id] = name;
+    out_.fetches.push_back(std::move(fetch));
+  }
+  (void)nowMs;
+}
+
+auto Shield::tick(int64_t nowMs) -> void {
+  if (nowMs - probedMs_ >= props_.probeMs && held_.isCurrent(nowMs, props_.staleMs)) {
+    probedMs_ = nowMs;
+    probe(nowMs);
+  }
+  for (auto id : waiting_.ids()) {
+    auto* w = waiting_.get(id);
+    // A fetch ends by its own timeout; this ends the asks that joined another one.
+    if (w && !w->isSent && nowMs >= w->untilMs) giveUp(id, w->isWrite ? kUnknown : kDeadline, nowMs);
+  }
+  size_t over = 0;
+  while (over < memoryOrder_.size() && nowMs - memoryOrder_[over].first >= props_.keyMs) {
+    auto it = memory_.find(memoryOrder_[over].second);
+    if (it != memory_.end() && it->second.isDone && nowMs - it->second.sinceMs >= props_.keyMs) memory_.erase(it);
+    ++over;
+  }
+  memoryOrder_.erase(memoryOrder_.begin(), memoryOrder_.begin() + static_cast<std::ptrdiff_t>(over));
+}
+
+}  // namespace dykestage::upstream
--- /dev/null
+++ b/lib/upstream/shield.hpp
@@ -0,0 +1,117 @@
+// Upstream: what a shield does with edges' asks. A state machine: asks, ended fetches, frames and time go in;
+// replies and fetches come out. Shields are the only ones that touch upstreams.
+#pragma once
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "caller/edge.hpp"
+#include "policy/cache.hpp"
+#include "policy/slab.hpp"
+#include "upstream/fetcher.hpp"
+
+namespace dykestage::upstream {
+
+class Shield {
+ public:
+  struct Props {
+    std::string name, site;
+    int64_t boundMs = 2000;          // the freshness bound; everything below follows from it
+    int64_t staleMs = 1500;          // 3/4 of it
+    size_t requests = 4000;
+    size_t cacheBytes = 256u << 20;
+    size_t answerBytes = 8u << 20;
+    double triesPart = 0.75;         // part of a service's extra tries that the shields may use
+    int64_t probeMs = 1000;
+    int64_t easeMs = 5000;           // a new upstream is eased in over this time
+    int64_t keyMs = 600000;          // how long an outcome is remembered under its Idempotency-Key
+    size_t keys = 100000;
+  };
+  struct Output {
+    struct Replied {
+      std::string to;
+      neighbour::Reply reply;
+    };
+    std::vector<Replied> replies;
+    std::vector<Fetch> fetches;
+    std::vector<std::string> drops;  // addresses whose idle streams must end
+  };
+  struct Figures {
+    uint64_t asks = 0, hits = 0, joins = 0, fetches = 0, extras = 0, turnedAway = 0, unknown = 0, rateTurnedAway = 0;
+  };
+
+  explicit Shield(Props props)
+      : props_(std::move(props)), waiting_(props_.requests), cache_(props_.cacheBytes), split_(props_.boundMs) {}
+
+  /// Takes an ask; `from` is where the reply goes. Example: `shield.take(letter.from, ask, nowMs);`
+  auto take(const std::string& from, neighbour::Ask ask, int64_t nowMs) -> void;
+  /// Takes an ended fetch. Example: `for (auto& f : fetcher.run(fds, 10)) shield.takeFetched(f, nowMs);`
+  auto takeFetched(const Fetched& fetched, int64_t nowMs) -> void;
+  /// Puts a newer frame, or newer knowledge of its age, in force. Example: `shield.takeFrame(held, nowMs);`
+  auto takeFrame(const caller::HeldFrame& held, int64_t nowMs) -> void;
+  /// Lets time pass: probes, deadlines of joined asks. Example: every 10 ms `shield.tick(nowMs);`
+  auto tick(int64_t nowMs) -> void;
+  /// From now on new asks are turned away. Example: on SIGTERM `shield.empty();`
+  auto empty() -> void { isEmptying_ = true; }
+  auto output() -> Output { return std::exchange(out_, {}); }
+  auto isReady(int64_t nowMs) const -> bool { return !isEmptying_ && held_.isCurrent(nowMs, props_.staleMs) && split_.isSettled(nowMs); }
+  auto revision() const -> core::Revision { return held_.frame->revision; }
+  /// Which upstreams answered their last probe. Example: `poll.probes = shield.probes();`
+  auto probes() const -> const std::map<std::string, bool>& { return probes_; }
+  auto edges() const -> std::vector<std::string>;
+  auto figures() const -> Figures { return figures_; }
+  auto open() const -> size_t { return waiting_.size(); }
+
+ private:
+  struct Waiting {
+    std::string from;
+    neighbour::Ask ask;
+    int64_t startMs = 0, untilMs = 0, fetchedMs = 0;
+    uint64_t purges = 0;
+    std::set<std::string> tried;
+    std::string instance;
+    bool isWrite = false, wasTouched = false, isSent = false;
+    int tries = 0;
+    std::string joinKey, memoryKey;
+    std::vector<uint64_t> followers;
+  };
+  struct Memory {  // of one Idempotency-Key
+    uint64_t print = 0;
+    uint64_t running = 0;
+    bool isDone = false;
+    neighbour::Reply reply;
+    int64_t sinceMs = 0;
+  };
+  auto dispatch(uint64_t id, bool isExtra, int64_t nowMs) -> void;
+  auto retryOr(uint64_t id, uint32_t code, int64_t nowMs) -> void;
+  auto giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void;
+  auto finish(uint64_t id, neighbour::Reply reply, const policy::Copy* copy, int64_t nowMs) -> void;
+  auto reply(const Waiting& waiting, neighbour::Reply reply, int64_t nowMs) -> void;
+  auto refuse(const std::string& from, uint64_t id, uint32_t code) -> void;
+  auto budget(const std::string& service) -> policy::TryBudget&;
+  auto probe(int64_t nowMs) -> void;
+  auto judge(const std::string& instance, const Fetched& fetched, int64_t nowMs) -> void;
+
+  Props props_;
+  caller::HeldFrame held_;
+  bool isEmptying_ = false;
+  policy::Slab<Waiting> waiting_;
+  policy::Cache cache_;
+  policy::Split split_;
+  std::map<std::string, policy::RateShare> rates_;
+  std::map<std::string, policy::TryBudget> budgets_;
+  std::map<std::string, policy::Health> health_;
+  std::map<std::string, uint64_t> joins_;
+  std::map<std::string, Memory> memory_;
+  std::vector<std::pair<int64_t, std::string>> memoryOrder_;
+  std::map<std::string, bool> probes_;
+  std::map<uint64_t, std::string> probing_;
+  uint64_t nextProbe_ = 0;
+  int64_t probedMs_ = 0;
+  uint64_t dice_ = 0;
+  Output out_;
+  Figures figures_;
+};
+
+}  // namespace dykestage::upstream
--- /dev/null
+++ b/programs/agent.cpp
@@ -0,0 +1,105 @@
+// agent: stands beside one proxy, keeps the link to the control plane and feeds the proxy over loopback.
+#include <glog/logging.h>
+#include <poll.h>
+
+#include "agent/feed.hpp"
+#include "neighbour/inbox.hpp"
+#include "neighbour/post.hpp"
+#include "operator/program.hpp"
+
+using namespace dykestage;
+
+namespace {
+constexpr size_t kNeighbours = 3;
+
+// The few agents that this one knows and asks when no registry answers.
+auto neighboursOf(const core::Frame& frame, const std::string& name) -> std::vector<std::string> {
+  std::vector<std::string> names;
+  for (const auto& [other, member] : frame.members)
+    if (other != name && !member.agent.empty()) names.push_back(other);
+  auto order = neighbour::rendezvous(name, names);
+  if (order.size() > kNeighbours) order.resize(kNeighbours);
+  std::vector<std::string> at;
+  for (const auto& other : order) at.push_back(frame.members.at(other).agent);
+  return at;
+}
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  auto program = op::Program::start(argc, argv, "agent: feeds the proxy beside it with news of the control plane");
+  auto& s = program.settings();
+  std::string name, address, listen, loopback;
+  std::vector<std::string> seeds;
+  int64_t boundMs = 2000;
+  s.text("name", name, true);
+  program.address("address", address);
+  program.address("listen", listen, false);
+  program.address("loopback", loopback);
+  program.addresses("seeds", seeds, 3);
+  s.integer("boundMs", 400, 60000, boundMs);
+  program.ready();
+
+  neighbour::Inbox<neighbour::Letter> inbox(4096);
+  std::string reason;
+  auto take = [&](neighbour::Letter l) { inbox.push(std::move(l)); };
+  auto outer = neighbour::Post::open({listen.empty() ? address : listen, address}, take, reason);
+  auto inner = outer ? neighbour::Post::open({loopback}, take, reason) : nullptr;
+  if (!inner) {
+    LOG(ERROR) << "agent: " << reason;
+    return 3;
+  }
+  LOG(INFO) << "agent: " << name << " at " << outer->address() << ", feeding at " << inner->address() << ".";
+  agent::Follower follower(name, boundMs / 4);
+  agent::Giver toProxy(boundMs / 10), toNeighbours(boundMs / 10);
+  core::Member member;
+  core::Revision inForce;
+  std::map<std::string, bool> probes;
+  int64_t proxyMs = -1;
+  auto order = neighbour::rendezvous(name, seeds);
+  std::string target;
+  while (!op::Program::isStopping()) {
+    pollfd fds[] = {{inbox.fd(), POLLIN, 0}, {op::Program::stopFd(), POLLIN, 0}};
+    ::poll(fds, 2, static_cast<int>(boundMs / 200));
+    auto nowMs = neighbour::steadyMs();
+    for (auto& letter : inbox.take()) {
+      Reader r(letter.body);
+      if (letter.kind == neighbour::kFeed) {
+        auto feed = r.get<neighbour::Feed>();
+        if (r.done()) follower.take(feed, nowMs);
+      } else if (letter.kind == neighbour::kPoll) {
+        auto poll = r.get<neighbour::Poll>();
+        if (!r.done()) continue;
+        if (poll.isNeighbour) {
+          toNeighbours.take(letter.from, std::move(poll), nowMs);
+          continue;
+        }
+        if (poll.name != name) continue;
+        // The proxy says who it is; the agent speaks for it, and only while it is there.
+        poll.member.agent = outer->address();
+        member = poll.member;
+        inForce = poll.revision;
+        probes = poll.probes;
+        proxyMs = nowMs;
+        follower.be(member);
+        toProxy.take(letter.from, std::move(poll), nowMs);
+      }
+    }
+    const auto& held = follower.held();
+    for (auto& [to, feed] : toProxy.give(*held.frame, held.asOfMs, nowMs)) inner->send(to, neighbour::kFeed, Writer().put(feed).take());
+    for (auto& [to, feed] : toNeighbours.give(*held.frame, held.asOfMs, nowMs)) outer->send(to, neighbour::kFeed, Writer().put(feed).take());
+    if (proxyMs >= 0 && nowMs - proxyMs < boundMs) {
+      auto targets = order;
+      for (auto& at : neighboursOf(*held.frame, name)) targets.push_back(at);
+      if (auto poll = follower.tick(targets, inForce, probes, nowMs)) {
+        poll->second.isNeighbour = std::find(order.begin(), order.end(), poll->first) == order.end();
+        if (poll->first != target) LOG(INFO) << "agent: Asking " << poll->first << ".";
+        target = poll->first;
+        outer->send(poll->first, neighbour::kPoll, Writer().put(poll->second).take());
+      }
+    }
+    outer->prune(nowMs);
+    inner->prune(nowMs);
+  }
+  LOG(INFO) << "agent: Stopped.";
+  return 0;
+}
--- /dev/null
+++ b/programs/registry.cpp
@@ -0,0 +1,165 @@
+// registry: a core node. Orders and keeps the control plane's state; serves operators, upstreams and agents.
+#include <glog/logging.h>
+#include <poll.h>
+
+#include <thread>
+#include <variant>
+
+#include "agent/link.hpp"
+#include "core/registry.hpp"
+#include "disk/ring.hpp"
+#include "neighbour/inbox.hpp"
+#include "neighbour/post.hpp"
+#include "operator/program.hpp"
+
+using namespace dykestage;
+
+namespace {
+struct Synced {
+  uint64_t number;
+  double fill;
+};
+using Input = std::variant<neighbour::Letter, caller::Request, Synced>;
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  auto program = op::Program::start(argc, argv, "registry: a core node of dykestage");
+  auto& s = program.settings();
+  core::Registry::Props props;
+  disk::Props diskProps;
+  std::string http, name, listen;
+  std::vector<std::string> registries;
+  int64_t slot = 0, faults = 0, boundMs = 2000, ringFiles = 4, ringBytes = 8 << 20, bodyBytes = 8 << 20, threads = 2;
+  s.text("name", name);
+  s.integer("slot", 1, 30, slot);
+  program.addresses("registries", registries, 3);
+  program.address("http", http);
+  program.address("listen", listen, false);
+  s.text("data", diskProps.folder, true);
+  s.integer("boundMs", 400, 60000, boundMs);
+  props.beatMissMs = boundMs * 3 / 2;
+  props.memberMissMs = boundMs * 5 / 2;
+  s.integer("beatMissMs", 200, 600000, props.beatMissMs);
+  s.integer("memberMissMs", 200, 600000, props.memberMissMs);
+  s.integer("batchMs", 0, 100, props.batchMs);
+  s.integer("promiseMs", 1, 1000, props.core.promiseMs);
+  s.integer("slowMs", 1, 10000, props.core.slowMs);
+  s.integer("recoveryMs", 10, 60000, props.core.recoveryMs);
+  s.integer("suspectMs", 10, 60000, props.core.suspectMs);
+  s.integer("ringFiles", 3, 64, ringFiles);
+  s.integer("ringBytes", 1 << 20, 1 << 30, ringBytes);
+  s.integer("bodyBytes", 1 << 10, 64 << 20, bodyBytes);
+  s.integer("threads", 1, 16, threads);
+  auto count = static_cast<int64_t>(registries.size());
+  if (slot < 1 || slot > count) s.fault("slot", "must be the place of this registry in registries, from 1");
+  if (!s.integer("faults", 1, std::max<int64_t>(1, (count - 1) / 2), faults)) faults = std::max<int64_t>(1, (count - 1) / 2);
+  program.ready();
+
+  props.slot = static_cast<tempo::Slot>(slot);
+  props.core.replicas = static_cast<uint32_t>(count);
+  props.core.faults = static_cast<uint32_t>(faults);
+  for (size_t i = 0; i < registries.size(); ++i) props.addresses[static_cast<tempo::Slot>(i + 1)] = registries[i];
+  // Everything below follows from the freshness bound.
+  props.boundMs = boundMs;
+  props.staleMs = boundMs * 3 / 4;
+  props.tickMs = boundMs / 8;
+  props.holdMs = boundMs / 10;
+  diskProps.files = static_cast<uint32_t>(ringFiles);
+  diskProps.fileBytes = static_cast<uint64_t>(ringBytes);
+
+  std::string reason;
+  auto ring = disk::Ring::open(diskProps, reason);
+  if (!ring) {
+    LOG(ERROR) << "disk: " << reason;
+    return 3;
+  }
+  auto found = ring->take();
+  if (found.tornBytes) LOG(INFO) << "disk: Dropped a torn tail of " << found.tornBytes << " bytes.";
+
+  neighbour::Inbox<Input> inbox(16000);
+  neighbour::Inbox<core::DiskJob> jobs(16000);
+  auto post = neighbour::Post::open({listen.empty() ? registries[props.slot - 1] : listen, registries[props.slot - 1]}, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
+  if (!post) {
+    LOG(ERROR) << "post: " << reason;
+    return 3;
+  }
+  for (const auto& [other, address] : props.addresses)
+    if (other != props.slot) post->warm(address);
+  core::Registry registry(props, found.frame, found.writes, agent::freshIncarnation());
+
+  // The disk has a thread of its own: a stalled disk holds back what rests on it, and nothing else.
+  std::atomic<bool> isBroken{false}, isOver{false};
+  std::thread diskThread([&] {
+    while (!isOver) {
+      pollfd fd{jobs.fd(), POLLIN, 0};
+      ::poll(&fd, 1, 100);
+      auto list = jobs.take();
+      if (list.empty()) continue;
+      // Group commit: everything that waits is synced at once.
+      uint64_t last = 0;
+      auto isWell = true;
+      for (auto& job : list) {
+        if (!job.writes.empty()) isWell = isWell && ring->append(job.writes);
+        if (!job.frame.empty() && isWell && !ring->saveFrame(job.frame)) {
+          // Without room for a frame the ring goes on as long as it has room itself; a first frame, or one
+          // that replaced the state, must succeed.
+          isWell = false;
+        }
+        last = job.number;
+      }
+      isWell = isWell && ring->sync();
+      if (!isWell) {
+        LOG(ERROR) << "disk: " << ring->reason();
+        isBroken = true;
+        return;
+      }
+      inbox.push(Synced{last, ring->fill()});
+    }
+  });
+
+  auto [ip, port] = op::splitAddress(http);
+  auto face = std::make_unique<caller::Face>(caller::Face::Props{ip, port, static_cast<int>(threads), static_cast<size_t>(bodyBytes)},
+                                             [&](caller::Request r) {
+                                               auto stream = r.stream;
+                                               auto method = r.method;
+                                               if (!inbox.push(std::move(r))) stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
+                                             });
+  LOG(INFO) << "registry: Slot " << slot << " serves " << ip << ":" << face->port() << ".";
+
+  std::vector<std::shared_ptr<caller::Stream>> writing;
+  auto stopAtMs = int64_t{-1};
+  for (;;) {
+    std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
+    for (auto& stream : writing) fds.push_back({stream->fd(), POLLOUT, 0});
+    ::poll(fds.data(), fds.size(), 2);
+    auto nowMs = neighbour::steadyMs();
+    for (auto& input : inbox.take()) {
+      if (auto* letter = std::get_if<neighbour::Letter>(&input)) registry.take(letter->from, letter->kind, letter->body, nowMs);
+      if (auto* request = std::get_if<caller::Request>(&input)) registry.take(*request, nowMs);
+      if (auto* synced = std::get_if<Synced>(&input)) registry.synced(synced->number, synced->fill, nowMs);
+    }
+    registry.tick(nowMs);
+    auto out = registry.output();
+    for (auto& job : out.jobs)
+      if (!jobs.push(std::move(job))) isBroken = true;
+    for (auto& letter : out.letters) post->send(letter.to, letter.kind, letter.body);
+    for (auto& a : out.answers) {
+      a.stream->answer(a.answer, a.method, a.keep);
+      writing.push_back(a.stream);
+    }
+    std::erase_if(writing, [](auto& stream) { return stream->flush(); });
+    post->prune(nowMs);
+    if (isBroken) {
+      LOG(ERROR) << "registry: Stopping, since the disk can't be relied on.";
+      std::_Exit(3);
+    }
+    // Answers under way get a little of the grace; the state is safe at any moment.
+    if (op::Program::isStopping() && stopAtMs < 0) stopAtMs = nowMs + props.boundMs / 4;
+    if (stopAtMs >= 0 && nowMs >= stopAtMs) break;
+  }
+  LOG(INFO) << "registry: Stopped.";
+  isOver = true;
+  face.reset();
+  diskThread.join();
+  return 0;
+}
