--- a/lib/policy/cache.cpp
+++ b/lib/policy/cache.cpp
@@ -214,15 +214,15 @@
 
 auto RateShare::set(double share, int64_t nowMs) -> void {
   settle(nowMs);
-  if (share_ <= 0) tokens_ = std::max(1.0, share / 20);
+  if (share_ <= 0) tokens_ = std::max(1.0, share / 5);
   share_ = share;
 }
 
 auto RateShare::settle(int64_t nowMs) -> void {
   auto passedMs = filledMs_ < 0 ? 0 : std::max<int64_t>(0, nowMs - filledMs_);
   filledMs_ = nowMs;
-  // A twentieth of a second's worth may gather: a window of 5 s then holds about 1% above the share.
-  tokens_ = std::min(std::max(1.0, share_ / 20), tokens_ + share_ * static_cast<double>(passedMs) / 1000.0);
+  // A fifth of a second of the share may gather: a window of 5 s then holds at most 4% above it.
+  tokens_ = std::min(std::max(1.0, share_ / 5), tokens_ + share_ * static_cast<double>(passedMs) / 1000.0);
 }
 
 auto RateShare::take(int64_t nowMs) -> bool {
--- a/lib/sim/fleet.cpp
+++ b/lib/sim/fleet.cpp
@@ -275,7 +275,7 @@
       add({"origin", name, site, ip, at(ip, 2), u.service, "", -1},
           "{\"instance\":" + text(name) + ",\"service\":" + text(u.service) + ",\"kind\":" + text(u.kind) + ",\"site\":" + text(site) +
               ",\"http\":" + text(at(ip, 2)) + ",\"registries\":" + list(https) + ",\"capacity\":" + std::to_string(u.capacity) + ",\"delayMs\":" +
-              std::to_string(u.delayMs) + ",\"bytes\":" + std::to_string(u.bytes) + ",\"seed\":" + std::to_string(number + 1) + "}");
+              std::to_string(u.delayMs) + ",\"bytes\":" + std::to_string(u.bytes) + ",\"seed\":" + std::to_string(number + 1) + ",\"account\":" + text(account(name)) + "}");
     }
   for (const auto& [a, siteA] : machines)
     for (const auto& [b, siteB] : machines)
@@ -353,6 +353,8 @@
   return list;
 }
 
+auto Fleet::account(const std::string& name) const -> std::string { return props_.folder + "/" + name + ".account"; }
+
 auto Fleet::awaitReady(int64_t mostMs) -> bool {
   auto untilMs = neighbour::steadyMs() + mostMs;
   std::vector<std::string> waiting;
--- a/lib/sim/fleet.hpp
+++ b/lib/sim/fleet.hpp
@@ -88,6 +88,8 @@
   auto names(const std::string& kind) const -> std::vector<std::string>;
   auto site(const std::string& name) const -> std::string { return nodes_.at(name).site; }
   auto service(const std::string& name) const -> std::string { return nodes_.at(name).service; }
+  /// The file in which an origin keeps its account. Example: `fleet.account("origin-shop-store-1")`
+  auto account(const std::string& name) const -> std::string;
   /// Waits until every daemon says ready; false when the time runs out. Example: `fleet.awaitReady(20000)`
   auto awaitReady(int64_t mostMs) -> bool;
 
--- /dev/null
+++ b/lib/sim/load.hpp
@@ -0,0 +1,75 @@
+// Sim: callers at a deployment's rate and mix, and the comparison of what they got with what origins ran.
+#pragma once
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "operator/program.hpp"
+#include "upstream/fetcher.hpp"
+
+namespace dykestage::sim {
+
+/// One kind of request in a deployment's mix.
+struct Kind {
+  std::string name, host, service, method = "GET", prefix;
+  int64_t range = 100;   // targets are prefix + 0..range-1
+  int64_t weight = 1;
+  bool hasKey = false;   // sends an Idempotency-Key
+};
+
+/// What came back for one kind.
+struct Count {
+  uint64_t asked = 0, well = 0, turnedAway = 0, unknown = 0, broken = 0, other = 0, unreached = 0, wrong = 0, withoutRetryAfter = 0;
+  std::vector<int64_t> tookMs;
+};
+
+struct Report {
+  std::map<std::string, Count> kinds;
+  std::map<uint64_t, uint64_t> codes;
+  std::vector<std::pair<uint64_t, uint64_t>> slices;  // per 100 ms: asked, well
+  uint64_t writes = 0, ranTwice = 0, busyButRan = 0, wellButNotRan = 0, ran = 0;
+  double worstRate = 0;       // most requests at one service in any 5 s, over its agreed rate (when given)
+  double worstExtraShare = 0; // most extra tries in any 10 s, over what is allowed
+  std::vector<std::string> faults;  // what must never happen, and did
+  /// A table for people. Example: `std::cout << report.text();`
+  auto text() const -> std::string;
+};
+
+class Load {
+ public:
+  struct Props {
+    std::vector<std::pair<std::string, std::string>> edges;  // address, site
+    std::vector<Kind> kinds;
+    int64_t perSecond = 400, seconds = 10, seed = 1, timeoutMs = 3000;
+    bool retriesAtOnce = false;                       // callers that ask again at once when turned away
+    std::map<std::string, std::string> accounts;      // origin's name → file that it writes
+    std::map<std::string, int64_t> agreedRates;       // service → requests a second
+  };
+  /// Reads the settings of a load. Example: `auto props = Load::take(program);`
+  static auto take(op::Program& program) -> Props;
+  explicit Load(Props props) : props_(std::move(props)), random_(static_cast<uint64_t>(props_.seed)) {}
+  /// Drives the load; `during` is called all the while with the time passed. Example: `load.run([](int64_t) {})`
+  auto run(const std::function<void(int64_t)>& during) -> Report;
+
+ private:
+  struct Open {
+    size_t kind;
+    std::string target, id, edge;
+    int64_t sinceMs, atMs;
+    int tries;
+  };
+  auto ask(Open open) -> void;
+  auto compare(Report& report) -> void;
+  Props props_;
+  std::mt19937_64 random_;
+  upstream::Fetcher fetcher_;
+  std::map<uint64_t, Open> open_;
+  std::map<std::string, int64_t> shunned_;
+  uint64_t nextId_ = 1;
+  enum class End { kWell, kBusy, kUnknown, kOther };
+  std::map<std::string, End> writes_;
+};
+
+}  // namespace dykestage::sim
--- a/programs/fleet.cpp
+++ b/programs/fleet.cpp
@@ -23,10 +23,12 @@
   };
   // What console and caller need, ready to be given as their settings.
   std::ofstream(props.folder + "/console.json") << "{\"registries\":" << list(fleet.https("registry")) << "}\n";
-  std::string edges, origins;
+  std::string edges, accounts;
+  for (const auto& name : fleet.names("origin"))
+    accounts += (accounts.empty() ? "\"" : ",\"") + name + "\":\"" + fleet.account(name) + "\"";
   for (const auto& name : fleet.names("edge"))
     edges += (edges.empty() ? "" : ",") + std::string("{\"address\":\"") + fleet.http(name) + "\",\"site\":\"" + fleet.site(name) + "\"}";
-  std::ofstream(props.folder + "/targets.json") << "{\"edges\":[" << edges << "],\"origins\":" << list(fleet.https("origin")) << "}\n";
+  std::ofstream(props.folder + "/targets.json") << "{\"edges\":[" << edges << "],\"accounts\":{" << accounts << "}}\n";
   if (!fleet.awaitReady(30000)) {
     LOG(ERROR) << "fleet: Not every process became ready; see the logs in " << props.folder << ".";
     return 1;
--- a/programs/origin.cpp
+++ b/programs/origin.cpp
@@ -4,6 +4,7 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <fstream>
 #include <random>
 
 #include "caller/codes.hpp"
@@ -34,12 +35,6 @@
   std::string cacheControl;
 };
 
-struct Ran {
-  int64_t atMs;
-  std::string method, target, request;
-  bool isExtra;
-};
-
 struct Due {
   int64_t atMs;
   caller::Request request;
@@ -51,7 +46,7 @@
 auto main(int argc, char** argv) -> int {
   auto program = op::Program::start(argc, argv, "origin: a stand-in for an upstream");
   auto& s = program.settings();
-  std::string instance, service, kind, site, http;
+  std::string instance, service, kind, site, http, accountPath;
   std::vector<std::string> registries;
   int64_t capacity = 1, beatMs = 500, seed = 1;
   Mode mode;
@@ -65,6 +60,7 @@
   s.integer("beatMs", 50, 60000, beatMs);
   s.integer("delayMs", 0, 60000, mode.delayMs);
   s.integer("bytes", 0, 64 << 20, mode.bytes);
+  s.text("account", accountPath);
   s.integer("seed", 0, 1LL << 50, seed);
   program.ready();
 
@@ -79,7 +75,8 @@
   upstream::Fetcher fetcher;
   std::mt19937_64 random(static_cast<uint64_t>(seed));
   std::vector<Due> due;
-  std::vector<Ran> account;
+  // Each line is written before the request is answered, so that the account outlives the process.
+  std::ofstream account(accountPath, std::ios::app);
   std::vector<std::shared_ptr<caller::Stream>> writing;
   uint64_t nextId = 1, misdirected = 0;
   int64_t beatAtMs = 0;
@@ -87,13 +84,6 @@
 
   auto page = [&](const caller::Request& r, int64_t nowMs) -> std::optional<caller::Answer> {
     if (r.target == "/health") return mode.isDeaf ? caller::Answer{500, {}, ""} : caller::Answer{200, {}, "well\n"};
-    if (r.target == "/stand/account") {
-      std::string text;
-      for (const auto& ran : account)
-        text += std::to_string(ran.atMs) + " " + ran.method + " " + ran.target + " " + (ran.request.empty() ? "-" : ran.request) + " " +
-                (ran.isExtra ? "extra" : "first") + "\n";
-      return caller::Answer{200, {}, text};
-    }
     if (r.target == "/stand/misdirected") return caller::Answer{200, {}, std::to_string(misdirected) + "\n"};
     if (r.target == "/stand" && r.method == "POST") {
       std::vector<op::Fault> faults;
@@ -144,7 +134,9 @@
         continue;
       }
       auto id = caller::header(r.headers, "x-request-id");
-      account.push_back({nowMs, r.method, r.target, id, caller::has(r.headers, "dykestage-extra")});
+      account << nowMs << " " << service << " " << r.method << " " << r.target << " " << (id.empty() ? "-" : id) << " "
+              << (caller::has(r.headers, "dykestage-extra") ? "extra" : "first") << "\n"
+              << std::flush;
       due.push_back({nowMs + mode.delayMs, std::move(r), id, static_cast<int>(random() % 100)});
     }
     auto isDue = [&](const Due& d) { return d.atMs <= nowMs; };
