Core frames are taken partition by partition; the ring goes on behind its last record

Among commands of one stamp a replica may have run some and not others; the executed stamp alone did not tell, so that a frame without a command replaced a state with it. After restarts two groups of replicas, each ahead in another partition, refused each other's promises and frames. Change: a place in the order is stamp and id; the floor is a place; a frame is taken for each partition in which it is ahead. Cause, disk: every restart began a new ring file, so that a few restarts filled the ring and the node did not start. It goes on behind the last record now; a test of 20 restarts failed before. Ruled out: reuse of command numbers, order of syncs in the simulator. Tests: disk, traffic state machines, the paper's table 1 and figures 2 and 4, all orders of two racing commits, recovery with each pair lost, and three broken rules that the checker must catch.

--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -78,7 +78,7 @@
 
 auto Registry::synced(uint64_t number, double fill, int64_t nowMs) -> void {
   syncedJob_ = std::max(syncedJob_, number);
-  if (fill > 0.5 && number >= frameJob_) wantsFrame_ = true;
+  if (fill > 0.5 && (number == 0 || number >= frameJob_)) wantsFrame_ = true;
   release(nowMs);
 }
 
--- a/lib/core/state.cpp
+++ b/lib/core/state.cpp
@@ -217,19 +217,24 @@
   return it == lastTicks_.end() ? 0 : it->second;
 }
 
-auto State::save() const -> std::string {
-  return Writer().put(frame_).put(owners_).put(changes_).put(changeOrder_).put(duties_).put(ticks_).put(lastTicks_).take();
+auto State::save(uint8_t part) const -> std::string {
+  const auto& f = frame_;
+  if (part == tempo::kConfiguration)
+    return Writer().put(f.revision.configuration).put(f.revision.purges).put(f.services).put(f.purges).put(f.purgeFloor).put(changes_).put(changeOrder_).take();
+  if (part == tempo::kUpstreams) return Writer().put(f.revision.upstreams).put(f.upstreams).put(owners_).take();
+  return Writer().put(f.revision.members).put(f.members).put(duties_).put(ticks_).put(lastTicks_).take();
 }
 
-auto State::load(const std::string& frame) -> void {
+auto State::load(uint8_t part, const std::string& frame) -> void {
   Reader r(frame);
-  r.read(frame_);
-  r.read(owners_);
-  r.read(changes_);
-  r.read(changeOrder_);
-  r.read(duties_);
-  r.read(ticks_);
-  r.read(lastTicks_);
+  auto readAll = [&](auto&... fields) { (r.read(fields), ...); };
+  auto& f = frame_;
+  if (part == tempo::kConfiguration)
+    readAll(f.revision.configuration, f.revision.purges, f.services, f.purges, f.purgeFloor, changes_, changeOrder_);
+  else if (part == tempo::kUpstreams)
+    readAll(f.revision.upstreams, f.upstreams, owners_);
+  else
+    readAll(f.revision.members, f.members, duties_, ticks_, lastTicks_);
 }
 
 }  // namespace dykestage::core
--- a/lib/core/state.hpp
+++ b/lib/core/state.hpp
@@ -136,8 +136,8 @@
 class State : public tempo::Machine {
  public:
   auto apply(const tempo::Command& command, tempo::Stamp stamp) -> std::string override;
-  auto save() const -> std::string override;
-  auto load(const std::string& frame) -> void override;
+  auto save(uint8_t part) const -> std::string override;
+  auto load(uint8_t part, const std::string& frame) -> void override;
 
   /// What data nodes are sent. Example: `newsSince(state.frame(), revision)`
   auto frame() const -> const Frame& { return frame_; }
--- a/lib/disk/ring.cpp
+++ b/lib/disk/ring.cpp
@@ -96,7 +96,13 @@
   // nothing after it was written in the knowledge that the missing record had been synced.
   std::sort(pieces_.begin(), pieces_.end(), [](const auto& a, const auto& b) { return a.sequence < b.sequence; });
   auto expected = frameNext_;
+  struct Place {
+    uint32_t file;
+    uint64_t offset;
+  };
+  std::optional<Place> last;
   for (auto& piece : pieces_) {
+    if (piece.sequence <= expected) last = Place{piece.file, piece.offset + kPieceHead + piece.body.size()};
     if (piece.sequence < frameNext_) continue;
     if (piece.sequence != expected) {
       if (piece.syncedBefore >= expected) {
@@ -119,13 +125,15 @@
   if (!found_.writes.empty()) found_.isBlank = false;
   next_ = expected;
   synced_ = next_ - 1;
-  // Writing goes on in a file that holds nothing needed; the torn tail stays behind and is overwritten later.
-  for (auto& file : files_)
-    if (file.first >= next_) file.first = file.last = 0;
-  for (uint32_t i = 0; i < props_.files; ++i)
-    if (files_[i].first == 0 || files_[i].last < frameNext_) return startFile(i);
-  errno = 0;
-  return fail("the ring is full behind the last frame");
+  // Writing goes on behind the last record; without one, in any file, since none is needed then.
+  for (auto& file : files_) {
+    if (file.first > next_) file.first = file.last = 0;
+    file.last = std::min(file.last, next_ - 1);
+  }
+  if (!last) return startFile(0);
+  at_ = last->file;
+  offset_ = last->offset;
+  return true;
 }
 
 auto Ring::loadFrame() -> bool {
--- a/lib/sim/core_sim.cpp
+++ b/lib/sim/core_sim.cpp
@@ -18,15 +18,8 @@
     applied_.push_back(std::move(applied));
     return command.payload;
   }
-  auto save() const -> std::string override {
-    Writer w;
-    for (auto count : counts_) w.put(count);
-    return w.take();
-  }
-  auto load(const std::string& frame) -> void override {
-    Reader r(frame);
-    for (auto& count : counts_) r.read(count);
-  }
+  auto save(uint8_t part) const -> std::string override { return Writer().put(counts_[part]).take(); }
+  auto load(uint8_t part, const std::string& frame) -> void override { counts_[part] = Reader(frame).get<uint64_t>(); }
   std::array<uint64_t, kParts> counts_{};
   std::vector<Applied> applied_;
 };
@@ -271,6 +264,7 @@
       if (f.wipes) kinds.push_back(3);
       if (f.stalls) kinds.push_back(4);
       if (f.freezes) kinds.push_back(5);
+      if (f.blackouts) kinds.push_back(6);
       if (kinds.empty()) return;
       auto slot = static_cast<Slot>(pick(1, r));
       auto mayFall = down() < props_.core.faults && hosts_.at(slot)->isUp;
@@ -312,6 +306,13 @@
           hosts_.at(slot)->frozenUntilMs = nowMs_ + pick(50, 800);
           say("freeze " + std::to_string(slot));
           break;
+        case 6:  // all lose power at once; what was not synced is lost everywhere
+          say("blackout");
+          for (Slot each = 1; each <= static_cast<Slot>(r); ++each) {
+            crash(each);
+            at(nowMs_ + pick(20, 400), [this, each] { start(each); });
+          }
+          break;
       }
     });
   }
--- a/lib/tempo/tempo.cpp
+++ b/lib/tempo/tempo.cpp
@@ -16,19 +16,19 @@
 }
 }  // namespace
 
-auto Ranges::add(uint64_t n) -> void {
-  if (has(n)) return;
-  auto after = ranges_.find(n + 1);
-  auto last = n;
-  if (after != ranges_.end()) {
-    last = after->second;
-    ranges_.erase(after);
-  }
-  auto before = ranges_.upper_bound(n);
-  if (before != ranges_.begin() && std::prev(before)->second + 1 == n)
-    std::prev(before)->second = last;
-  else
-    ranges_[n] = last;
+auto Ranges::add(uint64_t first, uint64_t last) -> void {
+  auto it = ranges_.upper_bound(first);
+  if (it != ranges_.begin() && std::prev(it)->second + 1 >= first) --it;
+  while (it != ranges_.end() && it->first <= last + 1) {
+    first = std::min(first, it->first);
+    last = std::max(last, it->second);
+    it = ranges_.erase(it);
+  }
+  ranges_[first] = last;
+}
+
+auto Ranges::join(const Ranges& other) -> void {
+  for (const auto& [first, last] : other.ranges_) add(first, last);
 }
 
 auto Ranges::has(uint64_t n) const -> bool {
@@ -499,7 +499,7 @@
   for (uint8_t part = 0; part < kParts && part < m.have.size(); ++part) parts_[part].acked[from] = m.have[part];
   auto isBehind = false;
   for (const auto& p : m.promises) {
-    if (p.part < kParts && p.floor > parts_[p.part].executed) isBehind = true;
+    if (p.part < kParts && !parts_[p.part].ran(p.floor)) isBehind = true;
     takePromise(p);
   }
   if (isBehind) askFrame(from, nowMs);
@@ -534,7 +534,7 @@
   auto seat = members_.find(p.slot);
   if (seat == members_.end() || seat->second != p.incarnation) return;
   // Commands at or below the floor may be missing from the list: only one who has executed them may count it.
-  if (p.floor > part.executed) return;
+  if (!part.ran(p.floor)) return;
   auto& known = part.known[p.slot];
   known.executed = std::max(known.executed, p.executed);
   if (p.from > known.upTo || p.upTo <= known.upTo) return;
@@ -639,7 +639,10 @@
         isMoving = true;
         auto [stamp, id] = *parts_[part].queue.begin();
         auto& e = entries_.at(id);
-        eachPart(e.command->parts, [&](uint8_t q) { parts_[q].queue.erase({stamp, id}); });
+        eachPart(e.command->parts, [&](uint8_t q) {
+          parts_[q].queue.erase({stamp, id});
+          parts_[q].last = {stamp, id};
+        });
         e.executed = true;
         done_[id.origin].add(id.number);
         doneStamps_[id] = stamp;
@@ -723,7 +726,7 @@
     eachPart(it->second.command->parts, [&](uint8_t part) {
       auto& p = parts_[part];
       p.own.erase(it->second.shares[part].proposal);
-      p.floor = std::max(p.floor, doneStamps_[it->first]);
+      p.floor = std::max(p.floor, {doneStamps_[it->first], it->first});
     });
     doneStamps_.erase(it->first);
     return entries_.erase(it);
@@ -819,8 +822,8 @@
 auto Node::save() const -> std::string {
   Writer w;
   w.put(epoch_).put(boundary_).put(members_).put(done_).put(incarnation_).put(nextNumber_);
-  for (const auto& p : parts_) w.put(p.clock).put(p.executed).put(p.own);
-  w.put(machine_.save());
+  for (const auto& p : parts_) w.put(p.clock).put(p.executed).put(p.last).put(p.own);
+  for (uint8_t part = 0; part < kParts; ++part) w.put(machine_.save(part));
   // What is not executed yet goes along, so that the log behind the frame can be dropped.
   uint32_t count = 0;
   Writer rest;
@@ -848,35 +851,39 @@
   for (auto& p : parts) {
     r.read(p.clock);
     r.read(p.executed);
+    r.read(p.last);
     r.read(p.own);
   }
-  auto state = r.get<std::string>();
+  std::array<std::string, kParts> states;
+  for (auto& state : states) r.read(state);
   auto count = r.get<uint32_t>();
-  if (!r.ok() || (own && source != incarnation_)) return false;
-  if (!own) {
-    if (epoch < epoch_) return false;
-    auto isAhead = epoch > epoch_;
-    for (uint8_t part = 0; part < kParts; ++part) {
-      if (parts[part].executed < parts_[part].executed) return false;
-      if (parts[part].executed > parts_[part].executed) isAhead = true;
-    }
-    if (!isAhead) return false;
-  }
+  if (!r.ok() || (own && source != incarnation_) || (!own && epoch < epoch_)) return false;
   auto isNewEpoch = epoch != epoch_;
+  // Each partition is taken if the frame is ahead there. Taken one by one they still fit together: what runs
+  // in several partitions runs in all of them at once, so that whoever has run it is ahead in all of them.
+  std::array<bool, kParts> isTaken{};
+  for (uint8_t part = 0; part < kParts; ++part)
+    isTaken[part] = own || isNewEpoch || parts[part].executed > parts_[part].executed || parts[part].last > parts_[part].last;
+  if (std::none_of(isTaken.begin(), isTaken.end(), [](bool taken) { return taken; })) return false;
   epoch_ = epoch;
   boundary_ = boundary;
   members_ = std::move(members);
-  done_ = std::move(done);
-  machine_.load(state);
+  for (const auto& [origin, numbers] : done) done_[origin].join(numbers);
   for (uint8_t part = 0; part < kParts; ++part) {
     auto& mine = parts_[part];
     if (own) {
       mine.clock = parts[part].clock;
       mine.own = parts[part].own;
     }
+    if (isTaken[part]) {
+      machine_.load(part, states[part]);
+      mine.executed = std::max(mine.executed, parts[part].executed);
+      mine.last = std::max(mine.last, parts[part].last);
+    }
     // A blank life starts its clock at the boundary of the change that seated it.
-    mine.clock = std::max({mine.clock, boundary_, parts[part].executed});
-    mine.executed = mine.floor = parts[part].executed;
+    mine.clock = std::max({mine.clock, boundary_, mine.executed});
+    // Whatever ran is dropped from the attached promises below, so that the floor stands at the last of it.
+    mine.floor = std::max(mine.floor, mine.last);
     std::erase_if(mine.own, [&](const auto& one) { return isDone(one.second); });
     if (isNewEpoch && !own) {
       mine.known.clear();
@@ -949,7 +956,7 @@
   for (uint8_t part = 0; part < kParts; ++part) {
     const auto& p = parts_[part];
     text += "; part " + std::to_string(part) + " clock " + std::to_string(p.clock) + " stable " + std::to_string(stable(part)) +
-            " executed " + std::to_string(p.executed) + " floor " + std::to_string(p.floor) + " queued " + std::to_string(p.queue.size());
+            " executed " + std::to_string(p.executed) + " floor " + std::to_string(p.floor.first) + " queued " + std::to_string(p.queue.size());
     for (const auto& [slot, known] : p.known) {
       text += " " + std::to_string(slot) + "≤" + std::to_string(known.upTo);
       if (!known.attached.empty()) {
--- a/lib/tempo/tempo.hpp
+++ b/lib/tempo/tempo.hpp
@@ -60,7 +60,7 @@
   Stamp from = 0;
   Stamp upTo = 0;
   Stamp executed = 0;  // every command stamped up to here has been executed there
-  Stamp floor = 0;     // commands stamped up to here may be forgotten there
+  std::pair<Stamp, Id> floor;  // commands up to this place in the order may be forgotten there
   std::vector<std::pair<Stamp, Id>> attached;
   DYKESTAGE_FIELDS(part, slot, incarnation, from, upTo, executed, floor, attached)
 };
@@ -114,10 +114,10 @@
   virtual ~Machine() = default;
   /// Applies one command and returns its result. Example: `auto result = machine.apply(command, stamp);`
   virtual auto apply(const Command& command, Stamp stamp) -> std::string = 0;
-  /// The whole state as bytes. Example: `auto frame = machine.save();`
-  virtual auto save() const -> std::string = 0;
-  /// Replaces the state. Example: `machine.load(frame);`
-  virtual auto load(const std::string& frame) -> void = 0;
+  /// One partition's state as bytes. Example: `auto frame = machine.save(kMembers);`
+  virtual auto save(uint8_t part) const -> std::string = 0;
+  /// Replaces one partition's state. Example: `machine.load(kMembers, frame);`
+  virtual auto load(uint8_t part, const std::string& frame) -> void = 0;
 };
 
 /// Settings of the protocol; times follow from the freshness bound (see docs/settings.md).
@@ -138,9 +138,11 @@
 /// A set of numbers kept as ranges. Example: `Ranges r; r.add(3); r.has(3) == true;`
 class Ranges {
  public:
-  auto add(uint64_t n) -> void;
+  auto add(uint64_t n) -> void { add(n, n); }
+  auto add(uint64_t first, uint64_t last) -> void;
   auto has(uint64_t n) const -> bool;
-  auto highest() const -> uint64_t { return ranges_.empty() ? 0 : ranges_.rbegin()->second; }
+  /// Takes in all numbers of another set. Example: `mine.join(theirs);`
+  auto join(const Ranges& other) -> void;
   DYKESTAGE_FIELDS(ranges_)
  private:
   std::map<uint64_t, uint64_t> ranges_;  // first → last
@@ -241,12 +243,15 @@
   };
   struct PartState {
     Stamp clock = 0;
-    Stamp executed = 0;
-    Stamp floor = 0;
+    Stamp executed = 0;           // everything up to here has run
+    std::pair<Stamp, Id> last;    // the last that ran; others of its stamp may still have to
+    std::pair<Stamp, Id> floor;   // what is forgotten lies at or before this place
     std::map<Stamp, Id> own;  // attached promises given here and not forgotten
     std::map<Slot, Known> known;
     std::map<Slot, Stamp> acked;  // own promises known at others
     std::set<std::pair<Stamp, Id>> queue;
+    /// True when everything up to a place in the order has run. Example: `if (!part.ran(p.floor)) askFrame();`
+    auto ran(const std::pair<Stamp, Id>& place) const -> bool { return place.first <= executed || place <= last; }
   };
 
   auto entry(const Id& id, int64_t nowMs) -> Entry&;
--- a/programs/registry.cpp
+++ b/programs/registry.cpp
@@ -86,6 +86,7 @@
   for (const auto& [other, address] : props.addresses)
     if (other != props.slot) post->warm(address);
   core::Registry registry(props, found.frame, found.writes, agent::freshIncarnation());
+  registry.synced(0, ring->fill(), neighbour::steadyMs());
 
   // The disk has a thread of its own: a stalled disk holds back what rests on it, and nothing else.
   std::atomic<bool> isBroken{false}, isOver{false};
