--- a/lib/agent/feed.cpp
+++ b/lib/agent/feed.cpp
@@ -32,8 +32,7 @@
   return given;
 }
 
-auto Follower::tick(const std::vector<std::string>& targets, const core::Revision& inForce, const std::map<std::string, bool>& probes,
-                    int64_t nowMs) -> std::optional<std::pair<std::string, Poll>> {
+auto Follower::tick(const std::vector<std::string>& targets, const Told& told, int64_t nowMs) -> std::optional<std::pair<std::string, Poll>> {
   if (targets.empty() || nowMs < waitUntilMs_) return std::nullopt;
   if (isAsking_) {
     if (nowMs - askedMs_ < answerMs_) return std::nullopt;
@@ -56,9 +55,10 @@
   poll.nonce = ++nonce_;
   poll.name = name_;
   poll.member = member_;
-  poll.revision = inForce;
+  poll.revision = told.revision;
   poll.has = held_.frame->revision;
-  poll.probes = probes;
+  poll.probes = told.probes;
+  poll.samples = told.samples;
   return std::pair{target_, std::move(poll)};
 }
 
--- a/lib/agent/feed.hpp
+++ b/lib/agent/feed.hpp
@@ -13,6 +13,13 @@
 
 namespace dykestage::agent {
 
+/// What a data node says of itself with each question.
+struct Told {
+  core::Revision revision;             // that it acts on
+  std::map<std::string, bool> probes;  // shields: which upstreams answer
+  neighbour::Samples samples;          // edges: what rollouts are judged by
+};
+
 /// Holds questions and answers them. Example:
 ///   giver.take(letter.from, poll, nowMs);
 ///   for (auto& [to, feed] : giver.give(frame, asOfMs, nowMs)) post->send(to, kFeed, pack(feed));
@@ -43,8 +50,8 @@
   Follower(std::string name, int64_t answerMs) : name_(std::move(name)), answerMs_(answerMs) {}
   /// Who asks: a new incarnation is a new node. Example: `follower.be(member);`
   auto be(const core::Member& member) -> void { member_ = member; }
-  /// The next question, when one is due. `inForce` is the revision that the data node acts on.
-  auto tick(const std::vector<std::string>& targets, const core::Revision& inForce, const std::map<std::string, bool>& probes, int64_t nowMs)
+  /// The next question, when one is due. Example: `follower.tick(targets, told, nowMs)`
+  auto tick(const std::vector<std::string>& targets, const Told& told, int64_t nowMs)
       -> std::optional<std::pair<std::string, neighbour::Poll>>;
   /// The question can't have reached its target, or the target is gone: the next one is asked soon.
   /// Example: `if (!post->send(...)) follower.lost(nowMs);`
--- a/lib/agent/link.cpp
+++ b/lib/agent/link.cpp
@@ -16,7 +16,7 @@
   thread_.join();
 }
 
-auto Link::inForce(core::Revision revision, std::map<std::string, bool> probes) -> void { told_.push({revision, std::move(probes)}); }
+auto Link::tell(Told told) -> void { told_.push(std::move(told)); }
 
 auto Link::run() -> void {
   std::string reason;
@@ -39,7 +39,7 @@
       auto feed = r.get<neighbour::Feed>();
       if (letter.kind == neighbour::kFeed && r.done() && follower.take(feed, nowMs)) take_(follower.held());
     }
-    auto poll = follower.tick({props_.agent}, told.revision, told.probes, nowMs);
+    auto poll = follower.tick({props_.agent}, told, nowMs);
     if (poll ? !post->send(poll->first, neighbour::kPoll, Writer().put(poll->second).take())
              : follower.isAsking() && !post->isUp(props_.agent))
       follower.lost(nowMs);
--- a/lib/agent/link.hpp
+++ b/lib/agent/link.hpp
@@ -14,7 +14,7 @@
 
 /// Example:
 ///   Link link({"edge-1", member, "127.0.0.1:7001", 2000}, [&](HeldFrame f) { inbox.push(f); });
-///   link.inForce(edge.revision(), {});
+///   link.tell({edge.revision(), {}, {}});
 class Link {
  public:
   struct Props {
@@ -25,14 +25,10 @@
   };
   Link(Props props, std::function<void(caller::HeldFrame)> take);
   ~Link();
-  /// What the proxy acts on now; told to the core with the next question. Example: `link.inForce(r, probes);`
-  auto inForce(core::Revision revision, std::map<std::string, bool> probes) -> void;
+  /// What the proxy acts on now; told to the core with the next question. Example: `link.tell({revision, probes, {}});`
+  auto tell(Told told) -> void;
 
  private:
-  struct Told {
-    core::Revision revision;
-    std::map<std::string, bool> probes;
-  };
   auto run() -> void;
   Props props_;
   std::function<void(caller::HeldFrame)> take_;
--- a/lib/caller/codes.cpp
+++ b/lib/caller/codes.cpp
@@ -18,6 +18,7 @@
     {kNotMember, {503, "this registry takes no part now", true}},
     {kNoSuchChange, {404, "no such change is remembered", false}},
     {kNoSuchPage, {404, "no such page", false}},
+    {kRolloutRuns, {409, "a rollout of this template is under way", false}},
     {kNoService, {404, "no service is configured for this host and path", false}},
     {kNotCurrent, {503, "this node is not current", true}},
     {kEdgeFull, {503, "this edge is full", true}},
--- a/lib/caller/codes.hpp
+++ b/lib/caller/codes.hpp
@@ -13,6 +13,7 @@
   kNotMember = 2004,      // this registry does not take part (yet)
   kNoSuchChange = 2005,
   kNoSuchPage = 2006,
+  kRolloutRuns = 2007,    // a rollout of this template is under way; nothing was done
   kNoService = 3001,      // no configured service has this host and path
   kNotCurrent = 3002,     // this node's knowledge is too old to act on
   kEdgeFull = 3003,
--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -1,6 +1,7 @@
 #include "caller/edge.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 
 #include "neighbour/post.hpp"
 
@@ -11,16 +12,23 @@
 
 auto isWrite(const std::string& method) -> bool { return method != "GET" && method != "HEAD" && method != "OPTIONS" && method != "TRACE"; }
 
-auto findPath(const core::Frame& frame, const std::string& host, const std::string& target)
-    -> std::optional<std::pair<std::string, core::Path>> {
+auto findPath(const core::Frame& frame, const std::string& host, const std::string& target) -> std::optional<Found> {
   auto name = lower(host.substr(0, host.find(':')));
-  for (const auto& [service, props] : frame.services) {
-    if (std::none_of(props.hosts.begin(), props.hosts.end(), [&](const auto& h) { return lower(h) == name; })) continue;
+  for (const auto& [service, stable] : frame.services) {
+    if (std::none_of(stable.hosts.begin(), stable.hosts.end(), [&](const auto& h) { return lower(h) == name; })) continue;
+    Found found;
+    found.service = service;
+    found.rollout = stable.rollout;
+    auto slot = neighbour::hash(stable.rollout + "\n" + service + "\n" + target.substr(0, target.find('?'))) % 1000;
+    found.isNext = !stable.next.empty() && static_cast<int64_t>(slot) < stable.slicePermille;
+    const auto& props = found.isNext ? stable.next.front() : stable;
     const core::Path* best = nullptr;
     for (const auto& path : props.paths)
       if (target.rfind(path.prefix, 0) == 0 && (!best || path.prefix.size() > best->prefix.size())) best = &path;
     if (!best) return std::nullopt;
-    return std::pair{service, *best};
+    found.path = *best;
+    found.deadlineMs = props.deadlineMs;
+    return found;
   }
   return std::nullopt;
 }
@@ -52,12 +60,15 @@
   if (request.target.empty() || request.target[0] != '/') return turnAway(kBadRequest);
   auto found = findPath(*held_.frame, header(request.headers, "host"), request.target);
   if (!found) return turnAway(kNoService);
-  const auto& [service, path] = *found;
+  const auto& service = found->service;
+  const auto& path = found->path;
   Waiting w;
   w.service = service;
   w.path = path;
   w.startMs = nowMs;
-  w.untilMs = nowMs + held_.frame->services.at(service).deadlineMs;
+  w.untilMs = nowMs + found->deadlineMs;
+  w.rollout = found->rollout;
+  w.isNext = found->isNext;
   w.isWrite = isWrite(request.method);
   w.isShared = path.kind == core::UpstreamKind::kStore && path.keepMs > 0 && policy::isShareable(request.method, request.headers);
   if (w.isShared) {
@@ -66,6 +77,7 @@
       ++figures_.hits;
       Answer answer{copy->status, copy->headers, copy->body};
       answer.headers.emplace_back("Age", std::to_string((nowMs - copy->bornMs) / 1000));
+      measure(found->rollout, found->isNext, 0, answer.status, false, 0);
       out_.answers.push_back({request.stream, request.method, request.keep, std::move(answer)});
       return;
     }
@@ -171,6 +183,9 @@
   held_ = held;
   if (!isNew) return;
   cache_.purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor);
+  std::set<std::string> running;
+  for (const auto& [name, service] : held_.frame->services) running.insert(service.rollout);
+  std::erase_if(samples_, [&](const auto& one) { return !running.count(one.first); });
   auto after = shields();
   for (const auto& shield : before)
     if (std::find(after.begin(), after.end(), shield) == after.end()) lost(shield, nowMs);
@@ -191,6 +206,8 @@
     return giveUp(reply.id, reply.code, nowMs);
   }
   Answer answer{static_cast<int>(reply.status), reply.headers, reply.body};
+  w->isFetched = reply.isFetched;
+  w->load = std::atof(header(reply.headers, "dykestage-load").c_str());
   auto ageMs = reply.ageMs + std::max<int64_t>(0, nowMs - w->askedMs - reply.heldMs);
   auto terms = policy::termsOf(answer.status, answer.headers, w->path.keepMs);
   if (!w->isShared || terms.keepMs <= 0 || reply.keepMs <= 0) return finish(reply.id, answer, nullptr, nowMs);
@@ -231,16 +248,23 @@
     if (!f) continue;
     if (isRefusal || (copy && variant(f->request.headers) == own && nowMs - copy->bornMs < copy->keepMs)) {
       auto taken = waiting_.take(follower);
-      this->answer(*taken, answer);
+      this->answer(*taken, answer, nowMs);
     } else {
       f->joinKey.clear();
       ask(follower, false, nowMs);
     }
   }
-  this->answer(*w, answer);
+  this->answer(*w, answer, nowMs);
 }
 
-auto Edge::answer(Waiting& w, Answer answer) -> void {
+auto Edge::measure(const std::string& rollout, bool isNext, int64_t tookMs, int status, bool isFetched, double load) -> void {
+  if (rollout.empty()) return;
+  auto& [old, next] = samples_[rollout];
+  (isNext ? next : old).add(tookMs, status >= 500, isFetched, load);
+}
+
+auto Edge::answer(Waiting& w, Answer answer, int64_t nowMs) -> void {
+  measure(w.rollout, w.isNext, nowMs - w.startMs, answer.status, w.isFetched, w.load);
   out_.answers.push_back({w.request.stream, w.request.method, w.request.keep, std::move(answer)});
 }
 
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -73,6 +73,8 @@
   auto isCurrent(int64_t nowMs) const -> bool { return held_.isCurrent(nowMs, props_.staleMs); }
   auto revision() const -> core::Revision { return held_.frame->revision; }
   auto figures() const -> Figures { return figures_; }
+  /// What rollouts are judged by. Example: `link.tell({edge.revision(), {}, edge.samples()});`
+  auto samples() const -> const neighbour::Samples& { return samples_; }
   auto open() const -> size_t { return waiting_.size(); }
   auto cache() const -> const policy::Cache& { return cache_; }
 
@@ -88,11 +90,15 @@
     uint32_t refusal = kNoShield;  // why the last shield did not take it
     std::string joinKey;
     std::vector<uint64_t> followers;
+    std::string rollout;
+    bool isNext = false, isFetched = false;
+    double load = 0;
   };
+  auto measure(const std::string& rollout, bool isNext, int64_t tookMs, int status, bool isFetched, double load) -> void;
   auto ask(uint64_t id, bool isExtra, int64_t nowMs) -> void;
   auto giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void;
   auto finish(uint64_t id, const Answer& answer, const policy::Copy* copy, int64_t nowMs) -> void;
-  auto answer(Waiting& waiting, Answer answer) -> void;
+  auto answer(Waiting& waiting, Answer answer, int64_t nowMs) -> void;
   auto budget(const std::string& service) -> policy::TryBudget&;
 
   Props props_;
@@ -101,13 +107,22 @@
   policy::Cache cache_;
   std::map<std::string, uint64_t> joins_;
   std::map<std::string, policy::TryBudget> budgets_;
+  neighbour::Samples samples_;
   Output out_;
   Figures figures_;
 };
 
-/// Finds the service and path for a request. Example: `if (auto found = findPath(frame, "shop.example", "/a")) ...`
-auto findPath(const core::Frame& frame, const std::string& host, const std::string& target)
-    -> std::optional<std::pair<std::string, core::Path>>;
+/// Where a request belongs.
+struct Found {
+  std::string service;
+  core::Path path;
+  int64_t deadlineMs = 1000;
+  std::string rollout;   // the one that this service takes part in, if any
+  bool isNext = false;   // the request falls into the slice of the new revision
+};
+/// Finds the service and path for a request; a stable hash of the target tells the slice, so that one object
+/// is always served under one revision. Example: `if (auto found = findPath(frame, "shop.example", "/a")) ...`
+auto findPath(const core::Frame& frame, const std::string& host, const std::string& target) -> std::optional<Found>;
 /// True for methods that change something. Example: `isWrite("POST")`
 auto isWrite(const std::string& method) -> bool;
 
--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -136,17 +136,8 @@
 
 auto Registry::configure(const std::string& body, Who who, int tries) -> void {
   std::vector<op::Fault> faults;
-  auto op = op::readConfiguration(body, published_->services, faults);
-  if (!op) {
-    op::Json list(cJSON_CreateArray(), cJSON_Delete);
-    for (const auto& fault : faults) {
-      auto* item = cJSON_CreateObject();
-      cJSON_AddStringToObject(item, "place", fault.place.c_str());
-      cJSON_AddStringToObject(item, "what", fault.what.c_str());
-      cJSON_AddItemToArray(list.get(), item);
-    }
-    return answer(who, codeAnswer(kInvalid, 0, ",\"faults\":" + op::print(list.get())));
-  }
+  auto op = op::readConfiguration(body, published_->services, faults, state_.tenants());
+  if (!op) return answer(who, codeAnswer(kInvalid, 0, ",\"faults\":" + op::writeFaults(faults)));
   auto hasBase = op::namesBase(body);
   if (!hasBase) op->base = published_->revision.configuration;
   if (op->changeId.empty()) op->changeId = "r" + std::to_string(disk_.incarnation) + "-" + std::to_string(++changeNumber_);
@@ -168,6 +159,41 @@
   });
 }
 
+auto Registry::submitTemplate(const std::string& body, Who who) -> void {
+  std::vector<op::Fault> faults;
+  auto op = op::readTemplate(body, faults);
+  if (!op) return answer(who, codeAnswer(kInvalid, 0, ",\"faults\":" + op::writeFaults(faults)));
+  submit(*op, [this, who, id = op->changeId](const OpResult* result, int64_t nowMs) {
+    auto known = result ? std::optional(*result) : state_.changed(id);
+    if (!known) return answer(who, codeAnswer(kChangeUnknown, 0));
+    auto rollout = ",\"rollout\":\"" + known->rollout + "\"";
+    if (known->outcome == Outcome::kRolloutRuns) return answer(who, codeAnswer(kRolloutRuns, 0, rollout));
+    acknowledge(known->revision, nowMs, [this, who, known, rollout] {
+      json(who, 200, "{\"code\":0,\"revision\":" + std::to_string(known->revision.configuration) + (known->rollout.empty() ? "" : rollout) + "}");
+    });
+  });
+}
+
+auto Registry::setTenants(const std::string& body, Who who, int tries) -> void {
+  std::vector<op::Fault> faults;
+  auto op = op::readTenants(body, state_, faults);
+  if (!op) return answer(who, codeAnswer(kInvalid, 0, ",\"faults\":" + op::writeFaults(faults)));
+  auto hasBase = op::namesBase(body);
+  if (!hasBase) op->base = state_.frame().revision.configuration;
+  submit(*op, [this, body, who, tries, hasBase, id = op->changeId](const OpResult* result, int64_t nowMs) {
+    auto known = result ? std::optional(*result) : state_.changed(id);
+    if (!known) return answer(who, codeAnswer(kChangeUnknown, 0));
+    if (known->outcome == Outcome::kConflict) {
+      ++conflicts_;
+      if (!hasBase && tries > 0) return setTenants(body, who, tries - 1);
+      return answer(who, codeAnswer(kConflict, 0, ",\"revision\":" + std::to_string(known->revision.configuration)));
+    }
+    acknowledge(known->revision, nowMs, [this, who, known] {
+      json(who, 200, "{\"code\":0,\"revision\":" + std::to_string(known->revision.configuration) + "}");
+    });
+  });
+}
+
 auto Registry::take(const Request& request, int64_t nowMs) -> void {
   Who who{request.stream, request.method, request.keep};
   auto path = request.target.substr(0, request.target.find('?'));
@@ -181,6 +207,15 @@
   if (!isReady(nowMs)) return answer(who, codeAnswer(node_.isMember() ? kNotCurrent : kNotMember, 1));
   if (isGet && path == "/configuration") return json(who, 200, op::writeConfiguration(*published_));
   if (isGet && path == "/roster") return json(who, 200, op::writeRoster(*published_));
+  if (isGet && path == "/templates") return json(who, 200, op::writeTemplates(state_));
+  if (isGet && path.rfind("/rollouts", 0) == 0) {
+    auto wanted = path.size() > 10 ? path.substr(10) : "";
+    std::string list;
+    for (const auto& [id, rollout] : state_.rollouts())
+      if (wanted.empty() || wanted == id) list += (list.empty() ? "" : ",") + op::writeRollout(id, rollout);
+    if (!wanted.empty() && list.empty()) return answer(who, codeAnswer(kNoSuchChange, 0));
+    return json(who, 200, wanted.empty() ? "[" + list + "]" : list);
+  }
   if (isGet && path.rfind("/changes/", 0) == 0) {
     auto result = state_.changed(path.substr(9));
     if (!result) return answer(who, codeAnswer(kNoSuchChange, 0));
@@ -189,10 +224,12 @@
   }
   if (running_.size() + batch_.size() + acks_.size() > props_.waiting) return answer(who, codeAnswer(kEdgeFull, 1));
   if (isPost && path == "/configuration") return configure(request.body, who, 5);
+  if (isPost && path == "/templates") return submitTemplate(request.body, who);
+  if (isPost && path == "/tenants") return setTenants(request.body, who, 5);
   if (isPost && path == "/purge") {
     std::vector<op::Fault> faults;
     auto op = op::readPurge(request.body, faults);
-    if (!op) return answer(who, codeAnswer(kInvalid, 0, ",\"place\":\"" + faults.front().place + "\",\"what\":\"" + faults.front().what + "\""));
+    if (!op) return answer(who, codeAnswer(kInvalid, 0, ",\"faults\":" + op::writeFaults(faults)));
     submit(*op, [this, who, id = op->changeId](const OpResult* result, int64_t nowMs) {
       auto known = result ? std::optional(*result) : state_.changed(id);
       if (!known) return answer(who, codeAnswer(kChangeUnknown, 0));
@@ -205,7 +242,7 @@
   if (isPost && path == "/announce") {
     std::vector<op::Fault> faults;
     auto op = op::readAnnouncement(request.body, faults);
-    if (!op) return answer(who, codeAnswer(kInvalid, 0, ",\"place\":\"" + faults.front().place + "\",\"what\":\"" + faults.front().what + "\""));
+    if (!op) return answer(who, codeAnswer(kInvalid, 0, ",\"faults\":" + op::writeFaults(faults)));
     beats_[op->name] = nowMs;
     auto it = published_->upstreams.find(op->name);
     if (it != published_->upstreams.end()) {
@@ -255,7 +292,7 @@
 // ---- agents -------------------------------------------------------------------------------------------
 
 auto Registry::onPoll(const std::string& from, Poll poll, int64_t nowMs) -> void {
-  heard_[poll.name] = {poll.member.incarnation, poll.revision, nowMs, poll.probes};
+  heard_[poll.name] = {poll.member.incarnation, poll.revision, nowMs, poll.probes, poll.samples, true};
   checkAcks(nowMs);
   auto it = published_->members.find(poll.name);
   auto isMember = it != published_->members.end() && it->second == poll.member;
@@ -298,10 +335,11 @@
       auto& heard = heard_[name];
       auto heardMs = nowMs - told.second.second;
       if (heardMs <= heard.heardMs && heard.incarnation == told.first) continue;
-      heard = {told.first, told.second.first, heardMs, heard.probes};
+      heard = {told.first, told.second.first, heardMs, heard.probes, heard.samples, false};
     }
     for (const auto& [name, age] : have.beats) beats_[name] = std::max(beats_[name], nowMs - age);
     for (const auto& [name, told] : have.probes) heard_[name].probes = told;
+    for (const auto& [name, told] : have.samples) heard_[name].samples = told;
     checkAcks(nowMs);
   } else if (kind == neighbour::kPoll) {
     auto poll = r.get<Poll>();
@@ -404,6 +442,7 @@
   }
   if (!watches()) {
     watchSinceMs_ = -1;
+    watched_.clear();  // a later term begins its steps anew
     return;
   }
   if (watchSinceMs_ < 0) watchSinceMs_ = nowMs;
@@ -451,9 +490,52 @@
       decide(OpKind::kLeave, name, member.incarnation);
     }
   }
+  for (const auto& [id, rollout] : state_.rollouts())
+    if (rollout.state == policy::Verdict::kHold) judge(id, rollout, duty.term, nowMs);
+  std::erase_if(watched_, [&](const auto& one) {
+    auto it = state_.rollouts().find(one.first);
+    return it == state_.rollouts().end() || it->second.state != policy::Verdict::kHold;
+  });
   std::erase_if(beats_, [&](const auto& one) { return nowMs - one.second > 10 * props_.beatMissMs; });
 }
 
+// Compares what edges saw of both revisions since the step began, and submits a decision. What was decided, and
+// by which figures, is ordered state; what is being watched is not, so that a new holder begins the step anew.
+auto Registry::judge(const std::string& id, const Rollout& rollout, uint64_t term, int64_t nowMs) -> void {
+  auto [it, isNew] = watched_.try_emplace(id);
+  auto& watched = it->second;
+  if (isNew || watched.step != rollout.step) {
+    watched = Watched{rollout.step, nowMs, {}, false};
+    for (const auto& [name, heard] : heard_)
+      if (auto seen = heard.samples.find(id); seen != heard.samples.end()) watched.before[name] = {heard.incarnation, seen->second};
+    return;
+  }
+  if (watched.isDeciding) return;
+  policy::Sample old, next;
+  for (const auto& [name, heard] : heard_) {
+    auto seen = heard.samples.find(id);
+    if (seen == heard.samples.end()) continue;
+    auto before = watched.before.find(name);
+    auto isSame = before != watched.before.end() && before->second.first == heard.incarnation;
+    old.join(isSame ? seen->second.first.since(before->second.second.first) : seen->second.first);
+    next.join(isSame ? seen->second.second.since(before->second.second.second) : seen->second.second);
+  }
+  const auto& points = rollout.next.points;
+  auto isLast = rollout.step + 1 >= points.stepsPermille.size();
+  auto judged = policy::judge(old, next, points, nowMs - watched.sinceMs, isLast);
+  if (judged.verdict == policy::Verdict::kHold) return;
+  watched.isDeciding = true;
+  LOG(INFO) << "rollout: " << id << " step " << rollout.step + 1 << ": " << judged.why << ".";
+  Op op;
+  op.kind = OpKind::kDecide;
+  op.name = id;
+  op.term = term;
+  op.decision = {rollout.step, points.stepsPermille[rollout.step], judged.verdict, judged.why, term, old, next};
+  submit(std::move(op), [this, id](const OpResult*, int64_t) {
+    if (auto it = watched_.find(id); it != watched_.end()) it->second.isDeciding = false;
+  });
+}
+
 // ---- time ---------------------------------------------------------------------------------------------
 
 auto Registry::tick(int64_t nowMs) -> void {
@@ -479,7 +561,8 @@
       for (const auto& [name, heard] : heard_)
         if (nowMs - heard.heardMs < props_.boundMs) {
           have.members[name] = {heard.incarnation, {heard.revision, nowMs - heard.heardMs}};
-          if (!heard.probes.empty()) have.probes[name] = heard.probes;
+          if (heard.isOwn && !heard.probes.empty()) have.probes[name] = heard.probes;
+          if (heard.isOwn && !heard.samples.empty()) have.samples[name] = heard.samples;
         }
       for (const auto& [name, beatMs] : beats_)
         if (nowMs - beatMs < props_.boundMs) have.beats[name] = nowMs - beatMs;
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -100,6 +100,14 @@
     Revision revision;
     int64_t heardMs = 0;
     std::map<std::string, bool> probes;
+    neighbour::Samples samples;
+    bool isOwn = false;  // it asks this registry
+  };
+  struct Watched {  // a running rollout's step, as this holder of the duty saw it begin
+    uint32_t step = 0;
+    int64_t sinceMs = 0;
+    std::map<std::string, std::pair<uint64_t, std::pair<policy::Sample, policy::Sample>>> before;  // by edge, with its life
+    bool isDeciding = false;
   };
   struct Ack {
     Revision revision;
@@ -122,6 +130,9 @@
   auto onPoll(const std::string& from, neighbour::Poll poll, int64_t nowMs) -> void;
   auto feed(int64_t nowMs) -> void;
   auto watch(int64_t nowMs) -> void;
+  auto judge(const std::string& id, const Rollout& rollout, uint64_t term, int64_t nowMs) -> void;
+  auto submitTemplate(const std::string& body, Who who) -> void;
+  auto setTenants(const std::string& body, Who who, int tries) -> void;
   auto checkAcks(int64_t nowMs) -> void;
   auto everyoneHas(const Revision& revision) const -> bool;
   auto acknowledge(const Revision& revision, int64_t nowMs, std::function<void()> done) -> void;
@@ -152,6 +163,7 @@
   int64_t tickedMs_ = -1'000'000;
   std::map<std::string, Heard> heard_;
   std::map<std::string, int64_t> beats_;  // instance → when last heard
+  std::map<std::string, Watched> watched_;
   std::map<std::string, int64_t> heldSinceMs_;
   std::map<std::string, int64_t> joinTriedMs_;
   std::vector<Ack> acks_;
--- a/lib/core/state.cpp
+++ b/lib/core/state.cpp
@@ -7,6 +7,7 @@
 namespace {
 constexpr size_t kPurgesKept = 2000;
 constexpr size_t kChangesKept = 10000;
+constexpr size_t kRolloutsKept = 200;
 constexpr auto bitOf(uint8_t part) -> uint8_t { return static_cast<uint8_t>(1u << part); }
 }  // namespace
 
@@ -48,7 +49,14 @@
       return retires ? parts | bitOf(tempo::kUpstreams) : parts;  // a retired service takes its upstreams along
     }
     case OpKind::kPurge:
+    case OpKind::kTemplate:
       return bitOf(tempo::kConfiguration);
+    case OpKind::kTenants: {
+      auto retires = std::any_of(tenants.begin(), tenants.end(), [](const auto& t) { return !t.second; });
+      return bitOf(tempo::kConfiguration) | (retires ? bitOf(tempo::kUpstreams) : uint8_t{0});
+    }
+    case OpKind::kDecide:
+      return bitOf(tempo::kConfiguration) | bitOf(tempo::kMembers);  // decided under a duty's term
     case OpKind::kAnnounce:
       return bitOf(tempo::kUpstreams);
     case OpKind::kSignOff:
@@ -77,7 +85,7 @@
     case OpKind::kTick:
       ++ticks_;
       lastTicks_[op.incarnation] = ticks_;
-      return {Outcome::kDone, revision};
+      return {Outcome::kDone, revision, {}};
     case OpKind::kConfigure:
       return configure(op);
     case OpKind::kPurge: {
@@ -89,55 +97,61 @@
         frame_.purgeFloor = frame_.purges[frame_.purges.size() / 2].number;
         std::erase_if(frame_.purges, [&](const Purge& p) { return p.number <= frame_.purgeFloor; });
       }
-      OpResult result{Outcome::kDone, {}};
+      OpResult result{Outcome::kDone, {}, {}};
       result.revision.purges = revision.purges;
       remember(op.changeId, result);
       return result;
     }
     case OpKind::kAnnounce:
       return announce(op);
+    case OpKind::kTemplate:
+      return submitTemplate(op);
+    case OpKind::kTenants:
+      return setTenants(op);
+    case OpKind::kDecide:
+      return isOldTerm() ? OpResult{Outcome::kOldTerm, {}, {}} : decide(op);
     case OpKind::kSignOff: {
-      if (isOldTerm()) return {Outcome::kOldTerm, {}};
-      if (!frame_.upstreams.erase(op.name)) return {Outcome::kNoChange, {}};
+      if (isOldTerm()) return {Outcome::kOldTerm, {}, {}};
+      if (!frame_.upstreams.erase(op.name)) return {Outcome::kNoChange, {}, {}};
       ++revision.upstreams;
       break;
     }
     case OpKind::kRelease: {
-      if (isOldTerm()) return {Outcome::kOldTerm, {}};
+      if (isOldTerm()) return {Outcome::kOldTerm, {}, {}};
       auto it = frame_.upstreams.find(op.name);
-      if (it == frame_.upstreams.end() || !it->second.isHeld) return {Outcome::kNoChange, {}};
+      if (it == frame_.upstreams.end() || !it->second.isHeld) return {Outcome::kNoChange, {}, {}};
       it->second.isHeld = false;
       ++revision.upstreams;
       break;
     }
     case OpKind::kJoin: {
       auto it = frame_.members.find(op.name);
-      if (it != frame_.members.end() && it->second == op.member) return {Outcome::kNoChange, {}};
+      if (it != frame_.members.end() && it->second == op.member) return {Outcome::kNoChange, {}, {}};
       frame_.members[op.name] = op.member;
       ++revision.members;
-      OpResult result{Outcome::kDone, {}};
+      OpResult result{Outcome::kDone, {}, {}};
       result.revision.members = revision.members;
       return result;
     }
     case OpKind::kLeave: {
-      if (isOldTerm()) return {Outcome::kOldTerm, {}};
+      if (isOldTerm()) return {Outcome::kOldTerm, {}, {}};
       auto it = frame_.members.find(op.name);
-      if (it == frame_.members.end() || it->second.incarnation != op.incarnation) return {Outcome::kNoChange, {}};
+      if (it == frame_.members.end() || it->second.incarnation != op.incarnation) return {Outcome::kNoChange, {}, {}};
       frame_.members.erase(it);
       ++revision.members;
-      OpResult result{Outcome::kDone, {}};
+      OpResult result{Outcome::kDone, {}, {}};
       result.revision.members = revision.members;
       return result;
     }
     case OpKind::kClaim: {
       // The first claim of a term wins; the ballots that order it decide which one is first.
       auto& duty = duties_[op.name];
-      if (duty.term + 1 != op.term) return {Outcome::kOldTerm, {}};
+      if (duty.term + 1 != op.term) return {Outcome::kOldTerm, {}, {}};
       duty = {op.term, op.incarnation};
-      return {Outcome::kDone, {}};
+      return {Outcome::kDone, {}, {}};
     }
   }
-  OpResult result{Outcome::kDone, {}};
+  OpResult result{Outcome::kDone, {}, {}};
   result.revision.upstreams = revision.upstreams;
   return result;
 }
@@ -146,7 +160,7 @@
   if (auto first = changed(op.changeId)) return *first;
   auto& revision = frame_.revision;
   if (op.base != revision.configuration) {
-    OpResult conflict{Outcome::kConflict, {}};
+    OpResult conflict{Outcome::kConflict, {}, {}};
     conflict.revision.configuration = revision.configuration;
     return conflict;  // not remembered: the same id may be tried again on the revision that won
   }
@@ -159,12 +173,12 @@
   }
   if (op.isWhole)
     for (auto it = frame_.services.begin(); it != frame_.services.end();) {
-      auto isNamed = op.services.count(it->first) != 0;
+      auto isNamed = op.services.count(it->first) != 0 || tenants_.count(it->first) != 0;
       if (!isNamed) retired.insert(it->first);
       it = isNamed ? std::next(it) : frame_.services.erase(it);
     }
   ++revision.configuration;
-  OpResult result{Outcome::kDone, {}};
+  OpResult result{Outcome::kDone, {}, {}};
   result.revision.configuration = revision.configuration;
   if (op.parts() & (1u << tempo::kUpstreams)) {
     auto before = frame_.upstreams.size();
@@ -176,6 +190,131 @@
   return result;
 }
 
+auto fill(const Template& shape, const Tenant& tenant) -> Service {
+  auto number = [&](const Value& value) {
+    if (value.parameter.empty()) return value.number;
+    auto parameter = shape.parameters.find(value.parameter);
+    if (parameter == shape.parameters.end()) return value.number;
+    auto filled = tenant.values.find(value.parameter);
+    // A revision may narrow a parameter's bounds: what tenants filled in before is brought within them.
+    return filled == tenant.values.end() ? parameter->second.standard : std::clamp(filled->second, parameter->second.low, parameter->second.high);
+  };
+  Service service;
+  service.hosts = tenant.hosts;
+  for (const auto& path : shape.paths) service.paths.push_back({path.prefix, path.kind, number(path.keepMs)});
+  service.deadlineMs = number(shape.deadlineMs);
+  service.originRate = number(shape.originRate);
+  service.triesPercent = number(shape.triesPercent);
+  service.triesAllowance = number(shape.triesAllowance);
+  return service;
+}
+
+// Makes the tenants' services anew, each with the slice of a running rollout.
+auto State::rebuild() -> void {
+  for (const auto& [name, tenant] : tenants_) {
+    auto shape = templates_.find(tenant.shape);
+    if (shape == templates_.end()) continue;
+    auto service = fill(shape->second, tenant);
+    for (const auto& [id, rollout] : rollouts_) {
+      if (rollout.shape != tenant.shape || rollout.state != policy::Verdict::kHold) continue;
+      service.rollout = id;
+      service.slicePermille = rollout.next.points.stepsPermille[rollout.step];
+      service.next = {fill(rollout.next, tenant)};
+    }
+    frame_.services[name] = std::move(service);
+  }
+  ++frame_.revision.configuration;
+}
+
+auto State::submitTemplate(const Op& op) -> OpResult {
+  if (auto first = changed(op.changeId)) return *first;
+  OpResult result{Outcome::kDone, {}, {}};
+  for (const auto& [id, rollout] : rollouts_)
+    if (rollout.shape == op.name && rollout.state == policy::Verdict::kHold) return {Outcome::kRolloutRuns, {}, id};
+  auto shape = op.shape;
+  shape.revision = ++lastRevisions_[op.name];
+  auto isUsed = std::any_of(tenants_.begin(), tenants_.end(), [&](const auto& t) { return t.second.shape == op.name; });
+  if (!isUsed || shape.points.stepsPermille.empty()) {
+    templates_[op.name] = shape;  // nobody's traffic can tell anything: it takes effect at once
+  } else {
+    Rollout rollout;
+    rollout.shape = op.name;
+    rollout.from = templates_[op.name].revision;
+    rollout.to = shape.revision;
+    rollout.next = shape;
+    result.rollout = op.name + "-" + std::to_string(shape.revision);
+    rollouts_[result.rollout] = std::move(rollout);
+    rolloutOrder_.push_back(result.rollout);
+    if (rolloutOrder_.size() > kRolloutsKept) {
+      auto oldest = rolloutOrder_.front();
+      if (rollouts_[oldest].state != policy::Verdict::kHold) {
+        rollouts_.erase(oldest);
+        rolloutOrder_.erase(rolloutOrder_.begin());
+      }
+    }
+  }
+  rebuild();
+  result.revision.configuration = frame_.revision.configuration;
+  remember(op.changeId, result);
+  return result;
+}
+
+auto State::setTenants(const Op& op) -> OpResult {
+  if (auto first = changed(op.changeId)) return *first;
+  auto& revision = frame_.revision;
+  if (op.base != revision.configuration) {
+    OpResult conflict{Outcome::kConflict, {}, {}};
+    conflict.revision.configuration = revision.configuration;
+    return conflict;
+  }
+  std::set<std::string> retired;
+  for (const auto& [name, tenant] : op.tenants) {
+    if (tenant) {
+      tenants_[name] = *tenant;
+    } else if (tenants_.erase(name)) {
+      frame_.services.erase(name);
+      retired.insert(name);
+    }
+  }
+  rebuild();
+  OpResult result{Outcome::kDone, {}, {}};
+  result.revision.configuration = revision.configuration;
+  if (!retired.empty()) {
+    std::erase_if(frame_.upstreams, [&](const auto& one) { return retired.count(one.second.service) != 0; });
+    result.revision.upstreams = ++revision.upstreams;
+  }
+  remember(op.changeId, result);
+  return result;
+}
+
+// Carries out a decision, if the rollout still stands where the decider saw it.
+auto State::decide(const Op& op) -> OpResult {
+  auto it = rollouts_.find(op.name);
+  if (it == rollouts_.end() || it->second.state != policy::Verdict::kHold || it->second.step != op.decision.step) return {Outcome::kNoChange, {}, {}};
+  auto& rollout = it->second;
+  rollout.decisions.push_back(op.decision);
+  auto isLast = rollout.step + 1 >= rollout.next.points.stepsPermille.size();
+  switch (op.decision.verdict) {
+    case policy::Verdict::kHold:
+      return {Outcome::kNoChange, {}, {}};
+    case policy::Verdict::kWiden:
+      if (isLast) return {Outcome::kNoChange, {}, {}};
+      ++rollout.step;
+      break;
+    case policy::Verdict::kFinish:
+      templates_[rollout.shape] = rollout.next;
+      rollout.state = policy::Verdict::kFinish;
+      break;
+    case policy::Verdict::kFallBack:
+      rollout.state = policy::Verdict::kFallBack;
+      break;
+  }
+  rebuild();
+  OpResult result{Outcome::kDone, {}, {}};
+  result.revision.configuration = frame_.revision.configuration;
+  return result;
+}
+
 auto State::announce(const Op& op) -> OpResult {
   auto next = op.upstream;
   auto it = frame_.upstreams.find(op.name);
@@ -188,7 +327,7 @@
   owner->second = next.service;
   frame_.upstreams[op.name] = next;
   ++frame_.revision.upstreams;
-  OpResult result{Outcome::kDone, {}};
+  OpResult result{Outcome::kDone, {}, {}};
   result.revision.upstreams = frame_.revision.upstreams;
   return result;
 }
@@ -220,7 +359,7 @@
 auto State::save(uint8_t part) const -> std::string {
   const auto& f = frame_;
   if (part == tempo::kConfiguration)
-    return Writer().put(f.revision.configuration).put(f.revision.purges).put(f.services).put(f.purges).put(f.purgeFloor).put(changes_).put(changeOrder_).take();
+    return Writer().put(f.revision.configuration).put(f.revision.purges).put(f.services).put(f.purges).put(f.purgeFloor).put(changes_).put(changeOrder_).put(templates_).put(lastRevisions_).put(tenants_).put(rollouts_).put(rolloutOrder_).take();
   if (part == tempo::kUpstreams) return Writer().put(f.revision.upstreams).put(f.upstreams).put(owners_).take();
   return Writer().put(f.revision.members).put(f.members).put(duties_).put(ticks_).put(lastTicks_).take();
 }
@@ -230,7 +369,7 @@
   auto readAll = [&](auto&... fields) { (r.read(fields), ...); };
   auto& f = frame_;
   if (part == tempo::kConfiguration)
-    readAll(f.revision.configuration, f.revision.purges, f.services, f.purges, f.purgeFloor, changes_, changeOrder_);
+    readAll(f.revision.configuration, f.revision.purges, f.services, f.purges, f.purgeFloor, changes_, changeOrder_, templates_, lastRevisions_, tenants_, rollouts_, rolloutOrder_);
   else if (part == tempo::kUpstreams)
     readAll(f.revision.upstreams, f.upstreams, owners_);
   else
--- a/lib/core/state.hpp
+++ b/lib/core/state.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "policy/rollout.hpp"
 #include "tempo/tempo.hpp"
 
 namespace dykestage::core {
@@ -28,7 +29,72 @@
   int64_t originRate = 0;  // requests a second over all shields; 0: no limit
   int64_t triesPercent = 20;
   int64_t triesAllowance = 10;
-  DYKESTAGE_FIELDS(hosts, paths, deadlineMs, originRate, triesPercent, triesAllowance)
+  // While a rollout runs: the service as the new template revision has it, and its slice of the traffic.
+  std::string rollout;
+  int64_t slicePermille = 0;
+  std::vector<Service> next;  // none or one
+  DYKESTAGE_FIELDS(hosts, paths, deadlineMs, originRate, triesPercent, triesAllowance, rollout, slicePermille, next)
+};
+
+/// A number of a template's shape: fixed, or a parameter that tenants fill in.
+struct Value {
+  int64_t number = 0;
+  std::string parameter;
+  DYKESTAGE_FIELDS(number, parameter)
+};
+
+/// A parameter with its bounds.
+struct Parameter {
+  int64_t low = 0, high = 0, standard = 0;
+  DYKESTAGE_FIELDS(low, high, standard)
+};
+
+struct ShapePath {
+  std::string prefix;
+  UpstreamKind kind = UpstreamKind::kApplication;
+  Value keepMs;
+  DYKESTAGE_FIELDS(prefix, kind, keepMs)
+};
+
+/// A tenant template at one revision: the shape of a service, its parameters, and how its rollout is judged.
+struct Template {
+  uint64_t revision = 0;
+  std::map<std::string, Parameter> parameters;
+  std::vector<ShapePath> paths;
+  Value deadlineMs{1000, ""}, originRate{0, ""}, triesPercent{20, ""}, triesAllowance{10, ""};
+  policy::SetPoints points;
+  DYKESTAGE_FIELDS(revision, parameters, paths, deadlineMs, originRate, triesPercent, triesAllowance, points)
+};
+
+/// A tenant: a service made from a template.
+struct Tenant {
+  std::string shape;  // the template's name
+  std::vector<std::string> hosts;
+  std::map<std::string, int64_t> values;
+  DYKESTAGE_FIELDS(shape, hosts, values)
+};
+/// The service of a tenant. Example: `auto service = fill(templates.at(tenant.shape), tenant);`
+auto fill(const Template& shape, const Tenant& tenant) -> Service;
+
+/// One decision of a rollout, with the figures that it rests on.
+struct Decision {
+  uint32_t step = 0;
+  int64_t slicePermille = 0;
+  policy::Verdict verdict = policy::Verdict::kHold;
+  std::string why;
+  uint64_t term = 0;
+  policy::Sample old, next;
+  DYKESTAGE_FIELDS(step, slicePermille, verdict, why, term, old, next)
+};
+
+struct Rollout {
+  std::string shape;
+  uint64_t from = 0, to = 0;
+  uint32_t step = 0;
+  policy::Verdict state = policy::Verdict::kHold;  // kHold: running; else how it ended
+  Template next;
+  std::vector<Decision> decisions;
+  DYKESTAGE_FIELDS(shape, from, to, step, state, next, decisions)
 };
 
 /// One upstream instance. `isHeld` while its address may still be known to some node as another service's.
@@ -95,7 +161,7 @@
 
 // ---- operations ---------------------------------------------------------------------------------------
 
-enum class OpKind : uint8_t { kTick, kConfigure, kPurge, kAnnounce, kSignOff, kRelease, kJoin, kLeave, kClaim };
+enum class OpKind : uint8_t { kTick, kConfigure, kPurge, kAnnounce, kSignOff, kRelease, kJoin, kLeave, kClaim, kTemplate, kTenants, kDecide };
 
 /// One operation inside a command. Fields that a kind does not use stay empty.
 struct Op {
@@ -109,18 +175,22 @@
   Upstream upstream;                                         // kAnnounce
   Member member;                                             // kJoin
   uint64_t incarnation = 0;                                  // kLeave; kClaim: the holder
-  uint64_t term = 0;                                         // kSignOff, kLeave, kRelease, kClaim
-  DYKESTAGE_FIELDS(kind, changeId, base, services, isWhole, purge, name, upstream, member, incarnation, term)
+  uint64_t term = 0;                                         // kSignOff, kLeave, kRelease, kClaim, kDecide
+  Template shape;                                            // kTemplate
+  std::map<std::string, std::optional<Tenant>> tenants;      // kTenants: set, or retire
+  Decision decision;                                         // kDecide
+  DYKESTAGE_FIELDS(kind, changeId, base, services, isWhole, purge, name, upstream, member, incarnation, term, shape, tenants, decision)
   /// The partitions it touches, as bits. Example: `node.submit(op.parts(), ...)`
   auto parts() const -> uint8_t;
 };
 
-enum class Outcome : uint8_t { kDone = 0, kConflict = 1, kOldTerm = 2, kNoChange = 3, kUnknown = 4 };
+enum class Outcome : uint8_t { kDone = 0, kConflict = 1, kOldTerm = 2, kNoChange = 3, kRolloutRuns = 4 };
 
 struct OpResult {
   Outcome outcome = Outcome::kDone;
-  Revision revision;  // that everyone must have before it is acknowledged
-  DYKESTAGE_FIELDS(outcome, revision)
+  Revision revision;    // that everyone must have before it is acknowledged
+  std::string rollout;  // kTemplate: the rollout that it started, if any
+  DYKESTAGE_FIELDS(outcome, revision, rollout)
 };
 
 /// The one duty that exists today: watching beats and deriving sign-offs.
@@ -145,6 +215,9 @@
   auto changed(const std::string& changeId) const -> std::optional<OpResult>;
   /// Who holds a duty. Example: `state.duty(kWatchDuty).holder == me`
   auto duty(const std::string& name) const -> Duty;
+  auto templates() const -> const std::map<std::string, Template>& { return templates_; }
+  auto tenants() const -> const std::map<std::string, Tenant>& { return tenants_; }
+  auto rollouts() const -> const std::map<std::string, Rollout>& { return rollouts_; }
   /// The number of ticks executed, and each registry's last one. Example: `state.ticks()`
   auto ticks() const -> uint64_t { return ticks_; }
   auto lastTick(uint64_t incarnation) const -> uint64_t;
@@ -153,9 +226,18 @@
   auto applyOp(const Op& op) -> OpResult;
   auto configure(const Op& op) -> OpResult;
   auto announce(const Op& op) -> OpResult;
+  auto submitTemplate(const Op& op) -> OpResult;
+  auto setTenants(const Op& op) -> OpResult;
+  auto decide(const Op& op) -> OpResult;
+  auto rebuild() -> void;
   auto remember(const std::string& changeId, const OpResult& result) -> void;
 
   Frame frame_;
+  std::map<std::string, Template> templates_;
+  std::map<std::string, uint64_t> lastRevisions_;  // of templates, also of those that fell back
+  std::map<std::string, Tenant> tenants_;
+  std::map<std::string, Rollout> rollouts_;
+  std::vector<std::string> rolloutOrder_;
   std::map<std::string, std::string> owners_;  // address → the service that had it last
   std::map<std::string, OpResult> changes_;
   std::vector<std::string> changeOrder_;
--- a/lib/neighbour/messages.hpp
+++ b/lib/neighbour/messages.hpp
@@ -11,6 +11,8 @@
 
 enum LetterKind : uint8_t { kTempo = 1, kHello = 2, kHave = 3, kPoll = 4, kFeed = 5, kAsk = 6, kReply = 7 };
 
+/// What an edge saw of the old and the new revision's traffic, by rollout, since it started.
+using Samples = std::map<std::string, std::pair<policy::Sample, policy::Sample>>;
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
 /// Registry to registry: protocol messages of one step.
@@ -36,7 +38,8 @@
   std::map<std::string, std::pair<uint64_t, std::pair<core::Revision, int64_t>>> members;  // name → incarnation, revision, age
   std::map<std::string, int64_t> beats;                                                    // instance → age
   std::map<std::string, std::map<std::string, bool>> probes;                               // instance → shield → answers
-  DYKESTAGE_FIELDS(members, beats, probes)
+  std::map<std::string, Samples> samples;                                                  // by edge
+  DYKESTAGE_FIELDS(members, beats, probes, samples)
 };
 
 /// A data node's (or agent's) question for news. The answer names the same nonce.
@@ -47,8 +50,9 @@
   core::Revision revision;  // in force at the data node
   core::Revision has;       // held by the asker, for which only news is wanted
   std::map<std::string, bool> probes;  // shields: instance → answers
+  Samples samples;                     // edges
   bool isNeighbour = false;            // an agent asking another agent
-  DYKESTAGE_FIELDS(nonce, name, member, revision, has, probes, isNeighbour)
+  DYKESTAGE_FIELDS(nonce, name, member, revision, has, probes, samples, isNeighbour)
 };
 
 /// News, with the age of the frame as the giver knows it and how long it held the question.
@@ -90,7 +94,8 @@
   int64_t heldMs = 0;
   int64_t keepMs = 0;     // 0: not to be kept
   uint64_t purges = 0;    // purge number when the fill began
-  DYKESTAGE_FIELDS(id, code, isUntouched, status, headers, body, ageMs, heldMs, keepMs, purges)
+  bool isFetched = false; // an upstream was asked for it
+  DYKESTAGE_FIELDS(id, code, isUntouched, status, headers, body, ageMs, heldMs, keepMs, purges, isFetched)
 };
 
 }  // namespace dykestage::neighbour
--- a/lib/operator/configuration.cpp
+++ b/lib/operator/configuration.cpp
@@ -160,8 +160,8 @@
   return json && cJSON_GetObjectItemCaseSensitive(json.get(), "base");
 }
 
-auto readConfiguration(const std::string& body, const std::map<std::string, Service>& now, std::vector<Fault>& faults)
-    -> std::optional<core::Op> {
+auto readConfiguration(const std::string& body, const std::map<std::string, Service>& now, std::vector<Fault>& faults,
+                       const std::map<std::string, core::Tenant>& tenants) -> std::optional<core::Op> {
   auto json = parse(body);
   if (!json) {
     faults.push_back({"the whole", "is not JSON"});
@@ -184,6 +184,7 @@
       auto place = "services." + name;
       if (!isName(name)) faults.push_back({place, "a name has letters, digits, - _ . only, at most 64"});
       if (op.services.count(name)) faults.push_back({place, "stands twice"});
+      if (tenants.count(name)) faults.push_back({place, "belongs to a tenant, and changes with its template"});
       if (cJSON_IsNull(item)) {
         if (!now.count(name)) faults.push_back({place, "is not configured, so that it can't be retired"});
         op.services[name] = std::nullopt;
@@ -196,6 +197,8 @@
   // A host belongs to one service, also together with those that stay as they are.
   std::map<std::string, std::string> owners;
   std::map<std::string, Service> merged = op.isWhole ? std::map<std::string, Service>() : now;
+  for (const auto& [name, tenant] : tenants)
+    if (now.count(name)) merged[name] = now.at(name);
   for (const auto& [name, service] : op.services) {
     if (service)
       merged[name] = *service;
@@ -261,6 +264,277 @@
   return op;
 }
 
+namespace {
+// A number, or {"parameter": name}.
+auto readValue(Fields& f, const std::string& key, const std::string& place, int64_t low, int64_t high, const core::Template& shape,
+               std::vector<Fault>& faults, core::Value& value) -> void {
+  const auto* item = f.raw(key);
+  if (!item) return;
+  if (!cJSON_IsObject(item)) {
+    f.integer(key, low, high, value.number);
+    return;
+  }
+  Fields p(item, place + "." + key, faults);
+  p.text("parameter", value.parameter, true);
+  p.close();
+  auto known = shape.parameters.find(value.parameter);
+  if (known == shape.parameters.end())
+    p.fault("parameter", "is not among the template's parameters");
+  else if (known->second.low < low || known->second.high > high)
+    p.fault("parameter", "its bounds must lie within " + std::to_string(low) + " to " + std::to_string(high));
+}
+
+auto isWithin(int64_t value, int64_t low, int64_t high) -> bool { return value >= low && value <= high; }
+}  // namespace
+
+auto readTemplate(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op> {
+  auto json = parse(body);
+  if (!json) {
+    faults.push_back({"the whole", "is not JSON"});
+    return std::nullopt;
+  }
+  core::Op op;
+  op.kind = core::OpKind::kTemplate;
+  Fields top(json.get(), "", faults);
+  top.text("change", op.changeId);
+  if (top.text("name", op.name, true) && !isName(op.name)) top.fault("name", "a name has letters, digits, - _ . only, at most 64");
+  auto& shape = op.shape;
+  Fields t(top.raw("template"), "template", faults);
+  if (const auto* list = t.raw("parameters")) {
+    for (const auto* item = cJSON_IsObject(list) ? list->child : nullptr; item; item = item->next) {
+      core::Parameter parameter;
+      Fields p(item, std::string("template.parameters.") + item->string, faults);
+      constexpr auto kMost = int64_t{1} << 40;
+      if (!p.integer("low", 0, kMost, parameter.low)) p.fault("low", "is missing");
+      if (!p.integer("high", 0, kMost, parameter.high)) p.fault("high", "is missing");
+      if (!p.integer("default", 0, kMost, parameter.standard)) p.fault("default", "is missing");
+      if (parameter.low > parameter.high || !isWithin(parameter.standard, parameter.low, parameter.high))
+        p.fault("default", "must lie between low and high");
+      p.close();
+      shape.parameters[item->string] = parameter;
+    }
+    if (!cJSON_IsObject(list)) t.fault("parameters", "must be an object");
+  }
+  auto place = std::string("template.service");
+  Fields s(t.raw("service"), place, faults);
+  readValue(s, "deadlineMs", place, 50, 60000, shape, faults, shape.deadlineMs);
+  readValue(s, "originRate", place, 0, 1000000, shape, faults, shape.originRate);
+  readValue(s, "triesPercent", place, 0, 20, shape, faults, shape.triesPercent);
+  readValue(s, "triesAllowance", place, 0, 1000, shape, faults, shape.triesAllowance);
+  const auto* paths = s.raw("paths");
+  if (!cJSON_IsArray(paths) || !paths->child) s.fault("paths", "must be a list with at least one path");
+  auto index = 0;
+  std::set<std::string> prefixes;
+  for (const auto* item = cJSON_IsArray(paths) ? paths->child : nullptr; item; item = item->next, ++index) {
+    core::ShapePath path;
+    auto at = place + ".paths[" + std::to_string(index) + "]";
+    Fields p(item, at, faults);
+    std::string kind;
+    if (p.text("prefix", path.prefix, true) && !path.prefix.empty() && path.prefix[0] != '/') p.fault("prefix", "must start with /");
+    if (!prefixes.insert(path.prefix).second) p.fault("prefix", "stands twice in this service");
+    p.text("kind", kind, true);
+    if (!kind.empty() && kind != "store" && kind != "application") p.fault("kind", "must be store or application");
+    path.kind = kind == "store" ? core::UpstreamKind::kStore : core::UpstreamKind::kApplication;
+    readValue(p, "keepMs", at, 0, 86400000, shape, faults, path.keepMs);
+    if (kind == "application" && (path.keepMs.number > 0 || !path.keepMs.parameter.empty())) p.fault("keepMs", "only what comes from a store may be kept");
+    p.close();
+    shape.paths.push_back(path);
+  }
+  s.close();
+  if (const auto* rollout = t.raw("rollout")) {
+    auto& points = shape.points;
+    Fields r(rollout, "template.rollout", faults);
+    if (const auto* steps = r.raw("stepsPermille")) {
+      points.stepsPermille.clear();
+      for (const auto* item = cJSON_IsArray(steps) ? steps->child : nullptr; item; item = item->next)
+        points.stepsPermille.push_back(cJSON_IsNumber(item) ? static_cast<int64_t>(item->valuedouble) : -1);
+      auto isRising = !points.stepsPermille.empty() && points.stepsPermille.size() <= 20;
+      for (size_t i = 0; i < points.stepsPermille.size(); ++i)
+        isRising = isRising && isWithin(points.stepsPermille[i], 1, 900) && (i == 0 || points.stepsPermille[i] > points.stepsPermille[i - 1]);
+      if (!isRising) r.fault("stepsPermille", "must be rising numbers from 1 to 900, 20 at most");
+    }
+    r.integer("leastSample", 1, 1000000, points.leastSample);
+    r.integer("stepMs", 100, 86400000, points.stepMs);
+    r.integer("longestMs", 100, 86400000, points.longestMs);
+    r.integer("quantilePermille", 1, 999, points.quantilePermille);
+    r.integer("latencyPercent", 0, 10000, points.latencyPercent);
+    r.integer("latencyMs", 0, 60000, points.latencyMs);
+    r.integer("errorsPermille", 0, 1000, points.errorsPermille);
+    r.integer("loadPercent", 0, 10000, points.loadPercent);
+    r.close();
+    if (points.longestMs < points.stepMs) r.fault("longestMs", "must not be less than stepMs");
+  }
+  t.close();
+  top.close();
+  if (!faults.empty()) return std::nullopt;
+  return op;
+}
+
+auto readTenants(const std::string& body, const core::State& state, std::vector<Fault>& faults) -> std::optional<core::Op> {
+  auto json = parse(body);
+  if (!json) {
+    faults.push_back({"the whole", "is not JSON"});
+    return std::nullopt;
+  }
+  core::Op op;
+  op.kind = core::OpKind::kTenants;
+  Fields top(json.get(), "", faults);
+  int64_t base = 0;
+  top.text("change", op.changeId);
+  top.integer("base", 0, 1LL << 53, base);
+  op.base = static_cast<uint64_t>(base);
+  const auto* list = top.raw("tenants");
+  if (!cJSON_IsObject(list) || !list->child) top.fault("tenants", "must be an object with at least one tenant");
+  std::map<std::string, std::string> owners;
+  for (const auto& [name, service] : state.frame().services)
+    for (const auto& host : service.hosts) owners[host] = name;
+  for (const auto* item = cJSON_IsObject(list) ? list->child : nullptr; item; item = item->next) {
+    std::string name = item->string;
+    auto place = "tenants." + name;
+    if (!isName(name)) faults.push_back({place, "a name has letters, digits, - _ . only, at most 64"});
+    if (state.frame().services.count(name) && !state.tenants().count(name)) faults.push_back({place, "is a service of the configuration"});
+    std::erase_if(owners, [&](const auto& one) { return one.second == name; });
+    if (cJSON_IsNull(item)) {
+      if (!state.tenants().count(name)) faults.push_back({place, "is no tenant, so that it can't be retired"});
+      op.tenants[name] = std::nullopt;
+      continue;
+    }
+    core::Tenant tenant;
+    Fields f(item, place, faults);
+    f.text("template", tenant.shape, true);
+    f.texts("hosts", tenant.hosts);
+    if (tenant.hosts.empty()) f.fault("hosts", "must name at least one host");
+    for (const auto& host : tenant.hosts) {
+      auto [it, isNew] = owners.try_emplace(host, name);
+      if (!isNew) f.fault("hosts", host + " belongs to " + it->second);
+    }
+    auto shape = state.templates().find(tenant.shape);
+    if (shape == state.templates().end()) f.fault("template", "is not known");
+    if (const auto* values = f.raw("values")) {
+      for (const auto* value = cJSON_IsObject(values) ? values->child : nullptr; value; value = value->next) {
+        auto at = std::string("values.") + value->string;
+        if (shape == state.templates().end()) break;
+        auto parameter = shape->second.parameters.find(value->string);
+        if (parameter == shape->second.parameters.end())
+          f.fault(at, "is not among the template's parameters");
+        else if (!cJSON_IsNumber(value) || std::floor(value->valuedouble) != value->valuedouble ||
+                 !isWithin(static_cast<int64_t>(value->valuedouble), parameter->second.low, parameter->second.high))
+          f.fault(at, "must be a whole number from " + std::to_string(parameter->second.low) + " to " + std::to_string(parameter->second.high));
+        else
+          tenant.values[value->string] = static_cast<int64_t>(value->valuedouble);
+      }
+      if (!cJSON_IsObject(values)) f.fault("values", "must be an object");
+    }
+    f.close();
+    op.tenants[name] = std::move(tenant);
+  }
+  top.close();
+  if (!faults.empty()) return std::nullopt;
+  return op;
+}
+
+auto writeFaults(const std::vector<Fault>& faults) -> std::string {
+  Json list(cJSON_CreateArray(), cJSON_Delete);
+  for (const auto& fault : faults) {
+    auto* item = cJSON_CreateObject();
+    cJSON_AddStringToObject(item, "place", fault.place.c_str());
+    cJSON_AddStringToObject(item, "what", fault.what.c_str());
+    cJSON_AddItemToArray(list.get(), item);
+  }
+  return print(list.get());
+}
+
+namespace {
+auto verdictName(policy::Verdict verdict, bool isState) -> const char* {
+  switch (verdict) {
+    case policy::Verdict::kHold: return isState ? "running" : "hold";
+    case policy::Verdict::kWiden: return "widen";
+    case policy::Verdict::kFallBack: return isState ? "fallen back" : "fall back";
+    case policy::Verdict::kFinish: return isState ? "finished" : "finish";
+  }
+  return "";
+}
+
+auto addSample(cJSON* to, const char* key, const policy::Sample& sample, int64_t quantilePermille) -> void {
+  auto* o = cJSON_AddObjectToObject(to, key);
+  cJSON_AddNumberToObject(o, "requests", static_cast<double>(sample.requests));
+  cJSON_AddNumberToObject(o, "errors", static_cast<double>(sample.errors));
+  cJSON_AddNumberToObject(o, "fetches", static_cast<double>(sample.fetches));
+  cJSON_AddNumberToObject(o, "quantileMs", std::round(10 * sample.quantileMs(quantilePermille)) / 10);
+}
+}  // namespace
+
+auto writeRollout(const std::string& id, const core::Rollout& rollout) -> std::string {
+  Json json(cJSON_CreateObject(), cJSON_Delete);
+  cJSON_AddStringToObject(json.get(), "rollout", id.c_str());
+  cJSON_AddStringToObject(json.get(), "template", rollout.shape.c_str());
+  cJSON_AddNumberToObject(json.get(), "from", static_cast<double>(rollout.from));
+  cJSON_AddNumberToObject(json.get(), "to", static_cast<double>(rollout.to));
+  cJSON_AddStringToObject(json.get(), "state", verdictName(rollout.state, true));
+  cJSON_AddNumberToObject(json.get(), "step", rollout.step + 1);
+  auto slice = rollout.state == policy::Verdict::kFinish     ? 1000
+               : rollout.state == policy::Verdict::kFallBack ? 0
+                                                             : rollout.next.points.stepsPermille[rollout.step];
+  cJSON_AddNumberToObject(json.get(), "slicePermille", static_cast<double>(slice));
+  auto* list = cJSON_AddArrayToObject(json.get(), "decisions");
+  for (const auto& d : rollout.decisions) {
+    auto* o = cJSON_CreateObject();
+    cJSON_AddNumberToObject(o, "step", d.step + 1);
+    cJSON_AddNumberToObject(o, "slicePermille", static_cast<double>(d.slicePermille));
+    cJSON_AddStringToObject(o, "verdict", verdictName(d.verdict, false));
+    cJSON_AddStringToObject(o, "why", d.why.c_str());
+    addSample(o, "old", d.old, rollout.next.points.quantilePermille);
+    addSample(o, "new", d.next, rollout.next.points.quantilePermille);
+    cJSON_AddItemToArray(list, o);
+  }
+  return print(json.get());
+}
+
+auto writeTemplates(const core::State& state) -> std::string {
+  Json json(cJSON_CreateObject(), cJSON_Delete);
+  auto* templates = cJSON_AddObjectToObject(json.get(), "templates");
+  auto addValue = [](cJSON* to, const char* key, const core::Value& value) {
+    if (value.parameter.empty())
+      cJSON_AddNumberToObject(to, key, static_cast<double>(value.number));
+    else
+      cJSON_AddStringToObject(cJSON_AddObjectToObject(to, key), "parameter", value.parameter.c_str());
+  };
+  for (const auto& [name, shape] : state.templates()) {
+    auto* t = cJSON_AddObjectToObject(templates, name.c_str());
+    cJSON_AddNumberToObject(t, "revision", static_cast<double>(shape.revision));
+    auto* parameters = cJSON_AddObjectToObject(t, "parameters");
+    for (const auto& [key, parameter] : shape.parameters) {
+      auto* p = cJSON_AddObjectToObject(parameters, key.c_str());
+      cJSON_AddNumberToObject(p, "low", static_cast<double>(parameter.low));
+      cJSON_AddNumberToObject(p, "high", static_cast<double>(parameter.high));
+      cJSON_AddNumberToObject(p, "default", static_cast<double>(parameter.standard));
+    }
+    auto* service = cJSON_AddObjectToObject(t, "service");
+    addValue(service, "deadlineMs", shape.deadlineMs);
+    addValue(service, "originRate", shape.originRate);
+    addValue(service, "triesPercent", shape.triesPercent);
+    addValue(service, "triesAllowance", shape.triesAllowance);
+    auto* paths = cJSON_AddArrayToObject(service, "paths");
+    for (const auto& path : shape.paths) {
+      auto* p = cJSON_CreateObject();
+      cJSON_AddStringToObject(p, "prefix", path.prefix.c_str());
+      cJSON_AddStringToObject(p, "kind", path.kind == core::UpstreamKind::kStore ? "store" : "application");
+      addValue(p, "keepMs", path.keepMs);
+      cJSON_AddItemToArray(paths, p);
+    }
+  }
+  auto* tenants = cJSON_AddObjectToObject(json.get(), "tenants");
+  for (const auto& [name, tenant] : state.tenants()) {
+    auto* t = cJSON_AddObjectToObject(tenants, name.c_str());
+    cJSON_AddStringToObject(t, "template", tenant.shape.c_str());
+    auto* hosts = cJSON_AddArrayToObject(t, "hosts");
+    for (const auto& host : tenant.hosts) cJSON_AddItemToArray(hosts, cJSON_CreateString(host.c_str()));
+    auto* values = cJSON_AddObjectToObject(t, "values");
+    for (const auto& [key, value] : tenant.values) cJSON_AddNumberToObject(values, key.c_str(), static_cast<double>(value));
+  }
+  return print(json.get());
+}
+
 auto writeConfiguration(const core::Frame& frame) -> std::string {
   Json json(cJSON_CreateObject(), cJSON_Delete);
   cJSON_AddNumberToObject(json.get(), "revision", static_cast<double>(frame.revision.configuration));
--- a/lib/operator/configuration.hpp
+++ b/lib/operator/configuration.hpp
@@ -53,10 +53,22 @@
 
 /// Takes a submitted configuration, whole or partial. Every fault is reported; with any fault nothing is kept.
 /// Example: `auto op = readConfiguration(body, frame.services, faults); if (!op) return turnAway(faults);`
-auto readConfiguration(const std::string& body, const std::map<std::string, core::Service>& now, std::vector<Fault>& faults)
-    -> std::optional<core::Op>;
+auto readConfiguration(const std::string& body, const std::map<std::string, core::Service>& now, std::vector<Fault>& faults,
+                       const std::map<std::string, core::Tenant>& tenants = {}) -> std::optional<core::Op>;
 /// True when the submission named the revision it builds on itself. Example: `namesBase(body)`
 auto namesBase(const std::string& body) -> bool;
+/// Takes a template: {"change": id, "name": n, "template": {"parameters", "service", "rollout"}}.
+/// Example: `auto op = readTemplate(body, faults); if (!op) return turnAway(faults);`
+auto readTemplate(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op>;
+/// Takes tenants: {"change": id, "base": r, "tenants": {name: {"template", "hosts", "values"} or null}}.
+/// Example: `auto op = readTenants(body, state, faults);`
+auto readTenants(const std::string& body, const core::State& state, std::vector<Fault>& faults) -> std::optional<core::Op>;
+/// Templates and tenants as JSON. Example: `writeTemplates(state)`
+auto writeTemplates(const core::State& state) -> std::string;
+/// A rollout with the figures of each decision. Example: `writeRollout("retail-2", rollout)`
+auto writeRollout(const std::string& id, const core::Rollout& rollout) -> std::string;
+/// Faults as a JSON list of places. Example: `writeFaults(faults)`
+auto writeFaults(const std::vector<Fault>& faults) -> std::string;
 /// Takes a purge: {"change": id, "service": s, "path": p} or with "label".
 auto readPurge(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op>;
 /// Takes an upstream's announcement. Example: `auto op = readAnnouncement(body, faults);`
--- a/lib/sim/fleet.cpp
+++ b/lib/sim/fleet.cpp
@@ -340,6 +340,11 @@
 
 auto Fleet::wipe(const std::string& name) -> void { std::filesystem::remove_all(props_.folder + "/" + name); }
 
+auto Fleet::status(const std::string& name) const -> std::string {
+  const auto& node = nodes_.at(name);
+  return node.kind == "registry" ? node.http : node.ip + ":" + std::to_string(props_.port + 3);
+}
+
 auto Fleet::names(const std::string& kind) const -> std::vector<std::string> {
   std::vector<std::string> list;
   for (const auto& name : order_)
@@ -360,8 +365,7 @@
   std::vector<std::string> waiting;
   for (const auto& [name, node] : nodes_) {
     if (node.pid <= 0) continue;
-    if (node.kind == "registry") waiting.push_back(node.http);
-    if (node.kind == "edge" || node.kind == "shield") waiting.push_back(node.ip + ":" + std::to_string(props_.port + 3));
+    if (node.kind == "registry" || node.kind == "edge" || node.kind == "shield") waiting.push_back(status(name));
   }
   while (!waiting.empty() && neighbour::steadyMs() < untilMs) {
     std::erase_if(waiting, [](const auto& address) {
--- a/lib/sim/fleet.hpp
+++ b/lib/sim/fleet.hpp
@@ -85,6 +85,8 @@
   /// HTTP addresses by program. Example: `fleet.https("edge")`
   auto https(const std::string& kind) const -> std::vector<std::string>;
   auto http(const std::string& name) const -> std::string { return nodes_.at(name).http; }
+  /// Where a daemon tells its status. Example: `fleet.status("shield-1")`
+  auto status(const std::string& name) const -> std::string;
   auto names(const std::string& kind) const -> std::vector<std::string>;
   auto site(const std::string& name) const -> std::string { return nodes_.at(name).site; }
   auto service(const std::string& name) const -> std::string { return nodes_.at(name).service; }
--- a/lib/sim/load.cpp
+++ b/lib/sim/load.cpp
@@ -160,6 +160,10 @@
         auto isRight = isProven(f.body, kind.service, open.target, isWrite ? open.id : "");
         isRight ? ++count.well : ++count.wrong;
         if (isRight) ++report.slices[slice].second;
+        if (isRight && !isWrite) {
+          auto mark = f.body.find("|e");
+          if (mark != std::string::npos) report.reads.push_back({open.atMs, open.target, std::atoll(f.body.c_str() + mark + 2)});
+        }
         count.tookMs.push_back(nowMs - open.sinceMs);
         end = End::kWell;
       } else {
@@ -237,6 +241,22 @@
   if (report.worstExtraShare > 1) report.faults.push_back("extra tries were " + std::to_string(report.worstExtraShare) + " of what is allowed over 10 s");
 }
 
+auto Report::backAfterMs(int64_t fromMs) const -> int64_t {
+  auto wellSlices = 0;
+  for (auto i = static_cast<size_t>(std::max<int64_t>(0, fromMs / 100)); i < slices.size(); ++i) {
+    wellSlices = slices[i].first == slices[i].second ? wellSlices + 1 : 0;
+    if (wellSlices == 10) return std::max<int64_t>(0, (static_cast<int64_t>(i) - 9) * 100 - fromMs);
+  }
+  return -1;
+}
+
+auto Report::share(int64_t fromMs, int64_t toMs) const -> double {
+  uint64_t asked = 0, well = 0;
+  for (auto i = static_cast<size_t>(std::max<int64_t>(0, fromMs / 100)); i < slices.size() && static_cast<int64_t>(i) * 100 < toMs; ++i)
+    asked += slices[i].first, well += slices[i].second;
+  return asked == 0 ? 0 : static_cast<double>(well) / static_cast<double>(asked);
+}
+
 auto Report::text() const -> std::string {
   std::ostringstream out;
   out << std::left << std::setw(14) << "kind" << std::right;
--- a/lib/sim/load.hpp
+++ b/lib/sim/load.hpp
@@ -29,10 +29,21 @@
   std::map<std::string, Count> kinds;
   std::map<uint64_t, uint64_t> codes;
   std::vector<std::pair<uint64_t, uint64_t>> slices;  // per 100 ms: asked, well
+  struct Read {
+    int64_t askedMs;
+    std::string target;
+    int64_t edition;
+  };
+  std::vector<Read> reads;  // of stores' bodies, with the edition that they name
   uint64_t writes = 0, ranTwice = 0, busyButRan = 0, wellButNotRan = 0, ran = 0;
   double worstRate = 0;       // most requests at one service in any 5 s, over its agreed rate (when given)
   double worstExtraShare = 0; // most extra tries in any 10 s, over what is allowed
   std::vector<std::string> faults;  // what must never happen, and did
+  /// How long after `fromMs` the first stretch of a second without a bad answer began; -1: never.
+  /// Example: `report.backAfterMs(6000)`
+  auto backAfterMs(int64_t fromMs) const -> int64_t;
+  /// The share served well from one moment to another. Example: `report.share(0, 5000)`
+  auto share(int64_t fromMs, int64_t toMs) const -> double;
   /// A table for people. Example: `std::cout << report.text();`
   auto text() const -> std::string;
 };
--- /dev/null
+++ b/lib/sim/rehearsal.hpp
@@ -0,0 +1,80 @@
+// Sim: rehearsals of what must never happen, with real processes. Each causes its failures under load and is
+// judged by the accounts that callers and origins keep.
+#pragma once
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "sim/fleet.hpp"
+#include "sim/load.hpp"
+
+namespace dykestage::sim {
+
+/// A small fleet with two services, a store and an application one, and a load on it.
+class Rehearsal {
+ public:
+  struct Props {
+    std::string folder, programs;
+    int64_t port = 23000;
+    uint64_t seed = 1;
+    int edges = 3, shields = 3, stores = 2, applications = 3;
+    int64_t perSecond = 80;
+    bool hasTenant = false;
+  };
+  struct Verdict {
+    std::string name;
+    uint64_t seed = 0;
+    Report report;
+    int64_t faultAtMs = 0;    // when the failure began
+    int64_t healedAtMs = 0;   // when it ended; -1 when it stays
+    int64_t backMs = -1;      // from its end until service is back
+    double during = 0;        // share served well from its begin to its end
+    std::vector<std::string> faults;
+    std::vector<std::string> notes;
+  };
+  /// The names of all rehearsals. Example: `for (auto& name : Rehearsal::names()) ...`
+  static auto names() -> std::vector<std::string>;
+  /// Runs one. Example: `auto verdict = Rehearsal::run("split", props);`
+  static auto run(const std::string& name, Props props) -> Verdict;
+
+ private:
+  explicit Rehearsal(Props props);
+  auto post(const std::string& target, const std::string& body, size_t from = 0) -> upstream::Fetched;
+  auto stand(const std::string& origin, const std::string& body) -> void;
+  auto load(int64_t seconds, const std::function<void(int64_t)>& during) -> Report;
+  auto pick(size_t n) -> size_t { return random_() % n; }
+  auto any(const std::string& kind) -> std::string;
+  auto configure() -> void;
+  auto cutApart(const std::vector<std::string>& a, const std::vector<std::string>& b, bool isCut) -> void;
+  auto revisionOf(const std::string& name, const char* key) -> int64_t;
+
+  auto kills() -> void;
+  auto herd() -> void;
+  auto rolling() -> void;
+  auto blackout() -> void;
+  auto wipe() -> void;
+  auto split() -> void;
+  auto coreAway() -> void;
+  auto freeze() -> void;
+  auto upstreams() -> void;
+  auto emptied() -> void;
+  auto reused() -> void;
+  auto purges() -> void;
+  auto races() -> void;
+  auto impatient() -> void;
+  auto rollouts() -> void;
+  auto get(const std::string& target) -> op::Json;
+  auto holder() -> std::string;
+
+  Props props_;
+  std::mt19937_64 random_;
+  std::unique_ptr<Fleet> fleet_;
+  Verdict verdict_;
+  bool retriesAtOnce_ = false;
+  std::vector<Kind> kinds_;
+  int64_t agreedRate_ = 200;
+};
+
+}  // namespace dykestage::sim
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -134,7 +134,11 @@
   auto chosen = policy::place(candidates, health_, props_.site, w.tried, props_.easeMs, nowMs, dice_ >> 33);
   if (!chosen) return giveUp(id, kNoUpstream, nowMs);
   auto& rate = rates_[w.ask.service];
-  rate.set(static_cast<double>(service->second.originRate) / static_cast<double>(split_.count(nowMs)), nowMs);
+  // While a rollout runs, the lower of both revisions' rates holds for the origin.
+  auto originRate = service->second.originRate;
+  for (const auto& next : service->second.next)
+    if (next.originRate > 0) originRate = originRate > 0 ? std::min(originRate, next.originRate) : next.originRate;
+  rate.set(static_cast<double>(originRate) / static_cast<double>(split_.count(nowMs)), nowMs);
   if (!rate.take(nowMs)) {
     ++figures_.rateTurnedAway;
     return giveUp(id, kOriginRate, nowMs);
@@ -223,6 +227,7 @@
       if (lower(name) == "content-length") reply.headers.emplace_back(name, value);
   reply.body = f.body;
   reply.isUntouched = false;
+  reply.isFetched = true;
   reply.ageMs = nowMs - w->fetchedMs;
   reply.purges = w->purges;
   auto terms = policy::termsOf(f.status, f.headers, w->ask.keepMs);
@@ -283,7 +288,9 @@
     if (!f) continue;
     if (isKeyed || reply.code != kOk || (copy && variant(f->ask.headers) == own && nowMs - copy->bornMs < copy->keepMs)) {
       auto taken = waiting_.take(follower);
-      this->reply(*taken, reply, nowMs);
+      auto shared = reply;
+      shared.isFetched = false;  // one fetch, however many joined it
+      this->reply(*taken, shared, nowMs);
     } else {
       f->joinKey.clear();
       dispatch(follower, false, nowMs);
--- a/programs/agent.cpp
+++ b/programs/agent.cpp
@@ -52,8 +52,7 @@
   agent::Follower follower(name, boundMs / 5);
   agent::Giver toProxy(boundMs / 10), toNeighbours(boundMs / 10);
   core::Member member;
-  core::Revision inForce;
-  std::map<std::string, bool> probes;
+  agent::Told told;
   int64_t proxyMs = -1;
   auto order = neighbour::rendezvous(name, seeds);
   std::string target;
@@ -78,8 +77,7 @@
         // The proxy says who it is; the agent speaks for it, and only while it is there.
         poll.member.agent = outer->address();
         member = poll.member;
-        inForce = poll.revision;
-        probes = poll.probes;
+        told = {poll.revision, poll.probes, poll.samples};
         proxyMs = nowMs;
         follower.be(member);
         toProxy.take(letter.from, std::move(poll), nowMs);
@@ -91,7 +89,7 @@
     if (proxyMs >= 0 && nowMs - proxyMs < boundMs) {
       auto targets = order;
       for (auto& at : neighboursOf(*held.frame, name)) targets.push_back(at);
-      if (auto poll = follower.tick(targets, inForce, probes, nowMs)) {
+      if (auto poll = follower.tick(targets, told, nowMs)) {
         poll->second.isNeighbour = std::find(order.begin(), order.end(), poll->first) == order.end();
         if (poll->first != target) LOG(INFO) << "agent: Asking " << poll->first << ".";
         target = poll->first;
--- a/programs/console.cpp
+++ b/programs/console.cpp
@@ -14,6 +14,11 @@
     "  console roster                 upstreams and nodes\n"
     "  console purge SERVICE PATH     purge a path\n"
     "  console purge-label SERVICE L  purge everything with a label\n"
+    "  console template FILE          submit a template; a change starts a rollout\n"
+    "  console tenants FILE           submit tenants\n"
+    "  console templates              templates and tenants\n"
+    "  console rollouts               all rollouts, with the figures of each decision\n"
+    "  console rollout ID             one of them\n"
     "  console change ID              the result of a submission\n"
     "  console status                 one registry's figures\n"
     "The settings are: registries, a list of the registries' HTTP addresses.";
@@ -32,19 +37,24 @@
     op::Json json(cJSON_CreateString(value.c_str()), cJSON_Delete);
     return op::print(json.get());
   };
-  if (is("submit", 1)) {
+  if (is("submit", 1) || is("template", 1) || is("tenants", 1)) {
     auto body = op::readFile(words[1]);
     if (!body) {
       std::cerr << "console: cannot read " << words[1] << "\n";
       return 2;
     }
-    fetch.method = "POST", fetch.target = "/configuration", fetch.body = *body;
+    fetch.method = "POST", fetch.body = *body;
+    fetch.target = words[0] == "submit" ? "/configuration" : words[0] == "template" ? "/templates" : "/tenants";
   } else if (is("purge", 2)) {
     fetch.method = "POST", fetch.target = "/purge", fetch.body = "{\"service\":" + text(words[1]) + ",\"path\":" + text(words[2]) + "}";
   } else if (is("purge-label", 2)) {
     fetch.method = "POST", fetch.target = "/purge", fetch.body = "{\"service\":" + text(words[1]) + ",\"label\":" + text(words[2]) + "}";
   } else if (is("change", 1)) {
     fetch.target = "/changes/" + words[1];
+  } else if (is("rollout", 1)) {
+    fetch.target = "/rollouts/" + words[1];
+  } else if (is("templates", 0) || is("rollouts", 0)) {
+    fetch.target = "/" + words[0];
   } else if (is("show", 0) || is("roster", 0) || is("status", 0)) {
     fetch.target = words[0] == "show" ? "/configuration" : "/" + words[0];
   } else {
--- a/programs/edge.cpp
+++ b/programs/edge.cpp
@@ -108,7 +108,7 @@
       }
       if (auto* held = std::get_if<caller::HeldFrame>(&input)) {
         edge.takeFrame(*held, nowMs);
-        link.inForce(edge.revision(), {});
+        link.tell({edge.revision(), {}, edge.samples()});
       }
       if (auto* page = std::get_if<Page>(&input)) {
         auto& r = page->request;
--- a/programs/origin.cpp
+++ b/programs/origin.cpp
@@ -31,6 +31,7 @@
   bool isSilent = false;     // no beats
   bool isEmptying = false;
   bool isDeaf = false;       // health fails
+  int64_t edition = 0;       // named in the bodies of reads
   std::string labels;
   std::string cacheControl;
 };
@@ -39,6 +40,7 @@
   int64_t atMs;
   caller::Request request;
   std::string id;
+  int64_t edition;  // when it came
   int share;  // 0..99: how it fails, if at all
 };
 }  // namespace
@@ -101,6 +103,7 @@
       f.flag("silent", next.isSilent);
       f.flag("emptying", next.isEmptying);
       f.flag("deaf", next.isDeaf);
+      f.integer("edition", 0, 1LL << 50, next.edition);
       f.text("labels", next.labels);
       f.text("cacheControl", next.cacheControl);
       f.text("service", service);
@@ -137,13 +140,13 @@
       account << nowMs << " " << service << " " << r.method << " " << r.target << " " << (id.empty() ? "-" : id) << " "
               << (caller::has(r.headers, "dykestage-extra") ? "extra" : "first") << "\n"
               << std::flush;
-      due.push_back({nowMs + mode.delayMs, std::move(r), id, static_cast<int>(random() % 100)});
+      due.push_back({nowMs + mode.delayMs, std::move(r), id, mode.edition, static_cast<int>(random() % 100)});
     }
     auto isDue = [&](const Due& d) { return d.atMs <= nowMs; };
     for (auto& d : due) {
       if (!isDue(d)) continue;
       auto& stream = *d.request.stream;
-      auto body = sim::provenBody(service, d.request.target, d.id, static_cast<size_t>(mode.bytes));
+      auto body = sim::provenBody(service, d.request.target, d.id.empty() ? "e" + std::to_string(d.edition) : d.id, static_cast<size_t>(mode.bytes));
       auto share = d.share;
       auto falls = [&](int64_t part) {
         auto isHit = share >= 0 && share < part;
--- a/programs/shield.cpp
+++ b/programs/shield.cpp
@@ -108,7 +108,7 @@
       }
       if (auto* held = std::get_if<caller::HeldFrame>(&input)) {
         shield.takeFrame(*held, nowMs);
-        link.inForce(shield.revision(), shield.probes());
+        link.tell({shield.revision(), shield.probes(), {}});
       }
       if (auto* request = std::get_if<caller::Request>(&input)) {
         auto isReady = shield.isReady(nowMs);
