Edges pass over silent shields and ask late reads elsewhere; joins are not signed off

Cause: after a herd of proxies restarted, the holder of the watch signed off members and upstreams that it had just seen join, since the beats heard by other registries came a little later than the entries. A frozen shield keeps its lines up, and an edge went on asking it until each deadline. The stand-in for callers asks each edge every second whether it is ready, as the users' platform does. Unproved: the effect on freezes is to be measured next.

--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -130,11 +130,18 @@
       return (members.at(a).site == props_.site) > (members.at(b).site == props_.site);
     });
   }
-  const auto& member = held_.frame->members.at(order.front());
+  const auto& members = held_.frame->members;
+  std::stable_sort(order.begin(), order.end(),
+                   [&](const auto& a, const auto& b) { return isSilent(members.at(a).address, nowMs) < isSilent(members.at(b).address, nowMs); });
+  const auto& member = members.at(order.front());
   w.tried.insert(order.front());
   w.shield = member.address;
   w.wasSent = true;
   w.askedMs = nowMs;
+  if (w.firstAskedMs == 0) w.firstAskedMs = nowMs;
+  auto& owing = owing_[member.address];
+  if (owing.sinceMs == 0) owing.sinceMs = nowMs;
+  owing.lastAskedMs = nowMs;
   Ask ask;
   ask.id = id;
   ask.service = w.service;
@@ -157,6 +164,14 @@
   out_.asks.push_back({w.shield, std::move(ask)});
 }
 
+// A frozen or cut-off shield keeps its lines up and says nothing. One that owes replies comes last, until it
+// replies, or until it has been left alone for a while.
+auto Edge::isSilent(const std::string& shield, int64_t nowMs) const -> bool {
+  auto it = owing_.find(shield);
+  return it != owing_.end() && it->second.sinceMs != 0 && nowMs - it->second.sinceMs >= props_.suspectMs &&
+         nowMs - it->second.lastAskedMs < 8 * props_.suspectMs;
+}
+
 auto Edge::unsent(uint64_t id, int64_t nowMs) -> void {
   auto* w = waiting_.get(id);
   if (!w) return;
@@ -191,7 +206,8 @@
     if (std::find(after.begin(), after.end(), shield) == after.end()) lost(shield, nowMs);
 }
 
-auto Edge::takeReply(const Reply& reply, int64_t nowMs) -> void {
+auto Edge::takeReply(const std::string& from, const Reply& reply, int64_t nowMs) -> void {
+  owing_.erase(from);
   auto* w = waiting_.get(reply.id);
   if (!w) return;
   if (reply.code != kOk) {
@@ -208,7 +224,7 @@
   Answer answer{static_cast<int>(reply.status), reply.headers, reply.body};
   w->isFetched = reply.isFetched;
   w->load = std::atof(header(reply.headers, "dykestage-load").c_str());
-  auto ageMs = reply.ageMs + std::max<int64_t>(0, nowMs - w->askedMs - reply.heldMs);
+  auto ageMs = reply.ageMs + std::max<int64_t>(0, nowMs - w->firstAskedMs - reply.heldMs);
   auto terms = policy::termsOf(answer.status, answer.headers, w->path.keepMs);
   if (!w->isShared || terms.keepMs <= 0 || reply.keepMs <= 0) return finish(reply.id, answer, nullptr, nowMs);
   policy::Copy copy{answer.status, answer.headers, answer.body, nowMs - ageMs, std::min(terms.keepMs, reply.keepMs), reply.purges, terms.vary};
@@ -271,7 +287,15 @@
 auto Edge::tick(int64_t nowMs) -> void {
   for (auto id : waiting_.ids()) {
     auto* w = waiting_.get(id);
-    if (w && nowMs >= w->untilMs) giveUp(id, kDeadline, nowMs);
+    if (!w) continue;
+    if (nowMs >= w->untilMs) {
+      giveUp(id, kDeadline, nowMs);
+      continue;
+    }
+    auto isLate = w->wasSent && (nowMs - w->startMs) * 100 >= (w->untilMs - w->startMs) * props_.hedgePercent;
+    if (w->isWrite || w->isHedged || !isLate || w->tried.size() >= shields().size() || !budget(w->service).mayTry(nowMs)) continue;
+    w->isHedged = true;
+    ask(id, true, nowMs);
   }
 }
 
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -33,6 +33,8 @@
     size_t requests = 4000;       // under way at a time
     size_t cacheBytes = 64u << 20;
     double triesPart = 0.25;      // part of a service's extra tries that the edges may use
+    int64_t suspectMs = 250;      // silence of a shield that owes replies, after which others come first; 1/8 of the bound
+    int64_t hedgePercent = 40;    // of its time that a read waits before another shield is asked as well
   };
   struct Output {
     struct Answered {
@@ -56,8 +58,8 @@
 
   /// Takes a caller's request. Example: `edge.take(request, nowMs); post(edge.output());`
   auto take(Request request, int64_t nowMs) -> void;
-  /// Takes a shield's reply. Example: `edge.takeReply(reply, nowMs);`
-  auto takeReply(const neighbour::Reply& reply, int64_t nowMs) -> void;
+  /// Takes a shield's reply. Example: `edge.takeReply(letter.from, reply, nowMs);`
+  auto takeReply(const std::string& from, const neighbour::Reply& reply, int64_t nowMs) -> void;
   /// An ask that surely did not leave. Example: `if (!post->send(...)) edge.unsent(ask.id, nowMs);`
   auto unsent(uint64_t id, int64_t nowMs) -> void;
   /// A shield that can't be reached any more. Example: `edge.lost(address, nowMs);`
@@ -83,10 +85,10 @@
     Request request;
     std::string service;
     core::Path path;
-    int64_t startMs = 0, untilMs = 0, askedMs = 0;
+    int64_t startMs = 0, untilMs = 0, askedMs = 0, firstAskedMs = 0;
     std::string shield;
     std::set<std::string> tried;
-    bool isWrite = false, isShared = false, wasSent = false;
+    bool isWrite = false, isShared = false, wasSent = false, isHedged = false;
     uint32_t refusal = kNoShield;  // why the last shield did not take it
     std::string joinKey;
     std::vector<uint64_t> followers;
@@ -100,6 +102,7 @@
   auto finish(uint64_t id, const Answer& answer, const policy::Copy* copy, int64_t nowMs) -> void;
   auto answer(Waiting& waiting, Answer answer, int64_t nowMs) -> void;
   auto budget(const std::string& service) -> policy::TryBudget&;
+  auto isSilent(const std::string& shield, int64_t nowMs) const -> bool;
 
   Props props_;
   HeldFrame held_;
@@ -108,6 +111,10 @@
   std::map<std::string, uint64_t> joins_;
   std::map<std::string, policy::TryBudget> budgets_;
   neighbour::Samples samples_;
+  struct Owing {  // a shield that has been asked and has not replied since
+    int64_t sinceMs = 0, lastAskedMs = 0;
+  };
+  std::map<std::string, Owing> owing_;  // by address
   Output out_;
   Figures figures_;
 };
--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -456,12 +456,19 @@
     op.term = duty.term;
     submit(std::move(op), [](const OpResult*, int64_t) {});
   };
+  // Silence counts from the moment at which this holder could have heard: not before it won the watch, and not
+  // before it saw the entry. Beats heard by other registries come a little after the entry itself.
+  std::set<std::string> listed;
+  auto silent = [&](const std::string& entry, int64_t heardMs) {
+    listed.insert(entry);
+    auto sinceMs = listedMs_.try_emplace(entry, nowMs).first->second;
+    return nowMs - std::max({watchSinceMs_, sinceMs, heardMs});
+  };
   auto shields = std::count_if(published_->members.begin(), published_->members.end(), [](const auto& m) { return m.second.kind == "shield"; });
   std::set<std::string> stillHeld;
   for (const auto& [name, upstream] : published_->upstreams) {
-    // Silence counts from the moment at which this holder could have heard.
     auto beat = beats_.find(name);
-    auto silentMs = nowMs - std::max(watchSinceMs_, beat == beats_.end() ? 0 : beat->second);
+    auto silentMs = silent("upstream " + name, beat == beats_.end() ? 0 : beat->second);
     auto failing = 0;
     for (const auto& [member, heard] : heard_) {
       auto probe = heard.probes.find(name);
@@ -484,12 +491,14 @@
   std::erase_if(heldSinceMs_, [&](const auto& one) { return !stillHeld.count(one.first); });
   for (const auto& [name, member] : published_->members) {
     auto it = heard_.find(name);
-    auto heardMs = it == heard_.end() || it->second.incarnation != member.incarnation ? 0 : it->second.heardMs;
-    if (nowMs - std::max(watchSinceMs_, heardMs) > props_.memberMissMs) {
+    // Whoever is heard under a new life is about to join in place of the old one; that is no silence.
+    auto silentMs = silent("member " + name + " " + std::to_string(member.incarnation), it == heard_.end() ? 0 : it->second.heardMs);
+    if (silentMs > props_.memberMissMs) {
       LOG(INFO) << "core: Signing off " << member.kind << " " << name << ".";
       decide(OpKind::kLeave, name, member.incarnation);
     }
   }
+  std::erase_if(listedMs_, [&](const auto& one) { return !listed.count(one.first); });
   for (const auto& [id, rollout] : state_.rollouts())
     if (rollout.state == policy::Verdict::kHold) judge(id, rollout, duty.term, nowMs);
   std::erase_if(watched_, [&](const auto& one) {
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -163,6 +163,7 @@
   int64_t tickedMs_ = -1'000'000;
   std::map<std::string, Heard> heard_;
   std::map<std::string, int64_t> beats_;  // instance → when last heard
+  std::map<std::string, int64_t> listedMs_;  // upstreams and members in the frame → since when, here
   std::map<std::string, Watched> watched_;
   std::map<std::string, int64_t> heldSinceMs_;
   std::map<std::string, int64_t> joinTriedMs_;
--- a/lib/sim/load.cpp
+++ b/lib/sim/load.cpp
@@ -31,7 +31,9 @@
     for (const auto* e = edges ? edges->child : nullptr; e; e = e->next) {
       const auto* address = cJSON_GetObjectItemCaseSensitive(e, "address");
       const auto* site = cJSON_GetObjectItemCaseSensitive(e, "site");
-      if (cJSON_IsString(address) && cJSON_IsString(site)) props.edges.emplace_back(address->valuestring, site->valuestring);
+      const auto* status = cJSON_GetObjectItemCaseSensitive(e, "status");
+      if (cJSON_IsString(address) && cJSON_IsString(site) && cJSON_IsString(status))
+        props.edges.push_back({address->valuestring, site->valuestring, status->valuestring});
     }
     const auto* accounts = cJSON_GetObjectItemCaseSensitive(json.get(), "accounts");
     for (const auto* a = accounts ? accounts->child : nullptr; a; a = a->next)
@@ -66,9 +68,11 @@
   const auto& kind = props_.kinds[open.kind];
   auto nowMs = neighbour::steadyMs();
   std::vector<std::string> edges;
-  for (const auto& [address, site] : props_.edges)
-    if (shunned_[address] <= nowMs) edges.push_back(address);
-  if (edges.empty()) edges.push_back(props_.edges.front().first);
+  for (const auto& edge : props_.edges) {
+    auto ready = ready_.find(edge.address);
+    if (shunned_[edge.address] <= nowMs && (ready == ready_.end() || ready->second)) edges.push_back(edge.address);
+  }
+  if (edges.empty()) edges.push_back(props_.edges[random_() % props_.edges.size()].address);
   open.edge = edges[random_() % edges.size()];
   upstream::Fetch fetch;
   fetch.id = nextId_++;
@@ -88,6 +92,20 @@
   fetcher_.start(std::move(fetch));
 }
 
+auto Load::askReady(int64_t nowMs) -> void {
+  if (nowMs - readyMs_ < 1000) return;
+  readyMs_ = nowMs;
+  for (const auto& edge : props_.edges) {
+    upstream::Fetch fetch;
+    fetch.id = nextId_++;
+    fetch.address = edge.status;
+    fetch.target = "/ready";
+    fetch.timeoutMs = 900;
+    readyAsks_[fetch.id] = edge.address;
+    fetcher_.start(std::move(fetch));
+  }
+}
+
 auto Load::run(const std::function<void(int64_t)>& during) -> Report {
   Report report;
   std::vector<size_t> wheel;
@@ -110,7 +128,13 @@
                 "w" + std::to_string(props_.seed) + "-" + std::to_string(sent), "", nowMs, nowMs - startMs, 0};
       ask(std::move(open));
     }
+    askReady(nowMs);
     for (auto& f : fetcher_.run(none, 2)) {
+      if (auto ask = readyAsks_.find(f.id); ask != readyAsks_.end()) {
+        ready_[ask->second] = f.fault == upstream::Fault::kNone && f.status == 200;
+        readyAsks_.erase(ask);
+        continue;
+      }
       auto it = open_.find(f.id);
       if (it == open_.end()) continue;
       auto open = std::move(it->second);
--- a/lib/sim/load.hpp
+++ b/lib/sim/load.hpp
@@ -51,7 +51,10 @@
 class Load {
  public:
   struct Props {
-    std::vector<std::pair<std::string, std::string>> edges;  // address, site
+    struct Edge {
+      std::string address, site, status;
+    };
+    std::vector<Edge> edges;
     std::vector<Kind> kinds;
     int64_t perSecond = 400, seconds = 10, seed = 1, timeoutMs = 3000;
     bool retriesAtOnce = false;                       // callers that ask again at once when turned away
@@ -78,6 +81,11 @@
   upstream::Fetcher fetcher_;
   std::map<uint64_t, Open> open_;
   std::map<std::string, int64_t> shunned_;
+  // Like the platform, asks each edge every second whether it is ready, and hands callers to those that are.
+  auto askReady(int64_t nowMs) -> void;
+  std::map<uint64_t, std::string> readyAsks_;
+  std::map<std::string, bool> ready_;
+  int64_t readyMs_ = 0;
   uint64_t nextId_ = 1;
   enum class End { kWell, kBusy, kUnknown, kOther };
   std::map<std::string, End> writes_;
--- a/lib/sim/rehearsal.cpp
+++ b/lib/sim/rehearsal.cpp
@@ -84,7 +84,7 @@
 
 auto Rehearsal::load(int64_t seconds, const std::function<void(int64_t)>& during) -> Report {
   Load::Props props;
-  for (const auto& name : fleet_->names("edge")) props.edges.emplace_back(fleet_->http(name), fleet_->site(name));
+  for (const auto& name : fleet_->names("edge")) props.edges.push_back({fleet_->http(name), fleet_->site(name), fleet_->status(name)});
   for (const auto& name : fleet_->names("origin")) props.accounts[name] = fleet_->account(name);
   props.agreedRates = {{"shop", agreedRate_}};
   props.kinds = !kinds_.empty() ? kinds_ : std::vector<Kind>{{"read", "shop.test", "shop", "GET", "/items/", 300, 5, false},
--- a/programs/edge.cpp
+++ b/programs/edge.cpp
@@ -63,6 +63,7 @@
   s.integer("threads", 1, 64, threads);
   program.ready();
   props.staleMs = boundMs * 3 / 4;
+  props.suspectMs = boundMs / 8;
   props.requests = static_cast<size_t>(requests);
   props.cacheBytes = static_cast<size_t>(cacheBytes);
 
@@ -104,7 +105,7 @@
       if (auto* letter = std::get_if<neighbour::Letter>(&input)) {
         Reader r(letter->body);
         auto reply = r.get<neighbour::Reply>();
-        if (letter->kind == neighbour::kReply && r.done()) edge.takeReply(reply, nowMs);
+        if (letter->kind == neighbour::kReply && r.done()) edge.takeReply(letter->from, reply, nowMs);
       }
       if (auto* held = std::get_if<caller::HeldFrame>(&input)) {
         edge.takeFrame(*held, nowMs);
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -121,7 +121,7 @@
   REQUIRE(out.asks.size() == 1);
   auto reply = whole(out.asks[0].ask, "body");
   reply.ageMs = 100;
-  edge.takeReply(reply, 1050);
+  edge.takeReply("sh1", reply, 1050);
   CHECK(edge.output().answers.at(0).answer.body == "body");
   edge.takeFrame({frameOf(), 4000}, 4000);
   edge.take(request("GET", "/a"), 5800);  // frame too old by then
@@ -149,7 +149,7 @@
   // Two joined callers; the answer turns out to be private: the second asks for itself.
   edge.take(request("GET", "/a"), 1001);
   CHECK(edge.output().asks.empty());
-  edge.takeReply(whole(out.asks[1].ask, "mine", {{"Cache-Control", "private"}}), 1010);
+  edge.takeReply("sh1", whole(out.asks[1].ask, "mine", {{"Cache-Control", "private"}}), 1010);
   out = edge.output();
   CHECK(out.answers.size() == 1);
   CHECK(out.asks.size() == 1);
@@ -162,7 +162,7 @@
   edge.take(request("GET", "/a", {{"Accept-Language", "am"}}), 1000);
   auto out = edge.output();
   REQUIRE(out.asks.size() == 1);
-  edge.takeReply(whole(out.asks[0].ask, "selam", {{"Vary", "Accept-Language"}}), 1010);
+  edge.takeReply("sh1", whole(out.asks[0].ask, "selam", {{"Vary", "Accept-Language"}}), 1010);
   out = edge.output();
   CHECK(out.answers.size() == 2);
   REQUIRE(out.asks.size() == 1);
@@ -212,11 +212,11 @@
     neighbour::Reply reply;
     reply.id = out.asks[0].ask.id;
     reply.code = kShieldFull;
-    edge.takeReply(reply, 1001);
+    edge.takeReply("sh1", reply, 1001);
     out = edge.output();
     REQUIRE(out.asks.size() == 1);
     reply.id = out.asks[0].ask.id;
-    edge.takeReply(reply, 1002);
+    edge.takeReply("sh1", reply, 1002);
     CHECK(edge.output().answers.at(0).answer.status == 503);
   }
 }
@@ -500,3 +500,77 @@
   CHECK_FALSE(policy::isShareable("HEAD", {}));
   CHECK(endToEnd({{"Connection", "X-Hop, close"}, {"X-Hop", "1"}, {"TE", "x"}, {"X-A", "1"}, {"X-A", "2"}}) == Headers{{"X-A", "1"}, {"X-A", "2"}});
 }
+
+TEST_CASE("A shield that owes replies comes last, and a late read is asked elsewhere within the budget") {
+  auto edge = edgeAt(1000);
+  edge.take(request("GET", "/api/a"), 1000);
+  auto out = edge.output();
+  REQUIRE(out.asks.size() == 1);
+  auto silent = out.asks[0].to;
+  edge.takeFrame({frameOf(), 1300}, 1300);
+  edge.take(request("POST", "/api/buy"), 1300);
+  out = edge.output();
+  REQUIRE(out.asks.size() == 1);
+  CHECK(out.asks[0].to != silent);
+  edge.tick(1399);
+  CHECK(edge.output().asks.empty());
+  edge.tick(1400);
+  out = edge.output();
+  REQUIRE(out.asks.size() == 1);
+  CHECK(out.asks[0].ask.isExtra);
+  CHECK(out.asks[0].to != silent);
+  auto id = out.asks[0].ask.id;
+  edge.tick(1900);
+  CHECK(edge.output().asks.empty());  // once, and never for the write
+  edge.takeReply(silent, whole(out.asks[0].ask, "late"), 1950);
+  CHECK(edge.output().answers.size() == 1);
+  edge.takeReply(out.asks[0].to, whole(out.asks[0].ask, "later"), 1960);
+  CHECK(edge.output().answers.empty());
+  (void)id;
+}
+
+TEST_CASE("A rollout's slice is stable, and its verdicts follow the set points") {
+  auto frame = frameOf();
+  auto& shop = frame->services["shop"];
+  shop.rollout = "retail-2";
+  shop.slicePermille = 200;
+  auto next = shop;
+  next.paths[0].keepMs = 100;
+  shop.next = {next};
+  auto count = 0;
+  for (auto i = 0; i < 2000; ++i) {
+    auto target = "/items/" + std::to_string(i);
+    auto found = findPath(*frame, "shop.test", target);
+    CHECK(found->isNext == findPath(*frame, "SHOP.test:80", target + "?q")->isNext);
+    CHECK(found->path.keepMs == (found->isNext ? 100 : 5000));
+    count += found->isNext;
+  }
+  CHECK(count > 320);
+  CHECK(count < 480);
+  // Widening the slice only adds to it.
+  auto wide = std::make_shared<core::Frame>(*frame);
+  wide->services["shop"].slicePermille = 500;
+  for (auto i = 0; i < 500; ++i) {
+    auto target = "/items/" + std::to_string(i);
+    if (findPath(*frame, "shop.test", target)->isNext) CHECK(findPath(*wide, "shop.test", target)->isNext);
+  }
+
+  using policy::Verdict;
+  policy::SetPoints points;
+  auto sample = [](int n, int64_t ms, int errors, int fetches) {
+    policy::Sample s;
+    for (auto i = 0; i < n; ++i) s.add(ms, i < errors, i < fetches, 0);
+    return s;
+  };
+  auto old = sample(1000, 20, 5, 100);
+  CHECK(judge(old, sample(300, 21, 2, 30), points, 4000, false).verdict == Verdict::kWiden);
+  CHECK(judge(old, sample(300, 21, 2, 30), points, 4000, true).verdict == Verdict::kFinish);
+  CHECK(judge(old, sample(300, 21, 2, 30), points, 1000, false).verdict == Verdict::kHold);
+  CHECK(judge(old, sample(300, 60, 2, 30), points, 1000, false).verdict == Verdict::kFallBack);
+  CHECK(judge(old, sample(300, 21, 20, 30), points, 1000, false).verdict == Verdict::kFallBack);
+  CHECK(judge(old, sample(300, 21, 2, 90), points, 1000, false).verdict == Verdict::kFallBack);
+  CHECK(judge(old, sample(50, 900, 50, 50), points, 1000, false).verdict == Verdict::kHold);
+  CHECK(judge(old, sample(50, 20, 0, 0), points, 30000, false).verdict == Verdict::kFallBack);
+  // A slowdown that both revisions share is no verdict.
+  CHECK(judge(sample(1000, 400, 5, 100), sample(300, 410, 2, 30), points, 4000, false).verdict == Verdict::kWiden);
+}
