--- a/lib/agent/feed.cpp
+++ b/lib/agent/feed.cpp
@@ -34,7 +34,9 @@
 
 auto Follower::tick(const std::vector<std::string>& targets, const Told& told, int64_t nowMs) -> std::optional<std::pair<std::string, Poll>> {
   if (targets.empty() || nowMs < waitUntilMs_) return std::nullopt;
-  if (isAsking_) {
+  // What is in force has changed: that is told at once, by a question that takes the place of the open one.
+  auto hasToTell = isAsking_ && !(told.revision == inForce_);
+  if (isAsking_ && !hasToTell) {
     if (nowMs - askedMs_ < answerMs_) return std::nullopt;
     mustMove_ = true;  // no answer
   }
@@ -50,6 +52,7 @@
   mustMove_ = false;
   target_ = *at;
   isAsking_ = true;
+  inForce_ = told.revision;
   askedMs_ = nowMs;
   Poll poll;
   poll.nonce = ++nonce_;
--- a/lib/agent/feed.hpp
+++ b/lib/agent/feed.hpp
@@ -70,6 +70,7 @@
   uint64_t nonce_ = 0;
   bool isAsking_ = false;
   bool mustMove_ = false;
+  core::Revision inForce_;
   int64_t askedMs_ = 0, firstMs_ = 0, waitUntilMs_ = 0;
   std::string target_;
 };
--- a/lib/sim/rehearsal.cpp
+++ b/lib/sim/rehearsal.cpp
@@ -82,14 +82,27 @@
   if (answer.status != 200) verdict_.faults.push_back("the first configuration was not taken: " + answer.body);
 }
 
+auto Rehearsal::submitBeside(int64_t deadlineMs, size_t registry, std::function<void()> then) -> void {
+  beside_.push_back(std::async(std::launch::async, [this, deadlineMs, registry, then] {
+    auto startMs = neighbour::steadyMs();
+    auto answer = post("/configuration", services(agreedRate_, deadlineMs), registry);
+    then();
+    if (answer.status != 200) return "a configuration was not acknowledged: " + answer.body;
+    return "+acknowledged after " + std::to_string(neighbour::steadyMs() - startMs) + " ms";
+  }));
+}
+
 auto Rehearsal::load(int64_t seconds, const std::function<void(int64_t)>& during) -> Report {
   Load::Props props;
   for (const auto& name : fleet_->names("edge")) props.edges.push_back({fleet_->http(name), fleet_->site(name), fleet_->status(name)});
   for (const auto& name : fleet_->names("origin")) props.accounts[name] = fleet_->account(name);
   props.agreedRates = {{"shop", agreedRate_}};
-  props.kinds = !kinds_.empty() ? kinds_ : std::vector<Kind>{{"read", "shop.test", "shop", "GET", "/items/", 300, 5, false},
-                 {"list", "till.test", "till", "GET", "/list/", 50, 3, false},
-                 {"buy", "till.test", "till", "POST", "/buy/", 50, 2, true}};
+  props.kinds = kinds_;
+  if (props.kinds.empty()) {
+    props.kinds.push_back({"read", "shop.test", "shop", "GET", "/items/", 300, 5, false});
+    props.kinds.push_back({"list", "till.test", "till", "GET", "/list/", 50, 3, false});
+    props.kinds.push_back({"buy", "till.test", "till", "POST", "/buy/", 50, 2, true});
+  }
   props.perSecond = props_.perSecond;
   props.seconds = seconds;
   props.seed = static_cast<int64_t>(props_.seed);
@@ -222,15 +235,15 @@
     auto t = 3000 + i * 6000;
     verdict_.notes.push_back(std::to_string(t) + " ms wipe " + name);
     steps.list.push_back({t, [this, name, i] {
-                            auto answer = post("/configuration", services(agreedRate_, 900 + i), pick(5));
-                            if (answer.status != 200) verdict_.faults.push_back("not acknowledged: " + answer.body);
-                            fleet_->kill(name);
-                            fleet_->wipe(name);
+                            submitBeside(900 + i, pick(5), [this, name] {
+                              fleet_->kill(name);
+                              fleet_->wipe(name);
+                            });
                           }});
-    steps.list.push_back({t + 500, [this, name] { fleet_->start(name); }});
+    steps.list.push_back({t + 2500, [this, name] { fleet_->start(name); }});
   }
   verdict_.faultAtMs = 3000;
-  verdict_.healedAtMs = 3000 + 2 * 6000 + 500;
+  verdict_.healedAtMs = 3000 + 2 * 6000 + 2500;
   verdict_.report = load(28, std::ref(steps));
   for (auto& name : fleet_->names("registry")) {
     if (revisionOf(name, "configuration") != 4) verdict_.faults.push_back("configuration lost at " + name);
@@ -254,8 +267,7 @@
                           auto at = 0u;
                           auto names = fleet_->names("registry");
                           while (std::find(rest.begin(), rest.end(), names[at]) == rest.end()) ++at;
-                          auto answer = post("/configuration", services(agreedRate_, 950), at);
-                          if (answer.status != 200) verdict_.faults.push_back("the majority does not take a configuration: " + answer.body);
+                          submitBeside(950, at);
                         }});
   steps.list.push_back({11000, [this, minor, rest] { cutApart(minor, rest, false); }});
   verdict_.faultAtMs = 4000;
@@ -291,10 +303,7 @@
   steps.list.push_back({6000, [this, names] {
                           auto at = 0u;
                           while (fleet_->names("registry")[at] == names[2]) ++at;
-                          auto startMs = neighbour::steadyMs();
-                          auto answer = post("/configuration", services(agreedRate_, 940), at);
-                          if (answer.status != 200) verdict_.faults.push_back("not acknowledged while some are frozen: " + answer.body);
-                          verdict_.notes.push_back("acknowledged after " + std::to_string(neighbour::steadyMs() - startMs) + " ms");
+                          submitBeside(940, at);
                         }});
   steps.list.push_back({9500, [this, names] {
                           for (auto& name : names) fleet_->signal(name, SIGCONT);
@@ -639,6 +648,13 @@
     return std::move(r.verdict_);
   }
   (r.*(it->second))();
+  for (auto& one : r.beside_) {
+    auto text = one.get();
+    if (text.starts_with("+"))
+      r.verdict_.notes.push_back(text.substr(1));
+    else
+      r.verdict_.faults.push_back(text);
+  }
   auto& v = r.verdict_;
   for (auto& fault : v.report.faults) v.faults.push_back(fault);
   if (v.healedAtMs >= 0) {
--- a/lib/sim/rehearsal.hpp
+++ b/lib/sim/rehearsal.hpp
@@ -2,6 +2,7 @@
 // judged by the accounts that callers and origins keep.
 #pragma once
 #include <functional>
+#include <future>
 #include <memory>
 #include <random>
 #include <string>
@@ -46,6 +47,8 @@
   auto load(int64_t seconds, const std::function<void(int64_t)>& during) -> Report;
   auto pick(size_t n) -> size_t { return random_() % n; }
   auto any(const std::string& kind) -> std::string;
+  // Submits a configuration beside the load, and then does what follows its acknowledgement.
+  auto submitBeside(int64_t deadlineMs, size_t registry, std::function<void()> then = [] {}) -> void;
   auto configure() -> void;
   auto cutApart(const std::vector<std::string>& a, const std::vector<std::string>& b, bool isCut) -> void;
   auto revisionOf(const std::string& name, const char* key) -> int64_t;
@@ -74,6 +77,7 @@
   Verdict verdict_;
   bool retriesAtOnce_ = false;
   std::vector<Kind> kinds_;
+  std::vector<std::future<std::string>> beside_;
   int64_t agreedRate_ = 200;
 };
 
