--- a/programs/edge.cpp
+++ b/programs/edge.cpp
@@ -6,6 +6,7 @@
 
 #include "agent/link.hpp"
 #include "caller/edge.hpp"
+#include "caller/record.hpp"
 #include "neighbour/inbox.hpp"
 #include "neighbour/post.hpp"
 #include "operator/program.hpp"
@@ -47,7 +48,7 @@
   auto program = op::Program::start(argc, argv, "edge: takes callers' requests");
   auto& s = program.settings();
   caller::Edge::Props props;
-  std::string http, status, address, listen, agentAt;
+  std::string http, status, recordAt, address, listen, agentAt;
   int64_t boundMs = 2000, requests = 4000, cacheBytes = 64 << 20, bodyBytes = 8 << 20, threads = 2;
   s.text("name", props.name, true);
   s.text("site", props.site, true);
@@ -61,7 +62,13 @@
   s.integer("cacheBytes", 1 << 20, 1LL << 40, cacheBytes);
   s.integer("bodyBytes", 1 << 10, 64 << 20, bodyBytes);
   s.integer("threads", 1, 64, threads);
+  int64_t recordBytes = 64 << 20;
+  s.text("record", recordAt);
+  s.integer("recordBytes", 1 << 10, 1LL << 40, recordBytes);
   program.ready();
+  std::optional<caller::Recorder> recorder;
+  if (!recordAt.empty()) recorder.emplace(recordAt, recordBytes);
+  auto recordSinceMs = neighbour::steadyMs();
   props.staleMs = boundMs * 3 / 4;
   props.suspectMs = boundMs / 8;
   props.requests = static_cast<size_t>(requests);
@@ -101,7 +108,14 @@
     auto nowMs = neighbour::steadyMs();
     auto isReady = edge.isCurrent(nowMs) && stopAtMs < 0;
     for (auto& input : inbox.take()) {
-      if (auto* request = std::get_if<caller::Request>(&input)) edge.take(std::move(*request), nowMs);
+      if (auto* request = std::get_if<caller::Request>(&input)) {
+        if (recorder && !recorder->add({nowMs - recordSinceMs, request->method, caller::header(request->headers, "host"), request->target,
+                                        static_cast<int64_t>(request->body.size()), caller::has(request->headers, "idempotency-key")})) {
+          LOG(INFO) << "edge: The record ends here.";
+          recorder.reset();
+        }
+        edge.take(std::move(*request), nowMs);
+      }
       if (auto* letter = std::get_if<neighbour::Letter>(&input)) {
         Reader r(letter->body);
         auto reply = r.get<neighbour::Reply>();
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -3,9 +3,12 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <filesystem>
+#include <fstream>
 
 #include "agent/feed.hpp"
 #include "caller/edge.hpp"
+#include "caller/record.hpp"
 #include "operator/configuration.hpp"
 #include "upstream/shield.hpp"
 
@@ -574,3 +577,30 @@
   // A slowdown that both revisions share is no verdict.
   CHECK(judge(sample(1000, 400, 5, 100), sample(300, 410, 2, 30), points, 4000, false).verdict == Verdict::kWiden);
 }
+
+TEST_CASE("A recorded day reads back; a broken line is named by its number; a record ends at its bound") {
+  auto name = (std::filesystem::temp_directory_path() / "dykestage-record-XXXXXX").string();
+  auto folder = std::string(::mkdtemp(name.data()));
+  auto path = folder + "/day.jsonl";
+  std::string reason;
+  {
+    Recorder record(path, 300);
+    CHECK(record.add({20, "POST", "shop.test", "/b?\"q\"", 5, true}));
+    CHECK(record.add({10, "GET", "shop.test", "/a", 0, false}));
+    auto count = 2;
+    while (record.add({30, "GET", "shop.test", "/c", 0, false})) ++count;
+    CHECK(count == 4);
+  }
+  CHECK(std::filesystem::file_size(path) <= 300);
+  auto day = readRecord(path, reason);
+  REQUIRE(day);
+  REQUIRE(day->size() == 4);
+  CHECK(day->at(0).target == "/a");
+  CHECK(day->at(1).target == "/b?\"q\"");
+  CHECK(day->at(1).bodyBytes == 5);
+  CHECK(day->at(1).hasKey);
+  std::ofstream(path, std::ios::app) << "{\"atMs\": 1, \"method\": \"GET\", \"host\": \"h\", \"target\": \"nowhere\"}\n";
+  CHECK_FALSE(readRecord(path, reason));
+  CHECK(reason == "line 5: target must start with /");
+  std::filesystem::remove_all(folder);
+}
