Registries stay quick with a replica gone; new shields serve unlimited services

Cause, core: with a replica down nothing is forgotten, and each look at stability went through all of the node's own promises, each tick through all that was executed. The promises that still wait for a commit are kept apart now, and forgetting runs each fifth promise period. Cause, disk: a frame that found no room stopped the registry although the ring had room; only a frame that must be has to succeed now. Cause, shields: a restarted shield turned everything away for the 2 s in which origins' rates are split anew; only services with a rate wait now.

--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -31,7 +31,7 @@
   for (const auto& write : writes) node_.replay(write);
   node_.replayed();
   taken_ = published_ = std::make_shared<Frame>(state_.frame());
-  if (frame.empty()) saveFrame();
+  if (frame.empty()) saveFrame(true);
   LOG(INFO) << "core: Slot " << props_.slot << ", life " << disk_.incarnation << (frame.empty() ? ", blank disk." : ", disk read.");
 }
 
@@ -39,9 +39,9 @@
 
 // ---- steps and the disk -------------------------------------------------------------------------------
 
-auto Registry::saveFrame() -> void {
+auto Registry::saveFrame(bool isNeeded) -> void {
   disk_.node = node_.isMember() || node_.epoch() > 0 ? node_.save() : std::string();
-  DiskJob job{nextJob_++, {}, Writer().put(disk_).take()};
+  DiskJob job{nextJob_++, {}, Writer().put(disk_).take(), isNeeded};
   lastJob_ = frameJob_ = job.number;
   out_.jobs.push_back(std::move(job));
 }
@@ -50,9 +50,9 @@
 auto Registry::collect(int64_t nowMs) -> void {
   auto made = node_.take();
   if (made.frameTaken) {
-    saveFrame();
+    saveFrame(true);
   } else if (!made.writes.empty()) {
-    DiskJob job{nextJob_++, std::move(made.writes), {}};
+    DiskJob job{nextJob_++, std::move(made.writes), {}, false};
     lastJob_ = job.number;
     out_.jobs.push_back(std::move(job));
   }
@@ -69,9 +69,10 @@
   step.answers = std::move(made.answers);
   if (state_.frame().revision != taken_->revision) taken_ = step.published = std::make_shared<Frame>(state_.frame());
   if (!step.letters.empty() || !step.answers.empty() || step.published) steps_.push_back(std::move(step));
-  if (wantsFrame_ && node_.isMember()) {
+  if (wantsFrame_ && node_.isMember() && nowMs - frameTriedMs_ > props_.boundMs / 2) {
     wantsFrame_ = false;
-    saveFrame();
+    frameTriedMs_ = nowMs;
+    saveFrame(false);
   }
   release(nowMs);
 }
@@ -393,7 +394,7 @@
     if (disk_.proposed == hello.proposed && hello.epoch == 0) {  // the formation ended elsewhere
       node_.form(disk_.proposed);
       disk_.isFormed = true;
-      saveFrame();
+      saveFrame(true);
       return;
     }
     tempo::Message ask;
@@ -411,7 +412,7 @@
       proposed[slot] = other.incarnation;
     }
     disk_.proposed = proposed;
-    saveFrame();
+    saveFrame(true);
     return;
   }
   for (const auto& [slot, other] : hellos_)
@@ -419,7 +420,7 @@
   LOG(INFO) << "core: The first members are formed.";
   node_.form(disk_.proposed);
   disk_.isFormed = true;
-  saveFrame();
+  saveFrame(true);
 }
 
 // ---- the watch duty -----------------------------------------------------------------------------------
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -23,6 +23,7 @@
   uint64_t number = 0;
   std::vector<std::string> writes;
   std::string frame;
+  bool mustHaveFrame = false;  // else the ring goes on without it as long as it has room
 };
 
 /// What a registry's disk holds besides the writes behind it.
@@ -124,7 +125,7 @@
   auto flushBatch(int64_t nowMs) -> void;
   auto collect(int64_t nowMs) -> void;
   auto release(int64_t nowMs) -> void;
-  auto saveFrame() -> void;
+  auto saveFrame(bool isNeeded) -> void;
   auto hello() -> void;
   auto onHello(const neighbour::Hello& hello, int64_t nowMs) -> void;
   auto onPoll(const std::string& from, neighbour::Poll poll, int64_t nowMs) -> void;
@@ -152,6 +153,7 @@
   uint64_t nextJob_ = 1, lastJob_ = 0, syncedJob_ = 0, frameJob_ = 0;
   std::deque<Step> steps_;
   bool wantsFrame_ = false;
+  int64_t frameTriedMs_ = -1'000'000;
   std::shared_ptr<const Frame> published_ = std::make_shared<Frame>();
   std::shared_ptr<const Frame> taken_ = published_;
   int64_t asOfMs_ = -1;
--- a/lib/tempo/tempo.cpp
+++ b/lib/tempo/tempo.cpp
@@ -141,7 +141,7 @@
 auto Node::propose(uint8_t part, const Id& id, Stamp least) -> Stamp {
   auto& p = parts_[part];
   auto stamp = std::max(least, p.clock + 1);
-  p.own[stamp] = id;  // attached; every other stamp passed over becomes detached
+  p.own[stamp] = p.open[stamp] = id;  // attached; every other stamp passed over becomes detached
   p.clock = stamp;
   return stamp;
 }
@@ -246,6 +246,7 @@
   e.final = highest;
   eachPart(e.command->parts, [&](uint8_t part) {
     bump(part, highest);
+    parts_[part].open.erase(e.shares[part].proposal);
     parts_[part].queue.insert({highest, id});
     for (auto& [slot, known] : parts_[part].known)
       std::erase_if(known.attached, [&](const auto& one) { return one.second == id; });
@@ -586,6 +587,8 @@
     }
   }
   execute();
+  if (nowMs - forgotMs_ < 5 * props_.promiseMs) return;
+  forgotMs_ = nowMs;
   forget();
 }
 
@@ -596,13 +599,8 @@
   std::vector<Stamp> highest;
   for (const auto& [slot, inc] : members_) {
     if (slot == slot_) {
-      Stamp own = p.clock;  // attached promises of one's own count once their command is committed
-      for (const auto& [stamp, id] : p.own) {
-        auto it = entries_.find(id);
-        if (isDone(id) || (it != entries_.end() && it->second.final)) continue;
-        own = stamp - 1;
-        break;
-      }
+      // Attached promises of one's own count once their command is committed.
+      auto own = p.open.empty() ? p.clock : p.open.begin()->first - 1;
       highest.push_back(own);
       continue;
     }
@@ -712,6 +710,18 @@
   }
   for (auto& p : parts_)
     std::erase_if(p.own, [&](const auto& one) { return !isDone(one.second) && !entries_.count(one.second); });
+  findOpen();
+}
+
+// Which of the node's own promises still wait for a commit, after a change of many entries.
+auto Node::findOpen() -> void {
+  for (auto& p : parts_) {
+    p.open.clear();
+    for (const auto& [stamp, id] : p.own) {
+      auto it = entries_.find(id);
+      if (!isDone(id) && (it == entries_.end() || !it->second.final)) p.open[stamp] = id;
+    }
+  }
 }
 
 // Executed commands are forgotten once every replica has executed them, or when too many are kept; whoever
@@ -815,6 +825,7 @@
 auto Node::replayed() -> void {
   isReplaying_ = false;
   out_ = {};
+  findOpen();
   execute();
   out_.answers.clear();
 }
@@ -922,6 +933,7 @@
     it = entries_.erase(it);
   }
   if (isNewEpoch) dropVoid();
+  findOpen();
   doneStamps_.clear();
   return true;
 }
--- a/lib/tempo/tempo.hpp
+++ b/lib/tempo/tempo.hpp
@@ -247,6 +247,7 @@
     std::pair<Stamp, Id> last;    // the last that ran; others of its stamp may still have to
     std::pair<Stamp, Id> floor;   // what is forgotten lies at or before this place
     std::map<Stamp, Id> own;  // attached promises given here and not forgotten
+    std::map<Stamp, Id> open; // those whose command is not committed here yet
     std::map<Slot, Known> known;
     std::map<Slot, Stamp> acked;  // own promises known at others
     std::set<std::pair<Stamp, Id>> queue;
@@ -281,6 +282,7 @@
   auto change(Stamp stamp, Slot slot, Incarnation incarnation) -> void;
   auto dropVoid() -> void;
   auto forget() -> void;
+  auto findOpen() -> void;
   auto note(const Id& id, const Entry& e, uint8_t part) -> void;
   auto noteCommand(const Command& command) -> void;
   auto send(Slot to, Message message) -> void { out_.sends.push_back({to, std::move(message)}); }
@@ -308,7 +310,7 @@
   std::map<Id, Entry> entries_;
   std::map<Incarnation, Ranges> done_;
   std::map<Id, Stamp> doneStamps_;
-  int64_t promisedMs_ = 0;
+  int64_t promisedMs_ = 0, forgotMs_ = 0;
   int64_t frameAskedMs_ = -1'000'000;
   bool isReplaying_ = false;
   Figures figures_;
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -45,9 +45,13 @@
 auto Shield::take(const std::string& from, Ask ask, int64_t nowMs) -> void {
   ++figures_.asks;
   auto id = ask.id;
-  if (!held_.isCurrent(nowMs, props_.staleMs) || !split_.isSettled(nowMs)) return refuse(from, id, kNotCurrent);
+  if (!held_.isCurrent(nowMs, props_.staleMs)) return refuse(from, id, kNotCurrent);
   if (isEmptying_) return refuse(from, id, kEmptying);
-  if (!held_.frame->services.count(ask.service)) return refuse(from, id, kNoService);
+  auto service = held_.frame->services.find(ask.service);
+  if (service == held_.frame->services.end()) return refuse(from, id, kNoService);
+  // Before the other shields have made room, a new one has no part in any origin's rate.
+  auto isLimited = service->second.originRate > 0 || std::any_of(service->second.next.begin(), service->second.next.end(), [](const auto& s) { return s.originRate > 0; });
+  if (isLimited && !split_.isSettled(nowMs)) return refuse(from, id, kNotCurrent);
   if (ask.remainingMs <= kLeastMs) return refuse(from, id, kDeadline);
   if (!ask.isExtra) budget(ask.service).asked(nowMs);
   Waiting w;
--- a/programs/registry.cpp
+++ b/programs/registry.cpp
@@ -102,9 +102,9 @@
       for (auto& job : list) {
         if (!job.writes.empty()) isWell = isWell && ring->append(job.writes);
         if (!job.frame.empty() && isWell && !ring->saveFrame(job.frame)) {
-          // Without room for a frame the ring goes on as long as it has room itself; a first frame, or one
-          // that replaced the state, must succeed.
-          isWell = false;
+          // On a full disk the ring, whose room is its own, goes on as long as it can.
+          LOG(ERROR) << "disk: " << ring->reason() << (job.mustHaveFrame ? "." : "; going on without a new frame.");
+          isWell = !job.mustHaveFrame;
         }
         last = job.number;
       }
