Policies in Lua per path, within limits; figures of commits and syncs

Cause: the users want small policies in an embedded language, in time. Tested: endless, greedy, failing and malformed scripts.

--- a/lib/caller/codes.cpp
+++ b/lib/caller/codes.cpp
@@ -35,6 +35,8 @@
     {kKeyReused, {422, "the Idempotency-Key belongs to another request", false}},
     {kEmptying, {503, "this process is about to stop", true}},
     {kBadRequest, {400, "the request is malformed", false}},
+    {kRefused, {403, "the path's policy refuses the request", false}},
+    {kPolicyFailed, {500, "the path's policy failed", false}},
     {kUpstreamLost, {503, "the upstream failed", true}},
 };
 }  // namespace
--- a/lib/caller/codes.hpp
+++ b/lib/caller/codes.hpp
@@ -30,6 +30,8 @@
   kKeyReused = 3014,      // the Idempotency-Key came with another request before
   kEmptying = 3015,       // this process is about to stop
   kBadRequest = 3016,
+  kRefused = 3018,        // the path's policy refuses the request
+  kPolicyFailed = 3019,   // the path's policy failed, and the path's own settings held; a header, not an answer
   kUpstreamLost = 3017,   // a read's upstream failed and no further try was allowed
 };
 
--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -61,7 +61,18 @@
   auto found = findPath(*held_.frame, header(request.headers, "host"), request.target);
   if (!found) return turnAway(kNoService);
   const auto& service = found->service;
-  const auto& path = found->path;
+  auto& path = found->path;
+  auto hasPolicyFailed = false;
+  if (!path.policy.empty()) {
+    auto ruling = rule(path.policy, request);
+    hasPolicyFailed = !ruling;
+    if (ruling && ruling->isRefused) {
+      ++figures_.refused;
+      out_.answers.push_back({request.stream, request.method, request.keep, codeAnswer(kRefused, 0)});
+      return;
+    }
+    if (ruling && ruling->keepMs) path.keepMs = std::min(path.keepMs, *ruling->keepMs);
+  }
   Waiting w;
   w.service = service;
   w.path = path;
@@ -69,6 +80,7 @@
   w.untilMs = nowMs + found->deadlineMs;
   w.rollout = found->rollout;
   w.isNext = found->isNext;
+  w.hasPolicyFailed = hasPolicyFailed;
   w.isWrite = isWrite(request.method);
   w.isShared = path.kind == core::UpstreamKind::kStore && path.keepMs > 0 && policy::isShareable(request.method, request.headers);
   if (w.isShared) {
@@ -77,6 +89,7 @@
       ++figures_.hits;
       Answer answer{copy->status, copy->headers, copy->body};
       answer.headers.emplace_back("Age", std::to_string((nowMs - copy->bornMs) / 1000));
+      if (hasPolicyFailed) answer.headers.emplace_back("Dykestage-Policy", std::to_string(kPolicyFailed));
       measure(found->rollout, found->isNext, 0, answer.status, false, 0);
       out_.answers.push_back({request.stream, request.method, request.keep, std::move(answer)});
       return;
@@ -198,6 +211,7 @@
   held_ = held;
   if (!isNew) return;
   cache_.purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor);
+  scripts_.clear();
   std::set<std::string> running;
   for (const auto& [name, service] : held_.frame->services) running.insert(service.rollout);
   std::erase_if(samples_, [&](const auto& one) { return !running.count(one.first); });
@@ -279,7 +293,21 @@
   (isNext ? next : old).add(tookMs, status >= 500, isFetched, load);
 }
 
+// A policy that fails, or that does not end, leaves the path's own settings in force.
+auto Edge::rule(const std::string& text, const Request& request) -> std::optional<policy::Ruling> {
+  std::string reason;
+  auto it = scripts_.find(text);
+  if (it == scripts_.end()) it = scripts_.emplace(text, policy::Script::compile(text, reason)).first;
+  auto ruling = it->second ? it->second->run(request.method, header(request.headers, "host"), request.target, reason) : std::nullopt;
+  if (!ruling) {
+    ++figures_.policyFailures;
+    if (it->second) scripts_.erase(it);  // what it left behind goes too
+  }
+  return ruling;
+}
+
 auto Edge::answer(Waiting& w, Answer answer, int64_t nowMs) -> void {
+  if (w.hasPolicyFailed) answer.headers.emplace_back("Dykestage-Policy", std::to_string(kPolicyFailed));
   measure(w.rollout, w.isNext, nowMs - w.startMs, answer.status, w.isFetched, w.load);
   out_.answers.push_back({w.request.stream, w.request.method, w.request.keep, std::move(answer)});
 }
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -12,6 +12,7 @@
 #include "core/state.hpp"
 #include "neighbour/messages.hpp"
 #include "policy/cache.hpp"
+#include "policy/script.hpp"
 #include "policy/slab.hpp"
 
 namespace dykestage::caller {
@@ -51,7 +52,7 @@
     std::vector<Asked> asks;
   };
   struct Figures {
-    uint64_t requests = 0, hits = 0, joins = 0, asks = 0, extras = 0, turnedAway = 0, unknown = 0;
+    uint64_t requests = 0, hits = 0, joins = 0, asks = 0, extras = 0, turnedAway = 0, unknown = 0, refused = 0, policyFailures = 0;
   };
 
   explicit Edge(Props props) : props_(std::move(props)), waiting_(props_.requests), cache_(props_.cacheBytes) {}
@@ -93,9 +94,10 @@
     std::string joinKey;
     std::vector<uint64_t> followers;
     std::string rollout;
-    bool isNext = false, isFetched = false;
+    bool isNext = false, isFetched = false, hasPolicyFailed = false;
     double load = 0;
   };
+  auto rule(const std::string& policy, const Request& request) -> std::optional<policy::Ruling>;
   auto measure(const std::string& rollout, bool isNext, int64_t tookMs, int status, bool isFetched, double load) -> void;
   auto ask(uint64_t id, bool isExtra, int64_t nowMs) -> void;
   auto giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void;
@@ -111,6 +113,7 @@
   std::map<std::string, uint64_t> joins_;
   std::map<std::string, policy::TryBudget> budgets_;
   neighbour::Samples samples_;
+  std::map<std::string, std::optional<policy::Script>> scripts_;  // by text; none: it does not compile here
   struct Owing {  // a shield that has been asked and has not replied since
     int64_t sinceMs = 0, lastAskedMs = 0;
   };
--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -16,6 +16,20 @@
 using neighbour::Poll;
 
 namespace {
+constexpr size_t kFiguresKept = 512;
+
+auto keep(std::deque<int64_t>& list, int64_t value) -> void {
+  list.push_back(value);
+  if (list.size() > kFiguresKept) list.pop_front();
+}
+
+auto quantile(const std::deque<int64_t>& list, size_t permille) -> double {
+  if (list.empty()) return 0;
+  std::vector<int64_t> sorted(list.begin(), list.end());
+  std::sort(sorted.begin(), sorted.end());
+  return static_cast<double>(sorted[std::min(sorted.size() - 1, sorted.size() * permille / 1000)]);
+}
+
 auto diskFrame(const std::string& bytes, uint64_t fresh) -> DiskFrame {
   if (bytes.empty()) return DiskFrame{fresh, {}, false, {}};
   return Reader(bytes).get<DiskFrame>();
@@ -77,7 +91,11 @@
   release(nowMs);
 }
 
-auto Registry::synced(uint64_t number, double fill, int64_t nowMs) -> void {
+auto Registry::synced(uint64_t number, double fill, int64_t tookUs, int64_t nowMs) -> void {
+  if (number > 0) {
+    ++syncs_;
+    keep(syncsUs_, tookUs);
+  }
   syncedJob_ = std::max(syncedJob_, number);
   if (fill > 0.5 && (number == 0 || number >= frameJob_)) wantsFrame_ = true;
   release(nowMs);
@@ -94,6 +112,7 @@
       if (it == running_.end()) continue;
       auto pending = std::move(it->second);
       running_.erase(it);
+      keep(commitsMs_, nowMs - runningSinceMs_.at(answer.id));
       runningSinceMs_.erase(answer.id);
       if (answer.isVoid) {  // surely did not run: it is submitted again in the new epoch
         for (auto& one : pending) submit(std::move(one.op), std::move(one.done));
@@ -625,6 +644,11 @@
   number("framesTaken", static_cast<double>(f.frames));
   number("pending", static_cast<double>(f.pending));
   number("unsynced", static_cast<double>(lastJob_ - syncedJob_));
+  number("commitP50Ms", quantile(commitsMs_, 500));
+  number("commitP99Ms", quantile(commitsMs_, 990));
+  number("syncs", static_cast<double>(syncs_));
+  number("syncP50Us", quantile(syncsUs_, 500));
+  number("syncP99Us", quantile(syncsUs_, 990));
   number("signOffs", static_cast<double>(signOffs_));
   number("conflicts", static_cast<double>(conflicts_));
   number("acknowledged", static_cast<double>(acked_));
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -76,8 +76,8 @@
   auto take(const std::string& from, uint8_t kind, const std::string& body, int64_t nowMs) -> void;
   /// Takes an operator's or upstream's request. Example: `registry.take(request, nowMs);`
   auto take(const caller::Request& request, int64_t nowMs) -> void;
-  /// A disk job has been synced. Example: `registry.synced(job.number, ring.fill(), nowMs);`
-  auto synced(uint64_t number, double fill, int64_t nowMs) -> void;
+  /// A disk job has been synced. Example: `registry.synced(job.number, ring.fill(), tookUs, nowMs);`
+  auto synced(uint64_t number, double fill, int64_t tookUs, int64_t nowMs) -> void;
   auto tick(int64_t nowMs) -> void;
   auto output() -> Output { return std::exchange(out_, {}); }
   /// Ready to serve operators, upstreams and agents. Example: `registry.isReady(nowMs)`
@@ -175,6 +175,8 @@
   std::map<uint32_t, int64_t> strangers_;  // slot → since when an unseated life says hello
   int64_t helloMs_ = 0, haveMs_ = 0, seatMs_ = 0, claimMs_ = 0, watchSinceMs_ = -1, watchedMs_ = 0;
   uint64_t changeNumber_ = 0;
+  std::deque<int64_t> commitsMs_, syncsUs_;  // the last few, for the status page
+  uint64_t syncs_ = 0;
   uint64_t signOffs_ = 0, conflicts_ = 0, acked_ = 0;
 };
 
--- a/lib/core/state.cpp
+++ b/lib/core/state.cpp
@@ -201,7 +201,7 @@
   };
   Service service;
   service.hosts = tenant.hosts;
-  for (const auto& path : shape.paths) service.paths.push_back({path.prefix, path.kind, number(path.keepMs)});
+  for (const auto& path : shape.paths) service.paths.push_back({path.prefix, path.kind, number(path.keepMs), path.policy});
   service.deadlineMs = number(shape.deadlineMs);
   service.originRate = number(shape.originRate);
   service.triesPercent = number(shape.triesPercent);
--- a/lib/core/state.hpp
+++ b/lib/core/state.hpp
@@ -18,7 +18,8 @@
   std::string prefix;
   UpstreamKind kind = UpstreamKind::kApplication;
   int64_t keepMs = 0;  // how long a read may be kept; 0: not at all
-  DYKESTAGE_FIELDS(prefix, kind, keepMs)
+  std::string policy;  // a script in Lua that may refuse a request or shorten its keep time; empty: none
+  DYKESTAGE_FIELDS(prefix, kind, keepMs, policy)
 };
 
 /// A configured service.
@@ -53,7 +54,8 @@
   std::string prefix;
   UpstreamKind kind = UpstreamKind::kApplication;
   Value keepMs;
-  DYKESTAGE_FIELDS(prefix, kind, keepMs)
+  std::string policy;
+  DYKESTAGE_FIELDS(prefix, kind, keepMs, policy)
 };
 
 /// A tenant template at one revision: the shape of a service, its parameters, and how its rollout is judged.
--- a/lib/operator/configuration.cpp
+++ b/lib/operator/configuration.cpp
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <set>
 
+#include "policy/script.hpp"
+
 namespace dykestage::op {
 
 using core::Path;
@@ -121,6 +123,12 @@
   });
 }
 
+// A path's policy is compiled when it is configured; what does not compile is a fault.
+auto readPolicy(Fields& f, std::string& policy) -> void {
+  std::string reason;
+  if (f.text("policy", policy) && !policy.empty() && !policy::Script::compile(policy, reason)) f.fault("policy", reason);
+}
+
 auto readService(const cJSON* json, const std::string& place, std::vector<Fault>& faults) -> Service {
   Service service;
   Fields f(json, place, faults);
@@ -146,6 +154,7 @@
       path.kind = kind == "store" ? core::UpstreamKind::kStore : core::UpstreamKind::kApplication;
       if (p.integer("keepMs", 0, 86400000, path.keepMs) && path.keepMs > 0 && kind == "application")
         p.fault("keepMs", "only what comes from a store may be kept");
+      readPolicy(p, path.policy);
       p.close();
       service.paths.push_back(path);
     }
@@ -337,6 +346,7 @@
     path.kind = kind == "store" ? core::UpstreamKind::kStore : core::UpstreamKind::kApplication;
     readValue(p, "keepMs", at, 0, 86400000, shape, faults, path.keepMs);
     if (kind == "application" && (path.keepMs.number > 0 || !path.keepMs.parameter.empty())) p.fault("keepMs", "only what comes from a store may be kept");
+    readPolicy(p, path.policy);
     p.close();
     shape.paths.push_back(path);
   }
@@ -520,6 +530,7 @@
       cJSON_AddStringToObject(p, "prefix", path.prefix.c_str());
       cJSON_AddStringToObject(p, "kind", path.kind == core::UpstreamKind::kStore ? "store" : "application");
       addValue(p, "keepMs", path.keepMs);
+      if (!path.policy.empty()) cJSON_AddStringToObject(p, "policy", path.policy.c_str());
       cJSON_AddItemToArray(paths, p);
     }
   }
@@ -550,6 +561,7 @@
       cJSON_AddStringToObject(p, "prefix", path.prefix.c_str());
       cJSON_AddStringToObject(p, "kind", path.kind == core::UpstreamKind::kStore ? "store" : "application");
       if (path.keepMs) cJSON_AddNumberToObject(p, "keepMs", static_cast<double>(path.keepMs));
+      if (!path.policy.empty()) cJSON_AddStringToObject(p, "policy", path.policy.c_str());
       cJSON_AddItemToArray(paths, p);
     }
     cJSON_AddNumberToObject(s, "deadlineMs", static_cast<double>(service.deadlineMs));
--- a/programs/edge.cpp
+++ b/programs/edge.cpp
@@ -37,6 +37,8 @@
   number("extras", f.extras);
   number("turnedAway", f.turnedAway);
   number("unknown", f.unknown);
+  number("refused", f.refused);
+  number("policyFailures", f.policyFailures);
   number("open", edge.open());
   number("cacheBytes", edge.cache().bytes());
   number("cacheCopies", edge.cache().size());
--- a/programs/registry.cpp
+++ b/programs/registry.cpp
@@ -2,6 +2,7 @@
 #include <glog/logging.h>
 #include <poll.h>
 
+#include <chrono>
 #include <thread>
 #include <variant>
 
@@ -18,8 +19,13 @@
 struct Synced {
   uint64_t number;
   double fill;
+  int64_t tookUs;
 };
 using Input = std::variant<neighbour::Letter, caller::Request, Synced>;
+
+auto steadyUs() -> int64_t {
+  return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
@@ -86,7 +92,7 @@
   for (const auto& [other, address] : props.addresses)
     if (other != props.slot) post->warm(address);
   core::Registry registry(props, found.frame, found.writes, agent::freshIncarnation());
-  registry.synced(0, ring->fill(), neighbour::steadyMs());
+  registry.synced(0, ring->fill(), 0, neighbour::steadyMs());
 
   // The disk has a thread of its own: a stalled disk holds back what rests on it, and nothing else.
   std::atomic<bool> isBroken{false}, isOver{false};
@@ -98,6 +104,7 @@
       if (list.empty()) continue;
       // Group commit: everything that waits is synced at once.
       uint64_t last = 0;
+      auto startUs = steadyUs();
       auto isWell = true;
       for (auto& job : list) {
         if (!job.writes.empty()) isWell = isWell && ring->append(job.writes);
@@ -114,7 +121,7 @@
         isBroken = true;
         return;
       }
-      inbox.push(Synced{last, ring->fill()});
+      inbox.push(Synced{last, ring->fill(), steadyUs() - startUs});
     }
   });
 
@@ -140,7 +147,7 @@
         registry.take(letter->from, letter->kind, letter->body, nowMs);
       }
       if (auto* request = std::get_if<caller::Request>(&input)) registry.take(*request, nowMs);
-      if (auto* synced = std::get_if<Synced>(&input)) registry.synced(synced->number, synced->fill, nowMs);
+      if (auto* synced = std::get_if<Synced>(&input)) registry.synced(synced->number, synced->fill, synced->tookUs, nowMs);
     }
     registry.tick(nowMs);
     auto out = registry.output();
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -20,7 +20,7 @@
   auto frame = std::make_shared<core::Frame>();
   core::Service shop;
   shop.hosts = {"shop.test"};
-  shop.paths = {{"/", core::UpstreamKind::kStore, 5000}, {"/api/", core::UpstreamKind::kApplication, 0}};
+  shop.paths = {{"/", core::UpstreamKind::kStore, 5000, ""}, {"/api/", core::UpstreamKind::kApplication, 0, ""}};
   frame->services["shop"] = shop;
   frame->upstreams["s1"] = {"shop", "127.0.0.1:1", "north", core::UpstreamKind::kStore, 1, false, false};
   frame->upstreams["s2"] = {"shop", "127.0.0.1:2", "north", core::UpstreamKind::kStore, 1, false, false};
@@ -604,3 +604,48 @@
   CHECK(reason == "line 5: target must start with /");
   std::filesystem::remove_all(folder);
 }
+
+TEST_CASE("Policies rule within their limits, and a failing one changes nothing") {
+  using policy::Script;
+  std::string reason;
+  auto run = [&](const std::string& text) {
+    auto script = Script::compile(text, reason);
+    INFO(reason);
+    REQUIRE(script);
+    // Again and again: nothing of a failure may stay behind.
+    for (auto i = 0; i < 3; ++i) script->run("GET", "h", "/draft/a", reason);
+    return script->run("GET", "h", "/draft/a", reason);
+  };
+  CHECK(run("function decide(r) if starts(r.target, '/draft/') then return {refuse = true} end end")->isRefused);
+  CHECK(run("function decide(r) if has(r.target, 'live') then return {keepMs = 1} end end")->keepMs == std::nullopt);
+  CHECK(run("function decide(r) return {keepMs = #r.method} end")->keepMs == 3);
+  CHECK_FALSE(run("function decide(r) while true do end end"));
+  CHECK(reason.find("too long") != std::string::npos);
+  CHECK_FALSE(run("function decide(r) local t = {} for i = 1, 100000000 do t[i] = r.target .. i end end"));
+  CHECK_FALSE(run("function decide(r) return nothing.at.all end"));
+  CHECK_FALSE(run("function decide(r) return 7 end"));
+  CHECK_FALSE(run("function decide(r) return {keepMs = -1} end"));
+  CHECK_FALSE(run("function decide(r) return setmetatable({}, {__index = function() while true do end end}) end"));
+  for (auto text : {"function decide(", "x = 1", "while true do end", "os.exit(1)", "function decide(r) end require('os')", "("})
+    CHECK_FALSE(Script::compile(text, reason));
+  CHECK_FALSE(run("function decide(r) return {refuse = string.find(r.target, 'a')} end"));
+  CHECK_FALSE(Script::compile("\x1bLua", reason));
+
+  auto frame = frameOf();
+  frame->services["shop"].paths[0].policy = "function decide(r) if r.target == '/no' then return {refuse = true} end if r.target == '/bad' then error('x') end end";
+  auto edge = edgeAt(1000, frame);
+  edge.take(request("GET", "/no"), 1000);
+  CHECK(edge.output().answers.at(0).answer.status == 403);
+  edge.take(request("GET", "/bad"), 1000);
+  auto out = edge.output();
+  REQUIRE(out.asks.size() == 1);
+  edge.takeReply("sh1", whole(out.asks[0].ask, "body"), 1010);
+  out = edge.output();
+  CHECK(out.answers.at(0).answer.status == 200);
+  CHECK(header(out.answers.at(0).answer.headers, "dykestage-policy") == "3019");
+
+  std::vector<op::Fault> faults;
+  op::readConfiguration(R"({"services": {"a": {"hosts": ["h"], "paths": [{"prefix": "/", "kind": "store", "policy": "function"}]}}})", {}, faults);
+  REQUIRE(faults.size() == 1);
+  CHECK(faults[0].place == "services.a.paths[0].policy");
+}
