Acknowledgements: what a node has in force is told at once, and never taken for older

Cause: registries told each other every 50 ms what their pollers have in force, so that an acknowledgement took 50 ms. Told at once, half of them took 210 ms: ages wander by a millisecond on the way, and news of the same life that seemed a millisecond older was dropped until the node asked again. Ruled out: the core's commits (p50 3 to 7 ms throughout), the proxies (all had the purge within 50 ms). Change: news is sent with the next batch; of one life the revision that covers the other counts. Conclusion: the age of news is for silence, not for order.

--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -312,7 +312,9 @@
 // ---- agents -------------------------------------------------------------------------------------------
 
 auto Registry::onPoll(const std::string& from, Poll poll, int64_t nowMs) -> void {
-  heard_[poll.name] = {poll.member.incarnation, poll.revision, nowMs, poll.probes, poll.samples, true};
+  auto& heard = heard_[poll.name];
+  hasNewsOfMembers_ = hasNewsOfMembers_ || !(heard.revision == poll.revision);
+  heard = {poll.member.incarnation, poll.revision, nowMs, poll.probes, poll.samples, true};
   checkAcks(nowMs);
   auto it = published_->members.find(poll.name);
   auto isMember = it != published_->members.end() && it->second == poll.member;
@@ -354,8 +356,14 @@
     for (const auto& [name, told] : have.members) {
       auto& heard = heard_[name];
       auto heardMs = nowMs - told.second.second;
-      if (heardMs <= heard.heardMs && heard.incarnation == told.first) continue;
-      heard = {told.first, told.second.first, heardMs, heard.probes, heard.samples, false};
+      const auto& revision = told.second.first;
+      if (heard.incarnation == told.first) {
+        // Ages wander by a millisecond on the way; what one life has in force only grows.
+        if (revision.covers(heard.revision)) heard.revision = revision;
+        heard.heardMs = std::max(heard.heardMs, heardMs);
+      } else if (heardMs > heard.heardMs) {
+        heard = {told.first, revision, heardMs, heard.probes, heard.samples, false};
+      }
     }
     for (const auto& [name, age] : have.beats) beats_[name] = std::max(beats_[name], nowMs - age);
     for (const auto& [name, told] : have.probes) heard_[name].probes = told;
@@ -584,8 +592,10 @@
       });
     }
     if (isReady(nowMs)) watch(nowMs);
-    if (nowMs - haveMs_ >= props_.boundMs / 40) {
+    // What nodes have in force is what acknowledgements wait for: news of it is told at once.
+    if (nowMs - haveMs_ >= props_.boundMs / 40 || (hasNewsOfMembers_ && nowMs - haveMs_ >= props_.batchMs)) {
       haveMs_ = nowMs;
+      hasNewsOfMembers_ = false;
       Have have;
       for (const auto& [name, heard] : heard_)
         if (nowMs - heard.heardMs < props_.boundMs) {
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -174,6 +174,7 @@
   std::map<uint32_t, neighbour::Hello> hellos_;
   std::map<uint32_t, int64_t> strangers_;  // slot → since when an unseated life says hello
   int64_t helloMs_ = 0, haveMs_ = 0, seatMs_ = 0, claimMs_ = 0, watchSinceMs_ = -1, watchedMs_ = 0;
+  bool hasNewsOfMembers_ = false;
   uint64_t changeNumber_ = 0;
   std::deque<int64_t> commitsMs_, syncsUs_;  // the last few, for the status page
   uint64_t syncs_ = 0;
