--- a/lib/sim/load.cpp
+++ b/lib/sim/load.cpp
@@ -163,7 +163,7 @@
       auto slice = static_cast<size_t>(open.atMs / 100);
       if (report.slices.size() <= slice) report.slices.resize(slice + 1);
       ++report.slices[slice].first;
-      auto end = End::kOther;
+      auto end = End::kUnknown;
       if (f.fault != upstream::Fault::kNone) {
         ++count.unreached;
         end = End::kUnknown;
@@ -199,18 +199,21 @@
   }
   for (const auto& [id, open] : open_)
     if (props_.kinds[open.kind].method != "GET") writes_[open.id] = End::kUnknown;
-  compare(report);
+  std::vector<std::string> accounts;
+  for (const auto& [origin, file] : props_.accounts) accounts.push_back(op::readFile(file).value_or(""));
+  judgeAccounts(report, writes_, accounts, props_.agreedRates);
   return report;
 }
 
-auto Load::compare(Report& report) -> void {
+auto judgeAccounts(Report& report, const std::map<std::string, End>& writes, const std::vector<std::string>& accounts,
+                   const std::map<std::string, int64_t>& agreedRates) -> void {
   std::map<std::string, int> ran;
   struct Times {
     std::vector<int64_t> all, extra;
   };
   std::map<std::string, Times> services;
-  for (const auto& [origin, file] : props_.accounts) {
-    std::istringstream lines(op::readFile(file).value_or(""));
+  for (const auto& account : accounts) {
+    std::istringstream lines(account);
     int64_t atMs = 0;
     std::string service, method, target, id, what;
     while (lines >> atMs >> service >> method >> target >> id >> what) {
@@ -219,8 +222,8 @@
       if (what == "extra") services[service].extra.push_back(atMs);
     }
   }
-  report.writes = writes_.size();
-  for (const auto& [id, end] : writes_) {
+  report.writes = writes.size();
+  for (const auto& [id, end] : writes) {
     auto it = ran.find(id);
     auto times = it == ran.end() ? 0 : it->second;
     report.ran += times > 0;
@@ -239,8 +242,8 @@
         judge(at, window.size());
       }
     };
-    auto agreed = props_.agreedRates.find(service);
-    if (agreed != props_.agreedRates.end())
+    auto agreed = agreedRates.find(service);
+    if (agreed != agreedRates.end())
       most(times.all, 5000, [&](int64_t, size_t n) {
         report.worstRate = std::max(report.worstRate, static_cast<double>(n) / (5.0 * static_cast<double>(agreed->second)));
       });
@@ -258,7 +261,7 @@
   for (const auto& [name, count] : report.kinds) wrong += count.wrong, bare += count.withoutRetryAfter;
   never(report.ranTwice, "writes ran twice");
   never(report.busyButRan, "writes were called busy and ran");
-  never(props_.accounts.empty() ? 0 : report.wellButNotRan, "writes were answered and are in no account");
+  never(accounts.empty() ? 0 : report.wellButNotRan, "writes were answered and are in no account");
   never(wrong, "answers were not whole, or somebody else's");
   never(bare, "refusals had no Retry-After");
   if (report.worstRate > 1.1) report.faults.push_back("an origin got " + std::to_string(report.worstRate) + " of its agreed rate over 5 s");
--- a/lib/sim/load.hpp
+++ b/lib/sim/load.hpp
@@ -48,6 +48,14 @@
   auto text() const -> std::string;
 };
 
+/// How a write ended for its caller.
+enum class End { kWell, kBusy, kUnknown };
+
+/// Judges a report by origins' accounts (one line a request: when, service, method, target, id, first or extra).
+/// Example: `judgeAccounts(report, {{"w1", End::kBusy}}, {text}, {{"shop", 200}});`
+auto judgeAccounts(Report& report, const std::map<std::string, End>& writes, const std::vector<std::string>& accounts,
+                   const std::map<std::string, int64_t>& agreedRates) -> void;
+
 class Load {
  public:
   struct Props {
@@ -75,7 +83,6 @@
     int tries;
   };
   auto ask(Open open) -> void;
-  auto compare(Report& report) -> void;
   Props props_;
   std::mt19937_64 random_;
   upstream::Fetcher fetcher_;
@@ -87,7 +94,6 @@
   std::map<std::string, bool> ready_;
   int64_t readyMs_ = 0;
   uint64_t nextId_ = 1;
-  enum class End { kWell, kBusy, kUnknown, kOther };
   std::map<std::string, End> writes_;
 };
 
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -10,6 +10,8 @@
 #include "caller/edge.hpp"
 #include "caller/record.hpp"
 #include "operator/configuration.hpp"
+#include "sim/load.hpp"
+#include "sim/standin.hpp"
 #include "upstream/shield.hpp"
 
 using namespace dykestage;
@@ -649,3 +651,36 @@
   REQUIRE(faults.size() == 1);
   CHECK(faults[0].place == "services.a.paths[0].policy");
 }
+
+TEST_CASE("The judge of the accounts bites") {
+  using sim::End;
+  auto faults = [](const std::map<std::string, End>& writes, const std::string& account, int64_t rate = 0) {
+    sim::Report report;
+    std::map<std::string, int64_t> rates;
+    if (rate) rates["shop"] = rate;
+    judgeAccounts(report, writes, {account}, rates);
+    return report.faults.size();
+  };
+  auto ran = [](int64_t atMs, const std::string& id, const char* what = "first") {
+    return std::to_string(atMs) + " shop POST /buy " + id + " " + what + "\n";
+  };
+  CHECK(faults({{"w1", End::kWell}, {"w2", End::kBusy}, {"w3", End::kUnknown}, {"w4", End::kUnknown}}, ran(1, "w1") + ran(2, "w3")) == 0);
+  CHECK(faults({{"w1", End::kWell}}, ran(1, "w1") + ran(900, "w1")) == 1);
+  CHECK(faults({{"w1", End::kBusy}}, ran(1, "w1")) == 1);
+  CHECK(faults({{"w1", End::kWell}}, ran(1, "w2")) == 1);
+  std::string even, burst, tries;
+  for (auto i = 0; i < 1000; ++i) even += ran(i * 10, "-");                       // 100 a second
+  for (auto i = 0; i < 600; ++i) burst += ran(i < 300 ? i * 10 : 3000 + i, "-");  // 300 more within 0.3 s
+  CHECK(faults({}, even, 100) == 0);
+  CHECK(faults({}, burst, 100) == 1);
+  CHECK(faults({}, even, 80) == 1);
+  for (auto i = 0; i < 100; ++i) tries += ran(i * 100, "-") + (i % 2 ? ran(i * 100 + 1, "-", "extra") : "");
+  CHECK(faults({}, tries) == 1);
+  auto body = sim::provenBody("shop", "/a", "r1", 300);
+  CHECK(sim::isProven(body, "shop", "/a", "r1"));
+  CHECK(sim::isProven(body, "shop", "/a", ""));
+  CHECK_FALSE(sim::isProven(body, "shop", "/a", "r2"));
+  CHECK_FALSE(sim::isProven(body, "till", "/a", ""));
+  CHECK_FALSE(sim::isProven(body.substr(0, body.size() - 1), "shop", "/a", ""));
+  CHECK_FALSE(sim::isProven(body.substr(0, 200), "shop", "/a", ""));
+}
