The whole system in virtual time; agents leave givers that are not fresh themselves

An agent that had turned to a neighbour stayed with it although that was as stale as itself, and came back to registries only after 8 s. Ruled out: the core (current throughout), signing off and joining again (300 ms at most). Change: an agent moves on from a giver whose knowledge leaves it old; one that follows a neighbour tries one registry every 2 s, and goes back to the neighbour if that fails.

--- a/lib/agent/feed.cpp
+++ b/lib/agent/feed.cpp
@@ -32,7 +32,7 @@
   return given;
 }
 
-auto Follower::tick(const std::vector<std::string>& targets, const Told& told, int64_t nowMs) -> std::optional<std::pair<std::string, Poll>> {
+auto Follower::tick(const std::vector<std::string>& targets, size_t preferred, const Told& told, int64_t nowMs) -> std::optional<std::pair<std::string, Poll>> {
   if (targets.empty() || nowMs < waitUntilMs_) return std::nullopt;
   // What is in force has changed: that is told at once, by a question that takes the place of the open one.
   auto hasToTell = isAsking_ && !(told.revision == inForce_);
@@ -41,16 +41,25 @@
     mustMove_ = true;  // no answer
   }
   auto at = std::find(targets.begin(), targets.end(), target_);
+  auto isKnown = [&](const std::string& target) { return std::find(targets.begin(), targets.end(), target) != targets.end(); };
   if (at == targets.end()) {
-    at = targets.begin();
+    target_ = targets.front();
+  } else if (mustMove_ && !neighbour_.empty() && isKnown(neighbour_)) {
+    target_ = neighbour_;
   } else if (mustMove_) {
-    if (++at == targets.end()) at = targets.begin();
-  } else if (at != targets.begin() && nowMs - firstMs_ > 20 * answerMs_) {
-    at = targets.begin();  // whoever had to move on tries the first again after a while
+    target_ = ++at == targets.end() ? targets.front() : *at;
+  }
+  if (mustMove_) neighbour_.clear();
+  auto place = static_cast<size_t>(std::find(targets.begin(), targets.end(), target_) - targets.begin());
+  if (place < preferred) {
+    preferredMs_ = nowMs;
+  } else if (nowMs - preferredMs_ > 5 * answerMs_ && preferred > 0) {
+    // Registries hear from this node only when it asks them.
+    preferredMs_ = nowMs;
+    neighbour_ = target_;
+    target_ = targets[nextPreferred_++ % preferred];
   }
-  if (at == targets.begin()) firstMs_ = nowMs;
   mustMove_ = false;
-  target_ = *at;
   isAsking_ = true;
   inForce_ = told.revision;
   askedMs_ = nowMs;
@@ -74,7 +83,6 @@
 auto Follower::take(const Feed& feed, int64_t nowMs) -> bool {
   if (!isAsking_ || feed.nonce != nonce_) return false;
   isAsking_ = false;
-  (void)nowMs;
   if (!feed.isMember) {
     mustMove_ = true;  // perhaps another one knows of this node already
     return false;
@@ -91,6 +99,11 @@
   }
   // The giver's age, and all of the way there and back that was not spent waiting at the giver.
   held_.asOfMs = std::max(held_.asOfMs, askedMs_ + feed.heldMs - feed.ageMs);
+  // A giver that is not fresh itself (a neighbour cut off as well) is no one to stay with.
+  if (nowMs - held_.asOfMs > 2 * answerMs_)
+    mustMove_ = true;
+  else
+    neighbour_.clear();
   return true;
 }
 
--- a/lib/agent/feed.hpp
+++ b/lib/agent/feed.hpp
@@ -50,8 +50,10 @@
   Follower(std::string name, int64_t answerMs) : name_(std::move(name)), answerMs_(answerMs) {}
   /// Who asks: a new incarnation is a new node. Example: `follower.be(member);`
   auto be(const core::Member& member) -> void { member_ = member; }
-  /// The next question, when one is due. Example: `follower.tick(targets, told, nowMs)`
-  auto tick(const std::vector<std::string>& targets, const Told& told, int64_t nowMs)
+  /// The next question, when one is due. Givers are asked until one fails or knows nothing fresh; the first
+  /// `preferred` of them (registries) come before the others (neighbours), and whoever follows a neighbour tries
+  /// one registry now and then. Example: `follower.tick(targets, seeds.size(), told, nowMs)`
+  auto tick(const std::vector<std::string>& targets, size_t preferred, const Told& told, int64_t nowMs)
       -> std::optional<std::pair<std::string, neighbour::Poll>>;
   /// The question can't have reached its target, or the target is gone: the next one is asked soon.
   /// Example: `if (!post->send(...)) follower.lost(nowMs);`
@@ -71,8 +73,10 @@
   bool isAsking_ = false;
   bool mustMove_ = false;
   core::Revision inForce_;
-  int64_t askedMs_ = 0, firstMs_ = 0, waitUntilMs_ = 0;
+  int64_t askedMs_ = 0, preferredMs_ = 0, waitUntilMs_ = 0;
+  size_t nextPreferred_ = 0;
   std::string target_;
+  std::string neighbour_;  // to go back to when the registry that was tried fails
 };
 
 }  // namespace dykestage::agent
--- a/lib/agent/link.cpp
+++ b/lib/agent/link.cpp
@@ -39,7 +39,7 @@
       auto feed = r.get<neighbour::Feed>();
       if (letter.kind == neighbour::kFeed && r.done() && follower.take(feed, nowMs)) take_(follower.held());
     }
-    auto poll = follower.tick({props_.agent}, told, nowMs);
+    auto poll = follower.tick({props_.agent}, 1, told, nowMs);
     if (poll ? !post->send(poll->first, neighbour::kPoll, Writer().put(poll->second).take())
              : follower.isAsking() && !post->isUp(props_.agent))
       follower.lost(nowMs);
--- /dev/null
+++ b/lib/sim/system_sim.cpp
@@ -0,0 +1,638 @@
+#include "sim/system_sim.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+#include "caller/codes.hpp"
+#include "neighbour/post.hpp"
+
+namespace dykestage::sim {
+
+namespace {
+constexpr int64_t kBoundMs = 2000;
+constexpr int64_t kRate = 60;  // the store's agreed rate
+
+// The machine of an address such as "agent:edge-1".
+auto machineOf(const std::string& address) -> std::string { return address.substr(address.find(':') + 1); }
+
+auto pack(const auto& value) -> std::string { return Writer().put(value).take(); }
+}  // namespace
+
+struct SystemSim::Core {
+  std::string name;
+  tempo::Slot slot = 0;
+  uint64_t life = 0;
+  bool isUp = false;
+  int64_t frozenUntilMs = 0, stalledUntilMs = 0, syncedMs = 0;
+  std::string frame;
+  std::vector<std::string> writes;
+  std::unique_ptr<core::Registry> registry;
+};
+
+// A proxy with the agent beside it.
+struct SystemSim::Node {
+  std::string name, kind;
+  uint64_t life = 0;
+  bool isUp = false;
+  int64_t frozenUntilMs = 0;
+  core::Member member;
+  std::unique_ptr<agent::Follower> agentFollows, proxyFollows;
+  std::unique_ptr<agent::Giver> toProxy, toNeighbours;
+  agent::Told agentTold, proxyTold;
+  bool hasProxySpoken = false;
+  std::unique_ptr<caller::Edge> edge;
+  std::unique_ptr<upstream::Shield> shield;
+  core::Revision seen;  // the highest that it was seen to act on
+  auto revision() const -> core::Revision { return edge ? edge->revision() : shield->revision(); }
+  auto address() const -> std::string { return "data:" + name; }
+};
+
+SystemSim::SystemSim(Props props) : props_(props), random_(props.seed) {}
+SystemSim::~SystemSim() = default;
+
+auto SystemSim::fault(const std::string& what) -> void {
+  verdict_.faults.push_back(std::to_string(nowMs_) + " ms: " + what);
+  say("FAULT " + what);
+}
+auto SystemSim::say(const std::string& what) -> void {
+  if (props_.keepHistory) verdict_.history.push_back(std::to_string(nowMs_) + " ms " + what);
+}
+
+// ---- the wire -----------------------------------------------------------------------------------------
+
+auto SystemSim::send(const std::string& fromMachine, const std::string& from, const std::string& to, uint8_t kind, const std::string& body) -> bool {
+  auto machine = machineOf(to);
+  auto core = cores_.find(machine);
+  auto node = nodes_.find(machine);
+  auto isUp = core != cores_.end() ? core->second->isUp : node != nodes_.end() && node->second->isUp;
+  if (!isUp) return false;  // a line to nobody is down
+  auto life = core != cores_.end() ? core->second->life : node->second->life;
+  auto isLocal = machine == fromMachine;
+  // A cut line looks up, and loses what is sent until it is mended or given up.
+  at(nowMs_ + (isLocal ? 0 : pick(1, 4)), [this, fromMachine, from, to, kind, body, machine, life] {
+    if (machine != fromMachine && isCut(fromMachine, machine)) return;
+    auto core = cores_.find(machine);
+    auto now = core != cores_.end() ? core->second->life : nodes_.at(machine)->life;
+    if (now == life) take(to, from, kind, body);
+  });
+  return true;
+}
+
+auto SystemSim::take(const std::string& to, const std::string& from, uint8_t kind, const std::string& body) -> void {
+  auto machine = machineOf(to);
+  if (auto it = cores_.find(machine); it != cores_.end()) {
+    auto& core = *it->second;
+    if (!core.isUp) return;
+    if (core.frozenUntilMs > nowMs_) {
+      at(core.frozenUntilMs, [this, to, from, kind, body] { take(to, from, kind, body); });
+      return;
+    }
+    core.registry->take(from, kind, body, nowMs_);
+    flush(core);
+    return;
+  }
+  auto& node = *nodes_.at(machine);
+  if (!node.isUp) return;
+  if (node.frozenUntilMs > nowMs_) {
+    at(node.frozenUntilMs, [this, to, from, kind, body] { take(to, from, kind, body); });
+    return;
+  }
+  Reader r(body);
+  auto part = to.substr(0, to.find(':'));
+  if (part == "agent" && kind == neighbour::kFeed) {
+    node.agentFollows->take(r.get<neighbour::Feed>(), nowMs_);
+  } else if (part == "agent" && kind == neighbour::kPoll) {
+    node.toNeighbours->take(from, r.get<neighbour::Poll>(), nowMs_);
+  } else if (part == "loop" && kind == neighbour::kPoll) {
+    auto poll = r.get<neighbour::Poll>();
+    poll.member.agent = "agent:" + node.name;
+    node.agentFollows->be(poll.member);
+    node.agentTold = {poll.revision, poll.probes, poll.samples};
+    node.hasProxySpoken = true;
+    node.toProxy->take(from, std::move(poll), nowMs_);
+  } else if (part == "link" && kind == neighbour::kFeed) {
+    if (node.proxyFollows->take(r.get<neighbour::Feed>(), nowMs_)) {
+      auto held = node.proxyFollows->held();
+      if (node.edge) node.edge->takeFrame(held, nowMs_);
+      if (node.shield) node.shield->takeFrame(held, nowMs_);
+      node.proxyTold.revision = node.revision();
+      if (!node.revision().covers(node.seen)) fault(node.name + " slid back");
+      node.seen = node.revision();
+    }
+  } else if (part == "data" && kind == neighbour::kAsk && node.shield) {
+    node.shield->take(from, r.get<neighbour::Ask>(), nowMs_);
+  } else if (part == "data" && kind == neighbour::kReply && node.edge) {
+    node.edge->takeReply(from, r.get<neighbour::Reply>(), nowMs_);
+  }
+  if (!r.done()) fault("a letter did not read back");
+  flush(node);
+}
+
+// ---- registries ---------------------------------------------------------------------------------------
+
+auto SystemSim::startCore(const std::string& name) -> void {
+  auto& core = *cores_.at(name);
+  if (core.isUp) return;
+  core.isUp = true;
+  core.life = nextLife_++;
+  core.frozenUntilMs = core.stalledUntilMs = 0;
+  core.syncedMs = nowMs_;
+  core::Registry::Props props;
+  props.slot = core.slot;
+  for (auto& [other, c] : cores_) props.addresses[c->slot] = "core:" + other;
+  core.registry = std::make_unique<core::Registry>(props, core.frame, core.writes, nextLife_++);
+  say("start " + name);
+  flush(core);
+  coreTick(name, core.life);
+}
+
+auto SystemSim::stopCore(const std::string& name) -> void {
+  auto& core = *cores_.at(name);
+  if (!core.isUp) return;
+  say("crash " + name);
+  core.isUp = false;
+  core.life = nextLife_++;
+  core.registry.reset();
+}
+
+auto SystemSim::flush(Core& core) -> void {
+  auto out = core.registry->output();
+  auto machine = core.name;
+  for (auto& job : out.jobs) {
+    auto doneMs = std::max({core.syncedMs, core.stalledUntilMs, nowMs_ + pick(0, 2)});
+    core.syncedMs = doneMs;
+    at(doneMs, [this, machine, life = core.life, job = std::move(job)] {
+      auto& core = *cores_.at(machine);
+      if (core.life != life) return;  // it lost power before the sync
+      for (const auto& w : job.writes) core.writes.push_back(w);
+      if (!job.frame.empty()) {
+        core.frame = job.frame;
+        core.writes.clear();
+      }
+      core.registry->synced(job.number, core.writes.size() > 3000 ? 0.6 : 0.1, 100, nowMs_);
+      flush(core);
+    });
+  }
+  for (auto& letter : out.letters) send(machine, "core:" + machine, letter.to, letter.kind, letter.body);
+  for (auto& a : out.answers) {
+    auto it = pages_.find(a.stream.get());
+    if (it == pages_.end()) continue;
+    auto then = std::move(it->second);
+    pages_.erase(it);
+    then(a.answer);
+  }
+}
+
+auto SystemSim::coreTick(const std::string& name, uint64_t life) -> void {
+  auto& core = *cores_.at(name);
+  if (!core.isUp || core.life != life) return;
+  if (core.frozenUntilMs > nowMs_) {
+    at(core.frozenUntilMs, [this, name, life] { coreTick(name, life); });
+    return;
+  }
+  core.registry->tick(nowMs_);
+  flush(core);
+  at(nowMs_ + 5, [this, name, life] { coreTick(name, life); });
+}
+
+auto SystemSim::http(const std::string& name, const std::string& method, const std::string& target, const std::string& body,
+                     std::function<void(const caller::Answer&)> then) -> void {
+  auto& core = *cores_.at(name);
+  if (!core.isUp || core.frozenUntilMs > nowMs_) return;
+  caller::Request request;
+  request.method = method;
+  request.target = target;
+  request.body = body;
+  request.stream = std::make_shared<caller::Stream>(-1);
+  pages_[request.stream.get()] = std::move(then);
+  core.registry->take(request, nowMs_);
+  flush(core);
+}
+
+// ---- proxies ------------------------------------------------------------------------------------------
+
+auto SystemSim::startNode(const std::string& name) -> void {
+  auto& node = *nodes_.at(name);
+  if (node.isUp) return;
+  node.isUp = true;
+  node.life = nextLife_++;
+  node.frozenUntilMs = 0;
+  node.seen = {};
+  node.member = {node.kind, "site", node.address(), "", node.life};
+  node.agentFollows = std::make_unique<agent::Follower>(name, kBoundMs / 5);
+  node.proxyFollows = std::make_unique<agent::Follower>(name, kBoundMs / 5);
+  node.proxyFollows->be(node.member);
+  node.toProxy = std::make_unique<agent::Giver>(kBoundMs / 10);
+  node.toNeighbours = std::make_unique<agent::Giver>(kBoundMs / 10);
+  node.agentTold = node.proxyTold = {};
+  node.hasProxySpoken = false;
+  auto staleMs = props_.ignoresAge ? int64_t{1} << 40 : kBoundMs * 3 / 4;
+  if (node.kind == "edge") {
+    caller::Edge::Props props;
+    props.name = name;
+    props.site = "site";
+    props.staleMs = staleMs;
+    node.edge = std::make_unique<caller::Edge>(props);
+  } else {
+    upstream::Shield::Props props;
+    props.name = name;
+    props.site = "site";
+    props.staleMs = staleMs;
+    node.shield = std::make_unique<upstream::Shield>(props);
+  }
+  say("start " + name);
+  nodeTick(name, node.life);
+}
+
+auto SystemSim::stopNode(const std::string& name) -> void {
+  auto& node = *nodes_.at(name);
+  if (!node.isUp) return;
+  say("crash " + name);
+  node.isUp = false;
+  node.life = nextLife_++;
+  // Callers of a dead edge see their streams end: for them the outcome is unknown.
+  for (auto it = open_.begin(); it != open_.end();) {
+    if (it->second.edge != name) {
+      ++it;
+      continue;
+    }
+    if (it->second.isWrite) writes_[it->second.id] = 'u';
+    ++verdict_.unknown;
+    it = open_.erase(it);
+  }
+  for (auto& [other, edge] : nodes_)
+    if (edge->isUp && edge->edge && edge->frozenUntilMs <= nowMs_) {
+      edge->edge->lost(node.address(), nowMs_);
+      flush(*edge);
+    }
+}
+
+auto SystemSim::flush(Node& node) -> void {
+  const auto& held = node.agentFollows->held();
+  auto agentAt = "agent:" + node.name, loopAt = "loop:" + node.name, linkAt = "link:" + node.name;
+  for (auto& [to, feed] : node.toProxy->give(*held.frame, held.asOfMs, nowMs_)) send(node.name, loopAt, to, neighbour::kFeed, pack(feed));
+  for (auto& [to, feed] : node.toNeighbours->give(*held.frame, held.asOfMs, nowMs_)) send(node.name, agentAt, to, neighbour::kFeed, pack(feed));
+  if (node.edge) {
+    for (auto out = node.edge->output(); !out.asks.empty() || !out.answers.empty(); out = node.edge->output()) {
+      for (auto& a : out.asks)
+        if (!send(node.name, node.address(), a.to, neighbour::kAsk, pack(a.ask))) node.edge->unsent(a.ask.id, nowMs_);
+      for (auto& a : out.answers) answered(a.stream.get(), a.answer);
+    }
+  } else {
+    auto out = node.shield->output();
+    for (auto& f : out.fetches) fetch(node.name, f);
+    for (auto& r : out.replies) send(node.name, node.address(), r.to, neighbour::kReply, pack(r.reply));
+  }
+}
+
+auto SystemSim::nodeTick(const std::string& name, uint64_t life) -> void {
+  auto& node = *nodes_.at(name);
+  if (!node.isUp || node.life != life) return;
+  if (node.frozenUntilMs > nowMs_) {
+    at(node.frozenUntilMs, [this, name, life] { nodeTick(name, life); });
+    return;
+  }
+  if (auto poll = node.proxyFollows->tick({"loop:" + name}, 1, node.proxyTold, nowMs_))
+    send(name, "link:" + name, poll->first, neighbour::kPoll, pack(poll->second));
+  if (node.hasProxySpoken) {
+    std::vector<std::string> targets = {"core:r1", "core:r2", "core:r3"};
+    std::rotate(targets.begin(), targets.begin() + static_cast<std::ptrdiff_t>(neighbour::hash(name) % 3), targets.end());
+    std::vector<std::string> others;
+    for (const auto& [other, member] : node.agentFollows->held().frame->members)
+      if (other != name && !member.agent.empty()) others.push_back(member.agent);
+    for (auto& other : neighbour::rendezvous(name, others)) targets.push_back(other);
+    if (auto poll = node.agentFollows->tick(targets, 3, node.agentTold, nowMs_)) {
+      poll->second.isNeighbour = poll->first.starts_with("agent:");
+      if (!send(name, "agent:" + name, poll->first, neighbour::kPoll, pack(poll->second))) node.agentFollows->lost(nowMs_);
+    }
+  }
+  if (node.edge) node.edge->tick(nowMs_);
+  if (node.shield) node.shield->tick(nowMs_);
+  flush(node);
+  at(nowMs_ + 10, [this, name, life] { nodeTick(name, life); });
+}
+
+// An upstream: runs what it is given, and answers, or loses the answer.
+auto SystemSim::fetch(const std::string& name, const upstream::Fetch& fetch) -> void {
+  auto life = nodes_.at(name)->life;
+  auto answer = [this, name, life](upstream::Fetched f) {
+    auto& node = *nodes_.at(name);
+    if (!node.isUp || node.life != life) return;
+    if (node.frozenUntilMs > nowMs_) {
+      at(node.frozenUntilMs, [this, name, life, f] {
+        auto& node = *nodes_.at(name);
+        if (!node.isUp || node.life != life) return;
+        node.shield->takeFetched(f, nowMs_);
+        flush(node);
+      });
+      return;
+    }
+    node.shield->takeFetched(f, nowMs_);
+    flush(node);
+  };
+  upstream::Fetched f;
+  f.id = fetch.id;
+  f.status = 200;
+  if (fetch.target != "/health") {
+    if (fetch.address == "store") storeFetches_.push_back(nowMs_);
+    auto id = caller::header(fetch.headers, "x-request-id");
+    if (!id.empty()) ++ran_[id];
+    f.body = id.empty() ? "e" + std::to_string(edition_) : id;
+  }
+  f.headers = {{"Content-Length", std::to_string(f.body.size())}};
+  auto isLost = props_.lossyUpstreams && !isHealed_ && fetch.target != "/health" && pick(1, 100) <= 10;
+  if (isLost) {
+    f.fault = upstream::Fault::kLost;
+    f.status = 0;
+  }
+  auto tookMs = pick(2, 12);
+  f.tookMs = tookMs;
+  at(nowMs_ + tookMs, [answer, f] { answer(f); });
+}
+
+// ---- callers and operators ----------------------------------------------------------------------------
+
+auto SystemSim::ask(bool isWrite) -> void {
+  std::vector<std::string> edges;
+  for (auto& [name, node] : nodes_)
+    if (node->kind == "edge" && node->isUp) edges.push_back(name);
+  if (edges.empty()) return;
+  auto edge = edges[static_cast<size_t>(pick(0, static_cast<int64_t>(edges.size()) - 1))];
+  caller::Request request;
+  auto id = "w" + std::to_string(nextRequest_++);
+  request.method = isWrite ? "POST" : "GET";
+  request.target = isWrite ? "/buy/1" : "/items/" + std::to_string(pick(0, 9));
+  request.headers = {{"Host", isWrite ? "till.test" : "shop.test"}};
+  if (isWrite) request.headers.emplace_back("X-Request-Id", id);
+  request.stream = std::make_shared<caller::Stream>(-1);
+  open_[request.stream.get()] = {isWrite, id, request.target, edge, nowMs_};
+  ++verdict_.asked;
+  ++seconds_[nowMs_ / 1000].first;
+  auto give = [this, edge, request] {
+    auto& node = *nodes_.at(edge);
+    if (!node.isUp) return;
+    node.edge->take(request, nowMs_);
+    flush(node);
+  };
+  auto& node = *nodes_.at(edge);
+  if (node.frozenUntilMs > nowMs_)
+    at(node.frozenUntilMs, give);
+  else
+    give();
+}
+
+auto SystemSim::answered(const caller::Stream* stream, const caller::Answer& answer) -> void {
+  auto it = open_.find(stream);
+  if (it == open_.end()) return;
+  auto open = it->second;
+  open_.erase(it);
+  auto code = caller::header(answer.headers, "dykestage-code");
+  if (answer.status == 200 && code.empty()) {
+    ++verdict_.well;
+    ++seconds_[open.atMs / 1000].second;
+    if (open.isWrite) {
+      writes_[open.id] = 'w';
+      if (answer.body != open.id) fault("a caller got another's answer");
+    } else {
+      auto edition = std::atoll(answer.body.c_str() + 1);
+      for (const auto& [ackMs, needed] : purged_[open.target])
+        if (open.atMs > ackMs + kBoundMs) {
+          ++verdict_.readsJudged;
+          if (edition < needed) fault("a purged copy of " + open.target + " was served by " + open.edge);
+        }
+    }
+    return;
+  }
+  auto isBusy = answer.status == 503 || answer.status == 429;
+  if (isBusy && caller::header(answer.headers, "retry-after").empty()) fault("a refusal without Retry-After");
+  if (isHealed_) say(open.edge + " answers " + code + " to " + open.target);
+  isBusy ? ++verdict_.busy : ++verdict_.unknown;
+  if (open.isWrite) writes_[open.id] = isBusy ? 'b' : 'u';
+}
+
+// Operators change the configuration or purge, through any registry; each purge follows a new edition.
+auto SystemSim::submit() -> void {
+  auto name = "r" + std::to_string(pick(1, 5));
+  auto fromMs = nowMs_;
+  if (pick(0, 1) == 0) {
+    auto body = R"({"services": {"shop": {"hosts": ["shop.test"], "originRate": )" + std::to_string(kRate) + R"(, "deadlineMs": )" +
+                std::to_string(pick(800, 1000)) + R"(, "paths": [{"prefix": "/", "kind": "store", "keepMs": 5000}]},
+      "till": {"hosts": ["till.test"], "paths": [{"prefix": "/", "kind": "application"}]}}})";
+    http(name, "POST", "/configuration", body, [this, fromMs](const caller::Answer& a) {
+      if (a.status == 409) ++verdict_.conflicts;
+      if (a.status != 200) return;
+      auto mark = a.body.find("\"revision\":");
+      acked_.emplace_back(nowMs_, std::strtoull(a.body.c_str() + mark + 11, nullptr, 10));
+      ++verdict_.configurations;
+      verdict_.ackMs.push_back(nowMs_ - fromMs);
+    });
+    return;
+  }
+  auto target = "/items/" + std::to_string(pick(0, 9));
+  auto edition = ++edition_;
+  http(name, "POST", "/purge", R"({"service": "shop", "path": ")" + target + "\"}", [this, target, edition, fromMs](const caller::Answer& a) {
+    if (a.status != 200) return;
+    purged_[target].emplace_back(nowMs_, edition);
+    ++verdict_.purges;
+    verdict_.ackMs.push_back(nowMs_ - fromMs);
+  });
+}
+
+// Whoever would act now must have every configuration acknowledged more than the bound ago.
+auto SystemSim::look() -> void {
+  for (auto& [name, node] : nodes_) {
+    if (!node->isUp || node->frozenUntilMs > nowMs_) continue;
+    auto isActing = node->edge ? node->edge->isCurrent(nowMs_) : node->shield->isReady(nowMs_);
+    if (!isActing) continue;
+    ++verdict_.looks;
+    for (const auto& [ackMs, revision] : acked_)
+      if (nowMs_ > ackMs + kBoundMs && node->revision().configuration < revision) {
+        fault(name + " acts without configuration " + std::to_string(revision) + ", acknowledged " + std::to_string(nowMs_ - ackMs) + " ms ago");
+        return;
+      }
+  }
+}
+
+auto SystemSim::plan() -> void {
+  auto endMs = props_.faultsMs + props_.healMs;
+  for (int64_t t = 3000; t < endMs; t += 25) at(t + pick(0, 24), [this] { ask(pick(1, 5) == 1); });
+  at(2500, [this] {
+    http("r1", "POST", "/configuration", R"({"services": {
+      "shop": {"hosts": ["shop.test"], "originRate": 60, "paths": [{"prefix": "/", "kind": "store", "keepMs": 5000}]},
+      "till": {"hosts": ["till.test"], "paths": [{"prefix": "/", "kind": "application"}]}}})",
+         [this](const caller::Answer& a) {
+           if (a.status != 200) fault("the first configuration was not taken: " + a.body);
+         });
+  });
+  for (int64_t t = 4000; t < endMs - 1000; t += 150) at(t + pick(0, 149), [this] { submit(); });
+  for (int64_t t = 3000; t < endMs; t += 40) at(t, [this] { look(); });
+  // Upstreams beat to a registry that is up.
+  for (int64_t t = 1500; t < endMs; t += 400)
+    at(t, [this] {
+      for (auto [instance, service, kind, address] : {std::tuple{"s1", "shop", "store", "127.0.0.1:1"}, {"a1", "till", "application", "127.0.0.1:2"}, {"a2", "till", "application", "127.0.0.1:3"}}) {
+        auto body = std::string(R"({"instance": ")") + instance + R"(", "service": ")" + service + R"(", "kind": ")" + kind + R"(", "address": ")" + address + R"(", "site": "site"})";
+        for (auto i = 1; i <= 5; ++i) {
+          auto name = "r" + std::to_string(i);
+          if (!cores_.at(name)->isUp || cores_.at(name)->frozenUntilMs > nowMs_) continue;
+          http(name, "POST", "/announce", body, [](const caller::Answer&) {});
+        }
+      }
+    });
+  auto coresDown = [this] {
+    return std::count_if(cores_.begin(), cores_.end(), [this](auto& c) { return !c.second->isUp || c.second->frozenUntilMs > nowMs_ || !c.second->registry->isReady(nowMs_); });
+  };
+  for (int64_t t = 4500; t < props_.faultsMs; t += 400)
+    at(t + pick(0, 300), [this, coresDown] {
+      if (isHealed_) return;
+      std::vector<int> kinds;
+      if (props_.crashes) kinds.insert(kinds.end(), {0, 1});
+      if (props_.wipes) kinds.push_back(2);
+      if (props_.cuts) kinds.push_back(3);
+      if (props_.oneWayCuts) kinds.push_back(4);
+      if (props_.freezes) kinds.insert(kinds.end(), {5, 6});
+      if (props_.coreCuts) kinds.push_back(7);
+      if (props_.stalls) kinds.push_back(8);
+      if (kinds.empty()) return;
+      std::vector<std::string> machines;
+      for (auto& [name, c] : cores_) machines.push_back(name);
+      for (auto& [name, n] : nodes_) machines.push_back(name);
+      auto core = "r" + std::to_string(pick(1, 5));
+      auto node = std::next(nodes_.begin(), pick(0, static_cast<int64_t>(nodes_.size()) - 1))->first;
+      auto cutBetween = [&](const std::string& a, const std::string& b, int64_t ms) {
+        cuts_.insert({a, b});
+        at(nowMs_ + ms, [this, a, b] { cuts_.erase({a, b}); });
+      };
+      switch (kinds[static_cast<size_t>(pick(0, static_cast<int64_t>(kinds.size()) - 1))]) {
+        case 0:
+          if (coresDown() >= 2) break;
+          stopCore(core);
+          at(nowMs_ + pick(100, 1500), [this, core] { startCore(core); });
+          break;
+        case 1:
+          stopNode(node);
+          at(nowMs_ + pick(100, 1500), [this, node] { startNode(node); });
+          break;
+        case 2:
+          if (coresDown() != 0) break;
+          stopCore(core);
+          cores_.at(core)->frame.clear();
+          cores_.at(core)->writes.clear();
+          say("wipe " + core);
+          at(nowMs_ + pick(100, 800), [this, core] { startCore(core); });
+          break;
+        case 3: {
+          auto ms = pick(300, 3000);
+          for (auto& a : machines)
+            for (auto& b : machines)
+              if (a != b && (neighbour::hash(a + std::to_string(nowMs_)) ^ neighbour::hash(b + std::to_string(nowMs_))) & 1) cutBetween(a, b, ms);
+          say("split");
+          break;
+        }
+        case 4: {
+          auto a = machines[static_cast<size_t>(pick(0, static_cast<int64_t>(machines.size()) - 1))];
+          auto ms = pick(300, 3000);
+          for (auto& b : machines)
+            if (a != b) cutBetween(a, b, ms);
+          say("one way out of " + a);
+          break;
+        }
+        case 5:
+          if (coresDown() >= 2) break;
+          cores_.at(core)->frozenUntilMs = nowMs_ + pick(300, 4000);
+          say("freeze " + core);
+          break;
+        case 6:
+          nodes_.at(node)->frozenUntilMs = nowMs_ + pick(300, 4000);
+          say("freeze " + node);
+          break;
+        case 7: {
+          auto ms = pick(500, 4000);
+          for (auto& [c, x] : cores_)
+            for (auto& [n, y] : nodes_) cutBetween(c, n, ms), cutBetween(n, c, ms);
+          say("core away");
+          break;
+        }
+        case 8:
+          cores_.at(core)->stalledUntilMs = nowMs_ + pick(300, 3000);
+          say("stall " + core);
+          break;
+      }
+    });
+  at(props_.faultsMs, [this] {
+    say("heal");
+    isHealed_ = true;
+    cuts_.clear();
+    for (auto& [name, core] : cores_) {
+      core->frozenUntilMs = core->stalledUntilMs = 0;
+      startCore(name);
+    }
+    for (auto& [name, node] : nodes_) {
+      node->frozenUntilMs = 0;
+      startNode(name);
+    }
+  });
+}
+
+auto SystemSim::run() -> SystemVerdict {
+  auto level = std::exchange(FLAGS_minloglevel, google::GLOG_FATAL);
+  for (tempo::Slot slot = 1; slot <= 5; ++slot) {
+    auto core = std::make_unique<Core>();
+    core->name = "r" + std::to_string(slot);
+    core->slot = slot;
+    cores_[core->name] = std::move(core);
+  }
+  for (auto name : {"edge-1", "edge-2", "shield-1", "shield-2"}) {
+    auto node = std::make_unique<Node>();
+    node->name = name;
+    node->kind = node->name.substr(0, node->name.find('-'));
+    nodes_[name] = std::move(node);
+  }
+  for (auto& [name, core] : cores_) at(pick(0, 50), [this, n = name] { startCore(n); });
+  for (auto& [name, node] : nodes_) at(pick(0, 50), [this, n = name] { startNode(n); });
+  plan();
+  auto endMs = props_.faultsMs + props_.healMs;
+  while (!events_.empty() && events_.top().atMs <= endMs && verdict_.faults.size() < 10) {
+    auto event = events_.top();
+    events_.pop();
+    nowMs_ = event.atMs;
+    event.what();
+  }
+  for (const auto& [id, count] : ran_) {
+    if (count > 1) fault("write " + id + " ran " + std::to_string(count) + " times");
+    ++verdict_.writesRan;
+    auto it = writes_.find(id);
+    if (it != writes_.end() && it->second == 'b') fault("write " + id + " was called busy and ran");
+  }
+  for (const auto& [id, end] : writes_)
+    if (end == 'w' && !ran_.count(id)) fault("write " + id + " was answered and did not run");
+  for (size_t first = 0, last = 0; last < storeFetches_.size(); ++last) {
+    while (storeFetches_[last] - storeFetches_[first] >= 5000) ++first;
+    if (static_cast<double>(last - first + 1) > 1.1 * 5 * kRate) {
+      fault("the store got more than its rate");
+      break;
+    }
+  }
+  for (auto second = props_.faultsMs / 1000; second < endMs / 1000 - 1; ++second) {
+    auto [asked, well] = seconds_[second];
+    if (asked > 0 && asked == well) {
+      verdict_.backMs = std::max<int64_t>(0, second * 1000 - props_.faultsMs);
+      break;
+    }
+  }
+  for (auto& [name, node] : nodes_) {
+    const auto& held = node->agentFollows->held();
+    std::string members;
+    for (const auto& [other, member] : held.frame->members) members += " " + other;
+    say(name + " asks " + node->agentFollows->target() + ", its frame is " + std::to_string(nowMs_ - held.asOfMs) + " ms old, members" + members);
+  }
+  for (const auto& [second, count] : seconds_)
+    say("second " + std::to_string(second) + ": " + std::to_string(count.second) + " of " + std::to_string(count.first) + " served well");
+  if (verdict_.backMs < 0) fault("service is not back after the heal");
+  for (auto& [name, core] : cores_)
+    if (!core->isUp || !core->registry->isReady(nowMs_)) fault(name + " is not back after the heal");
+  FLAGS_minloglevel = level;
+  return std::move(verdict_);
+}
+
+}  // namespace dykestage::sim
--- /dev/null
+++ b/lib/sim/system_sim.hpp
@@ -0,0 +1,110 @@
+// Sim: the whole system's state machines in virtual time: registries with their disks, agents' feeds, edges,
+// shields, upstreams, operators and callers, under seeded failures, with a checker.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "agent/feed.hpp"
+#include "caller/edge.hpp"
+#include "core/registry.hpp"
+#include "upstream/shield.hpp"
+
+namespace dykestage::sim {
+
+struct SystemVerdict {
+  std::vector<std::string> faults;
+  uint64_t asked = 0, well = 0, busy = 0, unknown = 0, writesRan = 0, configurations = 0, purges = 0, conflicts = 0, looks = 0, readsJudged = 0;
+  int64_t backMs = -1;                  // from the heal until every node is current and a second is served well
+  std::vector<int64_t> ackMs;           // of configurations and purges
+  std::vector<std::string> history;
+};
+
+/// Runs one seeded history. Example: `auto v = SystemSim({.seed = 3, .crashes = true}).run();`
+class SystemSim {
+ public:
+  struct Props {
+    uint64_t seed = 1;
+    bool crashes = false, wipes = false, cuts = false, oneWayCuts = false, freezes = false, coreCuts = false, lossyUpstreams = false, stalls = false;
+    bool ignoresAge = false;   // a rule broken on purpose: nodes act on knowledge however old
+    int64_t faultsMs = 9000, healMs = 9000;
+    bool keepHistory = false;
+  };
+  explicit SystemSim(Props props);
+  ~SystemSim();
+  auto run() -> SystemVerdict;
+
+ private:
+  struct Core;
+  struct Node;
+  struct Event {
+    int64_t atMs;
+    uint64_t order;
+    std::function<void()> what;
+    auto operator<(const Event& o) const -> bool { return std::tie(atMs, order) > std::tie(o.atMs, o.order); }
+  };
+  struct Submitted {
+    bool isPurge = false;
+    int64_t fromMs = 0;
+    int64_t edition = 0;
+    std::string target;
+  };
+  auto at(int64_t ms, std::function<void()> what) -> void { events_.push({ms, order_++, std::move(what)}); }
+  auto pick(int64_t low, int64_t high) -> int64_t { return low + static_cast<int64_t>(random_() % static_cast<uint64_t>(high - low + 1)); }
+  auto fault(const std::string& what) -> void;
+  auto say(const std::string& what) -> void;
+  auto isCut(const std::string& from, const std::string& to) const -> bool { return cuts_.count({from, to}) != 0; }
+  auto send(const std::string& fromMachine, const std::string& from, const std::string& to, uint8_t kind, const std::string& body) -> bool;
+  auto take(const std::string& to, const std::string& from, uint8_t kind, const std::string& body) -> void;
+  auto startCore(const std::string& name) -> void;
+  auto stopCore(const std::string& name) -> void;
+  auto flush(Core& core) -> void;
+  auto coreTick(const std::string& name, uint64_t life) -> void;
+  auto startNode(const std::string& name) -> void;
+  auto stopNode(const std::string& name) -> void;
+  auto flush(Node& node) -> void;
+  auto nodeTick(const std::string& name, uint64_t life) -> void;
+  auto fetch(const std::string& node, const upstream::Fetch& fetch) -> void;
+  auto http(const std::string& core, const std::string& method, const std::string& target, const std::string& body,
+            std::function<void(const caller::Answer&)> then) -> void;
+  auto ask(bool isWrite) -> void;
+  auto answered(const caller::Stream* stream, const caller::Answer& answer) -> void;
+  auto submit() -> void;
+  auto look() -> void;
+  auto plan() -> void;
+
+  Props props_;
+  std::mt19937_64 random_;
+  int64_t nowMs_ = 0;
+  uint64_t order_ = 0, nextLife_ = 1, nextRequest_ = 1;
+  std::priority_queue<Event> events_;
+  std::map<std::string, std::unique_ptr<Core>> cores_;
+  std::map<std::string, std::unique_ptr<Node>> nodes_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  bool isHealed_ = false;
+
+  // Origins: one store and two applications; what they ran.
+  int64_t edition_ = 0;
+  std::map<std::string, int> ran_;
+  std::vector<int64_t> storeFetches_;
+  // Callers and operators.
+  struct Open {
+    bool isWrite = false;
+    std::string id, target, edge;
+    int64_t atMs = 0;
+  };
+  std::map<const caller::Stream*, Open> open_;
+  std::map<std::string, char> writes_;  // id → w(ell), b(usy), u(nknown)
+  std::map<const caller::Stream*, std::function<void(const caller::Answer&)>> pages_;
+  std::vector<std::pair<int64_t, uint64_t>> acked_;                                  // at, configuration
+  std::map<std::string, std::vector<std::pair<int64_t, int64_t>>> purged_;           // target → at, edition
+  std::map<int64_t, std::pair<uint64_t, uint64_t>> seconds_;                         // second → asked, well
+  SystemVerdict verdict_;
+};
+
+}  // namespace dykestage::sim
--- a/programs/agent.cpp
+++ b/programs/agent.cpp
@@ -89,7 +89,7 @@
     if (proxyMs >= 0 && nowMs - proxyMs < boundMs) {
       auto targets = order;
       for (auto& at : neighboursOf(*held.frame, name)) targets.push_back(at);
-      if (auto poll = follower.tick(targets, told, nowMs)) {
+      if (auto poll = follower.tick(targets, order.size(), told, nowMs)) {
         poll->second.isNeighbour = std::find(order.begin(), order.end(), poll->first) == order.end();
         if (poll->first != target) LOG(INFO) << "agent: Asking " << poll->first << ".";
         target = poll->first;
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -385,7 +385,7 @@
   follower.be(member);
   agent::Giver giver(200);
   auto frame = frameOf();
-  auto asked = follower.tick({"r1"}, {}, 1000);
+  auto asked = follower.tick({"r1"}, 1, {}, 1000);
   REQUIRE(asked);
   giver.take("me", asked->second, 5003);  // the giver's clock is another one
   auto given = giver.give(*frame, 4900, 5003);
@@ -397,7 +397,7 @@
   // An older giver has nothing to say that counts.
   auto older = frameOf();
   older->revision.configuration = 0;
-  asked = follower.tick({"r1"}, {}, 1100);
+  asked = follower.tick({"r1"}, 1, {}, 1100);
   giver.take("me", asked->second, 5100);
   given = giver.give(*older, 5099, 5400);
   REQUIRE(given.size() == 1);
