A write with a key has a witness: a second shield that will not run it again

Conclusion: the memory reaches as far as one of two shields; both lost or restarted is unproved and said so.

--- a/lib/neighbour/messages.hpp
+++ b/lib/neighbour/messages.hpp
@@ -9,7 +9,7 @@
 
 namespace dykestage::neighbour {
 
-enum LetterKind : uint8_t { kTempo = 1, kHello = 2, kHave = 3, kPoll = 4, kFeed = 5, kAsk = 6, kReply = 7 };
+enum LetterKind : uint8_t { kTempo = 1, kHello = 2, kHave = 3, kPoll = 4, kFeed = 5, kAsk = 6, kReply = 7, kWitness = 8, kWitnessed = 9 };
 
 /// What an edge saw of the old and the new revision's traffic, by rollout, since it started.
 using Samples = std::map<std::string, std::pair<policy::Sample, policy::Sample>>;
@@ -98,4 +98,23 @@
   DYKESTAGE_FIELDS(id, code, isUntouched, status, headers, body, ageMs, heldMs, keepMs, purges, isFetched)
 };
 
+/// Shield to shield: a write with a key is about to leave, or has ended with this outcome. Whoever has been told
+/// will not run the key again.
+struct Witness {
+  uint64_t nonce = 0;
+  std::string key;  // service and key
+  uint64_t print = 0;
+  std::optional<Reply> outcome;
+  DYKESTAGE_FIELDS(nonce, key, print, outcome)
+};
+
+/// The answer: whether the key was known already, and its outcome if that is known as well.
+struct Witnessed {
+  uint64_t nonce = 0;
+  bool isKnown = false;
+  bool isSame = true;  // the key stood for the same request
+  std::optional<Reply> outcome;
+  DYKESTAGE_FIELDS(nonce, isKnown, isSame, outcome)
+};
+
 }  // namespace dykestage::neighbour
--- a/lib/sim/system_sim.cpp
+++ b/lib/sim/system_sim.cpp
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <iterator>
 
 #include "caller/codes.hpp"
 #include "neighbour/post.hpp"
@@ -122,6 +123,10 @@
     }
   } else if (part == "data" && kind == neighbour::kAsk && node.shield) {
     node.shield->take(from, r.get<neighbour::Ask>(), nowMs_);
+  } else if (part == "data" && kind == neighbour::kWitness && node.shield) {
+    node.shield->takeWitness(from, r.get<neighbour::Witness>(), nowMs_);
+  } else if (part == "data" && kind == neighbour::kWitnessed && node.shield) {
+    node.shield->takeWitnessed(r.get<neighbour::Witnessed>(), nowMs_);
   } else if (part == "data" && kind == neighbour::kReply && node.edge) {
     node.edge->takeReply(from, r.get<neighbour::Reply>(), nowMs_);
   }
@@ -257,7 +262,10 @@
       ++it;
       continue;
     }
-    if (it->second.isWrite) writes_[it->second.id] = 'u';
+    if (it->second.isWrite) {
+      writes_[it->second.id] = 'u';
+      repeat(it->second.id);
+    }
     ++verdict_.unknown;
     it = open_.erase(it);
   }
@@ -281,6 +289,14 @@
     }
   } else {
     auto out = node.shield->output();
+    for (size_t i = 0; i < out.letters.size(); ++i) {
+      if (send(node.name, node.address(), out.letters[i].to, out.letters[i].kind, out.letters[i].body)) continue;
+      node.shield->unwitnessed(out.letters[i].to, nowMs_);
+      auto more = node.shield->output();
+      std::move(more.letters.begin(), more.letters.end(), std::back_inserter(out.letters));
+      std::move(more.fetches.begin(), more.fetches.end(), std::back_inserter(out.fetches));
+      std::move(more.replies.begin(), more.replies.end(), std::back_inserter(out.replies));
+    }
     for (auto& f : out.fetches) fetch(node.name, f);
     for (auto& r : out.replies) send(node.name, node.address(), r.to, neighbour::kReply, pack(r.reply));
   }
@@ -353,22 +369,27 @@
 
 // ---- callers and operators ----------------------------------------------------------------------------
 
-auto SystemSim::ask(bool isWrite) -> void {
+auto SystemSim::ask(bool isWrite, const std::string& again) -> void {
   std::vector<std::string> edges;
   for (auto& [name, node] : nodes_)
     if (node->kind == "edge" && node->isUp) edges.push_back(name);
   if (edges.empty()) return;
   auto edge = edges[static_cast<size_t>(pick(0, static_cast<int64_t>(edges.size()) - 1))];
   caller::Request request;
-  auto id = "w" + std::to_string(nextRequest_++);
+  auto id = again.empty() ? "w" + std::to_string(nextRequest_++) : again;
   request.method = isWrite ? "POST" : "GET";
   request.target = isWrite ? "/buy/1" : "/items/" + std::to_string(pick(0, 9));
   request.headers = {{"Host", isWrite ? "till.test" : "shop.test"}};
-  if (isWrite) request.headers.emplace_back("X-Request-Id", id);
+  if (isWrite) {
+    request.headers.emplace_back("X-Request-Id", id);
+    request.headers.emplace_back("Idempotency-Key", id);
+  }
   request.stream = std::make_shared<caller::Stream>(-1);
-  open_[request.stream.get()] = {isWrite, id, request.target, edge, nowMs_};
-  ++verdict_.asked;
-  ++seconds_[nowMs_ / 1000].first;
+  open_[request.stream.get()] = {isWrite, id, request.target, edge, nowMs_, !again.empty()};
+  if (again.empty()) {
+    ++verdict_.asked;
+    ++seconds_[nowMs_ / 1000].first;
+  }
   auto give = [this, edge, request] {
     auto& node = *nodes_.at(edge);
     if (!node.isUp) return;
@@ -389,8 +410,10 @@
   open_.erase(it);
   auto code = caller::header(answer.headers, "dykestage-code");
   if (answer.status == 200 && code.empty()) {
-    ++verdict_.well;
-    ++seconds_[open.atMs / 1000].second;
+    if (!open.isAgain) {
+      ++verdict_.well;
+      ++seconds_[open.atMs / 1000].second;
+    }
     if (open.isWrite) {
       writes_[open.id] = 'w';
       if (answer.body != open.id) fault("a caller got another's answer");
@@ -407,8 +430,15 @@
   auto isBusy = answer.status == 503 || answer.status == 429;
   if (isBusy && caller::header(answer.headers, "retry-after").empty()) fault("a refusal without Retry-After");
   if (isHealed_) say(open.edge + " answers " + code + " to " + open.target);
-  isBusy ? ++verdict_.busy : ++verdict_.unknown;
-  if (open.isWrite) writes_[open.id] = isBusy ? 'b' : 'u';
+  if (!open.isAgain) isBusy ? ++verdict_.busy : ++verdict_.unknown;
+  if (!open.isWrite) return;
+  if (isBusy && writes_[open.id] == 'u') return;  // an earlier try may have run
+  writes_[open.id] = isBusy ? 'b' : 'u';
+  repeat(open.id);
+}
+
+auto SystemSim::repeat(const std::string& id) -> void {
+  if (++repeats_[id] <= 4) at(nowMs_ + pick(10, 600), [this, id] { ask(true, id); });
 }
 
 // Operators change the configuration or purge, through any registry; each purge follows a new edition.
@@ -456,7 +486,7 @@
 
 auto SystemSim::plan() -> void {
   auto endMs = props_.faultsMs + props_.healMs;
-  for (int64_t t = 3000; t < endMs; t += 25) at(t + pick(0, 24), [this] { ask(pick(1, 5) == 1); });
+  for (int64_t t = 3000; t < endMs; t += 25) at(t + pick(0, 24), [this] { ask(pick(1, 5) == 1, ""); });
   at(2500, [this] {
     http("r1", "POST", "/configuration", R"({"services": {
       "shop": {"hosts": ["shop.test"], "originRate": 60, "paths": [{"prefix": "/", "kind": "store", "keepMs": 5000}]},
--- a/lib/sim/system_sim.hpp
+++ b/lib/sim/system_sim.hpp
@@ -72,7 +72,9 @@
   auto fetch(const std::string& node, const upstream::Fetch& fetch) -> void;
   auto http(const std::string& core, const std::string& method, const std::string& target, const std::string& body,
             std::function<void(const caller::Answer&)> then) -> void;
-  auto ask(bool isWrite) -> void;
+  auto ask(bool isWrite, const std::string& again) -> void;
+  // The caller of a write that may have run, or was turned away, asks again under the same key, a few times.
+  auto repeat(const std::string& id) -> void;
   auto answered(const caller::Stream* stream, const caller::Answer& answer) -> void;
   auto submit() -> void;
   auto look() -> void;
@@ -97,8 +99,10 @@
     bool isWrite = false;
     std::string id, target, edge;
     int64_t atMs = 0;
+    bool isAgain = false;
   };
   std::map<const caller::Stream*, Open> open_;
+  std::map<std::string, int> repeats_;  // of writes whose outcome was not known
   std::map<std::string, char> writes_;  // id → w(ell), b(usy), u(nknown)
   std::map<const caller::Stream*, std::function<void(const caller::Answer&)>> pages_;
   std::vector<std::pair<int64_t, uint64_t>> acked_;                                  // at, configuration
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -24,6 +24,13 @@
   return list;
 }
 
+auto Shield::shields() const -> std::vector<std::string> {
+  std::vector<std::string> list;
+  for (const auto& [name, member] : held_.frame->members)
+    if (member.kind == "shield" && name != props_.name) list.push_back(member.address);
+  return list;
+}
+
 auto Shield::budget(const std::string& service) -> policy::TryBudget& {
   auto& budget = budgets_.try_emplace(service, 0.0, 0.0).first->second;
   auto it = held_.frame->services.find(service);
@@ -89,6 +96,14 @@
         out_.replies.push_back({from, std::move(reply)});
         return;
       }
+      if (it->second.running == 0) {  // another shield was about to run it, and has not said how it ended
+        Reply reply;
+        reply.id = id;
+        reply.code = kUnknown;
+        reply.isUntouched = false;
+        out_.replies.push_back({from, std::move(reply)});
+        return;
+      }
     } else if (memory_.size() >= props_.keys) {
       return refuse(from, id, kShieldFull);  // what is remembered is never pushed out early
     }
@@ -108,6 +123,7 @@
     if (!isFirst && join(it->second.running)) return;
     it->second.running = *place;
     if (isFirst) memoryOrder_.emplace_back(nowMs, memoryKey);
+    return findWitness(*place, nowMs);
   }
   if (!joinKey.empty()) {
     auto [it, isFirst] = joins_.try_emplace(joinKey, *place);
@@ -122,6 +138,71 @@
   dispatch(*place, false, nowMs);
 }
 
+// Before a write with a key leaves, the shield that a repeated one would come to next is told. While there are
+// other shields and none of them answers, the write does not leave.
+auto Shield::findWitness(uint64_t id, int64_t nowMs) -> void {
+  auto& w = *waiting_.get(id);
+  std::vector<std::string> names;
+  for (const auto& [name, member] : held_.frame->members)
+    if (member.kind == "shield" && name != props_.name && !w.witnessTried.count(name)) names.push_back(name);
+  if (names.empty()) {
+    w.witnessMs = -1;
+    return w.witnessTried.empty() ? dispatch(id, false, nowMs) : giveUp(id, kNoWitness, nowMs);
+  }
+  auto name = neighbour::rendezvous(w.ask.service + "\n" + w.ask.key, names).front();
+  w.witness = held_.frame->members.at(name).address;
+  w.witnessTried[name] = w.witness;
+  w.witnessMs = nowMs;
+  neighbour::Witness witness{id, w.memoryKey, memory_.at(w.memoryKey).print, std::nullopt};
+  out_.letters.push_back({w.witness, neighbour::kWitness, Writer().put(witness).take()});
+}
+
+auto Shield::takeWitness(const std::string& from, const neighbour::Witness& told, int64_t nowMs) -> void {
+  auto [it, isNew] = memory_.try_emplace(told.key, Memory{told.print, 0, false, {}, nowMs});
+  auto& memory = it->second;
+  if (isNew) memoryOrder_.emplace_back(nowMs, told.key);
+  if (told.outcome) {
+    if (memory.running != 0 || memory.isDone) return;
+    // What surely did not run is free again.
+    if (told.outcome->code != kOk && told.outcome->isUntouched) {
+      memory_.erase(it);
+    } else {
+      memory.isDone = true;
+      memory.reply = *told.outcome;
+    }
+    return;
+  }
+  neighbour::Witnessed answer{told.nonce, !isNew, memory.print == told.print, std::nullopt};
+  if (memory.isDone) answer.outcome = memory.reply;
+  out_.letters.push_back({from, neighbour::kWitnessed, Writer().put(answer).take()});
+}
+
+auto Shield::takeWitnessed(const neighbour::Witnessed& answer, int64_t nowMs) -> void {
+  auto* w = waiting_.get(answer.nonce);
+  if (!w || w->witnessMs < 0) return;
+  w->witnessMs = -1;
+  if (!answer.isKnown) return dispatch(answer.nonce, false, nowMs);
+  // Somebody has run this key, or is running it: it does not run here.
+  Reply reply;
+  if (!answer.isSame) {
+    reply.code = kKeyReused;
+  } else if (answer.outcome) {
+    reply = *answer.outcome;
+  } else {
+    reply.code = kUnknown;
+    reply.isUntouched = false;
+  }
+  w->witnessTried.clear();  // what is known there is not ours to change
+  finish(answer.nonce, std::move(reply), nullptr, nowMs);
+}
+
+auto Shield::unwitnessed(const std::string& to, int64_t nowMs) -> void {
+  for (auto id : waiting_.ids()) {
+    auto* w = waiting_.get(id);
+    if (w && w->witnessMs >= 0 && w->witness == to) findWitness(id, nowMs);
+  }
+}
+
 auto Shield::dispatch(uint64_t id, bool isExtra, int64_t nowMs) -> void {
   auto& w = *waiting_.get(id);
   // What was held (in an inbox, or by a frozen process) is looked at again before anything leaves.
@@ -276,6 +357,8 @@
         it->second.isDone = true;
         it->second.reply = reply;
       }
+      for (const auto& [name, address] : w->witnessTried)
+        out_.letters.push_back({address, neighbour::kWitness, Writer().put(neighbour::Witness{id, w->memoryKey, 0, reply}).take()});
     }
   }
   auto variant = [&](const Headers& headers) {
@@ -353,8 +436,12 @@
   }
   for (auto id : waiting_.ids()) {
     auto* w = waiting_.get(id);
+    if (w && w->witnessMs >= 0 && nowMs - w->witnessMs >= props_.boundMs / 20) {
+      findWitness(id, nowMs);  // that one is slow: the next one
+      w = waiting_.get(id);
+    }
     // A fetch ends by its own timeout; this ends the asks that joined another one.
-    if (w && !w->isSent && nowMs >= w->untilMs) giveUp(id, w->isWrite ? kUnknown : kDeadline, nowMs);
+    if (w && !w->isSent && nowMs >= w->untilMs) giveUp(id, w->isWrite && w->witnessMs < 0 ? kUnknown : kDeadline, nowMs);
   }
   size_t over = 0;
   while (over < memoryOrder_.size() && nowMs - memoryOrder_[over].first >= props_.keyMs) {
--- a/lib/upstream/shield.hpp
+++ b/lib/upstream/shield.hpp
@@ -36,6 +36,12 @@
     std::vector<Replied> replies;
     std::vector<Fetch> fetches;
     std::vector<std::string> drops;  // addresses whose idle streams must end
+    struct Told {
+      std::string to;
+      uint8_t kind;
+      std::string body;
+    };
+    std::vector<Told> letters;       // to other shields
   };
   struct Figures {
     uint64_t asks = 0, hits = 0, joins = 0, fetches = 0, extras = 0, turnedAway = 0, unknown = 0, rateTurnedAway = 0;
@@ -50,6 +56,12 @@
   auto takeFetched(const Fetched& fetched, int64_t nowMs) -> void;
   /// Puts a newer frame, or newer knowledge of its age, in force. Example: `shield.takeFrame(held, nowMs);`
   auto takeFrame(const caller::HeldFrame& held, int64_t nowMs) -> void;
+  /// Another shield is about to run a key, or has run it. Example: `shield.takeWitness(letter.from, w, nowMs);`
+  auto takeWitness(const std::string& from, const neighbour::Witness& witness, int64_t nowMs) -> void;
+  /// What another shield knows of a key. Example: `shield.takeWitnessed(w, nowMs);`
+  auto takeWitnessed(const neighbour::Witnessed& witnessed, int64_t nowMs) -> void;
+  /// A letter to another shield surely did not leave. Example: `if (!post->send(...)) shield.unwitnessed(to, nowMs);`
+  auto unwitnessed(const std::string& to, int64_t nowMs) -> void;
   /// Lets time pass: probes, deadlines of joined asks. Example: every 10 ms `shield.tick(nowMs);`
   auto tick(int64_t nowMs) -> void;
   /// From now on new asks are turned away. Example: on SIGTERM `shield.empty();`
@@ -60,6 +72,7 @@
   /// Which upstreams answered their last probe. Example: `poll.probes = shield.probes();`
   auto probes() const -> const std::map<std::string, bool>& { return probes_; }
   auto edges() const -> std::vector<std::string>;
+  auto shields() const -> std::vector<std::string>;
   auto figures() const -> Figures { return figures_; }
   auto open() const -> size_t { return waiting_.size(); }
 
@@ -74,15 +87,19 @@
     bool isWrite = false, wasTouched = false, isSent = false;
     int tries = 0;
     std::string joinKey, memoryKey;
+    std::string witness;                 // address of the shield that was told
+    int64_t witnessMs = -1;              // since when its answer is waited for
+    std::map<std::string, std::string> witnessTried;  // names and addresses of those told
     std::vector<uint64_t> followers;
   };
   struct Memory {  // of one Idempotency-Key
     uint64_t print = 0;
-    uint64_t running = 0;
+    uint64_t running = 0;   // 0: it is another shield that runs it
     bool isDone = false;
     neighbour::Reply reply;
     int64_t sinceMs = 0;
   };
+  auto findWitness(uint64_t id, int64_t nowMs) -> void;
   auto dispatch(uint64_t id, bool isExtra, int64_t nowMs) -> void;
   auto retryOr(uint64_t id, uint32_t code, int64_t nowMs) -> void;
   auto giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void;
--- a/programs/shield.cpp
+++ b/programs/shield.cpp
@@ -2,6 +2,7 @@
 #include <glog/logging.h>
 #include <poll.h>
 
+#include <iterator>
 #include <variant>
 
 #include "agent/link.hpp"
@@ -103,8 +104,16 @@
       if (auto* letter = std::get_if<neighbour::Letter>(&input)) {
         post->warm(letter->from);
         Reader r(letter->body);
-        auto ask = r.get<neighbour::Ask>();
-        if (letter->kind == neighbour::kAsk && r.done()) shield.take(letter->from, std::move(ask), nowMs);
+        if (letter->kind == neighbour::kAsk) {
+          auto ask = r.get<neighbour::Ask>();
+          if (r.done()) shield.take(letter->from, std::move(ask), nowMs);
+        } else if (letter->kind == neighbour::kWitness) {
+          auto witness = r.get<neighbour::Witness>();
+          if (r.done()) shield.takeWitness(letter->from, witness, nowMs);
+        } else if (letter->kind == neighbour::kWitnessed) {
+          auto witnessed = r.get<neighbour::Witnessed>();
+          if (r.done()) shield.takeWitnessed(witnessed, nowMs);
+        }
       }
       if (auto* held = std::get_if<caller::HeldFrame>(&input)) {
         shield.takeFrame(*held, nowMs);
@@ -121,6 +130,15 @@
     }
     shield.tick(nowMs);
     auto out = shield.output();
+    // A letter that did not leave is a new input, which may tell another shield.
+    for (size_t i = 0; i < out.letters.size(); ++i) {
+      if (post->send(out.letters[i].to, out.letters[i].kind, out.letters[i].body)) continue;
+      shield.unwitnessed(out.letters[i].to, nowMs);
+      auto more = shield.output();
+      std::move(more.letters.begin(), more.letters.end(), std::back_inserter(out.letters));
+      std::move(more.fetches.begin(), more.fetches.end(), std::back_inserter(out.fetches));
+      std::move(more.replies.begin(), more.replies.end(), std::back_inserter(out.replies));
+    }
     for (auto& address : out.drops) fetcher.drop(address);
     for (auto& fetch : out.fetches) fetcher.start(std::move(fetch));
     for (auto& r : out.replies) replies.push_back({r.to, Writer().put(r.reply).take(), nowMs + boundMs / 4});
@@ -130,6 +148,7 @@
     if (nowMs - warmedMs > boundMs / 20) {
       warmedMs = nowMs;
       for (const auto& at : shield.edges()) post->warm(at);
+      for (const auto& at : shield.shields()) post->warm(at);
       post->prune(nowMs);
     }
     if (op::Program::isStopping() && stopAtMs < 0) {
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -261,8 +261,91 @@
   }
 }
 
+namespace {
+// What a shield tells another one, as the other one gets it.
+auto witnessesOf(const upstream::Shield::Output& out, uint8_t kind = neighbour::kWitness) -> std::vector<std::string> {
+  std::vector<std::string> list;
+  for (const auto& letter : out.letters)
+    if (letter.kind == kind) list.push_back(letter.body);
+  return list;
+}
+}  // namespace
+
+TEST_CASE("A write with a key has a witness before it leaves, who does not run the key again") {
+  auto first = shieldAt(10000);
+  upstream::Shield::Props props;
+  props.name = "shield-2";
+  upstream::Shield second(props);
+  second.takeFrame({frameOf(), 7000}, 7000);
+  second.takeFrame({frameOf(), 10000}, 10000);
+  auto ask = askOf(1, "POST", "/api/buy", core::UpstreamKind::kApplication);
+  ask.key = "k";
+  first.take("ed1", ask, 10000);
+  auto out = first.output();
+  CHECK(fetchesOf(out).empty());
+  REQUIRE(witnessesOf(out).size() == 1);
+  CHECK(out.letters[0].to == "sh2");
+  second.takeWitness("sh1", Reader(witnessesOf(out)[0]).get<neighbour::Witness>(), 10001);
+  auto answer = witnessesOf(second.output(), neighbour::kWitnessed);
+  REQUIRE(answer.size() == 1);
+  first.takeWitnessed(Reader(answer[0]).get<neighbour::Witnessed>(), 10002);
+  out = first.output();
+  auto fetch = fetchesOf(out).at(0);
+  ask.id = 2;
+  SECTION("the first is lost: the witness says that it does not know") {
+    second.take("ed1", ask, 10500);
+    auto o = second.output();
+    CHECK(fetchesOf(o).empty());
+    REQUIRE(o.replies.size() == 1);
+    CHECK(o.replies[0].reply.code == kUnknown);
+  }
+  SECTION("the first has told the outcome: the witness gives it") {
+    first.takeFetched(fetched(fetch.id, 200, "bought"), 10020);
+    auto told = witnessesOf(first.output());
+    REQUIRE(told.size() == 1);
+    second.takeWitness("sh1", Reader(told[0]).get<neighbour::Witness>(), 10021);
+    second.take("ed1", ask, 10500);
+    CHECK(second.output().replies.at(0).reply.body == "bought");
+  }
+  SECTION("it did not leave: the key is free again") {
+    for (auto i = 0; i < 4; ++i) {
+      first.takeFetched(failed(fetch.id, upstream::Fault::kNotSent), 10020);
+      out = first.output();
+      if (!fetchesOf(out).empty()) fetch = fetchesOf(out)[0];
+      for (auto& told : witnessesOf(out)) second.takeWitness("sh1", Reader(told).get<neighbour::Witness>(), 10021);
+    }
+    second.take("ed1", ask, 10500);
+    auto o = second.output();
+    CHECK(o.replies.empty());
+    CHECK(witnessesOf(o).size() == 1);
+  }
+  SECTION("no witness can be reached, or all are slow: it does not leave") {
+    auto alone = shieldAt(10000);
+    alone.take("ed1", ask, 10000);
+    alone.output();
+    alone.unwitnessed("sh2", 10001);
+    auto o = alone.output();
+    CHECK(fetchesOf(o).empty());
+    REQUIRE(o.replies.size() == 1);
+    CHECK(o.replies[0].reply.code == kNoWitness);
+    CHECK(o.replies[0].reply.isUntouched);
+    auto slow = shieldAt(10000);
+    slow.take("ed1", ask, 10000);
+    slow.output();
+    slow.tick(10099);
+    CHECK(slow.output().replies.empty());
+    slow.tick(10100);
+    o = slow.output();
+    CHECK(fetchesOf(o).empty());
+    CHECK(o.replies.at(0).reply.code == kNoWitness);
+    CHECK(witnessesOf(o).size() == 1);  // should it be heard late, the key is free
+  }
+}
+
 TEST_CASE("A request with a key that is running or remembered is not run again") {
-  auto shield = shieldAt(10000);
+  auto frame = frameOf();
+  frame->members.erase("shield-2");  // no witness
+  auto shield = shieldAt(10000, frame);
   auto ask = askOf(1, "POST", "/api/buy", core::UpstreamKind::kApplication);
   ask.key = "k";
   ask.body = "x";
