--- a/lib/caller/face.cpp
+++ b/lib/caller/face.cpp
@@ -158,7 +158,6 @@
     std::shared_ptr<Stream> stream;
     std::string head;
     size_t headBytes = 0, seenBytes = 0;
-    bool isContinued = false;
   };
 
   void onConnection(const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
@@ -251,8 +250,7 @@
 };
 
 Face::Face(Props props, std::function<void(Request)> take) {
-  Pistache::Address address(Pistache::Ipv4::any(), Pistache::Port(props.port));
-  address = Pistache::Address(props.ip, Pistache::Port(props.port));
+  Pistache::Address address(props.ip, Pistache::Port(props.port));
   endpoint_ = std::make_unique<Endpoint>(address);
   auto options = Http::Endpoint::options()
                      .threads(props.threads)
--- a/lib/caller/face.hpp
+++ b/lib/caller/face.hpp
@@ -30,7 +30,7 @@
 /// Example: `ask.headers = endToEnd(request.headers);`
 auto endToEnd(const Headers& headers) -> Headers;
 
-/// What is sent back. `bodyBytes` stands in for the length where no body goes out (HEAD).
+/// What is sent back. A Content-Length among the headers counts only where no body goes out (HEAD, 304).
 struct Answer {
   int status = 200;
   Headers headers;
@@ -67,7 +67,6 @@
   std::string body;
   bool keep = true;
   std::shared_ptr<Stream> stream;
-  std::string site;
 };
 
 /// An endpoint. `take` is called on Pistache's threads.
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -410,7 +410,7 @@
   }
 }
 
-auto Shield::probe(int64_t nowMs) -> void {
+auto Shield::probe() -> void {
   for (const auto& [name, upstream] : held_.frame->upstreams) {
     if (upstream.isHeld) continue;
     auto isBusy = std::any_of(probing_.begin(), probing_.end(), [&](const auto& one) { return one.second == name; });
@@ -426,13 +426,12 @@
     probing_[fetch.id] = name;
     out_.fetches.push_back(std::move(fetch));
   }
-  (void)nowMs;
 }
 
 auto Shield::tick(int64_t nowMs) -> void {
   if (nowMs - probedMs_ >= props_.probeMs && held_.isCurrent(nowMs, props_.staleMs)) {
     probedMs_ = nowMs;
-    probe(nowMs);
+    probe();
   }
   for (auto id : waiting_.ids()) {
     auto* w = waiting_.get(id);
--- a/lib/upstream/shield.hpp
+++ b/lib/upstream/shield.hpp
@@ -107,7 +107,7 @@
   auto reply(const Waiting& waiting, neighbour::Reply reply, int64_t nowMs) -> void;
   auto refuse(const std::string& from, uint64_t id, uint32_t code) -> void;
   auto budget(const std::string& service) -> policy::TryBudget&;
-  auto probe(int64_t nowMs) -> void;
+  auto probe() -> void;
   auto judge(const std::string& instance, const Fetched& fetched, int64_t nowMs) -> void;
 
   Props props_;
