Rollouts compare fetches closely only once kept copies have had time to expire

Copies kept for 5 s expire in bursts, and a step of 2 to 3 s may see the burst of one revision only. Change: until a keep time has passed (at most half the longest wait), only a difference of four standard errors counts, and a step is not over; afterwards two. Both samples' errors count.

--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -559,7 +559,13 @@
   }
   const auto& points = rollout.next.points;
   auto isLast = rollout.step + 1 >= points.stepsPermille.size();
-  auto judged = policy::judge(old, next, points, nowMs - watched.sinceMs, isLast);
+  int64_t keepMs = 0;
+  for (const auto& [name, service] : state_.frame().services) {
+    if (service.rollout != id) continue;
+    for (const auto& path : service.paths) keepMs = std::max(keepMs, path.keepMs);
+    for (const auto& path : service.next.front().paths) keepMs = std::max(keepMs, path.keepMs);
+  }
+  auto judged = policy::judge(old, next, points, nowMs - watched.sinceMs, isLast, keepMs);
   if (judged.verdict == policy::Verdict::kHold) return;
   watched.isDeciding = true;
   LOG(INFO) << "rollout: " << id << " step " << rollout.step + 1 << ": " << judged.why << ".";
--- a/lib/policy/rollout.cpp
+++ b/lib/policy/rollout.cpp
@@ -66,7 +66,7 @@
   for (auto& n : took) r.read(n);
 }
 
-auto judge(const Sample& old, const Sample& next, const SetPoints& points, int64_t passedMs, bool isLast) -> Judgement {
+auto judge(const Sample& old, const Sample& next, const SetPoints& points, int64_t passedMs, bool isLast, int64_t keepMs) -> Judgement {
   auto least = static_cast<uint64_t>(points.leastSample);
   auto hasEnough = next.requests >= least && old.requests >= least;
   if (!hasEnough) {
@@ -81,10 +81,14 @@
   auto mostMs = oldMs * (1 + static_cast<double>(points.latencyPercent) / 100) + static_cast<double>(points.latencyMs);
   if (newMs > mostMs) return {Verdict::kFallBack, "latency: " + text(newMs) + " ms, old " + text(oldMs) + " ms"};
   auto oldLoad = share(old.fetches, old.requests), newLoad = share(next.fetches, next.requests);
-  // A share of a small sample wavers: two standard errors are left to chance.
-  auto chance = 2 * std::sqrt(std::max(0.01, newLoad * (1 - std::min(1.0, newLoad))) / static_cast<double>(next.requests));
-  if (newLoad > oldLoad * (1 + static_cast<double>(points.loadPercent) / 100) + chance)
+  // Shares of small samples waver: two standard errors are left to chance, four while copies may expire in bursts.
+  auto variance = [](double share, uint64_t n) { return std::max(0.01, share * (1 - std::min(1.0, share))) / static_cast<double>(n); };
+  auto chance = std::sqrt(variance(oldLoad, old.requests) + variance(newLoad, next.requests));
+  auto settledMs = std::min(keepMs, points.longestMs / 2);
+  auto isSettled = passedMs >= settledMs;
+  if (newLoad > oldLoad * (1 + static_cast<double>(points.loadPercent) / 100) + (isSettled ? 2 : 4) * chance)
     return {Verdict::kFallBack, "origin load: " + text(100 * newLoad) + " fetches per 100 requests, old " + text(100 * oldLoad)};
+  if (!isSettled) return {Verdict::kHold, "copies of before are still in use"};
   if (passedMs < points.stepMs) return {Verdict::kHold, "the step is not over"};
   return {isLast ? Verdict::kFinish : Verdict::kWiden, "near the set points: " + text(newMs) + " ms against " + text(oldMs) + " ms, errors " + text(newErrors) +
                                                            " against " + text(oldErrors) + " of 1000, fetches " + text(100 * newLoad) + " against " +
--- a/lib/policy/rollout.hpp
+++ b/lib/policy/rollout.hpp
@@ -48,8 +48,9 @@
   std::string why;
 };
 
-/// Judges one step; after the last one the new revision serves all.
-/// Example: `auto j = judge(oldStep, newStep, points, passedMs, isLast);`
-auto judge(const Sample& old, const Sample& next, const SetPoints& points, int64_t passedMs, bool isLast) -> Judgement;
+/// Judges one step; after the last one the new revision serves all. Copies kept for `keepMs` expire in bursts, so
+/// that fetches are compared closely only once such a time has passed; before that only what chance and bursts
+/// can't explain counts. Example: `auto j = judge(oldStep, newStep, points, passedMs, isLast, 5000);`
+auto judge(const Sample& old, const Sample& next, const SetPoints& points, int64_t passedMs, bool isLast, int64_t keepMs) -> Judgement;
 
 }  // namespace dykestage::policy
