--- a/lib/sim/system_sim.cpp
+++ b/lib/sim/system_sim.cpp
@@ -256,18 +256,18 @@
   say("crash " + name);
   node.isUp = false;
   node.life = nextLife_++;
-  // Callers of a dead edge see their streams end: for them the outcome is unknown.
-  for (auto it = open_.begin(); it != open_.end();) {
-    if (it->second.edge != name) {
-      ++it;
-      continue;
-    }
-    if (it->second.isWrite) {
-      writes_[it->second.id] = 'u';
-      repeat(it->second.id);
-    }
+  // Callers of a dead edge see their streams end: for them the outcome is unknown. They go on in the order of
+  // their names, not of the streams' addresses, so that a seed is the same history each time.
+  std::set<std::string> cutOff;
+  std::erase_if(open_, [&](const auto& one) {
+    if (one.second.edge != name) return false;
+    if (one.second.isWrite) cutOff.insert(one.second.id);
     ++verdict_.unknown;
-    it = open_.erase(it);
+    return true;
+  });
+  for (const auto& id : cutOff) {
+    writes_[id] = 'u';
+    repeat(id);
   }
   for (auto& [other, edge] : nodes_)
     if (edge->isUp && edge->edge && edge->frozenUntilMs <= nowMs_) {
