A shield that has just started is told the others' keys before it takes part

Change: new shields ask the others for their keys, and turn keyed writes away until told, or until the bound has passed; they give no witness before that. Unproved: all shields that knew of a key lost at once.

--- a/lib/neighbour/messages.hpp
+++ b/lib/neighbour/messages.hpp
@@ -9,7 +9,7 @@
 
 namespace dykestage::neighbour {
 
-enum LetterKind : uint8_t { kTempo = 1, kHello = 2, kHave = 3, kPoll = 4, kFeed = 5, kAsk = 6, kReply = 7, kWitness = 8, kWitnessed = 9 };
+enum LetterKind : uint8_t { kTempo = 1, kHello = 2, kHave = 3, kPoll = 4, kFeed = 5, kAsk = 6, kReply = 7, kWitness = 8, kWitnessed = 9, kMemoryAsk = 10, kMemory = 11 };
 
 /// What an edge saw of the old and the new revision's traffic, by rollout, since it started.
 using Samples = std::map<std::string, std::pair<policy::Sample, policy::Sample>>;
@@ -117,4 +117,10 @@
   DYKESTAGE_FIELDS(nonce, isKnown, isSame, outcome)
 };
 
+/// A shield's keys, for one that has just started and remembers nothing.
+struct Keys {
+  std::vector<std::pair<std::string, uint64_t>> keys;  // service and key → what request it stood for
+  DYKESTAGE_FIELDS(keys)
+};
+
 }  // namespace dykestage::neighbour
--- a/lib/sim/system_sim.cpp
+++ b/lib/sim/system_sim.cpp
@@ -127,6 +127,10 @@
     node.shield->takeWitness(from, r.get<neighbour::Witness>(), nowMs_);
   } else if (part == "data" && kind == neighbour::kWitnessed && node.shield) {
     node.shield->takeWitnessed(r.get<neighbour::Witnessed>(), nowMs_);
+  } else if (part == "data" && kind == neighbour::kMemoryAsk && node.shield) {
+    node.shield->takeMemoryAsk(from);
+  } else if (part == "data" && kind == neighbour::kMemory && node.shield) {
+    node.shield->takeMemory(from, r.get<neighbour::Keys>(), nowMs_);
   } else if (part == "data" && kind == neighbour::kReply && node.edge) {
     node.edge->takeReply(from, r.get<neighbour::Reply>(), nowMs_);
   }
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -87,6 +87,7 @@
   auto joinKey = w.joinKey, memoryKey = w.memoryKey;
   auto print = neighbour::hash(ask.method + "\n" + ask.target + "\n" + ask.body);
   if (!memoryKey.empty()) {
+    if (!remembers(nowMs)) return refuse(from, id, kNotCurrent);
     auto it = memory_.find(memoryKey);
     if (it != memory_.end()) {
       if (it->second.print != print) return refuse(from, id, kKeyReused);
@@ -157,7 +158,28 @@
   out_.letters.push_back({w.witness, neighbour::kWitness, Writer().put(witness).take()});
 }
 
+// A shield that has just started takes no part in keys before the others have told theirs, or before the bound has
+// passed without them.
+auto Shield::remembers(int64_t nowMs) const -> bool {
+  if (split_.isSettled(nowMs)) return true;
+  auto others = shields();
+  return std::all_of(others.begin(), others.end(), [&](const auto& at) { return toldKeys_.count(at) != 0; });
+}
+
+auto Shield::takeMemoryAsk(const std::string& from) -> void {
+  neighbour::Keys keys;
+  for (const auto& [key, memory] : memory_) keys.keys.emplace_back(key, memory.print);
+  out_.letters.push_back({from, neighbour::kMemory, Writer().put(keys).take()});
+}
+
+auto Shield::takeMemory(const std::string& from, const neighbour::Keys& told, int64_t nowMs) -> void {
+  toldKeys_.insert(from);
+  for (const auto& [key, print] : told.keys)
+    if (memory_.try_emplace(key, Memory{print, 0, false, {}, nowMs}).second) memoryOrder_.emplace_back(nowMs, key);
+}
+
 auto Shield::takeWitness(const std::string& from, const neighbour::Witness& told, int64_t nowMs) -> void {
+  if (!told.outcome && !remembers(nowMs)) return;  // the asker finds another witness
   auto [it, isNew] = memory_.try_emplace(told.key, Memory{told.print, 0, false, {}, nowMs});
   auto& memory = it->second;
   if (isNew) memoryOrder_.emplace_back(nowMs, told.key);
@@ -429,6 +451,11 @@
 }
 
 auto Shield::tick(int64_t nowMs) -> void {
+  if (!remembers(nowMs) && nowMs - keysAskedMs_ >= props_.boundMs / 20) {
+    keysAskedMs_ = nowMs;
+    for (const auto& at : shields())
+      if (!toldKeys_.count(at)) out_.letters.push_back({at, neighbour::kMemoryAsk, ""});
+  }
   if (nowMs - probedMs_ >= props_.probeMs && held_.isCurrent(nowMs, props_.staleMs)) {
     probedMs_ = nowMs;
     probe();
@@ -445,7 +472,7 @@
   size_t over = 0;
   while (over < memoryOrder_.size() && nowMs - memoryOrder_[over].first >= props_.keyMs) {
     auto it = memory_.find(memoryOrder_[over].second);
-    if (it != memory_.end() && it->second.isDone && nowMs - it->second.sinceMs >= props_.keyMs) memory_.erase(it);
+    if (it != memory_.end() && (it->second.isDone || it->second.running == 0) && nowMs - it->second.sinceMs >= props_.keyMs) memory_.erase(it);
     ++over;
   }
   memoryOrder_.erase(memoryOrder_.begin(), memoryOrder_.begin() + static_cast<std::ptrdiff_t>(over));
--- a/lib/upstream/shield.hpp
+++ b/lib/upstream/shield.hpp
@@ -60,6 +60,10 @@
   auto takeWitness(const std::string& from, const neighbour::Witness& witness, int64_t nowMs) -> void;
   /// What another shield knows of a key. Example: `shield.takeWitnessed(w, nowMs);`
   auto takeWitnessed(const neighbour::Witnessed& witnessed, int64_t nowMs) -> void;
+  /// A shield that has just started asks for the keys known here. Example: `shield.takeMemoryAsk(letter.from);`
+  auto takeMemoryAsk(const std::string& from) -> void;
+  /// The keys that another shield knows. Example: `shield.takeMemory(letter.from, keys, nowMs);`
+  auto takeMemory(const std::string& from, const neighbour::Keys& keys, int64_t nowMs) -> void;
   /// A letter to another shield surely did not leave. Example: `if (!post->send(...)) shield.unwitnessed(to, nowMs);`
   auto unwitnessed(const std::string& to, int64_t nowMs) -> void;
   /// Lets time pass: probes, deadlines of joined asks. Example: every 10 ms `shield.tick(nowMs);`
@@ -99,6 +103,7 @@
     neighbour::Reply reply;
     int64_t sinceMs = 0;
   };
+  auto remembers(int64_t nowMs) const -> bool;
   auto findWitness(uint64_t id, int64_t nowMs) -> void;
   auto dispatch(uint64_t id, bool isExtra, int64_t nowMs) -> void;
   auto retryOr(uint64_t id, uint32_t code, int64_t nowMs) -> void;
@@ -122,6 +127,8 @@
   std::map<std::string, uint64_t> joins_;
   std::map<std::string, Memory> memory_;
   std::vector<std::pair<int64_t, std::string>> memoryOrder_;
+  std::set<std::string> toldKeys_;  // shields that have told theirs
+  int64_t keysAskedMs_ = -1'000'000;
   std::map<std::string, bool> probes_;
   std::map<uint64_t, std::string> probing_;
   uint64_t nextProbe_ = 0;
--- a/programs/shield.cpp
+++ b/programs/shield.cpp
@@ -110,6 +110,11 @@
         } else if (letter->kind == neighbour::kWitness) {
           auto witness = r.get<neighbour::Witness>();
           if (r.done()) shield.takeWitness(letter->from, witness, nowMs);
+        } else if (letter->kind == neighbour::kMemoryAsk) {
+          shield.takeMemoryAsk(letter->from);
+        } else if (letter->kind == neighbour::kMemory) {
+          auto keys = r.get<neighbour::Keys>();
+          if (r.done()) shield.takeMemory(letter->from, keys, nowMs);
         } else if (letter->kind == neighbour::kWitnessed) {
           auto witnessed = r.get<neighbour::Witnessed>();
           if (r.done()) shield.takeWitnessed(witnessed, nowMs);
