--- a/lib/sim/fleet.cpp
+++ b/lib/sim/fleet.cpp
@@ -260,7 +260,7 @@
     links_.open(at(ip, 4), at(ip, 5));
     add({"agent", "agent-" + name, site, ip, "", "", "", -1},
         "{\"name\":" + text(name) + ",\"address\":" + text(at(ip, 4)) + ",\"listen\":" + text(at(ip, 5)) + ",\"loopback\":" +
-            text(at(ip, 6)) + ",\"seeds\":" + list(seeds) + common + "}");
+            text(at(ip, 6)) + ",\"status\":" + text(at(ip, 7)) + ",\"seeds\":" + list(seeds) + common + "}");
     add({kind, name, site, ip, kind == "edge" ? at(ip, 2) : "", "", "", -1},
         "{\"name\":" + text(name) + ",\"site\":" + text(site) + (kind == "edge" ? ",\"http\":" + text(at(ip, 2)) : "") + ",\"status\":" +
             text(at(ip, 3)) + ",\"address\":" + text(at(ip, 0)) + ",\"listen\":" + text(at(ip, 1)) + ",\"agent\":" + text(at(ip, 6)) + common + extra +
--- a/programs/agent.cpp
+++ b/programs/agent.cpp
@@ -3,6 +3,8 @@
 #include <poll.h>
 
 #include "agent/feed.hpp"
+#include "caller/codes.hpp"
+#include "caller/face.hpp"
 #include "neighbour/inbox.hpp"
 #include "neighbour/post.hpp"
 #include "operator/program.hpp"
@@ -23,18 +25,33 @@
   for (const auto& other : order) at.push_back(frame.members.at(other).agent);
   return at;
 }
+auto statusPage(const caller::HeldFrame& held, const std::string& target, int64_t nowMs, bool isReady) -> std::string {
+  const auto& revision = held.frame->revision;
+  op::Json json(cJSON_CreateObject(), cJSON_Delete);
+  auto number = [&](const char* key, int64_t value) { cJSON_AddNumberToObject(json.get(), key, static_cast<double>(value)); };
+  cJSON_AddStringToObject(json.get(), "program", "agent");
+  cJSON_AddBoolToObject(json.get(), "ready", isReady);
+  cJSON_AddStringToObject(json.get(), "asks", target.c_str());
+  number("ageMs", held.asOfMs < 0 ? -1 : nowMs - held.asOfMs);
+  number("configuration", static_cast<int64_t>(revision.configuration));
+  number("purges", static_cast<int64_t>(revision.purges));
+  number("upstreams", static_cast<int64_t>(revision.upstreams));
+  number("members", static_cast<int64_t>(revision.members));
+  return op::print(json.get()) + "\n";
+}
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
   auto program = op::Program::start(argc, argv, "agent: feeds the proxy beside it with news of the control plane");
   auto& s = program.settings();
-  std::string name, address, listen, loopback;
+  std::string name, address, listen, loopback, status;
   std::vector<std::string> seeds;
   int64_t boundMs = 2000;
   s.text("name", name, true);
   program.address("address", address);
   program.address("listen", listen, false);
   program.address("loopback", loopback);
+  program.address("status", status);
   program.addresses("seeds", seeds, 3);
   s.integer("boundMs", 400, 60000, boundMs);
   program.ready();
@@ -49,6 +66,14 @@
     return 3;
   }
   LOG(INFO) << "agent: " << name << " at " << outer->address() << ", feeding at " << inner->address() << ".";
+  neighbour::Inbox<caller::Request> pages(64);
+  auto [ip, port] = op::splitAddress(status);
+  caller::Face face({ip, port, 1, 1 << 16}, [&](caller::Request r) {
+    auto stream = r.stream;
+    auto method = r.method;
+    if (!pages.push(std::move(r))) stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
+  });
+  std::vector<std::shared_ptr<caller::Stream>> writing;
   agent::Follower follower(name, boundMs / 5);
   agent::Giver toProxy(boundMs / 10), toNeighbours(boundMs / 10);
   core::Member member;
@@ -57,9 +82,20 @@
   auto order = neighbour::rendezvous(name, seeds);
   std::string target;
   while (!op::Program::isStopping()) {
-    pollfd fds[] = {{inbox.fd(), POLLIN, 0}, {op::Program::stopFd(), POLLIN, 0}};
-    ::poll(fds, 2, static_cast<int>(boundMs / 200));
+    std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}, {pages.fd(), POLLIN, 0}, {op::Program::stopFd(), POLLIN, 0}};
+    for (auto& stream : writing) fds.push_back({stream->fd(), POLLOUT, 0});
+    ::poll(fds.data(), fds.size(), static_cast<int>(boundMs / 200));
     auto nowMs = neighbour::steadyMs();
+    for (auto& r : pages.take()) {
+      const auto& held = follower.held();
+      auto isReady = held.isCurrent(nowMs, boundMs * 3 / 4);
+      auto answer = r.target == "/ready" ? (isReady ? caller::Answer{200, {}, "ready\n"} : caller::codeAnswer(caller::kNotCurrent, 1))
+                    : r.target == "/status" ? caller::Answer{200, {{"Content-Type", "application/json"}}, statusPage(held, target, nowMs, isReady)}
+                                            : caller::codeAnswer(caller::kNoSuchPage, 0);
+      r.stream->answer(answer, r.method, r.keep);
+      writing.push_back(r.stream);
+    }
+    std::erase_if(writing, [](auto& stream) { return stream->flush(); });
     for (auto& letter : inbox.take()) {
       Reader r(letter.body);
       if (letter.kind == neighbour::kFeed) {
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -342,6 +342,40 @@
   }
 }
 
+TEST_CASE("A shield that has just started takes no part in keys before it is told the others'") {
+  upstream::Shield::Props props;
+  props.name = "shield-1";
+  upstream::Shield fresh(props);
+  fresh.takeFrame({frameOf(), 10000}, 10000);
+  auto ask = askOf(1, "POST", "/api/buy", core::UpstreamKind::kApplication);
+  ask.key = "k";
+  fresh.take("ed1", ask, 10010);
+  CHECK(fresh.output().replies.at(0).reply.code == kNotCurrent);
+  fresh.tick(10010);
+  CHECK(witnessesOf(fresh.output(), neighbour::kMemoryAsk).size() == 1);
+  auto other = shieldAt(10000);
+  neighbour::Witness seen{1, "shop\nk", 7, std::nullopt};
+  other.takeWitness("sh3", seen, 10000);
+  other.output();
+  other.takeMemoryAsk("sh1");
+  auto told = witnessesOf(other.output(), neighbour::kMemory);
+  REQUIRE(told.size() == 1);
+  fresh.takeMemory("sh2", Reader(told[0]).get<neighbour::Keys>(), 10020);
+  ask.id = 2;
+  ask.key = "another";
+  fresh.take("ed1", ask, 10030);
+  auto out = fresh.output();
+  CHECK(out.replies.empty());
+  CHECK(witnessesOf(out).size() == 1);
+  ask.id = 3;
+  ask.key = "k";
+  fresh.take("ed1", ask, 10040);
+  out = fresh.output();
+  CHECK(fetchesOf(out).empty());
+  REQUIRE(out.replies.size() == 1);
+  CHECK(out.replies[0].reply.code == kKeyReused);  // another request under the key; the same one would be unknown
+}
+
 TEST_CASE("A request with a key that is running or remembered is not run again") {
   auto frame = frameOf();
   frame->members.erase("shield-2");  // no witness
