Agents watch their neighbours; two that find one silent halve the wait for its sign-off

Cause: neighbours were known and asked, but not watched as the house style has it. Ruled out by the rule that only a current agent tells of others: signing off half the nodes in a split.

--- a/lib/agent/feed.cpp
+++ b/lib/agent/feed.cpp
@@ -71,6 +71,7 @@
   poll.has = held_.frame->revision;
   poll.probes = told.probes;
   poll.samples = told.samples;
+  poll.silent = told.silent;
   return std::pair{target_, std::move(poll)};
 }
 
--- a/lib/agent/feed.hpp
+++ b/lib/agent/feed.hpp
@@ -18,6 +18,7 @@
   core::Revision revision;             // that it acts on
   std::map<std::string, bool> probes;  // shields: which upstreams answer
   neighbour::Samples samples;          // edges: what rollouts are judged by
+  std::vector<std::string> silent;     // agents: watched neighbours that do not answer
 };
 
 /// Holds questions and answers them. Example:
--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -314,7 +314,7 @@
 auto Registry::onPoll(const std::string& from, Poll poll, int64_t nowMs) -> void {
   auto& heard = heard_[poll.name];
   hasNewsOfMembers_ = hasNewsOfMembers_ || !(heard.revision == poll.revision);
-  heard = {poll.member.incarnation, poll.revision, nowMs, poll.probes, poll.samples, true};
+  heard = {poll.member.incarnation, poll.revision, nowMs, poll.probes, poll.samples, true, poll.silent};
   checkAcks(nowMs);
   auto it = published_->members.find(poll.name);
   auto isMember = it != published_->members.end() && it->second == poll.member;
@@ -362,12 +362,13 @@
         if (revision.covers(heard.revision)) heard.revision = revision;
         heard.heardMs = std::max(heard.heardMs, heardMs);
       } else if (heardMs > heard.heardMs) {
-        heard = {told.first, revision, heardMs, heard.probes, heard.samples, false};
+        heard = {told.first, revision, heardMs, heard.probes, heard.samples, false, {}};
       }
     }
     for (const auto& [name, age] : have.beats) beats_[name] = std::max(beats_[name], nowMs - age);
     for (const auto& [name, told] : have.probes) heard_[name].probes = told;
     for (const auto& [name, told] : have.samples) heard_[name].samples = told;
+    for (const auto& [name, told] : have.silent) heard_[name].silent = told;
     checkAcks(nowMs);
   } else if (kind == neighbour::kPoll) {
     auto poll = r.get<Poll>();
@@ -521,8 +522,13 @@
     auto it = heard_.find(name);
     // Whoever is heard under a new life is about to join in place of the old one; that is no silence.
     auto silentMs = silent("member " + name + " " + std::to_string(member.incarnation), it == heard_.end() ? 0 : it->second.heardMs);
-    if (silentMs > props_.memberMissMs) {
-      LOG(INFO) << "core: Signing off " << member.kind << " " << name << ".";
+    // Two watchers who find it silent as well are half the proof.
+    auto watchers = std::count_if(heard_.begin(), heard_.end(), [&](const auto& one) {
+      const auto& silent = one.second.silent;
+      return nowMs - one.second.heardMs < props_.boundMs && std::find(silent.begin(), silent.end(), name) != silent.end();
+    });
+    if (silentMs > props_.memberMissMs || (watchers >= 2 && silentMs > props_.memberMissMs / 2)) {
+      LOG(INFO) << "core: Signing off " << member.kind << " " << name << ", silent for " << silentMs << " ms, watched in vain by " << watchers << ".";
       decide(OpKind::kLeave, name, member.incarnation);
     }
   }
@@ -608,6 +614,7 @@
           have.members[name] = {heard.incarnation, {heard.revision, nowMs - heard.heardMs}};
           if (heard.isOwn && !heard.probes.empty()) have.probes[name] = heard.probes;
           if (heard.isOwn && !heard.samples.empty()) have.samples[name] = heard.samples;
+          if (heard.isOwn) have.silent[name] = heard.silent;
         }
       for (const auto& [name, beatMs] : beats_)
         if (nowMs - beatMs < props_.boundMs) have.beats[name] = nowMs - beatMs;
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -103,6 +103,7 @@
     std::map<std::string, bool> probes;
     neighbour::Samples samples;
     bool isOwn = false;  // it asks this registry
+    std::vector<std::string> silent;  // the neighbours that it watches in vain
   };
   struct Watched {  // a running rollout's step, as this holder of the duty saw it begin
     uint32_t step = 0;
--- a/lib/neighbour/messages.hpp
+++ b/lib/neighbour/messages.hpp
@@ -9,7 +9,7 @@
 
 namespace dykestage::neighbour {
 
-enum LetterKind : uint8_t { kTempo = 1, kHello = 2, kHave = 3, kPoll = 4, kFeed = 5, kAsk = 6, kReply = 7, kWitness = 8, kWitnessed = 9, kMemoryAsk = 10, kMemory = 11 };
+enum LetterKind : uint8_t { kTempo = 1, kHello = 2, kHave = 3, kPoll = 4, kFeed = 5, kAsk = 6, kReply = 7, kWitness = 8, kWitnessed = 9, kMemoryAsk = 10, kMemory = 11, kPing = 12, kPong = 13 };
 
 /// What an edge saw of the old and the new revision's traffic, by rollout, since it started.
 using Samples = std::map<std::string, std::pair<policy::Sample, policy::Sample>>;
@@ -39,7 +39,8 @@
   std::map<std::string, int64_t> beats;                                                    // instance → age
   std::map<std::string, std::map<std::string, bool>> probes;                               // instance → shield → answers
   std::map<std::string, Samples> samples;                                                  // by edge
-  DYKESTAGE_FIELDS(members, beats, probes, samples)
+  std::map<std::string, std::vector<std::string>> silent;                                  // by watcher
+  DYKESTAGE_FIELDS(members, beats, probes, samples, silent)
 };
 
 /// A data node's (or agent's) question for news. The answer names the same nonce.
@@ -51,8 +52,9 @@
   core::Revision has;       // held by the asker, for which only news is wanted
   std::map<std::string, bool> probes;  // shields: instance → answers
   Samples samples;                     // edges
+  std::vector<std::string> silent;     // watched neighbours that do not answer
   bool isNeighbour = false;            // an agent asking another agent
-  DYKESTAGE_FIELDS(nonce, name, member, revision, has, probes, samples, isNeighbour)
+  DYKESTAGE_FIELDS(nonce, name, member, revision, has, probes, samples, silent, isNeighbour)
 };
 
 /// News, with the age of the frame as the giver knows it and how long it held the question.
--- a/programs/agent.cpp
+++ b/programs/agent.cpp
@@ -14,16 +14,16 @@
 namespace {
 constexpr size_t kNeighbours = 3;
 
-// The few agents that this one knows and asks when no registry answers.
-auto neighboursOf(const core::Frame& frame, const std::string& name) -> std::vector<std::string> {
+// The few agents that this one knows: it watches them, and asks them when no registry answers. Names, addresses.
+auto neighboursOf(const core::Frame& frame, const std::string& name) -> std::vector<std::pair<std::string, std::string>> {
   std::vector<std::string> names;
   for (const auto& [other, member] : frame.members)
     if (other != name && !member.agent.empty()) names.push_back(other);
   auto order = neighbour::rendezvous(name, names);
   if (order.size() > kNeighbours) order.resize(kNeighbours);
-  std::vector<std::string> at;
-  for (const auto& other : order) at.push_back(frame.members.at(other).agent);
-  return at;
+  std::vector<std::pair<std::string, std::string>> list;
+  for (const auto& other : order) list.emplace_back(other, frame.members.at(other).agent);
+  return list;
 }
 auto statusPage(const caller::HeldFrame& held, const std::string& target, int64_t nowMs, bool isReady) -> std::string {
   const auto& revision = held.frame->revision;
@@ -78,7 +78,8 @@
   agent::Giver toProxy(boundMs / 10), toNeighbours(boundMs / 10);
   core::Member member;
   agent::Told told;
-  int64_t proxyMs = -1;
+  int64_t proxyMs = -1, pingedMs = 0;
+  std::map<std::string, int64_t> pongMs;  // watched agents, by address
   auto order = neighbour::rendezvous(name, seeds);
   std::string target;
   while (!op::Program::isStopping()) {
@@ -101,6 +102,11 @@
       if (letter.kind == neighbour::kFeed) {
         auto feed = r.get<neighbour::Feed>();
         if (r.done()) follower.take(feed, nowMs);
+      } else if (letter.kind == neighbour::kPing) {
+        outer->warm(letter.from);
+        outer->send(letter.from, neighbour::kPong, "");
+      } else if (letter.kind == neighbour::kPong) {
+        pongMs[letter.from] = nowMs;
       } else if (letter.kind == neighbour::kPoll) {
         auto poll = r.get<neighbour::Poll>();
         if (!r.done()) continue;
@@ -113,7 +119,9 @@
         // The proxy says who it is; the agent speaks for it, and only while it is there.
         poll.member.agent = outer->address();
         member = poll.member;
-        told = {poll.revision, poll.probes, poll.samples};
+        told.revision = poll.revision;
+        told.probes = poll.probes;
+        told.samples = poll.samples;
         proxyMs = nowMs;
         follower.be(member);
         toProxy.take(letter.from, std::move(poll), nowMs);
@@ -124,7 +132,21 @@
     for (auto& [to, feed] : toNeighbours.give(*held.frame, held.asOfMs, nowMs)) outer->send(to, neighbour::kFeed, Writer().put(feed).take());
     if (proxyMs >= 0 && nowMs - proxyMs < boundMs) {
       auto targets = order;
-      for (auto& at : neighboursOf(*held.frame, name)) targets.push_back(at);
+      auto neighbours = neighboursOf(*held.frame, name);
+      for (auto& [other, at] : neighbours) targets.push_back(at);
+      if (nowMs - pingedMs >= boundMs / 4) {
+        pingedMs = nowMs;
+        std::map<std::string, int64_t> watched;
+        told.silent.clear();
+        for (auto& [other, at] : neighbours) {
+          auto seen = pongMs.find(at);
+          watched[at] = seen == pongMs.end() ? nowMs : seen->second;
+          // Whoever is cut off itself tells nothing of others.
+          if (nowMs - watched[at] > boundMs && held.isCurrent(nowMs, boundMs / 2)) told.silent.push_back(other);
+          outer->send(at, neighbour::kPing, "");
+        }
+        pongMs = std::move(watched);
+      }
       if (auto poll = follower.tick(targets, order.size(), told, nowMs)) {
         poll->second.isNeighbour = std::find(order.begin(), order.end(), poll->first) == order.end();
         if (poll->first != target) LOG(INFO) << "agent: Asking " << poll->first << ".";
