--- a/lib/sim/core_sim.cpp
+++ b/lib/sim/core_sim.cpp
@@ -29,7 +29,7 @@
   Incarnation incarnation = 0;
   uint64_t life = 0;
   bool isUp = false;
-  int64_t frozenUntilMs = 0, stalledUntilMs = 0;
+  int64_t frozenUntilMs = 0, stalledUntilMs = 0, fullUntilMs = 0;
   std::unique_ptr<TestMachine> machine;
   std::unique_ptr<Node> node;
   std::string frame;                 // synced
@@ -116,6 +116,16 @@
 auto CoreSim::flush(Host& h) -> void {
   auto out = std::make_shared<Output>(h.node->take());
   if (out->writes.empty() && out->sends.empty() && out->answers.empty() && !out->frameTaken && h.machine->applied_.empty()) return;
+  // On a full disk a registry stops at its next write, with nothing of that step told to anybody.
+  if (h.fullUntilMs > nowMs_ && (!out->writes.empty() || out->frameTaken)) {
+    auto slot = h.slot;
+    auto untilMs = h.fullUntilMs;
+    at(nowMs_, [this, slot, untilMs] {
+      crash(slot);
+      at(untilMs, [this, slot] { start(slot); });
+    });
+    return;
+  }
   auto life = h.life;
   auto applied = std::make_shared<std::vector<Applied>>(std::exchange(h.machine->applied_, {}));
   auto frame = std::make_shared<std::string>(out->frameTaken ? h.node->save() : std::string());
@@ -265,6 +275,7 @@
       if (f.stalls) kinds.push_back(4);
       if (f.freezes) kinds.push_back(5);
       if (f.blackouts) kinds.push_back(6);
+      if (f.fullDisks) kinds.push_back(7);
       if (kinds.empty()) return;
       auto slot = static_cast<Slot>(pick(1, r));
       auto mayFall = down() < props_.core.faults && hosts_.at(slot)->isUp;
@@ -306,6 +317,11 @@
           hosts_.at(slot)->frozenUntilMs = nowMs_ + pick(50, 800);
           say("freeze " + std::to_string(slot));
           break;
+        case 7:
+          if (!mayFall) break;
+          hosts_.at(slot)->fullUntilMs = nowMs_ + pick(50, 800);
+          say("full " + std::to_string(slot));
+          break;
         case 6:  // all lose power at once; what was not synced is lost everywhere
           say("blackout");
           for (Slot each = 1; each <= static_cast<Slot>(r); ++each) {
@@ -321,7 +337,7 @@
     isHealed_ = true;
     cuts_.clear();
     for (auto& [slot, h] : hosts_) {
-      h->frozenUntilMs = h->stalledUntilMs = 0;
+      h->frozenUntilMs = h->stalledUntilMs = h->fullUntilMs = 0;
       start(slot);
     }
   });
--- a/lib/sim/core_sim.hpp
+++ b/lib/sim/core_sim.hpp
@@ -15,7 +15,7 @@
 struct Faults {
   int lossPercent = 0;
   int repeatPercent = 0;
-  bool splits = false, oneWayCuts = false, crashes = false, wipes = false, stalls = false, freezes = false, blackouts = false;
+  bool splits = false, oneWayCuts = false, crashes = false, wipes = false, stalls = false, freezes = false, blackouts = false, fullDisks = false;
   bool dropSync = false;  // a rule broken on purpose: sends leave before the sync
 };
 
--- a/tests/tempo_test.cpp
+++ b/tests/tempo_test.cpp
@@ -268,6 +268,49 @@
       }
 }
 
+TEST_CASE("All orders of the messages of two racing recoveries end alike") {
+  // r = 3, f = 1. The coordinator has proposed to one other and is lost, or not; the two others, each believing
+  // itself alone, recover at once. Their first letters are delivered in each of their orders.
+  for (auto isLost : {true, false}) {
+    std::vector<size_t> order;
+    auto tried = 0;
+    do {
+      Table t(3, 1);
+      t.node(3).setClock(kMembers, 7);
+      t.node(1).submit(1u << kMembers, "c", t.nowMs);
+      t.deliver([](const Letter& l) { return l.to == 2 && l.message.kind == Kind::kPropose; });
+      t.deliver([](const Letter& l) { return l.to == 3 && l.message.kind == Kind::kPayload; });
+      t.letters.clear();
+      t.nowMs += 10;
+      for (Slot s : {2u, 3u}) t.node(s).tick(t.nowMs);
+      t.nowMs += 400;
+      for (Slot s : {2u, 3u}) t.node(s).tick(t.nowMs);
+      t.gather();
+      std::vector<Letter> first;
+      for (auto& l : t.letters)
+        if (l.message.kind == Kind::kRec && (l.to != 1 || !isLost)) first.push_back(l);
+      t.letters.clear();
+      REQUIRE(first.size() == (isLost ? 2 : 4));
+      if (order.empty())
+        for (size_t i = 0; i < first.size(); ++i) order.push_back(i);
+      for (auto i : order) {
+        t.node(first[i].to).receive(first[i].from, first[i].message, t.nowMs);
+        t.gather();
+        if (tried % 2) t.deliverAll([&](const Letter& l) { return !isLost || l.to != 1; });
+      }
+      std::vector<Slot> living = isLost ? std::vector<Slot>{2, 3} : std::vector<Slot>{1, 2, 3};
+      t.pass(3000, living);
+      for (auto s : living) {
+        INFO("lost " << isLost << " order " << tried << " node " << s);
+        REQUIRE(t.machines[s - 1]->ran.size() == 1);
+        CHECK(t.machines[s - 1]->ran == t.machines[living[0] - 1]->ran);
+      }
+      ++tried;
+    } while (std::next_permutation(order.begin(), order.end()));
+    CHECK(tried == (isLost ? 2 : 24));
+  }
+}
+
 TEST_CASE("A replica that knows its partition's stamp never joins a ballot against it") {
   // Two partitions: the coordinator passes its fast path at one and waits for the other. A recovery that it
   // joined there would take it for a coordinator that had not.
@@ -308,9 +351,10 @@
                            {"crashes", {.crashes = true}},
                            {"wiped disks", {.wipes = true}},
                            {"stalls and freezes", {.stalls = true, .freezes = true}},
+                           {"full disks", {.fullDisks = true}},
                            {"blackouts", {.crashes = true, .blackouts = true}},
                            {"all without wipes", {5, 5, true, true, true, false, true, true, true}},
-                           {"all", {5, 5, true, true, true, true, true, true, true}}};
+                           {"all", {5, 5, true, true, true, true, true, true, true, true}}};
   for (auto& row : rows) {
     auto v = runSeeds(row.faults, 1, 60);
     INFO(row.name << ": " << (v.faults.empty() ? "" : v.faults.front()));
