--- a/programs/replay.cpp
+++ b/programs/replay.cpp
@@ -128,8 +128,11 @@
       fetch.target = r.target;
       fetch.timeoutMs = timeoutMs;
       fetch.isWrite = r.method != "GET" && r.method != "HEAD";
-      fetch.headers = {{"Host", r.host}, {"X-Request-Id", "replay-" + std::to_string(seed) + "-" + std::to_string(next)}};
-      if (r.hasKey) fetch.headers.emplace_back("Idempotency-Key", "replay-" + std::to_string(seed) + "-" + std::to_string(next));
+      fetch.headers = {{"Host", r.host}};
+      // Writes are told apart by a name; reads of one object stay alike, so that the copies kept of it do too.
+      auto name = "replay-" + std::to_string(seed) + "-" + std::to_string(next);
+      if (fetch.isWrite) fetch.headers.emplace_back("X-Request-Id", name);
+      if (r.hasKey) fetch.headers.emplace_back("Idempotency-Key", name);
       fetch.body.assign(static_cast<size_t>(r.bodyBytes), 'r');
       sinceMs[next] = nowMs;
       fetcher.start(std::move(fetch));
