One piece each for variants, paths, status pages; a dead function removed

Cause: read again, edges and shields each compared the variants of callers who joined, beside the cache's own key; services and templates read a path's head alike; four status pages wrote the same revision and three the same answers; one function of the cache was called by nobody. Change: policy::variantOf, readPathHead and parseWhole, addRevision, caller::pageAnswer. Behaviour stays; a cache key now tells a missing header from an empty one as joining did.

--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -264,19 +264,11 @@
   auto w = waiting_.take(id);
   if (auto it = joins_.find(w->joinKey); it != joins_.end() && it->second == id) joins_.erase(it);
   auto isRefusal = !header(answer.headers, "dykestage-code").empty();
-  auto variant = [&](const Headers& headers) {
-    std::vector<std::string> values;
-    if (copy)
-      for (const auto& name : copy->vary)
-        for (const auto& [key, value] : headers)
-          if (lower(key) == name) values.push_back(name + "=" + value);
-    return values;
-  };
-  auto own = variant(w->request.headers);
+  auto own = copy ? policy::variantOf(copy->vary, w->request.headers) : std::string();
   for (auto follower : w->followers) {
     auto* f = waiting_.get(follower);
     if (!f) continue;
-    if (isRefusal || (copy && variant(f->request.headers) == own && nowMs - copy->bornMs < copy->keepMs)) {
+    if (isRefusal || (copy && policy::variantOf(copy->vary, f->request.headers) == own && nowMs - copy->bornMs < copy->keepMs)) {
       auto taken = waiting_.take(follower);
       this->answer(*taken, answer, nowMs);
     } else {
--- a/lib/caller/face.cpp
+++ b/lib/caller/face.cpp
@@ -266,6 +266,12 @@
 
 auto Face::port() const -> uint16_t { return static_cast<uint16_t>(endpoint_->http.getPort()); }
 
+auto pageAnswer(const std::string& target, uint32_t refusal, const std::function<std::string()>& status) -> Answer {
+  if (target == "/ready") return refusal == kOk ? Answer{200, {}, "ready\n"} : codeAnswer(refusal, 1);
+  if (target == "/status") return {200, {{"Content-Type", "application/json"}}, status()};
+  return codeAnswer(kNoSuchPage, 0);
+}
+
 auto codeAnswer(uint32_t code, int64_t retryAfterS, const std::string& detail) -> Answer {
   Answer answer;
   answer.status = statusOf(code);
--- a/lib/caller/face.hpp
+++ b/lib/caller/face.hpp
@@ -90,6 +90,10 @@
   std::unique_ptr<Endpoint> endpoint_;
 };
 
+/// What a data node's status address answers; `refusal` is 0 while it is ready, `status` makes the status page.
+/// Example: `pageAnswer(r.target, isReady ? kOk : kNotCurrent, [&] { return statusPage(edge); })`
+auto pageAnswer(const std::string& target, uint32_t refusal, const std::function<std::string()>& status) -> Answer;
+
 /// A JSON answer for a result code. Example: `stream->answer(turnAway(kNoUpstream, 1), "GET", true);`
 auto codeAnswer(uint32_t code, int64_t retryAfterS, const std::string& detail = "") -> Answer;
 
--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -655,10 +655,7 @@
   number("epoch", node_.epoch());
   number("ageMs", static_cast<double>(std::min<int64_t>(ageMs(nowMs), 1 << 30)));
   number("watchTerm", static_cast<double>(duty.term));
-  number("configuration", static_cast<double>(published_->revision.configuration));
-  number("purges", static_cast<double>(published_->revision.purges));
-  number("upstreams", static_cast<double>(published_->revision.upstreams));
-  number("members", static_cast<double>(published_->revision.members));
+  op::addRevision(json.get(), published_->revision);
   number("fast", static_cast<double>(f.fast));
   number("slow", static_cast<double>(f.slow));
   number("recovered", static_cast<double>(f.recovered));
--- a/lib/operator/configuration.cpp
+++ b/lib/operator/configuration.cpp
@@ -123,6 +123,23 @@
   });
 }
 
+auto parseWhole(const std::string& body, std::vector<Fault>& faults) -> Json {
+  auto json = parse(body);
+  if (!json) faults.push_back({"the whole", "is not JSON"});
+  return json;
+}
+
+// What a path of a service and one of a template's shape have in common. Returns the kind as written.
+auto readPathHead(Fields& p, std::string& prefix, core::UpstreamKind& into, std::set<std::string>& prefixes) -> std::string {
+  std::string kind;
+  if (p.text("prefix", prefix, true) && !prefix.empty() && prefix[0] != '/') p.fault("prefix", "must start with /");
+  if (!prefixes.insert(prefix).second) p.fault("prefix", "stands twice in this service");
+  p.text("kind", kind, true);
+  if (!kind.empty() && kind != "store" && kind != "application") p.fault("kind", "must be store or application");
+  into = kind == "store" ? core::UpstreamKind::kStore : core::UpstreamKind::kApplication;
+  return kind;
+}
+
 // A path's policy is compiled when it is configured; what does not compile is a fault.
 auto readPolicy(Fields& f, std::string& policy) -> void {
   std::string reason;
@@ -146,12 +163,7 @@
     for (const auto* item = paths->child; item; item = item->next, ++index) {
       Path path;
       Fields p(item, place + ".paths[" + std::to_string(index) + "]", faults);
-      std::string kind;
-      if (p.text("prefix", path.prefix, true) && !path.prefix.empty() && path.prefix[0] != '/') p.fault("prefix", "must start with /");
-      if (!prefixes.insert(path.prefix).second) p.fault("prefix", "stands twice in this service");
-      p.text("kind", kind, true);
-      if (!kind.empty() && kind != "store" && kind != "application") p.fault("kind", "must be store or application");
-      path.kind = kind == "store" ? core::UpstreamKind::kStore : core::UpstreamKind::kApplication;
+      auto kind = readPathHead(p, path.prefix, path.kind, prefixes);
       if (p.integer("keepMs", 0, 86400000, path.keepMs) && path.keepMs > 0 && kind == "application")
         p.fault("keepMs", "only what comes from a store may be kept");
       readPolicy(p, path.policy);
@@ -171,11 +183,8 @@
 
 auto readConfiguration(const std::string& body, const std::map<std::string, Service>& now, std::vector<Fault>& faults,
                        const std::map<std::string, core::Tenant>& tenants) -> std::optional<core::Op> {
-  auto json = parse(body);
-  if (!json) {
-    faults.push_back({"the whole", "is not JSON"});
-    return std::nullopt;
-  }
+  auto json = parseWhole(body, faults);
+  if (!json) return std::nullopt;
   core::Op op;
   op.kind = core::OpKind::kConfigure;
   Fields f(json.get(), "", faults);
@@ -226,11 +235,8 @@
 }
 
 auto readPurge(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op> {
-  auto json = parse(body);
-  if (!json) {
-    faults.push_back({"the whole", "is not JSON"});
-    return std::nullopt;
-  }
+  auto json = parseWhole(body, faults);
+  if (!json) return std::nullopt;
   core::Op op;
   op.kind = core::OpKind::kPurge;
   Fields f(json.get(), "", faults);
@@ -245,11 +251,8 @@
 }
 
 auto readAnnouncement(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op> {
-  auto json = parse(body);
-  if (!json) {
-    faults.push_back({"the whole", "is not JSON"});
-    return std::nullopt;
-  }
+  auto json = parseWhole(body, faults);
+  if (!json) return std::nullopt;
   core::Op op;
   op.kind = core::OpKind::kAnnounce;
   auto& u = op.upstream;
@@ -297,11 +300,8 @@
 }  // namespace
 
 auto readTemplate(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op> {
-  auto json = parse(body);
-  if (!json) {
-    faults.push_back({"the whole", "is not JSON"});
-    return std::nullopt;
-  }
+  auto json = parseWhole(body, faults);
+  if (!json) return std::nullopt;
   core::Op op;
   op.kind = core::OpKind::kTemplate;
   Fields top(json.get(), "", faults);
@@ -338,12 +338,7 @@
     core::ShapePath path;
     auto at = place + ".paths[" + std::to_string(index) + "]";
     Fields p(item, at, faults);
-    std::string kind;
-    if (p.text("prefix", path.prefix, true) && !path.prefix.empty() && path.prefix[0] != '/') p.fault("prefix", "must start with /");
-    if (!prefixes.insert(path.prefix).second) p.fault("prefix", "stands twice in this service");
-    p.text("kind", kind, true);
-    if (!kind.empty() && kind != "store" && kind != "application") p.fault("kind", "must be store or application");
-    path.kind = kind == "store" ? core::UpstreamKind::kStore : core::UpstreamKind::kApplication;
+    auto kind = readPathHead(p, path.prefix, path.kind, prefixes);
     readValue(p, "keepMs", at, 0, 86400000, shape, faults, path.keepMs);
     if (kind == "application" && (path.keepMs.number > 0 || !path.keepMs.parameter.empty())) p.fault("keepMs", "only what comes from a store may be kept");
     readPolicy(p, path.policy);
@@ -381,11 +376,8 @@
 }
 
 auto readTenants(const std::string& body, const core::State& state, std::vector<Fault>& faults) -> std::optional<core::Op> {
-  auto json = parse(body);
-  if (!json) {
-    faults.push_back({"the whole", "is not JSON"});
-    return std::nullopt;
-  }
+  auto json = parseWhole(body, faults);
+  if (!json) return std::nullopt;
   core::Op op;
   op.kind = core::OpKind::kTenants;
   Fields top(json.get(), "", faults);
@@ -572,6 +564,13 @@
   return print(json.get());
 }
 
+auto addRevision(cJSON* json, const core::Revision& revision) -> void {
+  cJSON_AddNumberToObject(json, "configuration", static_cast<double>(revision.configuration));
+  cJSON_AddNumberToObject(json, "purges", static_cast<double>(revision.purges));
+  cJSON_AddNumberToObject(json, "upstreams", static_cast<double>(revision.upstreams));
+  cJSON_AddNumberToObject(json, "members", static_cast<double>(revision.members));
+}
+
 auto writeRoster(const core::Frame& frame) -> std::string {
   Json json(cJSON_CreateObject(), cJSON_Delete);
   cJSON_AddNumberToObject(json.get(), "upstreamRevision", static_cast<double>(frame.revision.upstreams));
--- a/lib/operator/configuration.hpp
+++ b/lib/operator/configuration.hpp
@@ -78,6 +78,9 @@
 /// The live roster as JSON. Example: `writeRoster(frame)`
 auto writeRoster(const core::Frame& frame) -> std::string;
 
+/// Adds a revision's parts to a status page. Example: `addRevision(json.get(), edge.revision());`
+auto addRevision(cJSON* json, const core::Revision& revision) -> void;
+
 /// True for "ip:port" with a numeric IPv4 address. Example: `isAddress("127.0.0.1:80")`
 auto isAddress(const std::string& text) -> bool;
 
--- a/lib/policy/cache.cpp
+++ b/lib/policy/cache.cpp
@@ -15,22 +15,20 @@
 namespace {
 auto baseOf(const std::string& service, const std::string& target) -> std::string { return service + "\n" + target; }
 
-auto keyOf(const std::string& base, const std::vector<std::string>& vary, const Headers& request) -> std::string {
-  auto key = base;
-  for (const auto& name : vary) {
-    key += "\n" + name + "=";
-    for (const auto& [other, value] : request)
-      if (lower(other) == name) key += value + "\t";
-  }
-  return key;
-}
-
 // A purge of a path means that path with every query.
 auto isAt(const std::string& target, const std::string& path) -> bool {
   return target == path || (target.size() > path.size() && target.compare(0, path.size(), path) == 0 && target[path.size()] == '?');
 }
 }  // namespace
 
+auto variantOf(const std::vector<std::string>& vary, const Headers& request) -> std::string {
+  std::string variant;  // a line a header: a value can't hold the end of a line
+  for (const auto& name : vary)
+    for (const auto& [other, value] : request)
+      if (lower(other) == name) variant += "\n" + name + "=" + value;
+  return variant;
+}
+
 auto isShareable(const std::string& method, const Headers& headers) -> bool {
   if (method != "GET" || has(headers, "authorization") || has(headers, "range") || has(headers, "cookie")) return false;
   for (const auto& name : {"if-none-match", "if-modified-since", "if-match", "if-unmodified-since", "if-range"})
@@ -70,16 +68,11 @@
   return terms;
 }
 
-auto Cache::varyOf(const std::string& service, const std::string& target) const -> std::vector<std::string> {
-  auto it = vary_.find(baseOf(service, target));
-  return it == vary_.end() ? std::vector<std::string>() : it->second;
-}
-
 auto Cache::get(const std::string& service, const std::string& target, const Headers& request, int64_t nowMs) -> const Copy* {
   auto base = baseOf(service, target);
   auto vary = vary_.find(base);
   auto& byKey = items_.get<ByKey>();
-  auto it = byKey.find(keyOf(base, vary == vary_.end() ? std::vector<std::string>() : vary->second, request));
+  auto it = byKey.find(vary == vary_.end() ? base : base + variantOf(vary->second, request));
   if (it == byKey.end()) return nullptr;
   if (nowMs - it->copy->bornMs >= it->copy->keepMs) {
     drop(items_.project<0>(it));
@@ -118,7 +111,7 @@
   }
   Item item;
   item.base = base;
-  item.key = keyOf(base, copy.vary, request);
+  item.key = base + variantOf(copy.vary, request);
   item.bytes = 512 + copy.body.size() + 2 * item.key.size();
   for (const auto& [name, value] : copy.headers) item.bytes += name.size() + value.size();
   if (item.bytes > boundBytes_ / 4) return false;
--- a/lib/policy/cache.hpp
+++ b/lib/policy/cache.hpp
@@ -42,6 +42,10 @@
 /// True when a request may be answered from a shared copy. Example: `isShareable("GET", headers)`
 auto isShareable(const std::string& method, const Headers& headers) -> bool;
 
+/// What a request has of the headers that an answer varies on; two requests with the same may share the answer.
+/// Example: `if (variantOf(copy.vary, mine) == variantOf(copy.vary, theirs)) ...`
+auto variantOf(const std::vector<std::string>& vary, const Headers& request) -> std::string;
+
 /// A bounded cache that drops the least recently used copies first.
 /// Example:
 ///   Cache cache(64 << 20);
@@ -60,8 +64,6 @@
   auto purge(const std::vector<core::Purge>& purges, uint64_t upTo, uint64_t floor) -> void;
   /// True when a fill begun at `since` may have read what a purge meant to remove.
   auto isPurgedSince(uint64_t since, const std::string& service, const std::string& target, const std::vector<std::string>& labels) const -> bool;
-  /// The request headers that answers to a target depend on, as far as known. Example: `cache.varyOf(...)`
-  auto varyOf(const std::string& service, const std::string& target) const -> std::vector<std::string>;
   auto purges() const -> uint64_t { return purges_; }
   auto bytes() const -> size_t { return bytes_; }
   auto size() const -> size_t { return items_.size(); }
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -383,19 +383,11 @@
         out_.letters.push_back({address, neighbour::kWitness, Writer().put(neighbour::Witness{id, w->memoryKey, 0, reply}).take()});
     }
   }
-  auto variant = [&](const Headers& headers) {
-    std::vector<std::string> values;
-    if (copy)
-      for (const auto& name : copy->vary)
-        for (const auto& [key, value] : headers)
-          if (lower(key) == name) values.push_back(name + "=" + value);
-    return values;
-  };
-  auto own = variant(w->ask.headers);
+  auto own = copy ? policy::variantOf(copy->vary, w->ask.headers) : std::string();
   for (auto follower : w->followers) {
     auto* f = waiting_.get(follower);
     if (!f) continue;
-    if (isKeyed || reply.code != kOk || (copy && variant(f->ask.headers) == own && nowMs - copy->bornMs < copy->keepMs)) {
+    if (isKeyed || reply.code != kOk || (copy && policy::variantOf(copy->vary, f->ask.headers) == own && nowMs - copy->bornMs < copy->keepMs)) {
       auto taken = waiting_.take(follower);
       auto shared = reply;
       shared.isFetched = false;  // one fetch, however many joined it
--- a/programs/agent.cpp
+++ b/programs/agent.cpp
@@ -26,17 +26,13 @@
   return list;
 }
 auto statusPage(const caller::HeldFrame& held, const std::string& target, int64_t nowMs, bool isReady) -> std::string {
-  const auto& revision = held.frame->revision;
   op::Json json(cJSON_CreateObject(), cJSON_Delete);
   auto number = [&](const char* key, int64_t value) { cJSON_AddNumberToObject(json.get(), key, static_cast<double>(value)); };
   cJSON_AddStringToObject(json.get(), "program", "agent");
   cJSON_AddBoolToObject(json.get(), "ready", isReady);
   cJSON_AddStringToObject(json.get(), "asks", target.c_str());
   number("ageMs", held.asOfMs < 0 ? -1 : nowMs - held.asOfMs);
-  number("configuration", static_cast<int64_t>(revision.configuration));
-  number("purges", static_cast<int64_t>(revision.purges));
-  number("upstreams", static_cast<int64_t>(revision.upstreams));
-  number("members", static_cast<int64_t>(revision.members));
+  op::addRevision(json.get(), held.frame->revision);
   return op::print(json.get()) + "\n";
 }
 }  // namespace
@@ -90,9 +86,8 @@
     for (auto& r : pages.take()) {
       const auto& held = follower.held();
       auto isReady = held.isCurrent(nowMs, boundMs * 3 / 4);
-      auto answer = r.target == "/ready" ? (isReady ? caller::Answer{200, {}, "ready\n"} : caller::codeAnswer(caller::kNotCurrent, 1))
-                    : r.target == "/status" ? caller::Answer{200, {{"Content-Type", "application/json"}}, statusPage(held, target, nowMs, isReady)}
-                                            : caller::codeAnswer(caller::kNoSuchPage, 0);
+      auto refusal = isReady ? caller::kOk : caller::kNotCurrent;
+      auto answer = caller::pageAnswer(r.target, refusal, [&] { return statusPage(held, target, nowMs, isReady); });
       r.stream->answer(answer, r.method, r.keep);
       writing.push_back(r.stream);
     }
--- a/programs/edge.cpp
+++ b/programs/edge.cpp
@@ -21,15 +21,11 @@
 
 auto statusPage(const caller::Edge& edge, bool isReady) -> std::string {
   auto f = edge.figures();
-  auto r = edge.revision();
   op::Json json(cJSON_CreateObject(), cJSON_Delete);
   auto number = [&](const char* key, uint64_t value) { cJSON_AddNumberToObject(json.get(), key, static_cast<double>(value)); };
   cJSON_AddStringToObject(json.get(), "program", "edge");
   cJSON_AddBoolToObject(json.get(), "ready", isReady);
-  number("configuration", r.configuration);
-  number("purges", r.purges);
-  number("upstreams", r.upstreams);
-  number("members", r.members);
+  op::addRevision(json.get(), edge.revision());
   number("requests", f.requests);
   number("hits", f.hits);
   number("joins", f.joins);
@@ -129,9 +125,8 @@
       }
       if (auto* page = std::get_if<Page>(&input)) {
         auto& r = page->request;
-        auto answer = r.target == "/ready" ? (isReady ? caller::Answer{200, {}, "ready\n"} : caller::codeAnswer(stopAtMs >= 0 ? caller::kEmptying : caller::kNotCurrent, 1))
-                      : r.target == "/status" ? caller::Answer{200, {{"Content-Type", "application/json"}}, statusPage(edge, isReady)}
-                                              : caller::codeAnswer(caller::kNoSuchPage, 0);
+        auto refusal = isReady ? caller::kOk : stopAtMs >= 0 ? caller::kEmptying : caller::kNotCurrent;
+        auto answer = caller::pageAnswer(r.target, refusal, [&] { return statusPage(edge, isReady); });
         r.stream->answer(answer, r.method, r.keep);
         writing.push_back(r.stream);
       }
--- a/programs/shield.cpp
+++ b/programs/shield.cpp
@@ -18,15 +18,11 @@
 
 auto statusPage(const upstream::Shield& shield, bool isReady) -> std::string {
   auto f = shield.figures();
-  auto r = shield.revision();
   op::Json json(cJSON_CreateObject(), cJSON_Delete);
   auto number = [&](const char* key, uint64_t value) { cJSON_AddNumberToObject(json.get(), key, static_cast<double>(value)); };
   cJSON_AddStringToObject(json.get(), "program", "shield");
   cJSON_AddBoolToObject(json.get(), "ready", isReady);
-  number("configuration", r.configuration);
-  number("purges", r.purges);
-  number("upstreams", r.upstreams);
-  number("members", r.members);
+  op::addRevision(json.get(), shield.revision());
   number("asks", f.asks);
   number("hits", f.hits);
   number("joins", f.joins);
@@ -126,9 +122,8 @@
       }
       if (auto* request = std::get_if<caller::Request>(&input)) {
         auto isReady = shield.isReady(nowMs);
-        auto answer = request->target == "/ready" ? (isReady ? caller::Answer{200, {}, "ready\n"} : caller::codeAnswer(stopAtMs >= 0 ? caller::kEmptying : caller::kNotCurrent, 1))
-                      : request->target == "/status" ? caller::Answer{200, {{"Content-Type", "application/json"}}, statusPage(shield, isReady)}
-                                                     : caller::codeAnswer(caller::kNoSuchPage, 0);
+        auto refusal = isReady ? caller::kOk : stopAtMs >= 0 ? caller::kEmptying : caller::kNotCurrent;
+        auto answer = caller::pageAnswer(request->target, refusal, [&] { return statusPage(shield, isReady); });
         request->stream->answer(answer, request->method, request->keep);
         writing.push_back(request->stream);
       }
