--- a/lib/agent/feed.cpp
+++ b/lib/agent/feed.cpp
@@ -75,6 +75,12 @@
   return std::pair{target_, std::move(poll)};
 }
 
+auto Follower::registryFor(const std::vector<std::string>& registries, uint32_t attempt) const -> const std::string& {
+  auto at = std::find(registries.begin(), registries.end(), target_);
+  auto first = at == registries.end() ? 0 : static_cast<size_t>(at - registries.begin());
+  return registries[(first + attempt) % registries.size()];
+}
+
 auto Follower::lost(int64_t nowMs) -> void {
   isAsking_ = false;
   mustMove_ = true;
--- a/lib/agent/feed.hpp
+++ b/lib/agent/feed.hpp
@@ -48,7 +48,8 @@
 ///   if (follower.take(feed, nowMs)) machine.takeFrame(follower.held(), nowMs);
 class Follower {
  public:
-  Follower(std::string name, int64_t answerMs) : name_(std::move(name)), answerMs_(answerMs) {}
+  /// `firstNonce` is of this life alone, so that an answer to an earlier life is not taken for one of its own.
+  Follower(std::string name, int64_t answerMs, uint64_t firstNonce) : name_(std::move(name)), answerMs_(answerMs), nonce_(firstNonce) {}
   /// Who asks: a new incarnation is a new node. Example: `follower.be(member);`
   auto be(const core::Member& member) -> void { member_ = member; }
   /// The next question, when one is due. Givers are asked until one fails or knows nothing fresh; the first
@@ -64,13 +65,16 @@
   auto take(const neighbour::Feed& feed, int64_t nowMs) -> bool;
   auto held() const -> const caller::HeldFrame& { return held_; }
   auto target() const -> const std::string& { return target_; }
+  /// The registry for a letter's first, second ... attempt: the one that is asked for news, then the others.
+  /// Example: `post->send(follower.registryFor(seeds, claims.attempt), letter.kind, letter.body);`
+  auto registryFor(const std::vector<std::string>& registries, uint32_t attempt) const -> const std::string&;
 
  private:
   std::string name_;
   int64_t answerMs_;
+  uint64_t nonce_;
   core::Member member_;
   caller::HeldFrame held_;
-  uint64_t nonce_ = 0;
   bool isAsking_ = false;
   bool mustMove_ = false;
   core::Revision inForce_;
--- a/lib/agent/link.cpp
+++ b/lib/agent/link.cpp
@@ -7,7 +7,8 @@
 
 namespace dykestage::agent {
 
-Link::Link(Props props, std::function<void(caller::HeldFrame)> take) : props_(std::move(props)), take_(std::move(take)) {
+Link::Link(Props props, std::function<void(caller::HeldFrame)> take, std::function<void(neighbour::Letter)> takeLetter)
+    : props_(std::move(props)), take_(std::move(take)), takeLetter_(std::move(takeLetter)) {
   thread_ = std::thread([this] { run(); });
 }
 
@@ -18,6 +19,8 @@
 
 auto Link::tell(Told told) -> void { told_.push(std::move(told)); }
 
+auto Link::pass(neighbour::Letter letter) -> void { passed_.push(std::move(letter)); }
+
 auto Link::run() -> void {
   std::string reason;
   auto post = neighbour::Post::open({"127.0.0.1:0"}, [this](neighbour::Letter l) { letters_.push(std::move(l)); }, reason);
@@ -26,19 +29,24 @@
     return;
   }
   // A question is held a tenth of the bound; a fifth without an answer means that it is lost.
-  Follower follower(props_.name, props_.boundMs / 5);
+  Follower follower(props_.name, props_.boundMs / 5, freshIncarnation());
   follower.be(props_.member);
   Told told;
   while (!isStopping_) {
-    pollfd fds[] = {{letters_.fd(), POLLIN, 0}, {told_.fd(), POLLIN, 0}};
-    ::poll(fds, 2, static_cast<int>(props_.boundMs / 200));
+    pollfd fds[] = {{letters_.fd(), POLLIN, 0}, {told_.fd(), POLLIN, 0}, {passed_.fd(), POLLIN, 0}};
+    ::poll(fds, 3, static_cast<int>(props_.boundMs / 200));
     for (auto& one : told_.take()) told = std::move(one);
     auto nowMs = neighbour::steadyMs();
     for (auto& letter : letters_.take()) {
+      if (letter.kind != neighbour::kFeed) {
+        if (takeLetter_) takeLetter_(std::move(letter));
+        continue;
+      }
       Reader r(letter.body);
       auto feed = r.get<neighbour::Feed>();
-      if (letter.kind == neighbour::kFeed && r.done() && follower.take(feed, nowMs)) take_(follower.held());
+      if (r.done() && follower.take(feed, nowMs)) take_(follower.held());
     }
+    for (auto& letter : passed_.take()) post->send(props_.agent, letter.kind, letter.body);
     auto poll = follower.tick({props_.agent}, 1, told, nowMs);
     if (poll ? !post->send(poll->first, neighbour::kPoll, Writer().put(poll->second).take())
              : follower.isAsking() && !post->isUp(props_.agent))
--- a/lib/agent/link.hpp
+++ b/lib/agent/link.hpp
@@ -23,16 +23,20 @@
     std::string agent;  // its loopback address
     int64_t boundMs = 2000;
   };
-  Link(Props props, std::function<void(caller::HeldFrame)> take);
+  /// `takeLetter` gets the registries' letters to the proxy, if it has any use for them.
+  Link(Props props, std::function<void(caller::HeldFrame)> take, std::function<void(neighbour::Letter)> takeLetter = {});
   ~Link();
   /// What the proxy acts on now; told to the core with the next question. Example: `link.tell({revision, probes, {}});`
   auto tell(Told told) -> void;
+  /// Passes a letter to a registry, by way of the agent. Example: `link.pass({neighbour::kClaims, "", body});`
+  auto pass(neighbour::Letter letter) -> void;
 
  private:
   auto run() -> void;
   Props props_;
   std::function<void(caller::HeldFrame)> take_;
-  neighbour::Inbox<neighbour::Letter> letters_{1024};
+  std::function<void(neighbour::Letter)> takeLetter_;
+  neighbour::Inbox<neighbour::Letter> letters_{1024}, passed_{4096};
   neighbour::Inbox<Told> told_{1024};
   std::atomic<bool> isStopping_{false};
   std::thread thread_;
--- a/lib/caller/codes.cpp
+++ b/lib/caller/codes.cpp
@@ -37,7 +37,7 @@
     {kBadRequest, {400, "the request is malformed", false}},
     {kRefused, {403, "the path's policy refuses the request", false}},
     {kPolicyFailed, {500, "the path's policy failed", false}},
-    {kNoWitness, {503, "no second shield could be told of the key", true}},
+    {kNoClaim, {503, "the key could not be claimed in time", true}},
     {kUpstreamLost, {503, "the upstream failed", true}},
 };
 }  // namespace
--- a/lib/caller/codes.hpp
+++ b/lib/caller/codes.hpp
@@ -31,8 +31,8 @@
   kEmptying = 3015,       // this process is about to stop
   kBadRequest = 3016,
   kRefused = 3018,        // the path's policy refuses the request
+  kNoClaim = 3020,        // the key of a write could not be claimed in time; it did not leave
   kPolicyFailed = 3019,   // the path's policy failed, and the path's own settings held; a header, not an answer
-  kNoWitness = 3020,      // no other shield could be told of a write with a key
   kUpstreamLost = 3017,   // a read's upstream failed and no further try was allowed
 };
 
--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -91,11 +91,13 @@
       answer.headers.emplace_back("Age", std::to_string((nowMs - copy->bornMs) / 1000));
       if (hasPolicyFailed) answer.headers.emplace_back("Dykestage-Policy", std::to_string(kPolicyFailed));
       measure(found->rollout, found->isNext, 0, answer.status, false, 0);
-      out_.answers.push_back({request.stream, request.method, request.keep, std::move(answer)});
+      auto untilMs = std::min(held_.asOfMs + props_.staleMs, copy->bornMs + path.keepMs + props_.staleMs);
+      out_.answers.push_back({request.stream, request.method, request.keep, std::move(answer), untilMs});
       return;
     }
     w.joinKey = service + "\n" + request.target;
   }
+  w.purges = cache_.purges();
   auto joinKey = w.joinKey;
   auto stream = request.stream;
   auto method = request.method;
@@ -111,7 +113,9 @@
   if (!joinKey.empty()) {
     auto [it, isFirst] = joins_.try_emplace(joinKey, *id);
     if (!isFirst) {
-      if (auto* leader = waiting_.get(it->second)) {
+      // Nobody joins what was asked for before a purge that may concern it.
+      auto* leader = waiting_.get(it->second);
+      if (leader && !cache_.mayBePurgedSince(leader->purges, service, leader->request.target)) {
         ++figures_.joins;
         leader->followers.push_back(*id);
         return;
@@ -122,6 +126,11 @@
   ask(*id, false, nowMs);
 }
 
+auto Edge::atLast(const Output::Answered& answered, int64_t nowMs) -> const Answer& {
+  static const auto late = codeAnswer(kNotCurrent, 1);
+  return answered.untilMs == 0 || nowMs < answered.untilMs ? answered.answer : late;
+}
+
 auto Edge::ask(uint64_t id, bool isExtra, int64_t nowMs) -> void {
   auto& w = *waiting_.get(id);
   std::vector<std::string> names;
@@ -157,6 +166,7 @@
   owing.lastAskedMs = nowMs;
   Ask ask;
   ask.id = id;
+  ask.life = props_.life;
   ask.service = w.service;
   ask.kind = w.path.kind;
   ask.method = w.request.method;
@@ -221,6 +231,7 @@
 }
 
 auto Edge::takeReply(const std::string& from, const Reply& reply, int64_t nowMs) -> void {
+  if (reply.life != props_.life) return;  // meant for an earlier life at this address
   owing_.erase(from);
   auto* w = waiting_.get(reply.id);
   if (!w) return;
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -30,6 +30,7 @@
  public:
   struct Props {
     std::string name, site;
+    uint64_t life = 1;            // of this process, as its member entry has it
     int64_t staleMs = 1500;       // age of the frame from which requests are turned away
     size_t requests = 4000;       // under way at a time
     size_t cacheBytes = 64u << 20;
@@ -43,6 +44,7 @@
       std::string method;
       bool keep;
       Answer answer;
+      int64_t untilMs = 0;  // a kept copy: it may be handed out before this moment, and not later; 0: no limit
     };
     struct Asked {
       std::string to;
@@ -71,6 +73,9 @@
   auto tick(int64_t nowMs) -> void;
   /// Hands over answers and asks. Example: `auto out = edge.output();`
   auto output() -> Output { return std::exchange(out_, {}); }
+  /// What is left of an answer at the moment at which it leaves: a process that was held up since it decided does
+  /// not hand out a copy on old knowledge. Example: `stream->answer(Edge::atLast(a, steadyMs()), a.method, a.keep);`
+  static auto atLast(const Output::Answered& answered, int64_t nowMs) -> const Answer&;
   /// Where the shields of the frame are. Example: `for (auto& at : edge.shields()) post->warm(at);`
   auto shields() const -> std::vector<std::string>;
   auto isCurrent(int64_t nowMs) const -> bool { return held_.isCurrent(nowMs, props_.staleMs); }
@@ -87,6 +92,7 @@
     std::string service;
     core::Path path;
     int64_t startMs = 0, untilMs = 0, askedMs = 0, firstAskedMs = 0;
+    uint64_t purges = 0;  // in force when it was first asked for
     std::string shield;
     std::set<std::string> tried;
     bool isWrite = false, isShared = false, wasSent = false, isHedged = false;
--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -370,12 +370,28 @@
     for (const auto& [name, told] : have.samples) heard_[name].samples = told;
     for (const auto& [name, told] : have.silent) heard_[name].silent = told;
     checkAcks(nowMs);
+  } else if (kind == neighbour::kClaims) {
+    auto claims = r.get<neighbour::Claims>();
+    if (r.done() && isReady(nowMs)) onClaims(from, std::move(claims));
   } else if (kind == neighbour::kPoll) {
     auto poll = r.get<Poll>();
     if (r.done()) onPoll(from, std::move(poll), nowMs);
   }
 }
 
+// Keys are claimed by order. A registry that can't have it ordered says nothing: the shield asks another one.
+auto Registry::onClaims(const std::string& from, neighbour::Claims claims) -> void {
+  if (running_.size() + batch_.size() > props_.waiting) return;
+  Op op;
+  op.kind = OpKind::kKeys;
+  op.name = claims.shield;
+  op.incarnation = claims.life;
+  op.keys = std::move(claims.keys);
+  submit(std::move(op), [this, from, nonce = claims.nonce, life = claims.life](const OpResult* result, int64_t) {
+    if (result) out_.letters.push_back({from, neighbour::kClaimed, Writer().put(neighbour::Claimed{nonce, life, result->keys}).take()});
+  });
+}
+
 // ---- formation and replacement ------------------------------------------------------------------------
 
 auto Registry::hello() -> void {
@@ -598,6 +614,7 @@
       Op op;
       op.kind = OpKind::kTick;
       op.incarnation = disk_.incarnation;
+      op.atMs = nowMs;
       // Everything acknowledged before the tick was submitted is ordered before it.
       submit(std::move(op), [this, nowMs](const OpResult* result, int64_t) {
         if (result) asOfMs_ = std::max(asOfMs_, nowMs);
@@ -670,6 +687,7 @@
   number("syncP50Us", quantile(syncsUs_, 500));
   number("syncP99Us", quantile(syncsUs_, 990));
   number("signOffs", static_cast<double>(signOffs_));
+  number("keys", static_cast<double>(state_.keys()));
   number("conflicts", static_cast<double>(conflicts_));
   number("acknowledged", static_cast<double>(acked_));
   return op::print(json.get());
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -131,6 +131,7 @@
   auto onHello(const neighbour::Hello& hello, int64_t nowMs) -> void;
   auto onPoll(const std::string& from, neighbour::Poll poll, int64_t nowMs) -> void;
   auto feed(int64_t nowMs) -> void;
+  auto onClaims(const std::string& from, neighbour::Claims claims) -> void;
   auto watch(int64_t nowMs) -> void;
   auto judge(const std::string& id, const Rollout& rollout, uint64_t term, int64_t nowMs) -> void;
   auto submitTemplate(const std::string& body, Who who) -> void;
--- a/lib/core/state.cpp
+++ b/lib/core/state.cpp
@@ -8,6 +8,7 @@
 constexpr size_t kPurgesKept = 2000;
 constexpr size_t kChangesKept = 10000;
 constexpr size_t kRolloutsKept = 200;
+constexpr size_t kKeysKept = 400000;
 constexpr auto bitOf(uint8_t part) -> uint8_t { return static_cast<uint8_t>(1u << part); }
 }  // namespace
 
@@ -66,6 +67,8 @@
     case OpKind::kLeave:
     case OpKind::kClaim:
       return bitOf(tempo::kMembers);
+    case OpKind::kKeys:
+      return bitOf(tempo::kKeys);
   }
   return tempo::kAllParts;
 }
@@ -85,6 +88,7 @@
     case OpKind::kTick:
       ++ticks_;
       lastTicks_[op.incarnation] = ticks_;
+      passTime(op);
       return {Outcome::kDone, revision, {}};
     case OpKind::kConfigure:
       return configure(op);
@@ -102,6 +106,8 @@
       remember(op.changeId, result);
       return result;
     }
+    case OpKind::kKeys:
+      return claimKeys(op);
     case OpKind::kAnnounce:
       return announce(op);
     case OpKind::kTemplate:
@@ -332,6 +338,40 @@
   return result;
 }
 
+// Of all claims of a key the first in the order holds it, until it gives it back or its time is over.
+auto State::claimKeys(const Op& op) -> OpResult {
+  OpResult result{Outcome::kDone, {}, {}};
+  for (const auto& claim : op.keys) {
+    auto it = keys_.find(claim.key);
+    if (claim.isReturn) {
+      // Only the very claim that it names: a later one of the same shield may have sent the write.
+      if (it != keys_.end() && it->second.life == op.incarnation && it->second.number == claim.number) {
+        keyEnds_.erase({it->second.untilMs, claim.key});
+        keys_.erase(it);
+      }
+      result.keys.emplace_back();
+      continue;
+    }
+    if (it == keys_.end() && keys_.size() < kKeysKept) {
+      it = keys_.emplace(claim.key, KeyHeld{op.incarnation, claim.number, claim.print, op.name, clockMs_ + claim.keepMs}).first;
+      keyEnds_.emplace(it->second.untilMs, claim.key);
+    }
+    result.keys.push_back(it == keys_.end() ? KeyHeld{} : it->second);
+  }
+  return result;
+}
+
+auto State::passTime(const Op& tick) -> void {
+  if (tick.incarnation != duty(kWatchDuty).holder) return;
+  if (clockLife_ == tick.incarnation && tick.atMs > clockSeenMs_) clockMs_ += tick.atMs - clockSeenMs_;
+  clockLife_ = tick.incarnation;
+  clockSeenMs_ = tick.atMs;
+  while (!keyEnds_.empty() && keyEnds_.begin()->first <= clockMs_) {
+    keys_.erase(keyEnds_.begin()->second);
+    keyEnds_.erase(keyEnds_.begin());
+  }
+}
+
 auto State::remember(const std::string& changeId, const OpResult& result) -> void {
   if (changeId.empty()) return;
   changes_[changeId] = result;
@@ -361,6 +401,7 @@
   if (part == tempo::kConfiguration)
     return Writer().put(f.revision.configuration).put(f.revision.purges).put(f.services).put(f.purges).put(f.purgeFloor).put(changes_).put(changeOrder_).put(templates_).put(lastRevisions_).put(tenants_).put(rollouts_).put(rolloutOrder_).take();
   if (part == tempo::kUpstreams) return Writer().put(f.revision.upstreams).put(f.upstreams).put(owners_).take();
+  if (part == tempo::kKeys) return Writer().put(keys_).put(clockMs_).put(clockSeenMs_).put(clockLife_).take();
   return Writer().put(f.revision.members).put(f.members).put(duties_).put(ticks_).put(lastTicks_).take();
 }
 
@@ -372,7 +413,11 @@
     readAll(f.revision.configuration, f.revision.purges, f.services, f.purges, f.purgeFloor, changes_, changeOrder_, templates_, lastRevisions_, tenants_, rollouts_, rolloutOrder_);
   else if (part == tempo::kUpstreams)
     readAll(f.revision.upstreams, f.upstreams, owners_);
-  else
+  else if (part == tempo::kKeys) {
+    readAll(keys_, clockMs_, clockSeenMs_, clockLife_);
+    keyEnds_.clear();
+    for (const auto& [key, held] : keys_) keyEnds_.emplace(held.untilMs, key);
+  } else
     readAll(f.revision.members, f.members, duties_, ticks_, lastTicks_);
 }
 
--- a/lib/core/state.hpp
+++ b/lib/core/state.hpp
@@ -163,7 +163,26 @@
 
 // ---- operations ---------------------------------------------------------------------------------------
 
-enum class OpKind : uint8_t { kTick, kConfigure, kPurge, kAnnounce, kSignOff, kRelease, kJoin, kLeave, kClaim, kTemplate, kTenants, kDecide };
+/// A shield's claim of an Idempotency-Key, or its giving back of one under which surely nothing ran. Claims of one
+/// life of a shield are numbered.
+struct KeyClaim {
+  std::string key;  // service and key
+  uint64_t number = 0;
+  uint64_t print = 0;   // of the request that the key stands for
+  int64_t keepMs = 0;
+  bool isReturn = false;
+  DYKESTAGE_FIELDS(key, number, print, keepMs, isReturn)
+};
+
+/// Who holds a key; life 0: nobody.
+struct KeyHeld {
+  uint64_t life = 0, number = 0, print = 0;
+  std::string shield;
+  int64_t untilMs = 0;  // on the clock of ordered ticks
+  DYKESTAGE_FIELDS(life, number, print, shield, untilMs)
+};
+
+enum class OpKind : uint8_t { kTick, kConfigure, kPurge, kAnnounce, kSignOff, kRelease, kJoin, kLeave, kClaim, kTemplate, kTenants, kDecide, kKeys };
 
 /// One operation inside a command. Fields that a kind does not use stay empty.
 struct Op {
@@ -181,7 +200,9 @@
   Template shape;                                            // kTemplate
   std::map<std::string, std::optional<Tenant>> tenants;      // kTenants: set, or retire
   Decision decision;                                         // kDecide
-  DYKESTAGE_FIELDS(kind, changeId, base, services, isWhole, purge, name, upstream, member, incarnation, term, shape, tenants, decision)
+  int64_t atMs = 0;                                          // kTick: the steady clock of its registry
+  std::vector<KeyClaim> keys;                                // kKeys; name and incarnation tell the shield
+  DYKESTAGE_FIELDS(kind, changeId, base, services, isWhole, purge, name, upstream, member, incarnation, term, shape, tenants, decision, atMs, keys)
   /// The partitions it touches, as bits. Example: `node.submit(op.parts(), ...)`
   auto parts() const -> uint8_t;
 };
@@ -192,7 +213,8 @@
   Outcome outcome = Outcome::kDone;
   Revision revision;    // that everyone must have before it is acknowledged
   std::string rollout;  // kTemplate: the rollout that it started, if any
-  DYKESTAGE_FIELDS(outcome, revision, rollout)
+  std::vector<KeyHeld> keys = {};  // kKeys: who holds each of them now
+  DYKESTAGE_FIELDS(outcome, revision, rollout, keys)
 };
 
 /// The one duty that exists today: watching beats and deriving sign-offs.
@@ -223,6 +245,9 @@
   /// The number of ticks executed, and each registry's last one. Example: `state.ticks()`
   auto ticks() const -> uint64_t { return ticks_; }
   auto lastTick(uint64_t incarnation) const -> uint64_t;
+  /// How many keys are held, and the clock by which they are forgotten. Example: `state.keys()`
+  auto keys() const -> size_t { return keys_.size(); }
+  auto clockMs() const -> int64_t { return clockMs_; }
 
  private:
   auto applyOp(const Op& op) -> OpResult;
@@ -232,6 +257,8 @@
   auto setTenants(const Op& op) -> OpResult;
   auto decide(const Op& op) -> OpResult;
   auto rebuild() -> void;
+  auto claimKeys(const Op& op) -> OpResult;
+  auto passTime(const Op& tick) -> void;
   auto remember(const std::string& changeId, const OpResult& result) -> void;
 
   Frame frame_;
@@ -246,6 +273,11 @@
   std::map<std::string, Duty> duties_;
   uint64_t ticks_ = 0;
   std::map<uint64_t, uint64_t> lastTicks_;
+  std::map<std::string, KeyHeld> keys_;
+  std::set<std::pair<int64_t, std::string>> keyEnds_;  // the same, by when they are forgotten
+  // Moves by what the watch's holder saw pass on its own steady clock between two ticks: never faster than time.
+  int64_t clockMs_ = 0, clockSeenMs_ = 0;
+  uint64_t clockLife_ = 0;
 };
 
 /// The ops of a command's payload. Example: `auto ops = readOps(command.payload);`
--- a/lib/neighbour/messages.hpp
+++ b/lib/neighbour/messages.hpp
@@ -9,7 +9,7 @@
 
 namespace dykestage::neighbour {
 
-enum LetterKind : uint8_t { kTempo = 1, kHello = 2, kHave = 3, kPoll = 4, kFeed = 5, kAsk = 6, kReply = 7, kWitness = 8, kWitnessed = 9, kMemoryAsk = 10, kMemory = 11, kPing = 12, kPong = 13 };
+enum LetterKind : uint8_t { kTempo = 1, kHello = 2, kHave = 3, kPoll = 4, kFeed = 5, kAsk = 6, kReply = 7, kClaims = 8, kClaimed = 9, kKeyAsk = 10, kKeyTold = 11, kPing = 12, kPong = 13 };
 
 /// What an edge saw of the old and the new revision's traffic, by rollout, since it started.
 using Samples = std::map<std::string, std::pair<policy::Sample, policy::Sample>>;
@@ -70,6 +70,7 @@
 /// A caller's request on its way from edge to shield. Times are what remains, never wall clocks.
 struct Ask {
   uint64_t id = 0;
+  uint64_t life = 0;     // of the edge: a later life at the same address uses the same ids
   std::string service;
   core::UpstreamKind kind = core::UpstreamKind::kApplication;
   std::string method, target;
@@ -81,12 +82,13 @@
   bool isShared = false; // may be answered from the shared cache
   bool isExtra = false;  // an extra try
   std::string key;       // Idempotency-Key
-  DYKESTAGE_FIELDS(id, service, kind, method, target, headers, body, remainingMs, keepMs, purges, isShared, isExtra, key)
+  DYKESTAGE_FIELDS(id, life, service, kind, method, target, headers, body, remainingMs, keepMs, purges, isShared, isExtra, key)
 };
 
 /// A shield's answer to an Ask.
 struct Reply {
   uint64_t id = 0;
+  uint64_t life = 0;
   uint32_t code = 0;      // result code; 0: an upstream's whole answer
   bool isUntouched = true; // no byte of the request went to an upstream
   uint32_t status = 0;
@@ -97,32 +99,41 @@
   int64_t keepMs = 0;     // 0: not to be kept
   uint64_t purges = 0;    // purge number when the fill began
   bool isFetched = false; // an upstream was asked for it
-  DYKESTAGE_FIELDS(id, code, isUntouched, status, headers, body, ageMs, heldMs, keepMs, purges, isFetched)
+  DYKESTAGE_FIELDS(id, life, code, isUntouched, status, headers, body, ageMs, heldMs, keepMs, purges, isFetched)
 };
 
-/// Shield to shield: a write with a key is about to leave, or has ended with this outcome. Whoever has been told
-/// will not run the key again.
-struct Witness {
+/// Shield to registry, by way of its agent: claims of Idempotency-Keys before writes leave, and keys given back.
+/// Sent again while unanswered, to another registry each time: a claim is the same one however often it comes.
+struct Claims {
   uint64_t nonce = 0;
-  std::string key;  // service and key
-  uint64_t print = 0;
-  std::optional<Reply> outcome;
-  DYKESTAGE_FIELDS(nonce, key, print, outcome)
+  uint32_t attempt = 0;
+  std::string shield;
+  uint64_t life = 0;
+  std::vector<core::KeyClaim> keys;
+  DYKESTAGE_FIELDS(nonce, attempt, shield, life, keys)
+};
+
+/// The answer, once the claims are ordered: who holds each key.
+struct Claimed {
+  uint64_t nonce = 0, life = 0;
+  std::vector<core::KeyHeld> keys;
+  DYKESTAGE_FIELDS(nonce, life, keys)
 };
 
-/// The answer: whether the key was known already, and its outcome if that is known as well.
-struct Witnessed {
+/// Shield to shield: what became of a key that the other holds.
+struct KeyAsk {
   uint64_t nonce = 0;
-  bool isKnown = false;
-  bool isSame = true;  // the key stood for the same request
-  std::optional<Reply> outcome;
-  DYKESTAGE_FIELDS(nonce, isKnown, isSame, outcome)
+  uint64_t life = 0;    // of the asker
+  std::string key;
+  uint64_t number = 0;  // of the claim by which it is held
+  DYKESTAGE_FIELDS(nonce, life, key, number)
 };
 
-/// A shield's keys, for one that has just started and remembers nothing.
-struct Keys {
-  std::vector<std::pair<std::string, uint64_t>> keys;  // service and key → what request it stood for
-  DYKESTAGE_FIELDS(keys)
+/// The answer; without an outcome it is not known any more.
+struct KeyTold {
+  uint64_t nonce = 0, life = 0;
+  std::optional<Reply> outcome;
+  DYKESTAGE_FIELDS(nonce, life, outcome)
 };
 
 }  // namespace dykestage::neighbour
--- a/lib/policy/cache.cpp
+++ b/lib/policy/cache.cpp
@@ -173,6 +173,14 @@
   return false;
 }
 
+auto Cache::mayBePurgedSince(uint64_t since, const std::string& service, const std::string& target) const -> bool {
+  if (since >= purges_) return false;
+  if (since < floor_) return true;
+  for (auto it = log_.rbegin(); it != log_.rend() && it->number > since; ++it)
+    if (it->service == service && (!it->label.empty() || isAt(target, it->path))) return true;
+  return false;
+}
+
 auto TryBudget::at(int64_t nowMs) -> Slice& {
   auto number = nowMs / 100;
   auto& slice = slices_[number % 101];
--- a/lib/policy/cache.hpp
+++ b/lib/policy/cache.hpp
@@ -64,6 +64,9 @@
   auto purge(const std::vector<core::Purge>& purges, uint64_t upTo, uint64_t floor) -> void;
   /// True when a fill begun at `since` may have read what a purge meant to remove.
   auto isPurgedSince(uint64_t since, const std::string& service, const std::string& target, const std::vector<std::string>& labels) const -> bool;
+  /// The same before the answer is there: its labels are not known, so that any label of the service counts.
+  /// Example: `if (cache.mayBePurgedSince(leader.purges, service, target)) fetchAnew();`
+  auto mayBePurgedSince(uint64_t since, const std::string& service, const std::string& target) const -> bool;
   auto purges() const -> uint64_t { return purges_; }
   auto bytes() const -> size_t { return bytes_; }
   auto size() const -> size_t { return items_.size(); }
--- a/lib/sim/core_sim.cpp
+++ b/lib/sim/core_sim.cpp
@@ -61,6 +61,22 @@
   }
 }
 
+auto coreMixes() -> const std::map<std::string, Faults>& {
+  static const std::map<std::string, Faults> all = {
+      {"none", {}},
+      {"loss and repetition", {.lossPercent = 5, .repeatPercent = 5}},
+      {"splits and one-way cuts", {.splits = true, .oneWayCuts = true}},
+      {"crashes", {.crashes = true}},
+      {"wiped disks", {.wipes = true}},
+      {"stalls and freezes", {.stalls = true, .freezes = true}},
+      {"full disks", {.fullDisks = true}},
+      {"blackouts", {.crashes = true, .blackouts = true}},
+      {"all without wipes", {5, 5, true, true, true, false, true, true, true}},
+      {"all", {5, 5, true, true, true, true, true, true, true, true}},
+  };
+  return all;
+}
+
 CoreSim::CoreSim(Props props) : props_(props), random_(props.seed) {}
 CoreSim::~CoreSim() = default;
 
--- a/lib/sim/core_sim.hpp
+++ b/lib/sim/core_sim.hpp
@@ -1,6 +1,7 @@
 // Sim: the core's real state machines in virtual time, with seeded failures and a checker.
 #pragma once
 #include <functional>
+#include <map>
 #include <memory>
 #include <queue>
 #include <random>
@@ -19,6 +20,9 @@
   bool dropSync = false;  // a rule broken on purpose: sends leave before the sync
 };
 
+/// The mixes of failures that core histories are run with, by name. Example: `coreMixes().at("blackouts")`
+auto coreMixes() -> const std::map<std::string, Faults>&;
+
 struct Verdict {
   std::vector<std::string> faults;  // what the checker found
   uint64_t executed = 0, answered = 0, unanswered = 0, voided = 0, fast = 0, slow = 0, recovered = 0, frames = 0, changes = 0;
--- a/lib/sim/load.cpp
+++ b/lib/sim/load.cpp
@@ -20,6 +20,7 @@
   s.integer("seed", 0, 1LL << 50, props.seed);
   s.integer("timeoutMs", 100, 60000, props.timeoutMs);
   s.flag("retriesAtOnce", props.retriesAtOnce);
+  s.flag("repeatsKeyed", props.repeatsKeyed);
   std::string targets;
   s.text("targets", targets, true);
   auto text = op::readFile(targets);
@@ -159,6 +160,14 @@
         ask(std::move(open));
         continue;
       }
+      auto isLost = f.fault != upstream::Fault::kNone || code == caller::kUnknown;
+      if (isLost && kind.hasKey && props_.repeatsKeyed && open.tries < 4) {
+        ++open.tries;
+        open.wasUnknown = true;
+        if (code != 0) ++report.codes[code];
+        ask(std::move(open));
+        continue;
+      }
       ++count.asked;
       auto slice = static_cast<size_t>(open.atMs / 100);
       if (report.slices.size() <= slice) report.slices.resize(slice + 1);
@@ -175,7 +184,7 @@
           end = End::kUnknown;
         } else if (isBusy) {
           ++count.turnedAway;
-          end = End::kBusy;
+          end = open.wasUnknown ? End::kUnknown : End::kBusy;
         } else {
           ++count.broken;
           end = End::kUnknown;
--- a/lib/sim/load.hpp
+++ b/lib/sim/load.hpp
@@ -66,6 +66,7 @@
     std::vector<Kind> kinds;
     int64_t perSecond = 400, seconds = 10, seed = 1, timeoutMs = 3000;
     bool retriesAtOnce = false;                       // callers that ask again at once when turned away
+    bool repeatsKeyed = false;                        // callers that repeat a keyed write whose outcome they don't know
     std::map<std::string, std::string> accounts;      // origin's name → file that it writes
     std::map<std::string, int64_t> agreedRates;       // service → requests a second
   };
@@ -81,6 +82,7 @@
     std::string target, id, edge;
     int64_t sinceMs, atMs;
     int tries;
+    bool wasUnknown = false;  // an earlier try may have run
   };
   auto ask(Open open) -> void;
   Props props_;
--- a/lib/sim/system_sim.hpp
+++ b/lib/sim/system_sim.hpp
@@ -31,12 +31,15 @@
   struct Props {
     uint64_t seed = 1;
     bool crashes = false, wipes = false, cuts = false, oneWayCuts = false, freezes = false, coreCuts = false, lossyUpstreams = false, stalls = false;
+    bool herds = false;        // all shields at once, or all proxies
     bool ignoresAge = false;   // a rule broken on purpose: nodes act on knowledge however old
     int64_t faultsMs = 9000, healMs = 9000;
     bool keepHistory = false;
   };
   explicit SystemSim(Props props);
   ~SystemSim();
+  /// The mixes of failures that are run, by name. Example: `auto props = SystemSim::mixes().at("herds");`
+  static auto mixes() -> const std::map<std::string, Props>&;
   auto run() -> SystemVerdict;
 
  private:
--- a/lib/tempo/tempo.hpp
+++ b/lib/tempo/tempo.hpp
@@ -24,8 +24,8 @@
 using Ballot = uint64_t;
 
 /// The partitions of the control plane's state. Every core node holds a replica of each.
-enum Part : uint8_t { kConfiguration = 0, kUpstreams = 1, kMembers = 2 };
-inline constexpr size_t kParts = 3;
+enum Part : uint8_t { kConfiguration = 0, kUpstreams = 1, kMembers = 2, kKeys = 3 };
+inline constexpr size_t kParts = 4;
 inline constexpr uint8_t kAllParts = (1u << kParts) - 1;
 
 /// Names a command for ever: the disk life that coordinated it, and a number never used again there.
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -41,25 +41,30 @@
   return budget;
 }
 
-auto Shield::refuse(const std::string& from, uint64_t id, uint32_t code) -> void {
+auto Shield::give(const std::string& from, const Ask& ask, Reply reply) -> void {
+  reply.id = ask.id;
+  reply.life = ask.life;
+  out_.replies.push_back({from, std::move(reply)});
+}
+
+auto Shield::refuse(const std::string& from, const Ask& ask, uint32_t code) -> void {
   ++figures_.turnedAway;
   Reply reply;
-  reply.id = id;
   reply.code = code;
-  out_.replies.push_back({from, std::move(reply)});
+  give(from, ask, std::move(reply));
 }
 
 auto Shield::take(const std::string& from, Ask ask, int64_t nowMs) -> void {
   ++figures_.asks;
-  auto id = ask.id;
-  if (!held_.isCurrent(nowMs, props_.staleMs)) return refuse(from, id, kNotCurrent);
-  if (isEmptying_) return refuse(from, id, kEmptying);
+  nowMs_ = nowMs;
+  if (!held_.isCurrent(nowMs, props_.staleMs)) return refuse(from, ask, kNotCurrent);
+  if (isEmptying_) return refuse(from, ask, kEmptying);
   auto service = held_.frame->services.find(ask.service);
-  if (service == held_.frame->services.end()) return refuse(from, id, kNoService);
+  if (service == held_.frame->services.end()) return refuse(from, ask, kNoService);
   // Before the other shields have made room, a new one has no part in any origin's rate.
   auto isLimited = service->second.originRate > 0 || std::any_of(service->second.next.begin(), service->second.next.end(), [](const auto& s) { return s.originRate > 0; });
-  if (isLimited && !split_.isSettled(nowMs)) return refuse(from, id, kNotCurrent);
-  if (ask.remainingMs <= kLeastMs) return refuse(from, id, kDeadline);
+  if (isLimited && !split_.isSettled(nowMs)) return refuse(from, ask, kNotCurrent);
+  if (ask.remainingMs <= kLeastMs) return refuse(from, ask, kDeadline);
   if (!ask.isExtra) budget(ask.service).asked(nowMs);
   Waiting w;
   w.from = from;
@@ -71,15 +76,13 @@
     if (copy && nowMs - copy->bornMs < ask.keepMs) {
       ++figures_.hits;
       Reply reply;
-      reply.id = id;
       reply.status = static_cast<uint32_t>(copy->status);
       reply.headers = copy->headers;
       reply.body = copy->body;
       reply.ageMs = nowMs - copy->bornMs;
       reply.keepMs = copy->keepMs;
       reply.purges = copy->purges;
-      out_.replies.push_back({from, std::move(reply)});
-      return;
+      return give(from, ask, std::move(reply));
     }
     w.joinKey = ask.service + "\n" + ask.target;
   }
@@ -87,31 +90,15 @@
   auto joinKey = w.joinKey, memoryKey = w.memoryKey;
   auto print = neighbour::hash(ask.method + "\n" + ask.target + "\n" + ask.body);
   if (!memoryKey.empty()) {
-    if (!remembers(nowMs)) return refuse(from, id, kNotCurrent);
     auto it = memory_.find(memoryKey);
     if (it != memory_.end()) {
-      if (it->second.print != print) return refuse(from, id, kKeyReused);
-      if (it->second.isDone) {
-        auto reply = it->second.reply;
-        reply.id = id;
-        out_.replies.push_back({from, std::move(reply)});
-        return;
-      }
-      if (it->second.running == 0) {  // another shield was about to run it, and has not said how it ended
-        Reply reply;
-        reply.id = id;
-        reply.code = kUnknown;
-        reply.isUntouched = false;
-        out_.replies.push_back({from, std::move(reply)});
-        return;
-      }
-    } else if (memory_.size() >= props_.keys) {
-      return refuse(from, id, kShieldFull);  // what is remembered is never pushed out early
+      if (it->second.print != print) return refuse(from, ask, kKeyReused);
+      if (it->second.running == 0) return give(from, ask, it->second.reply);
     }
   }
-  w.ask = std::move(ask);
+  w.ask = ask;
   auto place = waiting_.add(std::move(w));
-  if (!place) return refuse(from, id, kShieldFull);
+  if (!place) return refuse(from, ask, kShieldFull);
   auto join = [&](uint64_t leader) {
     auto* l = waiting_.get(leader);
     if (!l) return false;
@@ -120,18 +107,17 @@
     return true;
   };
   if (!memoryKey.empty()) {
-    auto [it, isFirst] = memory_.try_emplace(memoryKey, Memory{print, *place, false, {}, nowMs});
+    auto [it, isFirst] = memory_.try_emplace(memoryKey, Memory{print, *place, {}, nowMs, {}});
     if (!isFirst && join(it->second.running)) return;
     it->second.running = *place;
-    if (isFirst) memoryOrder_.emplace_back(nowMs, memoryKey);
-    return findWitness(*place, nowMs);
+    return claim(*place, nowMs);
   }
   if (!joinKey.empty()) {
     auto [it, isFirst] = joins_.try_emplace(joinKey, *place);
     if (!isFirst) {
       // A fetch that began before a purge of the object is not joined.
       auto* leader = waiting_.get(it->second);
-      auto isOld = leader && cache_.purges() > leader->purges;
+      auto isOld = leader && cache_.mayBePurgedSince(leader->purges, ask.service, ask.target);
       if (leader && !isOld && join(it->second)) return;
       it->second = *place;
     }
@@ -139,89 +125,128 @@
   dispatch(*place, false, nowMs);
 }
 
-// Before a write with a key leaves, the shield that a repeated one would come to next is told. While there are
-// other shields and none of them answers, the write does not leave.
-auto Shield::findWitness(uint64_t id, int64_t nowMs) -> void {
-  auto& w = *waiting_.get(id);
-  std::vector<std::string> names;
-  for (const auto& [name, member] : held_.frame->members)
-    if (member.kind == "shield" && name != props_.name && !w.witnessTried.count(name)) names.push_back(name);
-  if (names.empty()) {
-    w.witnessMs = -1;
-    return w.witnessTried.empty() ? dispatch(id, false, nowMs) : giveUp(id, kNoWitness, nowMs);
-  }
-  auto name = neighbour::rendezvous(w.ask.service + "\n" + w.ask.key, names).front();
-  w.witness = held_.frame->members.at(name).address;
-  w.witnessTried[name] = w.witness;
-  w.witnessMs = nowMs;
-  neighbour::Witness witness{id, w.memoryKey, memory_.at(w.memoryKey).print, std::nullopt};
-  out_.letters.push_back({w.witness, neighbour::kWitness, Writer().put(witness).take()});
-}
+// ---- keys -------------------------------------------------------------------------------------------------
+//
+// Before a write with a key leaves, the key is claimed by an ordered command of the core. Of all claims the first
+// in the order runs; whoever comes later asks the holder for the outcome, and runs nothing.
 
-// A shield that has just started takes no part in keys before the others have told theirs, or before the bound has
-// passed without them.
-auto Shield::remembers(int64_t nowMs) const -> bool {
-  if (split_.isSettled(nowMs)) return true;
-  auto others = shields();
-  return std::all_of(others.begin(), others.end(), [&](const auto& at) { return toldKeys_.count(at) != 0; });
+auto Shield::claim(uint64_t id, int64_t nowMs) -> void {
+  auto& w = *waiting_.get(id);
+  w.claim = ++nextClaim_;
+  w.claimMs = nowMs;
+  claiming_[w.claim] = id;
+  gathered_.push_back({w.memoryKey, w.claim, memory_.at(w.memoryKey).print, props_.keyMs, false});
 }
 
-auto Shield::takeMemoryAsk(const std::string& from) -> void {
-  neighbour::Keys keys;
-  for (const auto& [key, memory] : memory_) keys.keys.emplace_back(key, memory.print);
-  out_.letters.push_back({from, neighbour::kMemory, Writer().put(keys).take()});
+// Nothing ran, or will run, under this claim: the key is free for whoever claims it next. Should the claim be
+// ordered only after its return, the key stays held by it, and whoever meets it there is told so.
+auto Shield::giveBack(const std::string& key, uint64_t number) -> void {
+  unrun_.insert(number);
+  if (unrun_.size() > props_.keys) unrun_.erase(unrun_.begin());
+  gathered_.push_back({key, number, 0, 0, true});
 }
 
-auto Shield::takeMemory(const std::string& from, const neighbour::Keys& told, int64_t nowMs) -> void {
-  toldKeys_.insert(from);
-  for (const auto& [key, print] : told.keys)
-    if (memory_.try_emplace(key, Memory{print, 0, false, {}, nowMs}).second) memoryOrder_.emplace_back(nowMs, key);
+auto Shield::output() -> Output {
+  if (!gathered_.empty()) {
+    neighbour::Claims letter{++nextNonce_, 0, props_.name, props_.life, std::exchange(gathered_, {})};
+    out_.claims.push_back(letter);
+    unanswered_[letter.nonce] = {letter, nowMs_, nowMs_};
+  }
+  return std::exchange(out_, {});
 }
 
-auto Shield::takeWitness(const std::string& from, const neighbour::Witness& told, int64_t nowMs) -> void {
-  if (!told.outcome && !remembers(nowMs)) return;  // the asker finds another witness
-  auto [it, isNew] = memory_.try_emplace(told.key, Memory{told.print, 0, false, {}, nowMs});
-  auto& memory = it->second;
-  if (isNew) memoryOrder_.emplace_back(nowMs, told.key);
-  if (told.outcome) {
-    if (memory.running != 0 || memory.isDone) return;
-    // What surely did not run is free again.
-    if (told.outcome->code != kOk && told.outcome->isUntouched) {
-      memory_.erase(it);
+auto Shield::takeClaimed(const neighbour::Claimed& claimed, int64_t nowMs) -> void {
+  nowMs_ = nowMs;
+  auto found = unanswered_.find(claimed.nonce);
+  if (claimed.life != props_.life || found == unanswered_.end() || found->second.letter.keys.size() != claimed.keys.size()) return;
+  auto asked = std::move(found->second.letter.keys);
+  unanswered_.erase(found);
+  for (size_t i = 0; i < asked.size(); ++i) {
+    const auto& held = claimed.keys[i];
+    if (asked[i].isReturn) {
+      unrun_.erase(asked[i].number);
+      continue;
+    }
+    auto it = claiming_.find(asked[i].number);
+    if (it == claiming_.end()) continue;  // no longer waited for, and given back
+    auto id = it->second;
+    claiming_.erase(it);
+    auto& w = *waiting_.get(id);
+    w.claimMs = -1;
+    if (held.life == props_.life && held.number == w.claim) {
+      dispatch(id, false, nowMs);
+      continue;
+    }
+    w.claim = 0;
+    if (held.life == 0) {
+      giveUp(id, kNoClaim, nowMs);
+    } else if (held.print != asked[i].print) {
+      giveUp(id, kKeyReused, nowMs);
+    } else if (held.life == props_.life && unrun_.count(held.number)) {
+      giveBack(w.memoryKey, held.number);
+      giveUp(id, kNoClaim, nowMs);
     } else {
-      memory.isDone = true;
-      memory.reply = *told.outcome;
+      auto holder = held_.frame->members.find(held.shield);
+      auto isThere = held.life != props_.life && holder != held_.frame->members.end() && holder->second.incarnation == held.life;
+      if (!isThere) {
+        giveUp(id, kUnknown, nowMs);
+        continue;
+      }
+      w.asksKeyOf = holder->second.address;
+      out_.letters.push_back({w.asksKeyOf, neighbour::kKeyAsk, Writer().put(neighbour::KeyAsk{id, props_.life, w.memoryKey, held.number}).take()});
     }
-    return;
   }
-  neighbour::Witnessed answer{told.nonce, !isNew, memory.print == told.print, std::nullopt};
-  if (memory.isDone) answer.outcome = memory.reply;
-  out_.letters.push_back({from, neighbour::kWitnessed, Writer().put(answer).take()});
 }
 
-auto Shield::takeWitnessed(const neighbour::Witnessed& answer, int64_t nowMs) -> void {
-  auto* w = waiting_.get(answer.nonce);
-  if (!w || w->witnessMs < 0) return;
-  w->witnessMs = -1;
-  if (!answer.isKnown) return dispatch(answer.nonce, false, nowMs);
-  // Somebody has run this key, or is running it: it does not run here.
-  Reply reply;
-  if (!answer.isSame) {
-    reply.code = kKeyReused;
-  } else if (answer.outcome) {
-    reply = *answer.outcome;
-  } else {
-    reply.code = kUnknown;
-    reply.isUntouched = false;
+auto Shield::takeKeyAsk(const std::string& from, const neighbour::KeyAsk& ask, int64_t nowMs) -> void {
+  nowMs_ = nowMs;
+  neighbour::KeyTold told{ask.nonce, ask.life, std::nullopt};
+  auto it = memory_.find(ask.key);
+  if (it != memory_.end() && it->second.running != 0) {
+    it->second.asking.push_back({from, ask.nonce, ask.life});
+    return;
   }
-  w->witnessTried.clear();  // what is known there is not ours to change
-  finish(answer.nonce, std::move(reply), nullptr, nowMs);
+  if (it != memory_.end()) {
+    told.outcome = it->second.reply;
+  } else if (unrun_.count(ask.number)) {
+    giveBack(ask.key, ask.number);
+    told.outcome.emplace().code = kNoClaim;
+  }
+  out_.letters.push_back({from, neighbour::kKeyTold, Writer().put(told).take()});
+}
+
+auto Shield::takeKeyTold(const neighbour::KeyTold& told, int64_t nowMs) -> void {
+  nowMs_ = nowMs;
+  auto* w = told.life == props_.life ? waiting_.get(told.nonce) : nullptr;
+  if (!w || w->asksKeyOf.empty()) return;
+  w->asksKeyOf.clear();
+  if (!told.outcome) return giveUp(told.nonce, kUnknown, nowMs);
+  if (told.outcome->code == kOk || !told.outcome->isUntouched) return finish(told.nonce, *told.outcome, nullptr, nowMs);
+  // The holder did not run it, and has given the key back.
+  if (nowMs - w->startMs < props_.boundMs / 4) return claim(told.nonce, nowMs);
+  giveUp(told.nonce, kNoClaim, nowMs);
 }
 
-auto Shield::unwitnessed(const std::string& to, int64_t nowMs) -> void {
+auto Shield::unreached(const std::string& to, int64_t nowMs) -> void {
+  nowMs_ = nowMs;
   for (auto id : waiting_.ids()) {
     auto* w = waiting_.get(id);
-    if (w && w->witnessMs >= 0 && w->witness == to) findWitness(id, nowMs);
+    if (!w || w->asksKeyOf != to) continue;
+    w->asksKeyOf.clear();
+    giveUp(id, kUnknown, nowMs);
+  }
+}
+
+auto Shield::forget(int64_t nowMs) -> void {
+  // What is forgotten here is still held in the core: a repeated write gets "unknown", and does not run.
+  while (!memoryOrder_.empty()) {
+    auto isOver = nowMs - memoryOrder_.front().first >= props_.keyMs;
+    if (!isOver && memory_.size() <= props_.keys && memoryBytes_ <= props_.keyBytes) break;
+    auto it = memory_.find(memoryOrder_.front().second);
+    memoryOrder_.pop_front();
+    if (it == memory_.end() || it->second.running != 0) continue;
+    memoryBytes_ -= it->second.reply.body.size();
+    memory_.erase(it);
   }
 }
 
@@ -277,6 +302,9 @@
   fetch.answerBytes = props_.answerBytes;
   // A read leaves time for one more try; a write has all there is.
   fetch.timeoutMs = w.isWrite || w.tries > 1 ? left - kLeastMs / 2 : left * 6 / 10;
+  // What was read before a purge is not handed out longer than the bound after it.
+  if (w.ask.isShared) fetch.timeoutMs = std::min(fetch.timeoutMs, props_.boundMs);
+  fetch.actUntilMs = held_.asOfMs + props_.staleMs;
   fetch.connectMs = std::max<int64_t>(kLeastMs, left / 4);
   out_.fetches.push_back(std::move(fetch));
 }
@@ -299,6 +327,7 @@
 }
 
 auto Shield::takeFetched(const Fetched& f, int64_t nowMs) -> void {
+  nowMs_ = nowMs;
   if (f.id & kProbeBit) {
     auto it = probing_.find(f.id);
     if (it == probing_.end()) return;
@@ -361,7 +390,7 @@
     ++figures_.turnedAway;
   Reply reply;
   reply.code = code;
-  reply.isUntouched = !w.wasTouched;
+  reply.isUntouched = !w.wasTouched && code != kUnknown;
   finish(id, std::move(reply), nullptr, nowMs);
 }
 
@@ -370,17 +399,23 @@
   if (auto it = joins_.find(w->joinKey); it != joins_.end() && it->second == id) joins_.erase(it);
   auto isKeyed = !w->memoryKey.empty();
   if (isKeyed) {
+    claiming_.erase(w->claim);
+    auto isUnrun = reply.code != kOk && reply.isUntouched;
+    if (w->claim != 0 && isUnrun) giveBack(w->memoryKey, w->claim);
     auto it = memory_.find(w->memoryKey);
     if (it != memory_.end() && it->second.running == id) {
-      // What surely did not run may be tried again under the same key.
-      if (reply.code != kOk && reply.isUntouched) {
+      for (const auto& [from, nonce, life] : std::exchange(it->second.asking, {}))
+        out_.letters.push_back({from, neighbour::kKeyTold, Writer().put(neighbour::KeyTold{nonce, life, reply}).take()});
+      // What surely did not run is free again; what another shield ran is remembered only if it went well.
+      if (isUnrun || (w->claim == 0 && reply.code != kOk)) {
         memory_.erase(it);
       } else {
-        it->second.isDone = true;
+        it->second.running = 0;
         it->second.reply = reply;
+        it->second.sinceMs = nowMs;
+        memoryBytes_ += reply.body.size();
+        memoryOrder_.emplace_back(nowMs, w->memoryKey);
       }
-      for (const auto& [name, address] : w->witnessTried)
-        out_.letters.push_back({address, neighbour::kWitness, Writer().put(neighbour::Witness{id, w->memoryKey, 0, reply}).take()});
     }
   }
   auto own = copy ? policy::variantOf(copy->vary, w->ask.headers) : std::string();
@@ -401,12 +436,12 @@
 }
 
 auto Shield::reply(const Waiting& w, Reply reply, int64_t nowMs) -> void {
-  reply.id = w.ask.id;
   reply.heldMs = nowMs - w.startMs;
-  out_.replies.push_back({w.from, std::move(reply)});
+  give(w.from, w.ask, std::move(reply));
 }
 
 auto Shield::takeFrame(const HeldFrame& held, int64_t nowMs) -> void {
+  nowMs_ = nowMs;
   auto before = held_.frame;
   held_ = held;
   if (before == held_.frame) return;
@@ -435,6 +470,7 @@
     fetch.target = "/health";
     fetch.headers = {{"Host", upstream.address}, {"Dykestage-Service", upstream.service}, {"Dykestage-Instance", name}};
     fetch.timeoutMs = props_.probeMs * 3 / 4;
+    fetch.actUntilMs = held_.asOfMs + props_.staleMs;
     fetch.connectMs = props_.probeMs / 2;
     fetch.answerBytes = 4096;
     probing_[fetch.id] = name;
@@ -443,10 +479,21 @@
 }
 
 auto Shield::tick(int64_t nowMs) -> void {
-  if (!remembers(nowMs) && nowMs - keysAskedMs_ >= props_.boundMs / 20) {
-    keysAskedMs_ = nowMs;
-    for (const auto& at : shields())
-      if (!toldKeys_.count(at)) out_.letters.push_back({at, neighbour::kMemoryAsk, ""});
+  nowMs_ = nowMs;
+  // A claim that is not answered goes to another registry; one that nobody waits for any more goes nowhere.
+  for (auto it = unanswered_.begin(); it != unanswered_.end();) {
+    auto& [letter, firstMs, sentMs] = it->second;
+    auto isWanted = std::any_of(letter.keys.begin(), letter.keys.end(), [&](const auto& k) { return k.isReturn || claiming_.count(k.number); });
+    if (!isWanted || nowMs - firstMs >= props_.boundMs) {
+      it = unanswered_.erase(it);
+      continue;
+    }
+    if (nowMs - sentMs >= props_.boundMs / 20) {
+      sentMs = nowMs;
+      ++letter.attempt;
+      out_.claims.push_back(letter);
+    }
+    ++it;
   }
   if (nowMs - probedMs_ >= props_.probeMs && held_.isCurrent(nowMs, props_.staleMs)) {
     probedMs_ = nowMs;
@@ -454,20 +501,14 @@
   }
   for (auto id : waiting_.ids()) {
     auto* w = waiting_.get(id);
-    if (w && w->witnessMs >= 0 && nowMs - w->witnessMs >= props_.boundMs / 20) {
-      findWitness(id, nowMs);  // that one is slow: the next one
-      w = waiting_.get(id);
+    if (w && w->claimMs >= 0 && (nowMs - w->claimMs >= props_.boundMs / 4 || nowMs >= w->untilMs)) {
+      giveUp(id, kNoClaim, nowMs);
+      continue;
     }
-    // A fetch ends by its own timeout; this ends the asks that joined another one.
-    if (w && !w->isSent && nowMs >= w->untilMs) giveUp(id, w->isWrite && w->witnessMs < 0 ? kUnknown : kDeadline, nowMs);
-  }
-  size_t over = 0;
-  while (over < memoryOrder_.size() && nowMs - memoryOrder_[over].first >= props_.keyMs) {
-    auto it = memory_.find(memoryOrder_[over].second);
-    if (it != memory_.end() && (it->second.isDone || it->second.running == 0) && nowMs - it->second.sinceMs >= props_.keyMs) memory_.erase(it);
-    ++over;
+    // A fetch ends by its own timeout; this ends the asks that joined another one, or asked another shield.
+    if (w && !w->isSent && nowMs >= w->untilMs) giveUp(id, w->isWrite ? kUnknown : kDeadline, nowMs);
   }
-  memoryOrder_.erase(memoryOrder_.begin(), memoryOrder_.begin() + static_cast<std::ptrdiff_t>(over));
+  forget(nowMs);
 }
 
 }  // namespace dykestage::upstream
--- a/lib/upstream/shield.hpp
+++ b/lib/upstream/shield.hpp
@@ -1,6 +1,7 @@
 // Upstream: what a shield does with edges' asks. A state machine: asks, ended fetches, frames and time go in;
 // replies and fetches come out. Shields are the only ones that touch upstreams.
 #pragma once
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -25,8 +26,10 @@
     double triesPart = 0.75;         // part of a service's extra tries that the shields may use
     int64_t probeMs = 1000;
     int64_t easeMs = 5000;           // a new upstream is eased in over this time
-    int64_t keyMs = 600000;          // how long an outcome is remembered under its Idempotency-Key
-    size_t keys = 100000;
+    uint64_t life = 1;               // of this process, as its member entry has it
+    int64_t keyMs = 600000;          // how long a key is held, and an outcome remembered under it
+    size_t keys = 100000;            // outcomes remembered, and their bytes; the oldest go first
+    size_t keyBytes = 64u << 20;
   };
   struct Output {
     struct Replied {
@@ -42,6 +45,7 @@
       std::string body;
     };
     std::vector<Told> letters;       // to other shields
+    std::vector<neighbour::Claims> claims;  // to a registry, by way of the agent
   };
   struct Figures {
     uint64_t asks = 0, hits = 0, joins = 0, fetches = 0, extras = 0, turnedAway = 0, unknown = 0, rateTurnedAway = 0;
@@ -56,21 +60,19 @@
   auto takeFetched(const Fetched& fetched, int64_t nowMs) -> void;
   /// Puts a newer frame, or newer knowledge of its age, in force. Example: `shield.takeFrame(held, nowMs);`
   auto takeFrame(const caller::HeldFrame& held, int64_t nowMs) -> void;
-  /// Another shield is about to run a key, or has run it. Example: `shield.takeWitness(letter.from, w, nowMs);`
-  auto takeWitness(const std::string& from, const neighbour::Witness& witness, int64_t nowMs) -> void;
-  /// What another shield knows of a key. Example: `shield.takeWitnessed(w, nowMs);`
-  auto takeWitnessed(const neighbour::Witnessed& witnessed, int64_t nowMs) -> void;
-  /// A shield that has just started asks for the keys known here. Example: `shield.takeMemoryAsk(letter.from);`
-  auto takeMemoryAsk(const std::string& from) -> void;
-  /// The keys that another shield knows. Example: `shield.takeMemory(letter.from, keys, nowMs);`
-  auto takeMemory(const std::string& from, const neighbour::Keys& keys, int64_t nowMs) -> void;
-  /// A letter to another shield surely did not leave. Example: `if (!post->send(...)) shield.unwitnessed(to, nowMs);`
-  auto unwitnessed(const std::string& to, int64_t nowMs) -> void;
+  /// Who holds the keys that were claimed. Example: `shield.takeClaimed(claimed, nowMs);`
+  auto takeClaimed(const neighbour::Claimed& claimed, int64_t nowMs) -> void;
+  /// Another shield asks what became of a key held here. Example: `shield.takeKeyAsk(letter.from, ask, nowMs);`
+  auto takeKeyAsk(const std::string& from, const neighbour::KeyAsk& ask, int64_t nowMs) -> void;
+  /// What the holder of a key says. Example: `shield.takeKeyTold(told, nowMs);`
+  auto takeKeyTold(const neighbour::KeyTold& told, int64_t nowMs) -> void;
+  /// A letter to another shield surely did not leave. Example: `if (!post->send(...)) shield.unreached(to, nowMs);`
+  auto unreached(const std::string& to, int64_t nowMs) -> void;
   /// Lets time pass: probes, deadlines of joined asks. Example: every 10 ms `shield.tick(nowMs);`
   auto tick(int64_t nowMs) -> void;
   /// From now on new asks are turned away. Example: on SIGTERM `shield.empty();`
   auto empty() -> void { isEmptying_ = true; }
-  auto output() -> Output { return std::exchange(out_, {}); }
+  auto output() -> Output;
   auto isReady(int64_t nowMs) const -> bool { return !isEmptying_ && held_.isCurrent(nowMs, props_.staleMs) && split_.isSettled(nowMs); }
   auto revision() const -> core::Revision { return held_.frame->revision; }
   /// Which upstreams answered their last probe. Example: `poll.probes = shield.probes();`
@@ -91,26 +93,36 @@
     bool isWrite = false, wasTouched = false, isSent = false;
     int tries = 0;
     std::string joinKey, memoryKey;
-    std::string witness;                 // address of the shield that was told
-    int64_t witnessMs = -1;              // since when its answer is waited for
-    std::map<std::string, std::string> witnessTried;  // names and addresses of those told
+    uint64_t claim = 0;      // number of its claim of the key, under way or won
+    int64_t claimMs = -1;    // since when the answer is waited for
+    std::string asksKeyOf;   // address of the shield that holds the key and is asked
     std::vector<uint64_t> followers;
   };
   struct Memory {  // of one Idempotency-Key
     uint64_t print = 0;
-    uint64_t running = 0;   // 0: it is another shield that runs it
-    bool isDone = false;
+    uint64_t running = 0;  // 0: it has ended
     neighbour::Reply reply;
     int64_t sinceMs = 0;
+    struct Asking {
+      std::string from;
+      uint64_t nonce, life;
+    };
+    std::vector<Asking> asking;  // other shields that wait for the outcome
+  };
+  struct Unanswered {
+    neighbour::Claims letter;
+    int64_t firstMs = 0, sentMs = 0;
   };
-  auto remembers(int64_t nowMs) const -> bool;
-  auto findWitness(uint64_t id, int64_t nowMs) -> void;
+  auto claim(uint64_t id, int64_t nowMs) -> void;
+  auto giveBack(const std::string& key, uint64_t number) -> void;
+  auto forget(int64_t nowMs) -> void;
   auto dispatch(uint64_t id, bool isExtra, int64_t nowMs) -> void;
   auto retryOr(uint64_t id, uint32_t code, int64_t nowMs) -> void;
   auto giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void;
   auto finish(uint64_t id, neighbour::Reply reply, const policy::Copy* copy, int64_t nowMs) -> void;
   auto reply(const Waiting& waiting, neighbour::Reply reply, int64_t nowMs) -> void;
-  auto refuse(const std::string& from, uint64_t id, uint32_t code) -> void;
+  auto give(const std::string& from, const neighbour::Ask& ask, neighbour::Reply reply) -> void;
+  auto refuse(const std::string& from, const neighbour::Ask& ask, uint32_t code) -> void;
   auto budget(const std::string& service) -> policy::TryBudget&;
   auto probe() -> void;
   auto judge(const std::string& instance, const Fetched& fetched, int64_t nowMs) -> void;
@@ -126,9 +138,14 @@
   std::map<std::string, policy::Health> health_;
   std::map<std::string, uint64_t> joins_;
   std::map<std::string, Memory> memory_;
-  std::vector<std::pair<int64_t, std::string>> memoryOrder_;
-  std::set<std::string> toldKeys_;  // shields that have told theirs
-  int64_t keysAskedMs_ = -1'000'000;
+  std::deque<std::pair<int64_t, std::string>> memoryOrder_;
+  size_t memoryBytes_ = 0;
+  uint64_t nextClaim_ = 0, nextNonce_ = 0;
+  std::vector<core::KeyClaim> gathered_;        // for the next letter
+  std::map<uint64_t, Unanswered> unanswered_;   // by nonce
+  std::map<uint64_t, uint64_t> claiming_;       // number of a claim → the request that waits for it
+  std::set<uint64_t> unrun_;                    // own claims under which surely nothing ran, perhaps still held
+  int64_t nowMs_ = 0;
   std::map<std::string, bool> probes_;
   std::map<uint64_t, std::string> probing_;
   uint64_t nextProbe_ = 0;
--- a/programs/agent.cpp
+++ b/programs/agent.cpp
@@ -3,6 +3,7 @@
 #include <poll.h>
 
 #include "agent/feed.hpp"
+#include "agent/link.hpp"
 #include "caller/codes.hpp"
 #include "caller/face.hpp"
 #include "neighbour/inbox.hpp"
@@ -70,14 +71,14 @@
     if (!pages.push(std::move(r))) stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
   });
   std::vector<std::shared_ptr<caller::Stream>> writing;
-  agent::Follower follower(name, boundMs / 5);
+  agent::Follower follower(name, boundMs / 5, agent::freshIncarnation());
   agent::Giver toProxy(boundMs / 10), toNeighbours(boundMs / 10);
   core::Member member;
   agent::Told told;
   int64_t proxyMs = -1, pingedMs = 0;
   std::map<std::string, int64_t> pongMs;  // watched agents, by address
   auto order = neighbour::rendezvous(name, seeds);
-  std::string target;
+  std::string target, proxyAt;
   while (!op::Program::isStopping()) {
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}, {pages.fd(), POLLIN, 0}, {op::Program::stopFd(), POLLIN, 0}};
     for (auto& stream : writing) fds.push_back({stream->fd(), POLLOUT, 0});
@@ -102,6 +103,14 @@
         outer->send(letter.from, neighbour::kPong, "");
       } else if (letter.kind == neighbour::kPong) {
         pongMs[letter.from] = nowMs;
+      } else if (letter.kind == neighbour::kClaims) {
+        auto claims = r.get<neighbour::Claims>();
+        if (!r.done() || claims.shield != name) continue;
+        inner->warm(letter.from);
+        proxyAt = letter.from;
+        outer->send(follower.registryFor(order, claims.attempt), letter.kind, letter.body);
+      } else if (letter.kind == neighbour::kClaimed) {
+        if (!proxyAt.empty()) inner->send(proxyAt, letter.kind, letter.body);
       } else if (letter.kind == neighbour::kPoll) {
         auto poll = r.get<neighbour::Poll>();
         if (!r.done()) continue;
--- a/programs/edge.cpp
+++ b/programs/edge.cpp
@@ -81,8 +81,9 @@
     LOG(ERROR) << "edge: " << reason;
     return 3;
   }
+  props.life = agent::freshIncarnation();
   caller::Edge edge(props);
-  agent::Link link({props.name, {"edge", props.site, post->address(), "", agent::freshIncarnation()}, agentAt, boundMs},
+  agent::Link link({props.name, {"edge", props.site, post->address(), "", props.life}, agentAt, boundMs},
                    [&](caller::HeldFrame f) { inbox.push(std::move(f)); });
   auto open = [&](const std::string& at, int count, auto wrap) {
     auto [ip, port] = op::splitAddress(at);
@@ -137,7 +138,7 @@
       for (auto& a : out.asks)
         if (!post->send(a.to, neighbour::kAsk, Writer().put(a.ask).take())) edge.unsent(a.ask.id, nowMs);
       for (auto& a : out.answers) {
-        a.stream->answer(a.answer, a.method, a.keep && stopAtMs < 0);
+        a.stream->answer(caller::Edge::atLast(a, neighbour::steadyMs()), a.method, a.keep && stopAtMs < 0);
         writing.push_back(a.stream);
       }
     }
--- a/programs/shield.cpp
+++ b/programs/shield.cpp
@@ -41,7 +41,7 @@
   auto& s = program.settings();
   upstream::Shield::Props props;
   std::string status, address, listen, agentAt;
-  int64_t boundMs = 2000, requests = 4000, cacheBytes = 256 << 20, answerBytes = 8 << 20, keyMs = 600000, keys = 100000;
+  int64_t boundMs = 2000, requests = 4000, cacheBytes = 256 << 20, answerBytes = 8 << 20, keyMs = 600000, keys = 100000, keyBytes = 64 << 20;
   s.text("name", props.name, true);
   s.text("site", props.site, true);
   program.address("status", status);
@@ -54,6 +54,7 @@
   s.integer("answerBytes", 1 << 10, 64 << 20, answerBytes);
   s.integer("keyMs", 1000, 86400000, keyMs);
   s.integer("keys", 1, 10000000, keys);
+  s.integer("keyBytes", 1 << 10, 1LL << 40, keyBytes);
   program.ready();
   props.boundMs = boundMs;
   props.staleMs = boundMs * 3 / 4;
@@ -64,6 +65,7 @@
   props.answerBytes = static_cast<size_t>(answerBytes);
   props.keyMs = keyMs;
   props.keys = static_cast<size_t>(keys);
+  props.keyBytes = static_cast<size_t>(keyBytes);
 
   neighbour::Inbox<Input> inbox(16000);
   std::string reason;
@@ -74,10 +76,11 @@
     LOG(ERROR) << "shield: " << reason;
     return 3;
   }
+  props.life = agent::freshIncarnation();
   upstream::Shield shield(props);
   upstream::Fetcher fetcher;
-  agent::Link link({props.name, {"shield", props.site, post->address(), "", agent::freshIncarnation()}, agentAt, boundMs},
-                   [&](caller::HeldFrame f) { inbox.push(std::move(f)); });
+  agent::Link link({props.name, {"shield", props.site, post->address(), "", props.life}, agentAt, boundMs},
+                   [&](caller::HeldFrame f) { inbox.push(std::move(f)); }, [&](neighbour::Letter l) { inbox.push(std::move(l)); });
   auto [ip, port] = op::splitAddress(status);
   auto pages = std::make_unique<caller::Face>(caller::Face::Props{ip, port, 1, 1 << 16}, [&](caller::Request r) { inbox.push(std::move(r)); });
   LOG(INFO) << "shield: " << props.name << " at " << post->address() << ", status at port " << pages->port() << ".";
@@ -98,22 +101,20 @@
     for (auto& fetched : ended) shield.takeFetched(fetched, nowMs);
     for (auto& input : inbox.take()) {
       if (auto* letter = std::get_if<neighbour::Letter>(&input)) {
-        post->warm(letter->from);
+        if (letter->kind != neighbour::kClaimed) post->warm(letter->from);
         Reader r(letter->body);
         if (letter->kind == neighbour::kAsk) {
           auto ask = r.get<neighbour::Ask>();
           if (r.done()) shield.take(letter->from, std::move(ask), nowMs);
-        } else if (letter->kind == neighbour::kWitness) {
-          auto witness = r.get<neighbour::Witness>();
-          if (r.done()) shield.takeWitness(letter->from, witness, nowMs);
-        } else if (letter->kind == neighbour::kMemoryAsk) {
-          shield.takeMemoryAsk(letter->from);
-        } else if (letter->kind == neighbour::kMemory) {
-          auto keys = r.get<neighbour::Keys>();
-          if (r.done()) shield.takeMemory(letter->from, keys, nowMs);
-        } else if (letter->kind == neighbour::kWitnessed) {
-          auto witnessed = r.get<neighbour::Witnessed>();
-          if (r.done()) shield.takeWitnessed(witnessed, nowMs);
+        } else if (letter->kind == neighbour::kClaimed) {
+          auto claimed = r.get<neighbour::Claimed>();
+          if (r.done()) shield.takeClaimed(claimed, nowMs);
+        } else if (letter->kind == neighbour::kKeyAsk) {
+          auto ask = r.get<neighbour::KeyAsk>();
+          if (r.done()) shield.takeKeyAsk(letter->from, ask, nowMs);
+        } else if (letter->kind == neighbour::kKeyTold) {
+          auto told = r.get<neighbour::KeyTold>();
+          if (r.done()) shield.takeKeyTold(told, nowMs);
         }
       }
       if (auto* held = std::get_if<caller::HeldFrame>(&input)) {
@@ -130,15 +131,17 @@
     }
     shield.tick(nowMs);
     auto out = shield.output();
-    // A letter that did not leave is a new input, which may tell another shield.
+    // A letter that did not leave is a new input.
     for (size_t i = 0; i < out.letters.size(); ++i) {
       if (post->send(out.letters[i].to, out.letters[i].kind, out.letters[i].body)) continue;
-      shield.unwitnessed(out.letters[i].to, nowMs);
+      shield.unreached(out.letters[i].to, nowMs);
       auto more = shield.output();
       std::move(more.letters.begin(), more.letters.end(), std::back_inserter(out.letters));
       std::move(more.fetches.begin(), more.fetches.end(), std::back_inserter(out.fetches));
       std::move(more.replies.begin(), more.replies.end(), std::back_inserter(out.replies));
+      std::move(more.claims.begin(), more.claims.end(), std::back_inserter(out.claims));
     }
+    for (auto& claims : out.claims) link.pass({neighbour::kClaims, "", Writer().put(claims).take()});
     for (auto& address : out.drops) fetcher.drop(address);
     for (auto& fetch : out.fetches) fetcher.start(std::move(fetch));
     for (auto& r : out.replies) replies.push_back({r.to, Writer().put(r.reply).take(), nowMs + boundMs / 4});
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -283,3 +283,32 @@
   CHECK(got[0].from == b->address());
   CHECK(got[0].body == "hello");
 }
+
+TEST_CASE("A fetch that was held up before its first byte does not leave on knowledge that is too old") {
+  std::atomic<int> seen{0};
+  Face face({"127.0.0.1", 0, 1, 1 << 16}, [&](Request r) {
+    ++seen;
+    r.stream->answer({200, {}, "ran"}, r.method, r.keep);
+  });
+  for (auto isWrite : {true, false})
+    for (auto isLate : {true, false}) {
+      upstream::Fetcher fetcher;
+      upstream::Fetch fetch;
+      fetch.address = "127.0.0.1:" + std::to_string(face.port());
+      fetch.method = isWrite ? "POST" : "GET";
+      fetch.isWrite = isWrite;
+      fetch.timeoutMs = 20000;
+      fetch.connectMs = 20000;
+      fetch.actUntilMs = neighbour::steadyMs() + (isLate ? 30 : 60000);
+      auto before = seen.load();
+      fetcher.start(fetch);
+      while (isLate && neighbour::steadyMs() < fetch.actUntilMs) {
+      }  // the process is stalled with the fetch begun
+      std::vector<pollfd> none;
+      std::vector<upstream::Fetched> ended;
+      while (ended.empty()) ended = fetcher.run(none, 50);
+      CHECK(ended[0].fault == (isLate ? upstream::Fault::kNotSent : upstream::Fault::kNone));
+      CHECK(ended[0].isUntouched == isLate);
+      CHECK(seen.load() - before == (isLate ? 0 : 1));
+    }
+}
