Tempo: a clock that a commit moved is told at once to whoever told the commit

Cause: a claim of a key took 20 to 47 ms at the median. The fast quorum's answers carry promises up to each member's own proposal; members that had proposed less move their clocks at the commit and told so only with the next period of 20 ms, for which the coordinator's execution waited.

Ruled out: a shorter period for all (4,000 messages a second at 5 ms); the sync (0.25 ms).

--- a/lib/tempo/tempo.cpp
+++ b/lib/tempo/tempo.cpp
@@ -437,10 +437,19 @@
       decide(m.id, it->second, m.part, nowMs);
       break;
     }
-    case Kind::kCommit:
+    case Kind::kCommit: {
+      auto before = parts_[m.part].clock;
       commit(m.id, m.part, m.stamp, nowMs);
       for (const auto& p : m.promises) takePromise(p);
+      // Whoever told the commit waits for it to be stable: a clock that it moved is told at once, not a period later.
+      if (parts_[m.part].clock > before) {
+        auto told = make(Kind::kPromises, {}, 0);
+        auto acked = parts_[m.part].acked.find(from);
+        told.promises.push_back(promise(m.part, acked == parts_[m.part].acked.end() ? 0 : acked->second));
+        send(from, std::move(told));
+      }
       break;
+    }
     case Kind::kConsensus:
       onConsensus(from, m, nowMs);
       break;
