Letters and records carry a version; paths are found by host; lost claims turn away at once

Cause: letters between processes and records on disk had no version, so that old and new releases side by side could misread each other. Each letter now begins with one, and so does a registry's frame; another version is turned away whole, with one log line naming both (test http).

findPath walked all services and their hosts for each request: a map by host is made when a configuration comes into force.

--- a/lib/agent/link.cpp
+++ b/lib/agent/link.cpp
@@ -46,7 +46,10 @@
       auto feed = r.get<neighbour::Feed>();
       if (r.done() && follower.take(feed, nowMs)) take_(follower.held());
     }
-    for (auto& letter : passed_.take()) post->send(props_.agent, letter.kind, letter.body);
+    for (auto& letter : passed_.take()) {
+      // One that surely did not leave comes back.
+      if (!post->send(props_.agent, letter.kind, letter.body) && takeLetter_) takeLetter_(std::move(letter));
+    }
     auto poll = follower.tick({props_.agent}, 1, told, nowMs);
     if (poll ? !post->send(poll->first, neighbour::kPoll, Writer().put(poll->second).take())
              : follower.isAsking() && !post->isUp(props_.agent))
--- a/lib/agent/link.hpp
+++ b/lib/agent/link.hpp
@@ -28,7 +28,7 @@
   ~Link();
   /// What the proxy acts on now; told to the core with the next question. Example: `link.tell({revision, probes, {}});`
   auto tell(Told told) -> void;
-  /// Passes a letter to a registry, by way of the agent. Example: `link.pass({neighbour::kClaims, "", body});`
+  /// Passes a letter to a registry, by way of the agent; one that surely did not leave comes back. Example: `link.pass({neighbour::kClaims, "", body});`
   auto pass(neighbour::Letter letter) -> void;
 
  private:
--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -12,25 +12,28 @@
 
 auto isWrite(const std::string& method) -> bool { return method != "GET" && method != "HEAD" && method != "OPTIONS" && method != "TRACE"; }
 
-auto findPath(const core::Frame& frame, const std::string& host, const std::string& target) -> std::optional<Found> {
-  auto name = lower(host.substr(0, host.find(':')));
-  for (const auto& [service, stable] : frame.services) {
-    if (std::none_of(stable.hosts.begin(), stable.hosts.end(), [&](const auto& h) { return lower(h) == name; })) continue;
-    Found found;
-    found.service = service;
-    found.rollout = stable.rollout;
-    auto slot = neighbour::hash(stable.rollout + "\n" + service + "\n" + target.substr(0, target.find('?'))) % 1000;
-    found.isNext = !stable.next.empty() && static_cast<int64_t>(slot) < stable.slicePermille;
-    const auto& props = found.isNext ? stable.next.front() : stable;
-    const core::Path* best = nullptr;
-    for (const auto& path : props.paths)
-      if (target.rfind(path.prefix, 0) == 0 && (!best || path.prefix.size() > best->prefix.size())) best = &path;
-    if (!best) return std::nullopt;
-    found.path = *best;
-    found.deadlineMs = props.deadlineMs;
-    return found;
-  }
-  return std::nullopt;
+Paths::Paths(std::shared_ptr<const core::Frame> frame) : frame_(std::move(frame)) {
+  for (auto it = frame_->services.begin(); it != frame_->services.end(); ++it)
+    for (const auto& host : it->second.hosts) byHost_.try_emplace(lower(host), it);
+}
+
+auto Paths::find(const std::string& host, const std::string& target) const -> std::optional<Found> {
+  auto it = byHost_.find(lower(host.substr(0, host.find(':'))));
+  if (it == byHost_.end()) return std::nullopt;
+  const auto& [service, stable] = *it->second;
+  Found found;
+  found.service = service;
+  found.rollout = stable.rollout;
+  auto slot = neighbour::hash(stable.rollout + "\n" + service + "\n" + target.substr(0, target.find('?'))) % 1000;
+  found.isNext = !stable.next.empty() && static_cast<int64_t>(slot) < stable.slicePermille;
+  const auto& props = found.isNext ? stable.next.front() : stable;
+  const core::Path* best = nullptr;
+  for (const auto& path : props.paths)
+    if (target.rfind(path.prefix, 0) == 0 && (!best || path.prefix.size() > best->prefix.size())) best = &path;
+  if (!best) return std::nullopt;
+  found.path = *best;
+  found.deadlineMs = props.deadlineMs;
+  return found;
 }
 
 auto Edge::shields() const -> std::vector<std::string> {
@@ -58,7 +61,7 @@
   };
   if (!isCurrent(nowMs)) return turnAway(kNotCurrent);
   if (request.target.empty() || request.target[0] != '/') return turnAway(kBadRequest);
-  auto found = findPath(*held_.frame, header(request.headers, "host"), request.target);
+  auto found = paths_.find(header(request.headers, "host"), request.target);
   if (!found) return turnAway(kNoService);
   const auto& service = found->service;
   auto& path = found->path;
@@ -218,8 +221,10 @@
 auto Edge::takeFrame(const HeldFrame& held, int64_t nowMs) -> void {
   auto before = shields();
   auto isNew = held.frame != held_.frame;
+  auto hasNewPaths = held.frame->revision.configuration != held_.frame->revision.configuration;
   held_ = held;
   if (!isNew) return;
+  if (hasNewPaths) paths_ = Paths(held_.frame);
   cache_.purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor);
   scripts_.clear();
   std::set<std::string> running;
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "caller/codes.hpp"
@@ -26,6 +27,25 @@
   auto isCurrent(int64_t nowMs, int64_t limitMs) const -> bool { return asOfMs >= 0 && nowMs - asOfMs < limitMs; }
 };
 
+/// Where a request belongs.
+struct Found {
+  std::string service;
+  core::Path path;
+  int64_t deadlineMs = 1000;
+  std::string rollout;   // the one that this service takes part in, if any
+  bool isNext = false;   // the request falls into the slice of the new revision
+};
+/// Finds the service and path for a request; a stable hash of the target tells the slice, so that one object
+/// is always served under one revision. Example: `Paths paths(frame); if (auto found = paths.find("shop.example", "/a")) ...`
+class Paths {
+ public:
+  explicit Paths(std::shared_ptr<const core::Frame> frame);
+  auto find(const std::string& host, const std::string& target) const -> std::optional<Found>;
+
+ private:
+  std::shared_ptr<const core::Frame> frame_;
+  std::unordered_map<std::string, core::Services::const_iterator> byHost_;
+};
 class Edge {
  public:
   struct Props {
@@ -114,6 +134,7 @@
 
   Props props_;
   HeldFrame held_;
+  Paths paths_{held_.frame};  // of the configuration in force
   policy::Slab<Waiting> waiting_;
   policy::Cache cache_;
   std::map<std::string, uint64_t> joins_;
@@ -128,17 +149,6 @@
   Figures figures_;
 };
 
-/// Where a request belongs.
-struct Found {
-  std::string service;
-  core::Path path;
-  int64_t deadlineMs = 1000;
-  std::string rollout;   // the one that this service takes part in, if any
-  bool isNext = false;   // the request falls into the slice of the new revision
-};
-/// Finds the service and path for a request; a stable hash of the target tells the slice, so that one object
-/// is always served under one revision. Example: `if (auto found = findPath(frame, "shop.example", "/a")) ...`
-auto findPath(const core::Frame& frame, const std::string& host, const std::string& target) -> std::optional<Found>;
 /// True for methods that change something. Example: `isWrite("POST")`
 auto isWrite(const std::string& method) -> bool;
 
--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -31,11 +31,18 @@
 }
 
 auto diskFrame(const std::string& bytes, uint64_t fresh) -> DiskFrame {
-  if (bytes.empty()) return DiskFrame{fresh, {}, false, {}};
+  if (bytes.empty()) return DiskFrame{DiskFrame::kVersion, fresh, {}, false, {}};
   return Reader(bytes).get<DiskFrame>();
 }
 }  // namespace
 
+auto DiskFrame::refusal(const std::string& bytes) -> std::string {
+  if (bytes.empty()) return "";
+  auto version = Reader(bytes).get<uint32_t>();
+  if (version == kVersion) return "";
+  return "the records are of version " + std::to_string(version) + ", this release reads " + std::to_string(kVersion);
+}
+
 Registry::Registry(Props props, const std::string& frame, const std::vector<std::string>& writes, uint64_t freshIncarnation)
     : props_(std::move(props)),
       disk_(diskFrame(frame, freshIncarnation)),
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -28,11 +28,16 @@
 
 /// What a registry's disk holds besides the writes behind it.
 struct DiskFrame {
+  /// Grows by one whenever a record's fields change, here, in the state or in the ordering's writes.
+  static constexpr uint32_t kVersion = 2;
+  uint32_t version = kVersion;
   uint64_t incarnation = 0;
   std::map<uint32_t, uint64_t> proposed;  // the first members
   bool isFormed = false;
   std::string node;
-  DYKESTAGE_FIELDS(incarnation, proposed, isFormed, node)
+  DYKESTAGE_FIELDS(version, incarnation, proposed, isFormed, node)
+  /// Why a disk's frame can't be read by this release; empty: it can. Example: `if (auto why = DiskFrame::refusal(frame); !why.empty()) exit(3);`
+  static auto refusal(const std::string& bytes) -> std::string;
 };
 
 class Registry {
--- a/lib/core/state.hpp
+++ b/lib/core/state.hpp
@@ -37,6 +37,8 @@
   DYKESTAGE_FIELDS(hosts, paths, deadlineMs, originRate, triesPercent, triesAllowance, rollout, slicePermille, next)
 };
 
+using Services = std::map<std::string, Service>;
+
 /// A number of a template's shape: fixed, or a parameter that tenants fill in.
 struct Value {
   int64_t number = 0;
@@ -139,7 +141,7 @@
 /// What a data node knows of the control plane. Parts that the asker had already are left out on the wire.
 struct Frame {
   Revision revision;
-  std::map<std::string, Service> services;
+  Services services;
   std::vector<Purge> purges;   // newest ones, in order
   uint64_t purgeFloor = 0;     // purges up to here are no longer listed
   std::map<std::string, Upstream> upstreams;
--- a/lib/neighbour/post.cpp
+++ b/lib/neighbour/post.cpp
@@ -1,5 +1,6 @@
 #include "neighbour/post.hpp"
 
+#include <glog/logging.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
 
@@ -39,6 +40,12 @@
       if (nng_recvmsg(self->pull_, &raw, 0) != 0) return;
       std::unique_ptr<nng_msg, decltype(&nng_msg_free)> message(raw, nng_msg_free);
       Reader r({static_cast<const char*>(nng_msg_body(raw)), nng_msg_len(raw)});
+      auto version = r.get<uint16_t>();
+      if (version != kWireVersion) {
+        if (self->strangers_.insert(version).second)
+          LOG(WARNING) << "post: Letters of wire version " << version << " are turned away; this process speaks " << kWireVersion << ".";
+        continue;
+      }
       auto letter = r.get<Letter>();
       if (r.done()) self->take_(std::move(letter));
     }
@@ -83,7 +90,7 @@
   auto* line = this->line(to);
   // Nothing is left waiting for a line to come up: it would leave long after it was given up on.
   if (!line || line->pipes <= 0) return false;
-  auto bytes = Writer().put(Letter{kind, props_.advertise, body}).take();
+  auto bytes = Writer().put(kWireVersion).put(Letter{kind, props_.advertise, body}).take();
   if (bytes.size() > props_.maxBytes) return false;
   nng_msg* raw = nullptr;
   if (nng_msg_alloc(&raw, bytes.size()) != 0) return false;
--- a/lib/neighbour/post.hpp
+++ b/lib/neighbour/post.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -18,6 +19,10 @@
 
 namespace dykestage::neighbour {
 
+/// Of the letters between processes, told at the head of each. It grows by one whenever a letter's fields change:
+/// letters of another version are turned away whole, so that nothing is misread. Example: `Writer().put(kWireVersion)`
+inline constexpr uint16_t kWireVersion = 2;
+
 /// What a letter holds; the kinds are listed in messages.hpp.
 struct Letter {
   uint8_t kind = 0;
@@ -68,6 +73,7 @@
   std::function<void(Letter)> take_;
   std::map<std::string, std::unique_ptr<Line>> lines_;
   int64_t nowMs_ = 0;
+  std::set<uint16_t> strangers_;  // other versions heard, each told once in the log
   std::thread reader_;
 };
 
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -198,6 +198,12 @@
   }
 }
 
+auto Shield::unclaimed(const neighbour::Claims& claims, int64_t nowMs) -> void {
+  nowMs_ = nowMs;
+  for (const auto& key : claims.keys)
+    if (auto it = claiming_.find(key.number); it != claiming_.end()) giveUp(it->second, kNoClaim, nowMs);
+}
+
 auto Shield::takeKeyAsk(const std::string& from, const neighbour::KeyAsk& ask, int64_t nowMs) -> void {
   nowMs_ = nowMs;
   neighbour::KeyTold told{ask.nonce, ask.life, std::nullopt};
--- a/lib/upstream/shield.hpp
+++ b/lib/upstream/shield.hpp
@@ -62,6 +62,9 @@
   auto takeFrame(const caller::HeldFrame& held, int64_t nowMs) -> void;
   /// Who holds the keys that were claimed. Example: `shield.takeClaimed(claimed, nowMs);`
   auto takeClaimed(const neighbour::Claimed& claimed, int64_t nowMs) -> void;
+  /// Claims that surely did not leave: their writes are turned away at once, so that edges ask another shield.
+  /// Example: `if (letter.kind == kClaims) shield.unclaimed(claims, nowMs);`
+  auto unclaimed(const neighbour::Claims& claims, int64_t nowMs) -> void;
   /// Another shield asks what became of a key held here. Example: `shield.takeKeyAsk(letter.from, ask, nowMs);`
   auto takeKeyAsk(const std::string& from, const neighbour::KeyAsk& ask, int64_t nowMs) -> void;
   /// What the holder of a key says. Example: `shield.takeKeyTold(told, nowMs);`
--- a/programs/registry.cpp
+++ b/programs/registry.cpp
@@ -80,6 +80,10 @@
     return 3;
   }
   auto found = ring->take();
+  if (reason = core::DiskFrame::refusal(found.frame); !reason.empty()) {
+    LOG(ERROR) << "disk: " << reason << ".";
+    return 3;
+  }
   if (found.tornBytes) LOG(INFO) << "disk: Dropped a torn tail of " << found.tornBytes << " bytes.";
 
   neighbour::Inbox<Input> inbox(16000);
--- a/programs/shield.cpp
+++ b/programs/shield.cpp
@@ -101,7 +101,7 @@
     for (auto& fetched : ended) shield.takeFetched(fetched, nowMs);
     for (auto& input : inbox.take()) {
       if (auto* letter = std::get_if<neighbour::Letter>(&input)) {
-        if (letter->kind != neighbour::kClaimed) post->warm(letter->from);
+        if (letter->kind != neighbour::kClaimed && letter->kind != neighbour::kClaims) post->warm(letter->from);
         Reader r(letter->body);
         if (letter->kind == neighbour::kAsk) {
           auto ask = r.get<neighbour::Ask>();
@@ -109,6 +109,9 @@
         } else if (letter->kind == neighbour::kClaimed) {
           auto claimed = r.get<neighbour::Claimed>();
           if (r.done()) shield.takeClaimed(claimed, nowMs);
+        } else if (letter->kind == neighbour::kClaims) {
+          auto claims = r.get<neighbour::Claims>();
+          if (r.done()) shield.unclaimed(claims, nowMs);
         } else if (letter->kind == neighbour::kKeyAsk) {
           auto ask = r.get<neighbour::KeyAsk>();
           if (r.done()) shield.takeKeyAsk(letter->from, ask, nowMs);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,6 +1,8 @@
 // The HTTP face and the fetcher over real sockets: what passes whole, what is refused, what is not an answer.
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/push.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -8,6 +10,7 @@
 
 #include "caller/codes.hpp"
 #include "caller/face.hpp"
+#include "core/registry.hpp"
 #include "neighbour/inbox.hpp"
 #include "neighbour/post.hpp"
 #include "upstream/fetcher.hpp"
@@ -312,3 +315,34 @@
       CHECK(seen.load() - before == (isLate ? 0 : 1));
     }
 }
+
+TEST_CASE("Letters and records of another version are turned away, and nothing of them is read") {
+  neighbour::Inbox<neighbour::Letter> inbox(16);
+  std::string reason;
+  auto post = neighbour::Post::open({"127.0.0.1:0"}, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
+  REQUIRE(post);
+  nng_socket line;
+  REQUIRE(nng_push0_open(&line) == 0);
+  REQUIRE(nng_dial(line, ("tcp://" + post->address()).c_str(), nullptr, 0) == 0);
+  for (auto version : {neighbour::kWireVersion - 1, neighbour::kWireVersion + 1, int{neighbour::kWireVersion}}) {
+    auto bytes = Writer().put(static_cast<uint16_t>(version)).put(neighbour::Letter{neighbour::kAsk, "x", "of version " + std::to_string(version)}).take();
+    REQUIRE(nng_send(line, bytes.data(), bytes.size(), 0) == 0);
+  }
+  std::vector<neighbour::Letter> got;
+  for (auto untilMs = neighbour::steadyMs() + 20000; got.empty() && neighbour::steadyMs() < untilMs;) {
+    pollfd fd{inbox.fd(), POLLIN, 0};
+    ::poll(&fd, 1, 100);
+    got = inbox.take();
+  }
+  nng_close(line);
+  REQUIRE(got.size() == 1);  // letters of one line come in their order
+  CHECK(got[0].body == "of version " + std::to_string(neighbour::kWireVersion));
+
+  core::DiskFrame frame;
+  CHECK(core::DiskFrame::refusal("").empty());
+  CHECK(core::DiskFrame::refusal(Writer().put(frame).take()).empty());
+  frame.version = core::DiskFrame::kVersion + 1;
+  auto why = core::DiskFrame::refusal(Writer().put(frame).take());
+  CHECK(why.find("version " + std::to_string(frame.version)) != std::string::npos);
+  CHECK(why.find("reads " + std::to_string(core::DiskFrame::kVersion)) != std::string::npos);
+}
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -403,6 +403,16 @@
   CHECK(fetchesOf(out).empty());
 }
 
+TEST_CASE("Claims that did not leave turn their writes away at once") {
+  auto shield = shieldNamed("shield-1", 1);
+  shield.take("ed1", keyedAsk(1), 10000);
+  shield.unclaimed(shield.output().claims.at(0), 10000);
+  auto out = shield.output();
+  REQUIRE(out.replies.size() == 1);
+  CHECK(out.replies[0].reply.code == kNoClaim);
+  CHECK(out.replies[0].reply.isUntouched);
+}
+
 TEST_CASE("In all orders of two shields' claims and returns a write is sent once at most") {
   // Shield 1 claims and gives up before the answer comes, so that claim, repeated claim and return are all under
   // way; then both shields are asked again. Each order in which the core may see the letters is tried.
@@ -834,8 +844,8 @@
   auto count = 0;
   for (auto i = 0; i < 2000; ++i) {
     auto target = "/items/" + std::to_string(i);
-    auto found = findPath(*frame, "shop.test", target);
-    CHECK(found->isNext == findPath(*frame, "SHOP.test:80", target + "?q")->isNext);
+    auto found = Paths(frame).find("shop.test", target);
+    CHECK(found->isNext == Paths(frame).find("SHOP.test:80", target + "?q")->isNext);
     CHECK(found->path.keepMs == (found->isNext ? 100 : 5000));
     count += found->isNext;
   }
@@ -846,7 +856,7 @@
   wide->services["shop"].slicePermille = 500;
   for (auto i = 0; i < 500; ++i) {
     auto target = "/items/" + std::to_string(i);
-    if (findPath(*frame, "shop.test", target)->isNext) CHECK(findPath(*wide, "shop.test", target)->isNext);
+    if (Paths(frame).find("shop.test", target)->isNext) CHECK(Paths(wide).find("shop.test", target)->isNext);
   }
 
   using policy::Verdict;
