--- a/lib/caller/codes.cpp
+++ b/lib/caller/codes.cpp
@@ -43,6 +43,12 @@
 };
 }  // namespace
 
+auto allCodes() -> std::vector<uint32_t> {
+  std::vector<uint32_t> list;
+  for (const auto& [code, row] : kRows) list.push_back(code);
+  return list;
+}
+
 auto statusOf(uint32_t code) -> int {
   auto it = kRows.find(code);
   return it == kRows.end() ? 500 : it->second.status;
--- a/lib/caller/codes.hpp
+++ b/lib/caller/codes.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace dykestage::caller {
 
@@ -37,6 +38,8 @@
   kUpstreamLost = 3017,   // a read's upstream failed and no further try was allowed
 };
 
+/// Every code that there is. Example: `for (auto code : allCodes()) table += textOf(code);`
+auto allCodes() -> std::vector<uint32_t>;
 /// The HTTP status of a code. Example: `statusOf(kOriginRate) == 503`
 auto statusOf(uint32_t code) -> int;
 /// A short sentence for a code. Example: `textOf(kNoUpstream)`
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 #include "agent/feed.hpp"
 #include "caller/edge.hpp"
@@ -988,3 +989,26 @@
   CHECK_FALSE(sim::isProven(body.substr(0, body.size() - 1), "shop", "/a", ""));
   CHECK_FALSE(sim::isProven(body.substr(0, 200), "shop", "/a", ""));
 }
+
+TEST_CASE("The page of result codes has every code, its status and whether to come back, and no other") {
+  std::istringstream page(op::readFile(SOURCE_FOLDER "/docs/codes.md").value_or(""));
+  std::map<uint32_t, std::pair<std::string, bool>> rows;
+  for (std::string line; std::getline(page, line);) {
+    std::vector<std::string> cells;
+    std::istringstream parts(line);
+    for (std::string cell; std::getline(parts, cell, '|');) {
+      cell.erase(0, cell.find_first_not_of(' '));
+      cell.erase(cell.find_last_not_of(' ') + 1);
+      cells.push_back(cell);
+    }
+    if (cells.size() >= 5 && !cells[1].empty() && std::isdigit(static_cast<unsigned char>(cells[1][0])))
+      rows[static_cast<uint32_t>(std::stoul(cells[1]))] = {cells[2], cells[3] == "yes"};
+  }
+  for (auto code : allCodes()) {
+    INFO("code " << code);
+    REQUIRE(rows.count(code));
+    if (code != kPolicyFailed) CHECK(rows[code].first == std::to_string(statusOf(code)));  // a header, no answer
+    CHECK(rows[code].second == isTurnedAway(code));
+  }
+  CHECK(rows.size() == allCodes().size());
+}
