One piece each for changes, status pages, members of a kind, budgets, purge looks

Cause: read again as a whole, the change had four copies of "submit, look for a reused id, acknowledge", four status pages built by hand, two budgets and five counts of members by kind, two walks of the purge log, and the loop that sends a shield's letters both in the program and in the simulator.

Change: Registry::change, op::StatusPage, core::addressesOf and countOf, policy::TryBudgets, Cache::isPurged, Shield::outputAfter. A flag of a fetch that nobody read is gone; a shield stamps claims where it gathers them and not in nine entry points; an ask's body is moved into its place again, where it had come to be copied for each request.

--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -36,22 +36,7 @@
   return found;
 }
 
-auto Edge::shields() const -> std::vector<std::string> {
-  std::vector<std::string> list;
-  for (const auto& [name, member] : held_.frame->members)
-    if (member.kind == "shield") list.push_back(member.address);
-  return list;
-}
-
-auto Edge::budget(const std::string& service) -> policy::TryBudget& {
-  auto& budget = budgets_.try_emplace(service, 0.0, 0.0).first->second;
-  auto it = held_.frame->services.find(service);
-  if (it == held_.frame->services.end()) return budget;
-  auto edges = std::count_if(held_.frame->members.begin(), held_.frame->members.end(), [](const auto& m) { return m.second.kind == "edge"; });
-  budget.set(static_cast<double>(it->second.triesPercent) / 100 * props_.triesPart,
-             static_cast<double>(it->second.triesAllowance) * props_.triesPart / static_cast<double>(std::max<int64_t>(1, edges)));
-  return budget;
-}
+auto Edge::shields() const -> std::vector<std::string> { return core::addressesOf(*held_.frame, "shield"); }
 
 auto Edge::take(Request request, int64_t nowMs) -> void {
   ++figures_.requests;
@@ -112,7 +97,7 @@
     out_.answers.push_back({stream, method, keep, codeAnswer(kEdgeFull, 1)});
     return;
   }
-  budget(service).asked(nowMs);
+  budgets_.of(*held_.frame, service).asked(nowMs);
   if (!joinKey.empty()) {
     auto [it, isFirst] = joins_.try_emplace(joinKey, *id);
     if (!isFirst) {
@@ -185,7 +170,7 @@
   ++figures_.asks;
   if (isExtra) {
     ++figures_.extras;
-    budget(w.service).tried(nowMs);
+    budgets_.of(*held_.frame, w.service).tried(nowMs);
   }
   out_.asks.push_back({w.shield, std::move(ask)});
 }
@@ -211,7 +196,7 @@
     if (!w || w->shield != shield || !w->wasSent) continue;
     if (w->isWrite)
       giveUp(id, kUnknown, nowMs);
-    else if (budget(w->service).mayTry(nowMs))
+    else if (budgets_.of(*held_.frame, w->service).mayTry(nowMs))
       ask(id, true, nowMs);
     else
       giveUp(id, kUpstreamLost, nowMs);
@@ -329,7 +314,7 @@
       continue;
     }
     auto isLate = w->wasSent && (nowMs - w->startMs) * 100 >= (w->untilMs - w->startMs) * props_.hedgePercent;
-    if (w->isWrite || w->isHedged || !isLate || w->tried.size() >= shields().size() || !budget(w->service).mayTry(nowMs)) continue;
+    if (w->isWrite || w->isHedged || !isLate || w->tried.size() >= shields().size() || !budgets_.of(*held_.frame, w->service).mayTry(nowMs)) continue;
     w->isHedged = true;
     ask(id, true, nowMs);
   }
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -129,7 +129,6 @@
   auto giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void;
   auto finish(uint64_t id, const Answer& answer, const policy::Copy* copy, int64_t nowMs) -> void;
   auto answer(Waiting& waiting, Answer answer, int64_t nowMs) -> void;
-  auto budget(const std::string& service) -> policy::TryBudget&;
   auto isSilent(const std::string& shield, int64_t nowMs) const -> bool;
 
   Props props_;
@@ -138,7 +137,7 @@
   policy::Slab<Waiting> waiting_;
   policy::Cache cache_;
   std::map<std::string, uint64_t> joins_;
-  std::map<std::string, policy::TryBudget> budgets_;
+  policy::TryBudgets budgets_{"edge", props_.triesPart};
   neighbour::Samples samples_;
   std::map<std::string, std::optional<policy::Script>> scripts_;  // by text; none: it does not compile here
   struct Owing {  // a shield that has been asked and has not replied since
--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -30,6 +30,13 @@
   return static_cast<double>(sorted[std::min(sorted.size() - 1, sorted.size() * permille / 1000)]);
 }
 
+auto jsonAnswer(const std::string& body) -> Answer {
+  return {200, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, body + "\n"};
+}
+
+auto revisionDetail(const OpResult& result) -> std::string { return ",\"revision\":" + std::to_string(result.revision.configuration); }
+auto rolloutDetail(const OpResult& result) -> std::string { return ",\"rollout\":\"" + result.rollout + "\""; }
+
 auto diskFrame(const std::string& bytes, uint64_t fresh) -> DiskFrame {
   if (bytes.empty()) return DiskFrame{DiskFrame::kVersion, fresh, {}, false, {}};
   return Reader(bytes).get<DiskFrame>();
@@ -163,78 +170,66 @@
 auto Registry::page(const Who& who, const std::string& body) -> void {
   Step step;
   step.job = lastJob_;
-  step.pages.push_back({who.stream, who.method, who.keep, Answer{200, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, body + "\n"}});
+  step.pages.push_back({who.stream, who.method, who.keep, jsonAnswer(body)});
   steps_.push_back(std::move(step));
 }
 
-auto Registry::json(const Who& who, int status, const std::string& body) -> void {
-  answer(who, Answer{status, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, body + "\n"});
+auto Registry::json(const Who& who, const std::string& body) -> void { answer(who, jsonAnswer(body)); }
+
+auto Registry::invalid(const Who& who, const std::vector<op::Fault>& faults) -> void {
+  answer(who, codeAnswer(kInvalid, 0, ",\"faults\":" + op::writeFaults(faults)));
+}
+
+// An operator's change: submitted, and answered once it is acknowledged. `detail` goes with every answer; `again`, if
+// there is one, is tried when another change won; `told` adds what the result tells.
+auto Registry::change(Op op, const std::string& body, Who who, std::string detail, std::function<void()> again,
+                      std::function<std::string(const OpResult&)> told) -> void {
+  op.print = neighbour::hash(body);
+  auto id = op.changeId;
+  submit(std::move(op), [this, who, id, detail, again, told](const OpResult* result, int64_t nowMs) {
+    auto known = result ? std::optional(*result) : state_.changed(id);
+    if (!known) return answer(who, codeAnswer(kChangeUnknown, 0, detail));
+    if (known->outcome == Outcome::kIdReused) return answer(who, codeAnswer(kIdReused, 0, detail));
+    if (known->outcome == Outcome::kRolloutRuns) return answer(who, codeAnswer(kRolloutRuns, 0, rolloutDetail(*known)));
+    if (known->outcome == Outcome::kConflict) {
+      ++conflicts_;
+      if (again) return again();
+      return answer(who, codeAnswer(kConflict, 0, detail + revisionDetail(*known)));
+    }
+    acknowledge(known->revision, nowMs, [this, who, detail, text = told(*known)] { json(who, "{\"code\":0" + detail + text + "}"); });
+  });
 }
 
+// Without a base of its own a change is checked again against what won.
 auto Registry::configure(const std::string& body, Who who, int tries) -> void {
   std::vector<op::Fault> faults;
   auto op = op::readConfiguration(body, published_->services, faults, state_.tenants());
-  if (!op) return answer(who, codeAnswer(kInvalid, 0, ",\"faults\":" + op::writeFaults(faults)));
-  op->print = neighbour::hash(body);
+  if (!op) return invalid(who, faults);
   auto hasBase = op::namesBase(body);
   if (!hasBase) op->base = published_->revision.configuration;
   if (op->changeId.empty()) op->changeId = "r" + std::to_string(life_) + "-" + std::to_string(++changeNumber_);
-  auto id = op->changeId;
-  submit(*op, [this, body, who, tries, hasBase, id](const OpResult* result, int64_t nowMs) {
-    op::Json text(cJSON_CreateString(id.c_str()), cJSON_Delete);
-    auto change = ",\"change\":" + op::print(text.get());
-    std::optional<OpResult> known = result ? std::optional(*result) : state_.changed(id);
-    if (!known) return answer(who, codeAnswer(kChangeUnknown, 0, change));
-    if (known->outcome == Outcome::kIdReused) return answer(who, codeAnswer(kIdReused, 0, change));
-    if (known->outcome == Outcome::kConflict) {
-      ++conflicts_;
-      // Without a base of its own the change is checked again against what won.
-      if (!hasBase && tries > 0) return configure(body, who, tries - 1);
-      return answer(who, codeAnswer(kConflict, 0, change + ",\"revision\":" + std::to_string(known->revision.configuration)));
-    }
-    acknowledge(known->revision, nowMs, [this, who, change, known] {
-      json(who, 200, "{\"code\":0" + change + ",\"revision\":" + std::to_string(known->revision.configuration) + "}");
-    });
-  });
+  op::Json id(cJSON_CreateString(op->changeId.c_str()), cJSON_Delete);
+  std::function<void()> again;
+  if (!hasBase && tries > 0) again = [this, body, who, tries] { configure(body, who, tries - 1); };
+  change(std::move(*op), body, who, ",\"change\":" + op::print(id.get()), again, revisionDetail);
 }
 
 auto Registry::submitTemplate(const std::string& body, Who who) -> void {
   std::vector<op::Fault> faults;
   auto op = op::readTemplate(body, faults);
-  if (!op) return answer(who, codeAnswer(kInvalid, 0, ",\"faults\":" + op::writeFaults(faults)));
-  op->print = neighbour::hash(body);
-  submit(*op, [this, who, id = op->changeId](const OpResult* result, int64_t nowMs) {
-    auto known = result ? std::optional(*result) : state_.changed(id);
-    if (!known) return answer(who, codeAnswer(kChangeUnknown, 0));
-    if (known->outcome == Outcome::kIdReused) return answer(who, codeAnswer(kIdReused, 0));
-    auto rollout = ",\"rollout\":\"" + known->rollout + "\"";
-    if (known->outcome == Outcome::kRolloutRuns) return answer(who, codeAnswer(kRolloutRuns, 0, rollout));
-    acknowledge(known->revision, nowMs, [this, who, known, rollout] {
-      json(who, 200, "{\"code\":0,\"revision\":" + std::to_string(known->revision.configuration) + (known->rollout.empty() ? "" : rollout) + "}");
-    });
-  });
+  if (!op) return invalid(who, faults);
+  change(std::move(*op), body, who, "", {}, [](const OpResult& result) { return revisionDetail(result) + (result.rollout.empty() ? "" : rolloutDetail(result)); });
 }
 
 auto Registry::setTenants(const std::string& body, Who who, int tries) -> void {
   std::vector<op::Fault> faults;
   auto op = op::readTenants(body, state_, faults);
-  if (!op) return answer(who, codeAnswer(kInvalid, 0, ",\"faults\":" + op::writeFaults(faults)));
-  op->print = neighbour::hash(body);
+  if (!op) return invalid(who, faults);
   auto hasBase = op::namesBase(body);
   if (!hasBase) op->base = state_.frame().revision.configuration;
-  submit(*op, [this, body, who, tries, hasBase, id = op->changeId](const OpResult* result, int64_t nowMs) {
-    auto known = result ? std::optional(*result) : state_.changed(id);
-    if (!known) return answer(who, codeAnswer(kChangeUnknown, 0));
-    if (known->outcome == Outcome::kIdReused) return answer(who, codeAnswer(kIdReused, 0));
-    if (known->outcome == Outcome::kConflict) {
-      ++conflicts_;
-      if (!hasBase && tries > 0) return setTenants(body, who, tries - 1);
-      return answer(who, codeAnswer(kConflict, 0, ",\"revision\":" + std::to_string(known->revision.configuration)));
-    }
-    acknowledge(known->revision, nowMs, [this, who, known] {
-      json(who, 200, "{\"code\":0,\"revision\":" + std::to_string(known->revision.configuration) + "}");
-    });
-  });
+  std::function<void()> again;
+  if (!hasBase && tries > 0) again = [this, body, who, tries] { setTenants(body, who, tries - 1); };
+  change(std::move(*op), body, who, "", again, revisionDetail);
 }
 
 auto Registry::take(const Request& request, int64_t nowMs) -> void {
@@ -243,13 +238,13 @@
   auto isGet = request.method == "GET" || request.method == "HEAD";
   auto isPost = request.method == "POST";
   if (isGet && path == "/ready") {
-    if (isReady(nowMs)) return json(who, 200, "{\"ready\":true}");
+    if (isReady(nowMs)) return json(who, "{\"ready\":true}");
     return answer(who, codeAnswer(node_.isMember() ? kNotCurrent : kNotMember, 1));
   }
-  if (isGet && path == "/status") return json(who, 200, statusPage(nowMs));
+  if (isGet && path == "/status") return json(who, statusPage(nowMs));
   if (!isReady(nowMs)) return answer(who, codeAnswer(node_.isMember() ? kNotCurrent : kNotMember, 1));
-  if (isGet && path == "/configuration") return json(who, 200, op::writeConfiguration(*published_));
-  if (isGet && path == "/roster") return json(who, 200, op::writeRoster(*published_));
+  if (isGet && path == "/configuration") return json(who, op::writeConfiguration(*published_));
+  if (isGet && path == "/roster") return json(who, op::writeRoster(*published_));
   if (isGet && path == "/templates") return page(who, op::writeTemplates(state_));
   if (isGet && path.rfind("/rollouts", 0) == 0) {
     auto wanted = path.size() > 10 ? path.substr(10) : "";
@@ -262,8 +257,7 @@
   if (isGet && path.rfind("/changes/", 0) == 0) {
     auto result = state_.changed(path.substr(9));
     if (!result) return answer(who, codeAnswer(kNoSuchChange, 0));
-    return page(who, "{\"code\":0,\"revision\":" + std::to_string(result->revision.configuration) +
-                              ",\"purge\":" + std::to_string(result->revision.purges) + "}");
+    return page(who, "{\"code\":0" + revisionDetail(*result) + ",\"purge\":" + std::to_string(result->revision.purges) + "}");
   }
   if (running_.size() + batch_.size() + acks_.size() > props_.waiting) return answer(who, codeAnswer(kEdgeFull, 1));
   if (isPost && path == "/configuration") return configure(request.body, who, 5);
@@ -272,22 +266,13 @@
   if (isPost && path == "/purge") {
     std::vector<op::Fault> faults;
     auto op = op::readPurge(request.body, faults);
-    if (!op) return answer(who, codeAnswer(kInvalid, 0, ",\"faults\":" + op::writeFaults(faults)));
-    op->print = neighbour::hash(request.body);
-    submit(*op, [this, who, id = op->changeId](const OpResult* result, int64_t nowMs) {
-      auto known = result ? std::optional(*result) : state_.changed(id);
-      if (!known) return answer(who, codeAnswer(kChangeUnknown, 0));
-      if (known->outcome == Outcome::kIdReused) return answer(who, codeAnswer(kIdReused, 0));
-      acknowledge(known->revision, nowMs, [this, who, known] {
-        json(who, 200, "{\"code\":0,\"purge\":" + std::to_string(known->revision.purges) + "}");
-      });
-    });
-    return;
+    if (!op) return invalid(who, faults);
+    return change(std::move(*op), request.body, who, "", {}, [](const OpResult& result) { return ",\"purge\":" + std::to_string(result.revision.purges); });
   }
   if (isPost && path == "/announce") {
     std::vector<op::Fault> faults;
     auto op = op::readAnnouncement(request.body, faults);
-    if (!op) return answer(who, codeAnswer(kInvalid, 0, ",\"faults\":" + op::writeFaults(faults)));
+    if (!op) return invalid(who, faults);
     beats_[op->name] = nowMs;
     auto it = published_->upstreams.find(op->name);
     if (it != published_->upstreams.end()) {
@@ -295,11 +280,11 @@
       known.isHeld = op->upstream.isHeld;
       // A beat that changes nothing is no command.
       if (Writer().put(known).take() == Writer().put(op->upstream).take())
-        return json(who, 200, std::string("{\"code\":0,\"state\":\"") + (it->second.isHeld ? "held" : "known") + "\"}");
+        return json(who, std::string("{\"code\":0,\"state\":\"") + (it->second.isHeld ? "held" : "known") + "\"}");
     }
     submit(*op, [this, who](const OpResult* result, int64_t) {
       if (!result) return answer(who, codeAnswer(kChangeUnknown, 0));
-      json(who, 200, "{\"code\":0,\"state\":\"taken\"}");
+      json(who, "{\"code\":0,\"state\":\"taken\"}");
     });
     return;
   }
@@ -534,7 +519,7 @@
     auto sinceMs = listedMs_.try_emplace(entry, nowMs).first->second;
     return nowMs - std::max({watchSinceMs_, sinceMs, heardMs});
   };
-  auto shields = std::count_if(published_->members.begin(), published_->members.end(), [](const auto& m) { return m.second.kind == "shield"; });
+  auto shields = countOf(*published_, "shield");
   std::set<std::string> stillHeld;
   for (const auto& [name, upstream] : published_->upstreams) {
     auto beat = beats_.find(name);
@@ -686,18 +671,17 @@
 auto Registry::statusPage(int64_t nowMs) const -> std::string {
   auto f = node_.figures();
   auto duty = state_.duty(kWatchDuty);
-  op::Json json(cJSON_CreateObject(), cJSON_Delete);
-  auto number = [&](const char* key, double value) { cJSON_AddNumberToObject(json.get(), key, value); };
-  cJSON_AddStringToObject(json.get(), "program", "registry");
-  cJSON_AddStringToObject(json.get(), "life", std::to_string(disk_.incarnation).c_str());
-  cJSON_AddBoolToObject(json.get(), "ready", isReady(nowMs));
-  cJSON_AddBoolToObject(json.get(), "member", node_.isMember());
-  cJSON_AddBoolToObject(json.get(), "watches", watches());
+  op::StatusPage page("registry");
+  auto number = [&](const char* key, double value) { page.number(key, value); };
+  page.text("life", std::to_string(disk_.incarnation));
+  page.flag("ready", isReady(nowMs));
+  page.flag("member", node_.isMember());
+  page.flag("watches", watches());
   number("slot", props_.slot);
   number("epoch", node_.epoch());
   number("ageMs", static_cast<double>(std::min<int64_t>(ageMs(nowMs), 1 << 30)));
   number("watchTerm", static_cast<double>(duty.term));
-  op::addRevision(json.get(), published_->revision);
+  page.revision(published_->revision);
   number("fast", static_cast<double>(f.fast));
   number("slow", static_cast<double>(f.slow));
   number("recovered", static_cast<double>(f.recovered));
@@ -715,7 +699,7 @@
   number("keys", static_cast<double>(state_.keys()));
   number("conflicts", static_cast<double>(conflicts_));
   number("acknowledged", static_cast<double>(acked_));
-  return op::print(json.get());
+  return page.take();
 }
 
 }  // namespace dykestage::core
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -14,6 +14,7 @@
 #include "caller/face.hpp"
 #include "core/state.hpp"
 #include "neighbour/messages.hpp"
+#include "operator/configuration.hpp"
 #include "tempo/tempo.hpp"
 
 namespace dykestage::core {
@@ -148,7 +149,10 @@
   auto configure(const std::string& body, Who who, int tries) -> void;
   auto answer(const Who& who, const caller::Answer& answer) -> void;
   auto page(const Who& who, const std::string& body) -> void;
-  auto json(const Who& who, int status, const std::string& body) -> void;
+  auto json(const Who& who, const std::string& body) -> void;
+  auto invalid(const Who& who, const std::vector<op::Fault>& faults) -> void;
+  auto change(Op op, const std::string& body, Who who, std::string detail, std::function<void()> again,
+              std::function<std::string(const OpResult&)> told) -> void;
   auto statusPage(int64_t nowMs) const -> std::string;
   auto ageMs(int64_t nowMs) const -> int64_t { return asOfMs_ < 0 ? 1LL << 40 : nowMs - asOfMs_; }
   auto watches() const -> bool { return state_.duty(kWatchDuty).holder == disk_.incarnation; }
--- a/lib/core/state.cpp
+++ b/lib/core/state.cpp
@@ -12,6 +12,17 @@
 constexpr auto bitOf(uint8_t part) -> uint8_t { return static_cast<uint8_t>(1u << part); }
 }  // namespace
 
+auto addressesOf(const Frame& frame, const std::string& kind, const std::string& except) -> std::vector<std::string> {
+  std::vector<std::string> list;
+  for (const auto& [name, member] : frame.members)
+    if (member.kind == kind && name != except) list.push_back(member.address);
+  return list;
+}
+
+auto countOf(const Frame& frame, const std::string& kind) -> int64_t {
+  return std::count_if(frame.members.begin(), frame.members.end(), [&](const auto& one) { return one.second.kind == kind; });
+}
+
 auto newsSince(const Frame& frame, const Revision& since) -> News {
   News news{frame.revision, {}, {}, frame.purgeFloor, {}, {}};
   if (frame.revision.configuration > since.configuration) news.services = frame.services;
--- a/lib/core/state.hpp
+++ b/lib/core/state.hpp
@@ -149,6 +149,10 @@
   DYKESTAGE_FIELDS(revision, services, purges, purgeFloor, upstreams, members)
 };
 
+/// Where the members of a kind are, and how many there are. Example: `for (auto& at : addressesOf(frame, "shield")) ...`
+auto addressesOf(const Frame& frame, const std::string& kind, const std::string& except = "") -> std::vector<std::string>;
+auto countOf(const Frame& frame, const std::string& kind) -> int64_t;
+
 /// The parts of a frame that changed since a revision. Example: `auto news = newsSince(frame, asker);`
 struct News {
   Revision revision;
--- a/lib/operator/configuration.cpp
+++ b/lib/operator/configuration.cpp
@@ -564,11 +564,15 @@
   return print(json.get());
 }
 
-auto addRevision(cJSON* json, const core::Revision& revision) -> void {
-  cJSON_AddNumberToObject(json, "configuration", static_cast<double>(revision.configuration));
-  cJSON_AddNumberToObject(json, "purges", static_cast<double>(revision.purges));
-  cJSON_AddNumberToObject(json, "upstreams", static_cast<double>(revision.upstreams));
-  cJSON_AddNumberToObject(json, "members", static_cast<double>(revision.members));
+StatusPage::StatusPage(const std::string& program) : json_(cJSON_CreateObject(), cJSON_Delete) { text("program", program); }
+auto StatusPage::text(const char* key, const std::string& value) -> void { cJSON_AddStringToObject(json_.get(), key, value.c_str()); }
+auto StatusPage::flag(const char* key, bool value) -> void { cJSON_AddBoolToObject(json_.get(), key, value); }
+auto StatusPage::number(const char* key, double value) -> void { cJSON_AddNumberToObject(json_.get(), key, value); }
+auto StatusPage::revision(const core::Revision& revision) -> void {
+  number("configuration", static_cast<double>(revision.configuration));
+  number("purges", static_cast<double>(revision.purges));
+  number("upstreams", static_cast<double>(revision.upstreams));
+  number("members", static_cast<double>(revision.members));
 }
 
 auto writeRoster(const core::Frame& frame) -> std::string {
--- a/lib/operator/configuration.hpp
+++ b/lib/operator/configuration.hpp
@@ -78,8 +78,20 @@
 /// The live roster as JSON. Example: `writeRoster(frame)`
 auto writeRoster(const core::Frame& frame) -> std::string;
 
-/// Adds a revision's parts to a status page. Example: `addRevision(json.get(), edge.revision());`
-auto addRevision(cJSON* json, const core::Revision& revision) -> void;
+/// What a program tells of itself at /status, in the order in which it is added.
+/// Example: `StatusPage page("edge"); page.flag("ready", isReady); page.number("open", edge.open()); return page.take();`
+class StatusPage {
+ public:
+  explicit StatusPage(const std::string& program);
+  auto text(const char* key, const std::string& value) -> void;
+  auto flag(const char* key, bool value) -> void;
+  auto number(const char* key, double value) -> void;
+  auto revision(const core::Revision& revision) -> void;
+  auto take() const -> std::string { return print(json_.get()); }
+
+ private:
+  Json json_;
+};
 
 /// True for "ip:port" with a numeric IPv4 address. Example: `isAddress("127.0.0.1:80")`
 auto isAddress(const std::string& text) -> bool;
--- a/lib/policy/cache.cpp
+++ b/lib/policy/cache.cpp
@@ -162,23 +162,31 @@
   }
 }
 
-auto Cache::isPurgedSince(uint64_t since, const std::string& service, const std::string& target, const std::vector<std::string>& labels) const
-    -> bool {
+auto Cache::isPurged(uint64_t since, const std::string& service, const std::function<bool(const core::Purge&)>& concerns) const -> bool {
   if (since >= purges_) return false;
   if (since < floor_) return true;
-  for (auto it = log_.rbegin(); it != log_.rend() && it->number > since; ++it) {
-    if (it->service != service) continue;
-    if (it->label.empty() ? isAt(target, it->path) : std::find(labels.begin(), labels.end(), lower(it->label)) != labels.end()) return true;
-  }
+  for (auto it = log_.rbegin(); it != log_.rend() && it->number > since; ++it)
+    if (it->service == service && concerns(*it)) return true;
   return false;
 }
 
+auto Cache::isPurgedSince(uint64_t since, const std::string& service, const std::string& target, const std::vector<std::string>& labels) const
+    -> bool {
+  return isPurged(since, service, [&](const auto& purge) {
+    return purge.label.empty() ? isAt(target, purge.path) : std::find(labels.begin(), labels.end(), lower(purge.label)) != labels.end();
+  });
+}
+
 auto Cache::mayBePurgedSince(uint64_t since, const std::string& service, const std::string& target) const -> bool {
-  if (since >= purges_) return false;
-  if (since < floor_) return true;
-  for (auto it = log_.rbegin(); it != log_.rend() && it->number > since; ++it)
-    if (it->service == service && (!it->label.empty() || isAt(target, it->path))) return true;
-  return false;
+  return isPurged(since, service, [&](const auto& purge) { return !purge.label.empty() || isAt(target, purge.path); });
+}
+
+auto TryBudgets::of(const core::Frame& frame, const std::string& service) -> TryBudget& {
+  auto& budget = budgets_.try_emplace(service, 0.0, 0.0).first->second;
+  if (auto it = frame.services.find(service); it != frame.services.end())
+    budget.set(static_cast<double>(it->second.triesPercent) / 100 * part_,
+               static_cast<double>(it->second.triesAllowance) * part_ / static_cast<double>(std::max<int64_t>(1, core::countOf(frame, kind_))));
+  return budget;
 }
 
 auto TryBudget::at(int64_t nowMs) -> Slice& {
--- a/lib/policy/cache.hpp
+++ b/lib/policy/cache.hpp
@@ -5,6 +5,7 @@
 #include <boost/multi_index/ordered_index.hpp>
 #include <boost/multi_index/sequenced_index.hpp>
 #include <boost/multi_index_container.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -87,6 +88,7 @@
                 boost::multi_index::ordered_non_unique<boost::multi_index::tag<ByBase>, boost::multi_index::member<Item, std::string, &Item::base>>,
                 boost::multi_index::sequenced<boost::multi_index::tag<ByUse>>>>;
   auto drop(Items::iterator it) -> void;
+  auto isPurged(uint64_t since, const std::string& service, const std::function<bool(const core::Purge&)>& concerns) const -> bool;
 
   size_t boundBytes_;
   size_t bytes_ = 0;
@@ -118,6 +120,19 @@
   Slice slices_[101];
 };
 
+/// The budgets of all services at one node: its part of what a service may try, shared among the nodes of its kind.
+/// Example: `TryBudgets budgets("edge", 0.25); if (budgets.of(frame, "shop").mayTry(nowMs)) ...`
+class TryBudgets {
+ public:
+  TryBudgets(std::string kind, double part) : kind_(std::move(kind)), part_(part) {}
+  auto of(const core::Frame& frame, const std::string& service) -> TryBudget&;
+
+ private:
+  std::string kind_;
+  double part_;
+  std::map<std::string, TryBudget> budgets_;
+};
+
 /// How many shields an origin's rate is split among.
 ///
 /// A split that gives this shield less takes effect at once; one that gives it more only after the old split
--- a/lib/sim/system_sim.cpp
+++ b/lib/sim/system_sim.cpp
@@ -341,16 +341,7 @@
       for (auto& a : out.answers) answered(a.stream.get(), a.answer);
     }
   } else {
-    auto out = node.shield->output();
-    for (size_t i = 0; i < out.letters.size(); ++i) {
-      if (send(node.name, node.address(), out.letters[i].to, out.letters[i].kind, out.letters[i].body)) continue;
-      node.shield->unreached(out.letters[i].to, nowMs_);
-      auto more = node.shield->output();
-      std::move(more.letters.begin(), more.letters.end(), std::back_inserter(out.letters));
-      std::move(more.fetches.begin(), more.fetches.end(), std::back_inserter(out.fetches));
-      std::move(more.replies.begin(), more.replies.end(), std::back_inserter(out.replies));
-      std::move(more.claims.begin(), more.claims.end(), std::back_inserter(out.claims));
-    }
+    auto out = node.shield->outputAfter([&](const auto& l) { return send(node.name, node.address(), l.to, l.kind, l.body); }, nowMs_);
     for (auto& claims : out.claims) send(node.name, linkAt, loopAt, neighbour::kClaims, pack(claims));
     for (auto& f : out.fetches) fetch(node.name, f);
     for (auto& r : out.replies) send(node.name, node.address(), r.to, neighbour::kReply, pack(r.reply));
--- a/lib/tempo/tempo.cpp
+++ b/lib/tempo/tempo.cpp
@@ -444,8 +444,7 @@
       // Whoever told the commit waits for it to be stable: a clock that it moved is told at once, not a period later.
       if (parts_[m.part].clock > before) {
         auto told = make(Kind::kPromises, {}, 0);
-        auto acked = parts_[m.part].acked.find(from);
-        told.promises.push_back(promise(m.part, acked == parts_[m.part].acked.end() ? 0 : acked->second));
+        told.promises.push_back(promise(m.part, parts_[m.part].acked[from]));
         send(from, std::move(told));
       }
       break;
--- a/lib/upstream/fetcher.cpp
+++ b/lib/upstream/fetcher.cpp
@@ -28,7 +28,7 @@
   List lines;
   Fetched result;
   size_t headBytes = 0;
-  bool isTooLarge = false, isMalformed = false, isHeldBack = false;
+  bool isTooLarge = false, isMalformed = false;
   int64_t startMs = 0;
 };
 
@@ -140,9 +140,8 @@
   // The last point before bytes leave: the stream is up, the request is not sent. A fetch that waited for its turn,
   // or whose process was frozen, goes no further once what it rests on is too old.
   auto onReady = +[](void* at, char*, char*, int, int) -> int {
-    auto& call = *static_cast<Call*>(at);
-    call.isHeldBack = call.fetch.actUntilMs > 0 && neighbour::steadyMs() >= call.fetch.actUntilMs;
-    return call.isHeldBack ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+    auto untilMs = static_cast<Call*>(at)->fetch.actUntilMs;
+    return untilMs > 0 && neighbour::steadyMs() >= untilMs ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
   };
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onReady);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, call.get());
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <iterator>
 
 #include "caller/codes.hpp"
 #include "neighbour/post.hpp"
@@ -17,29 +18,9 @@
 constexpr int64_t kLeastMs = 20;  // less time than this is not worth a try
 }  // namespace
 
-auto Shield::edges() const -> std::vector<std::string> {
-  std::vector<std::string> list;
-  for (const auto& [name, member] : held_.frame->members)
-    if (member.kind == "edge") list.push_back(member.address);
-  return list;
-}
-
-auto Shield::shields() const -> std::vector<std::string> {
-  std::vector<std::string> list;
-  for (const auto& [name, member] : held_.frame->members)
-    if (member.kind == "shield" && name != props_.name) list.push_back(member.address);
-  return list;
-}
+auto Shield::edges() const -> std::vector<std::string> { return core::addressesOf(*held_.frame, "edge"); }
 
-auto Shield::budget(const std::string& service) -> policy::TryBudget& {
-  auto& budget = budgets_.try_emplace(service, 0.0, 0.0).first->second;
-  auto it = held_.frame->services.find(service);
-  if (it == held_.frame->services.end()) return budget;
-  auto shields = std::count_if(held_.frame->members.begin(), held_.frame->members.end(), [](const auto& m) { return m.second.kind == "shield"; });
-  budget.set(static_cast<double>(it->second.triesPercent) / 100 * props_.triesPart,
-             static_cast<double>(it->second.triesAllowance) * props_.triesPart / static_cast<double>(std::max<int64_t>(1, shields)));
-  return budget;
-}
+auto Shield::shields() const -> std::vector<std::string> { return core::addressesOf(*held_.frame, "shield", props_.name); }
 
 auto Shield::give(const std::string& from, const Ask& ask, Reply reply) -> void {
   reply.id = ask.id;
@@ -56,7 +37,6 @@
 
 auto Shield::take(const std::string& from, Ask ask, int64_t nowMs) -> void {
   ++figures_.asks;
-  nowMs_ = nowMs;
   if (!held_.isCurrent(nowMs, props_.staleMs)) return refuse(from, ask, kNotCurrent);
   if (isEmptying_) return refuse(from, ask, kEmptying);
   auto service = held_.frame->services.find(ask.service);
@@ -65,7 +45,7 @@
   auto isLimited = service->second.originRate > 0 || std::any_of(service->second.next.begin(), service->second.next.end(), [](const auto& s) { return s.originRate > 0; });
   if (isLimited && !split_.isSettled(nowMs)) return refuse(from, ask, kNotCurrent);
   if (ask.remainingMs <= kLeastMs) return refuse(from, ask, kDeadline);
-  if (!ask.isExtra) budget(ask.service).asked(nowMs);
+  if (!ask.isExtra) budgets_.of(*held_.frame, ask.service).asked(nowMs);
   Waiting w;
   w.from = from;
   w.startMs = nowMs;
@@ -96,9 +76,9 @@
       if (it->second.running == 0) return give(from, ask, it->second.reply);
     }
   }
-  w.ask = ask;
+  if (waiting_.size() >= props_.requests) return refuse(from, ask, kShieldFull);
+  w.ask = std::move(ask);
   auto place = waiting_.add(std::move(w));
-  if (!place) return refuse(from, ask, kShieldFull);
   auto join = [&](uint64_t leader) {
     auto* l = waiting_.get(leader);
     if (!l) return false;
@@ -117,7 +97,7 @@
     if (!isFirst) {
       // A fetch that began before a purge of the object is not joined.
       auto* leader = waiting_.get(it->second);
-      auto isOld = leader && cache_.mayBePurgedSince(leader->purges, ask.service, ask.target);
+      auto isOld = leader && cache_.mayBePurgedSince(leader->purges, leader->ask.service, leader->ask.target);
       if (leader && !isOld && join(it->second)) return;
       it->second = *place;
     }
@@ -135,28 +115,43 @@
   w.claim = ++nextClaim_;
   w.claimMs = nowMs;
   claiming_[w.claim] = id;
+  gatheredMs_ = nowMs;
   gathered_.push_back({w.memoryKey, w.claim, memory_.at(w.memoryKey).print, props_.keyMs, false});
 }
 
 // Nothing ran, or will run, under this claim: the key is free for whoever claims it next. Should the claim be
 // ordered only after its return, the key stays held by it, and whoever meets it there is told so.
-auto Shield::giveBack(const std::string& key, uint64_t number) -> void {
+auto Shield::giveBack(const std::string& key, uint64_t number, int64_t nowMs) -> void {
   unrun_.insert(number);
   if (unrun_.size() > props_.keys) unrun_.erase(unrun_.begin());
+  gatheredMs_ = nowMs;
   gathered_.push_back({key, number, 0, 0, true});
 }
 
+auto Shield::outputAfter(const std::function<bool(const Output::Told&)>& send, int64_t nowMs) -> Output {
+  auto out = output();
+  for (size_t i = 0; i < out.letters.size(); ++i) {
+    if (send(out.letters[i])) continue;
+    unreached(out.letters[i].to, nowMs);
+    auto more = output();
+    std::move(more.letters.begin(), more.letters.end(), std::back_inserter(out.letters));
+    std::move(more.fetches.begin(), more.fetches.end(), std::back_inserter(out.fetches));
+    std::move(more.replies.begin(), more.replies.end(), std::back_inserter(out.replies));
+    std::move(more.claims.begin(), more.claims.end(), std::back_inserter(out.claims));
+  }
+  return out;
+}
+
 auto Shield::output() -> Output {
   if (!gathered_.empty()) {
     neighbour::Claims letter{++nextNonce_, 0, props_.name, props_.life, std::exchange(gathered_, {})};
     out_.claims.push_back(letter);
-    unanswered_[letter.nonce] = {letter, nowMs_, nowMs_};
+    unanswered_[letter.nonce] = {letter, gatheredMs_, gatheredMs_};
   }
   return std::exchange(out_, {});
 }
 
 auto Shield::takeClaimed(const neighbour::Claimed& claimed, int64_t nowMs) -> void {
-  nowMs_ = nowMs;
   auto found = unanswered_.find(claimed.nonce);
   if (claimed.life != props_.life || found == unanswered_.end() || found->second.letter.keys.size() != claimed.keys.size()) return;
   auto asked = std::move(found->second.letter.keys);
@@ -183,7 +178,7 @@
     } else if (held.print != asked[i].print) {
       giveUp(id, kKeyReused, nowMs);
     } else if (held.life == props_.life && unrun_.count(held.number)) {
-      giveBack(w.memoryKey, held.number);
+      giveBack(w.memoryKey, held.number, nowMs);
       giveUp(id, kNoClaim, nowMs);
     } else {
       auto holder = held_.frame->members.find(held.shield);
@@ -199,13 +194,11 @@
 }
 
 auto Shield::unclaimed(const neighbour::Claims& claims, int64_t nowMs) -> void {
-  nowMs_ = nowMs;
   for (const auto& key : claims.keys)
     if (auto it = claiming_.find(key.number); it != claiming_.end()) giveUp(it->second, kNoClaim, nowMs);
 }
 
 auto Shield::takeKeyAsk(const std::string& from, const neighbour::KeyAsk& ask, int64_t nowMs) -> void {
-  nowMs_ = nowMs;
   neighbour::KeyTold told{ask.nonce, ask.life, std::nullopt};
   auto it = memory_.find(ask.key);
   if (it != memory_.end() && it->second.running != 0) {
@@ -215,14 +208,13 @@
   if (it != memory_.end()) {
     told.outcome = it->second.reply;
   } else if (unrun_.count(ask.number)) {
-    giveBack(ask.key, ask.number);
+    giveBack(ask.key, ask.number, nowMs);
     told.outcome.emplace().code = kNoClaim;
   }
   out_.letters.push_back({from, neighbour::kKeyTold, Writer().put(told).take()});
 }
 
 auto Shield::takeKeyTold(const neighbour::KeyTold& told, int64_t nowMs) -> void {
-  nowMs_ = nowMs;
   auto* w = told.life == props_.life ? waiting_.get(told.nonce) : nullptr;
   if (!w || w->asksKeyOf.empty()) return;
   w->asksKeyOf.clear();
@@ -234,7 +226,6 @@
 }
 
 auto Shield::unreached(const std::string& to, int64_t nowMs) -> void {
-  nowMs_ = nowMs;
   for (auto id : waiting_.ids()) {
     auto* w = waiting_.get(id);
     if (!w || w->asksKeyOf != to) continue;
@@ -292,7 +283,7 @@
   ++figures_.fetches;
   if (isExtra) {
     ++figures_.extras;
-    budget(w.ask.service).tried(nowMs);
+    budgets_.of(*held_.frame, w.ask.service).tried(nowMs);
   }
   Fetch fetch;
   fetch.id = id;
@@ -333,7 +324,6 @@
 }
 
 auto Shield::takeFetched(const Fetched& f, int64_t nowMs) -> void {
-  nowMs_ = nowMs;
   if (f.id & kProbeBit) {
     auto it = probing_.find(f.id);
     if (it == probing_.end()) return;
@@ -355,7 +345,7 @@
     return giveUp(f.id, kNoUpstream, nowMs);
   }
   if (f.fault == Fault::kNone && f.status == 421) return retryOr(f.id, kMisdirected, nowMs);
-  if (f.fault == Fault::kNone && !w->isWrite && f.status == 503 && w->tries < 2 && budget(w->ask.service).mayTry(nowMs))
+  if (f.fault == Fault::kNone && !w->isWrite && f.status == 503 && w->tries < 2 && budgets_.of(*held_.frame, w->ask.service).mayTry(nowMs))
     return dispatch(f.id, true, nowMs);
   if (f.fault != Fault::kNone) {
     auto code = f.fault == Fault::kTooLarge ? kAnswerTooLarge : f.fault == Fault::kNotWhole ? kNotWhole : f.fault == Fault::kTimeout ? kDeadline : kUpstreamLost;
@@ -382,7 +372,7 @@
 
 auto Shield::retryOr(uint64_t id, uint32_t code, int64_t nowMs) -> void {
   auto& w = *waiting_.get(id);
-  auto mayTry = !w.isWrite && w.tries < 3 && code != kAnswerTooLarge && w.untilMs - nowMs > kLeastMs && budget(w.ask.service).mayTry(nowMs);
+  auto mayTry = !w.isWrite && w.tries < 3 && code != kAnswerTooLarge && w.untilMs - nowMs > kLeastMs && budgets_.of(*held_.frame, w.ask.service).mayTry(nowMs);
   if (mayTry) return dispatch(id, true, nowMs);
   giveUp(id, code, nowMs);
 }
@@ -407,7 +397,7 @@
   if (isKeyed) {
     claiming_.erase(w->claim);
     auto isUnrun = reply.code != kOk && reply.isUntouched;
-    if (w->claim != 0 && isUnrun) giveBack(w->memoryKey, w->claim);
+    if (w->claim != 0 && isUnrun) giveBack(w->memoryKey, w->claim, nowMs);
     auto it = memory_.find(w->memoryKey);
     if (it != memory_.end() && it->second.running == id) {
       for (const auto& [from, nonce, life] : std::exchange(it->second.asking, {}))
@@ -447,13 +437,11 @@
 }
 
 auto Shield::takeFrame(const HeldFrame& held, int64_t nowMs) -> void {
-  nowMs_ = nowMs;
   auto before = held_.frame;
   held_ = held;
   if (before == held_.frame) return;
   cache_.purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor);
-  auto shields = std::count_if(held_.frame->members.begin(), held_.frame->members.end(), [](const auto& m) { return m.second.kind == "shield"; });
-  if (held_.frame->members.count(props_.name)) split_.set(static_cast<size_t>(shields), nowMs);
+  if (held_.frame->members.count(props_.name)) split_.set(static_cast<size_t>(core::countOf(*held_.frame, "shield")), nowMs);
   // Streams to an address that no longer is what it was are ended while idle.
   for (const auto& [name, upstream] : before->upstreams) {
     auto it = held_.frame->upstreams.find(name);
@@ -485,7 +473,6 @@
 }
 
 auto Shield::tick(int64_t nowMs) -> void {
-  nowMs_ = nowMs;
   // A claim that is not answered goes to another registry; one that nobody waits for any more goes nowhere.
   for (auto it = unanswered_.begin(); it != unanswered_.end();) {
     auto& [letter, firstMs, sentMs] = it->second;
--- a/lib/upstream/shield.hpp
+++ b/lib/upstream/shield.hpp
@@ -2,6 +2,7 @@
 // replies and fetches come out. Shields are the only ones that touch upstreams.
 #pragma once
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -76,6 +77,10 @@
   /// From now on new asks are turned away. Example: on SIGTERM `shield.empty();`
   auto empty() -> void { isEmptying_ = true; }
   auto output() -> Output;
+  /// Sends the letters to other shields and hands over the rest; one that did not leave is a new input, and what
+  /// follows from it is handed over too.
+  /// Example: `auto out = shield.outputAfter([&](auto& l) { return post->send(l.to, l.kind, l.body); }, nowMs);`
+  auto outputAfter(const std::function<bool(const Output::Told&)>& send, int64_t nowMs) -> Output;
   auto isReady(int64_t nowMs) const -> bool { return !isEmptying_ && held_.isCurrent(nowMs, props_.staleMs) && split_.isSettled(nowMs); }
   auto revision() const -> core::Revision { return held_.frame->revision; }
   /// Which upstreams answered their last probe. Example: `poll.probes = shield.probes();`
@@ -117,7 +122,7 @@
     int64_t firstMs = 0, sentMs = 0;
   };
   auto claim(uint64_t id, int64_t nowMs) -> void;
-  auto giveBack(const std::string& key, uint64_t number) -> void;
+  auto giveBack(const std::string& key, uint64_t number, int64_t nowMs) -> void;
   auto forget(int64_t nowMs) -> void;
   auto dispatch(uint64_t id, bool isExtra, int64_t nowMs) -> void;
   auto retryOr(uint64_t id, uint32_t code, int64_t nowMs) -> void;
@@ -126,7 +131,6 @@
   auto reply(const Waiting& waiting, neighbour::Reply reply, int64_t nowMs) -> void;
   auto give(const std::string& from, const neighbour::Ask& ask, neighbour::Reply reply) -> void;
   auto refuse(const std::string& from, const neighbour::Ask& ask, uint32_t code) -> void;
-  auto budget(const std::string& service) -> policy::TryBudget&;
   auto probe() -> void;
   auto judge(const std::string& instance, const Fetched& fetched, int64_t nowMs) -> void;
 
@@ -137,7 +141,7 @@
   policy::Cache cache_;
   policy::Split split_;
   std::map<std::string, policy::RateShare> rates_;
-  std::map<std::string, policy::TryBudget> budgets_;
+  policy::TryBudgets budgets_{"shield", props_.triesPart};
   std::map<std::string, policy::Health> health_;
   std::map<std::string, uint64_t> joins_;
   std::map<std::string, Memory> memory_;
@@ -145,10 +149,10 @@
   size_t memoryBytes_ = 0;
   uint64_t nextClaim_ = 0, nextNonce_ = 0;
   std::vector<core::KeyClaim> gathered_;        // for the next letter
+  int64_t gatheredMs_ = 0;
   std::map<uint64_t, Unanswered> unanswered_;   // by nonce
   std::map<uint64_t, uint64_t> claiming_;       // number of a claim → the request that waits for it
   std::set<uint64_t> unrun_;                    // own claims under which surely nothing ran, perhaps still held
-  int64_t nowMs_ = 0;
   std::map<std::string, bool> probes_;
   std::map<uint64_t, std::string> probing_;
   uint64_t nextProbe_ = 0;
--- a/programs/agent.cpp
+++ b/programs/agent.cpp
@@ -27,14 +27,12 @@
   return list;
 }
 auto statusPage(const caller::HeldFrame& held, const std::string& target, int64_t nowMs, bool isReady) -> std::string {
-  op::Json json(cJSON_CreateObject(), cJSON_Delete);
-  auto number = [&](const char* key, int64_t value) { cJSON_AddNumberToObject(json.get(), key, static_cast<double>(value)); };
-  cJSON_AddStringToObject(json.get(), "program", "agent");
-  cJSON_AddBoolToObject(json.get(), "ready", isReady);
-  cJSON_AddStringToObject(json.get(), "asks", target.c_str());
-  number("ageMs", held.asOfMs < 0 ? -1 : nowMs - held.asOfMs);
-  op::addRevision(json.get(), held.frame->revision);
-  return op::print(json.get()) + "\n";
+  op::StatusPage page("agent");
+  page.flag("ready", isReady);
+  page.text("asks", target);
+  page.number("ageMs", static_cast<double>(held.asOfMs < 0 ? -1 : nowMs - held.asOfMs));
+  page.revision(held.frame->revision);
+  return page.take() + "\n";
 }
 }  // namespace
 
--- a/programs/edge.cpp
+++ b/programs/edge.cpp
@@ -21,11 +21,10 @@
 
 auto statusPage(const caller::Edge& edge, bool isReady) -> std::string {
   auto f = edge.figures();
-  op::Json json(cJSON_CreateObject(), cJSON_Delete);
-  auto number = [&](const char* key, uint64_t value) { cJSON_AddNumberToObject(json.get(), key, static_cast<double>(value)); };
-  cJSON_AddStringToObject(json.get(), "program", "edge");
-  cJSON_AddBoolToObject(json.get(), "ready", isReady);
-  op::addRevision(json.get(), edge.revision());
+  op::StatusPage page("edge");
+  auto number = [&](const char* key, uint64_t value) { page.number(key, static_cast<double>(value)); };
+  page.flag("ready", isReady);
+  page.revision(edge.revision());
   number("requests", f.requests);
   number("hits", f.hits);
   number("joins", f.joins);
@@ -38,7 +37,7 @@
   number("open", edge.open());
   number("cacheBytes", edge.cache().bytes());
   number("cacheCopies", edge.cache().size());
-  return op::print(json.get()) + "\n";
+  return page.take() + "\n";
 }
 }  // namespace
 
--- a/programs/shield.cpp
+++ b/programs/shield.cpp
@@ -2,7 +2,6 @@
 #include <glog/logging.h>
 #include <poll.h>
 
-#include <iterator>
 #include <variant>
 
 #include "agent/link.hpp"
@@ -18,11 +17,10 @@
 
 auto statusPage(const upstream::Shield& shield, bool isReady) -> std::string {
   auto f = shield.figures();
-  op::Json json(cJSON_CreateObject(), cJSON_Delete);
-  auto number = [&](const char* key, uint64_t value) { cJSON_AddNumberToObject(json.get(), key, static_cast<double>(value)); };
-  cJSON_AddStringToObject(json.get(), "program", "shield");
-  cJSON_AddBoolToObject(json.get(), "ready", isReady);
-  op::addRevision(json.get(), shield.revision());
+  op::StatusPage page("shield");
+  auto number = [&](const char* key, uint64_t value) { page.number(key, static_cast<double>(value)); };
+  page.flag("ready", isReady);
+  page.revision(shield.revision());
   number("asks", f.asks);
   number("hits", f.hits);
   number("joins", f.joins);
@@ -32,7 +30,7 @@
   number("rateTurnedAway", f.rateTurnedAway);
   number("unknown", f.unknown);
   number("open", shield.open());
-  return op::print(json.get()) + "\n";
+  return page.take() + "\n";
 }
 }  // namespace
 
@@ -133,17 +131,7 @@
       }
     }
     shield.tick(nowMs);
-    auto out = shield.output();
-    // A letter that did not leave is a new input.
-    for (size_t i = 0; i < out.letters.size(); ++i) {
-      if (post->send(out.letters[i].to, out.letters[i].kind, out.letters[i].body)) continue;
-      shield.unreached(out.letters[i].to, nowMs);
-      auto more = shield.output();
-      std::move(more.letters.begin(), more.letters.end(), std::back_inserter(out.letters));
-      std::move(more.fetches.begin(), more.fetches.end(), std::back_inserter(out.fetches));
-      std::move(more.replies.begin(), more.replies.end(), std::back_inserter(out.replies));
-      std::move(more.claims.begin(), more.claims.end(), std::back_inserter(out.claims));
-    }
+    auto out = shield.outputAfter([&](const auto& l) { return post->send(l.to, l.kind, l.body); }, nowMs);
     for (auto& claims : out.claims) link.pass({neighbour::kClaims, "", Writer().put(claims).take()});
     for (auto& address : out.drops) fetcher.drop(address);
     for (auto& fetch : out.fetches) fetcher.start(std::move(fetch));
