One virtual clock for both simulators; reads and rosters judged in one place

Cause: both simulators had their event queue, its loop, the pick of numbers and the holding back of frozen processes each for itself; two rehearsals judged reads against purges with the same loop, four read the roster by hand, and one test file made shields in two ways.

Change: sim/timeline.hpp, Rehearsal::judgeReads, listed and lastServedMs, one shieldAt. An unused struct and unused headers are gone.

--- a/lib/sim/core_sim.cpp
+++ b/lib/sim/core_sim.cpp
@@ -77,11 +77,9 @@
   return all;
 }
 
-CoreSim::CoreSim(Props props) : props_(props), random_(props.seed) {}
+CoreSim::CoreSim(Props props) : Timeline(props.seed), props_(props) {}
 CoreSim::~CoreSim() = default;
 
-auto CoreSim::at(int64_t ms, std::function<void()> what) -> void { events_.push({ms, order_++, std::move(what)}); }
-auto CoreSim::pick(int low, int high) -> int { return low + static_cast<int>(random_() % static_cast<uint64_t>(high - low + 1)); }
 auto CoreSim::fault(const std::string& what) -> void {
   verdict_.faults.push_back(std::to_string(nowMs_) + " ms: " + what);
   say("FAULT " + what);
@@ -221,10 +219,7 @@
 auto CoreSim::beat(Slot slot, uint64_t life) -> void {
   auto& h = *hosts_.at(slot);
   if (h.life != life || !h.isUp) return;
-  if (h.frozenUntilMs > nowMs_) {
-    at(h.frozenUntilMs, [this, slot, life] { beat(slot, life); });
-    return;
-  }
+  if (isBefore(h.frozenUntilMs, [this, slot, life] { beat(slot, life); })) return;
   if (!h.node->isMember() && nowMs_ - h.helloMs >= 100) {
     h.helloMs = nowMs_;
     // A blank life says hello; a member that hears it seats it, and sends a frame once it is seated.
@@ -417,13 +412,7 @@
     at(0, [this, s = slot] { start(s); });
   }
   plan();
-  auto endMs = props_.faultsMs + props_.healMs;
-  while (!events_.empty() && events_.top().atMs <= endMs && verdict_.faults.size() < 20) {
-    auto event = events_.top();
-    events_.pop();
-    nowMs_ = event.atMs;
-    event.what();
-  }
+  pass(props_.faultsMs + props_.healMs, [this] { return verdict_.faults.size() < 20; });
   check();
   return std::move(verdict_);
 }
--- a/lib/sim/core_sim.hpp
+++ b/lib/sim/core_sim.hpp
@@ -3,11 +3,10 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
-#include <random>
 #include <set>
 #include <string>
 
+#include "sim/timeline.hpp"
 #include "tempo/tempo.hpp"
 
 namespace dykestage::sim {
@@ -32,7 +31,7 @@
 
 /// Runs one seeded history and checks it.
 /// Example: `auto verdict = sim::CoreSim({.seed = 7, .faults = {.crashes = true}}).run();`
-class CoreSim {
+class CoreSim : Timeline {
  public:
   struct Props {
     uint64_t seed = 1;
@@ -55,7 +54,6 @@
   };
   class TestMachine;
   struct Host;
-  auto at(int64_t ms, std::function<void()> what) -> void;
   auto start(tempo::Slot slot) -> void;
   auto crash(tempo::Slot slot) -> void;
   auto wipe(tempo::Slot slot) -> void;
@@ -66,27 +64,17 @@
   auto compare(tempo::Slot slot, const std::vector<Applied>& list) -> void;
   auto fault(const std::string& what) -> void;
   auto say(const std::string& what) -> void;
-  auto pick(int low, int high) -> int;
+  auto pick(int low, int high) -> int { return static_cast<int>(Timeline::pick(low, high)); }
   auto chance(int percent) -> bool { return pick(1, 100) <= percent; }
   auto plan() -> void;
   auto check() -> void;
 
-  struct Event {
-    int64_t atMs;
-    uint64_t order;
-    std::function<void()> what;
-    auto operator<(const Event& o) const -> bool { return std::tie(atMs, order) > std::tie(o.atMs, o.order); }
-  };
   struct Submitted {
     int64_t fromMs = 0, answeredMs = -1;
     uint8_t parts = 0;
   };
 
   Props props_;
-  std::mt19937_64 random_;
-  int64_t nowMs_ = 0;
-  uint64_t order_ = 0;
-  std::priority_queue<Event> events_;
   std::map<tempo::Slot, std::unique_ptr<Host>> hosts_;
   std::set<std::pair<tempo::Slot, tempo::Slot>> cuts_;
   bool isHealed_ = false;
--- a/lib/sim/rehearsal.cpp
+++ b/lib/sim/rehearsal.cpp
@@ -341,10 +341,7 @@
   verdict_.healedAtMs = 4000;
   verdict_.report = load(14, std::ref(steps));
   for (auto& origin : {std::string(name), second}) {
-    std::istringstream lines(op::readFile(fleet_->account(origin)).value_or(""));
-    std::string line;
-    int64_t last = 0;
-    while (std::getline(lines, line)) last = std::max<int64_t>(last, std::atoll(line.c_str()));
+    auto last = lastServedMs(origin);
     verdict_.notes.push_back(origin + ": last request " + std::to_string(last - takenMs) + " ms after it was known to be leaving");
     if (last - takenMs > 2000) verdict_.faults.push_back("requests reached " + origin + " too late");
   }
@@ -365,22 +362,33 @@
       verdict_.faults.push_back("a request ran for a service that no configuration has");
       break;
     }
-  auto roster = op::parse([&] {
-    upstream::Fetch fetch;
-    fetch.address = fleet_->https("registry").front();
-    fetch.target = "/roster";
-    return upstream::fetchOnce(fetch).body;
-  }());
-  const auto* all = roster ? cJSON_GetObjectItemCaseSensitive(roster.get(), "upstreams") : nullptr;
+  auto roster = get("/roster");
+  const auto* all = cJSON_GetObjectItemCaseSensitive(roster.get(), "upstreams");
   const auto* next = all ? cJSON_GetObjectItemCaseSensitive(all, "origin-next-1") : nullptr;
   const auto* state = next ? cJSON_GetObjectItemCaseSensitive(next, "state") : nullptr;
   if (!cJSON_IsString(state) || std::string(state->valuestring) != "working") verdict_.faults.push_back("the address did not become usable again");
   if (all && cJSON_GetObjectItemCaseSensitive(all, name.c_str())) verdict_.faults.push_back("the old entry is still there");
 }
 
+// Whoever asked two seconds after a purge's acknowledgement must have got what came after it.
+auto Rehearsal::judgeReads(const Purged& acked) -> uint64_t {
+  uint64_t late = 0, checked = 0;
+  for (const auto& read : verdict_.report.reads) {
+    auto purges = acked.find(read.target);
+    if (purges == acked.end()) continue;
+    for (const auto& [atMs, needed] : purges->second)
+      if (read.askedMs > atMs + 2000) {
+        ++checked;
+        if (read.edition < needed) ++late;
+      }
+  }
+  if (late > 0) verdict_.faults.push_back(std::to_string(late) + " reads came from before a purge acknowledged more than 2 s ago");
+  return checked;
+}
+
 // Purges, one by one and in storms, while fills run; the origin's content changes before each.
 auto Rehearsal::purges() -> void {
-  std::map<std::string, std::vector<std::pair<int64_t, int64_t>>> acked;  // target → (ack at, edition)
+  Purged acked;
   int64_t edition = 0;
   auto startMs = neighbour::steadyMs();
   std::vector<int64_t> tookMs;
@@ -422,17 +430,10 @@
   verdict_.healedAtMs = 10000;
   startMs = neighbour::steadyMs();
   verdict_.report = load(16, std::ref(steps));
-  uint64_t late = 0, checked = 0;
-  for (const auto& read : verdict_.report.reads)
-    for (const auto& [atMs, needed] : acked[read.target])
-      if (read.askedMs > atMs + 2000) {
-        ++checked;
-        if (read.edition < needed) ++late;
-      }
+  auto checked = judgeReads(acked);
   std::sort(tookMs.begin(), tookMs.end());
   verdict_.notes.push_back("checked " + std::to_string(checked) + " reads against " + std::to_string(tookMs.size()) + " purges; a purge was acknowledged in " +
                            std::to_string(tookMs.empty() ? 0 : tookMs[tookMs.size() / 2]) + " ms, at most " + std::to_string(tookMs.empty() ? 0 : tookMs.back()) + " ms");
-  if (late > 0) verdict_.faults.push_back(std::to_string(late) + " reads came from before a purge acknowledged more than 2 s ago");
   if (checked < 100) verdict_.faults.push_back("too few reads to judge");
 }
 
--- a/lib/sim/rehearsal.hpp
+++ b/lib/sim/rehearsal.hpp
@@ -4,8 +4,10 @@
 #include <algorithm>
 #include <functional>
 #include <future>
+#include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -109,6 +111,11 @@
   auto growth() -> void;
   auto storm() -> void;
 
+  using Purged = std::map<std::string, std::vector<std::pair<int64_t, int64_t>>>;  // target → when acknowledged, edition
+  // Judges the reads by the purges; returns how many there were to judge.
+  auto judgeReads(const Purged& acked) -> uint64_t;
+  // The upstreams that the roster lists.
+  auto listed() -> std::set<std::string>;
   auto lastServedMs(const std::string& origin) -> int64_t;
   auto machineOf(const std::string& name) -> std::vector<std::string>;
   auto get(const std::string& target) -> op::Json;
--- a/lib/sim/rehearsal_disks.cpp
+++ b/lib/sim/rehearsal_disks.cpp
@@ -2,12 +2,8 @@
 #include "sim/rehearsal.hpp"
 
 #include <signal.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
 
 #include "neighbour/post.hpp"
 
--- a/lib/sim/rehearsal_machines.cpp
+++ b/lib/sim/rehearsal_machines.cpp
@@ -2,14 +2,8 @@
 #include "sim/rehearsal.hpp"
 
 #include <signal.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
-
-#include "neighbour/post.hpp"
 
 namespace dykestage::sim {
 
@@ -135,9 +129,7 @@
   verdict_.faultAtMs = 3500;
   verdict_.healedAtMs = 11500;
   verdict_.report = load(20, std::ref(steps));
-  auto roster = get("/roster");
-  const auto* all = cJSON_GetObjectItemCaseSensitive(roster.get(), "upstreams");
-  if (!all || cJSON_GetObjectItemCaseSensitive(all, "origin-till-application-2")) verdict_.faults.push_back("a vanished upstream was not signed off");
+  if (listed().count("origin-till-application-2")) verdict_.faults.push_back("a vanished upstream was not signed off");
 }
 
 // All shields are frozen past the bound, with writes under way, and thawed.
--- a/lib/sim/rehearsal_operators.cpp
+++ b/lib/sim/rehearsal_operators.cpp
@@ -1,13 +1,7 @@
 // Rehearsals of operators with much to say: configurations that grow by thousands, storms of purges.
 #include "sim/rehearsal.hpp"
 
-#include <signal.h>
-#include <unistd.h>
-
 #include <algorithm>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
 
 #include "neighbour/post.hpp"
 
@@ -73,7 +67,7 @@
 
 // Thousands of purges within seconds, by path and by label, with a split in the middle; fills run all the while.
 auto Rehearsal::storm() -> void {
-  std::map<std::string, std::vector<std::pair<int64_t, int64_t>>> acked;  // target → (ack at, edition)
+  Purged acked;
   int64_t edition = 0;
   uint64_t asked = 0, taken = 0;
   auto startMs = neighbour::steadyMs();
@@ -128,15 +122,8 @@
       }
     }
   });
-  uint64_t late = 0, checked = 0;
-  for (const auto& read : verdict_.report.reads)
-    for (const auto& [atMs, needed] : acked[read.target])
-      if (read.askedMs > atMs + 2000) {
-        ++checked;
-        if (read.edition < needed) ++late;
-      }
+  auto checked = judgeReads(acked);
   verdict_.notes.push_back(std::to_string(taken) + " of " + std::to_string(asked) + " purges acknowledged; " + std::to_string(checked) + " reads checked");
-  if (late > 0) verdict_.faults.push_back(std::to_string(late) + " reads came from before a purge acknowledged more than 2 s ago");
   if (taken < asked * 9 / 10) verdict_.faults.push_back("more than a tenth of the purges was not acknowledged");
   if (checked < 1000) verdict_.faults.push_back("too few reads to judge");
 }
--- a/lib/sim/rehearsal_upstreams.cpp
+++ b/lib/sim/rehearsal_upstreams.cpp
@@ -2,17 +2,21 @@
 #include "sim/rehearsal.hpp"
 
 #include <signal.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <filesystem>
-#include <fstream>
 #include <sstream>
 
-#include "neighbour/post.hpp"
-
 namespace dykestage::sim {
 
+auto Rehearsal::listed() -> std::set<std::string> {
+  std::set<std::string> names;
+  auto roster = get("/roster");
+  const auto* all = cJSON_GetObjectItemCaseSensitive(roster.get(), "upstreams");
+  if (!all) verdict_.faults.push_back("the roster can't be read");
+  for (const auto* one = all ? all->child : nullptr; one; one = one->next) names.insert(one->string);
+  return names;
+}
+
 auto Rehearsal::lastServedMs(const std::string& origin) -> int64_t {
   std::istringstream lines(op::readFile(fleet_->account(origin)).value_or(""));
   std::string line;
@@ -39,10 +43,9 @@
   verdict_.healedAtMs = t;
   verdict_.report = load(t / 1000 + 8, std::ref(steps));
   if (verdict_.report.share(3000, t) < 0.98) verdict_.faults.push_back("a release cost more than a fiftieth of the requests");
-  auto roster = get("/roster");
-  const auto* all = cJSON_GetObjectItemCaseSensitive(roster.get(), "upstreams");
+  auto all = listed();
   for (const auto& name : names)
-    if (!all || !cJSON_GetObjectItemCaseSensitive(all, (name + "-next").c_str()) || cJSON_GetObjectItemCaseSensitive(all, name.c_str()))
+    if (!all.count(name + "-next") || all.count(name))
       verdict_.faults.push_back("the roster does not have the new instance of " + name + " alone");
 }
 
@@ -61,10 +64,9 @@
   verdict_.healedAtMs = 9500;
   verdict_.report = load(20, std::ref(steps));
   if (verdict_.report.share(6500, 9000) < 0.99) verdict_.faults.push_back("requests still fail long after upstreams vanished");
-  auto roster = get("/roster");
-  const auto* all = cJSON_GetObjectItemCaseSensitive(roster.get(), "upstreams");
+  auto all = listed();
   for (const auto& name : gone)
-    if (!all || cJSON_GetObjectItemCaseSensitive(all, name.c_str())) verdict_.faults.push_back(name + " was not signed off");
+    if (all.count(name)) verdict_.faults.push_back(name + " was not signed off");
 }
 
 // One upstream of each kind slows down to where it can't answer in time, and then recovers.
--- a/lib/sim/system_sim.cpp
+++ b/lib/sim/system_sim.cpp
@@ -74,7 +74,7 @@
   return all;
 }
 
-SystemSim::SystemSim(Props props) : props_(props), random_(props.seed) {}
+SystemSim::SystemSim(Props props) : Timeline(props.seed), props_(props) {}
 SystemSim::~SystemSim() = default;
 
 auto SystemSim::fault(const std::string& what) -> void {
@@ -110,20 +110,14 @@
   if (auto it = cores_.find(machine); it != cores_.end()) {
     auto& core = *it->second;
     if (!core.isUp) return;
-    if (core.frozenUntilMs > nowMs_) {
-      at(core.frozenUntilMs, [this, to, from, kind, body] { take(to, from, kind, body); });
-      return;
-    }
+    if (isBefore(core.frozenUntilMs, [this, to, from, kind, body] { take(to, from, kind, body); })) return;
     core.registry->take(from, kind, body, nowMs_);
     flush(core);
     return;
   }
   auto& node = *nodes_.at(machine);
   if (!node.isUp) return;
-  if (node.frozenUntilMs > nowMs_) {
-    at(node.frozenUntilMs, [this, to, from, kind, body] { take(to, from, kind, body); });
-    return;
-  }
+  if (isBefore(node.frozenUntilMs, [this, to, from, kind, body] { take(to, from, kind, body); })) return;
   Reader r(body);
   auto part = to.substr(0, to.find(':'));
   if (part == "agent" && kind == neighbour::kFeed) {
@@ -243,10 +237,7 @@
 auto SystemSim::coreTick(const std::string& name, uint64_t life) -> void {
   auto& core = *cores_.at(name);
   if (!core.isUp || core.life != life) return;
-  if (core.frozenUntilMs > nowMs_) {
-    at(core.frozenUntilMs, [this, name, life] { coreTick(name, life); });
-    return;
-  }
+  if (isBefore(core.frozenUntilMs, [this, name, life] { coreTick(name, life); })) return;
   core.registry->tick(nowMs_);
   flush(core);
   at(nowMs_ + 5, [this, name, life] { coreTick(name, life); });
@@ -351,10 +342,7 @@
 auto SystemSim::nodeTick(const std::string& name, uint64_t life) -> void {
   auto& node = *nodes_.at(name);
   if (!node.isUp || node.life != life) return;
-  if (node.frozenUntilMs > nowMs_) {
-    at(node.frozenUntilMs, [this, name, life] { nodeTick(name, life); });
-    return;
-  }
+  if (isBefore(node.frozenUntilMs, [this, name, life] { nodeTick(name, life); })) return;
   if (auto poll = node.proxyFollows->tick({"loop:" + name}, 1, node.proxyTold, nowMs_))
     send(name, "link:" + name, poll->first, neighbour::kPoll, pack(poll->second));
   if (node.hasProxySpoken) {
@@ -374,24 +362,16 @@
   at(nowMs_ + 10, [this, name, life] { nodeTick(name, life); });
 }
 
+auto SystemSim::fetched(const std::string& name, uint64_t life, const upstream::Fetched& f) -> void {
+  auto& node = *nodes_.at(name);
+  if (!node.isUp || node.life != life || isBefore(node.frozenUntilMs, [this, name, life, f] { fetched(name, life, f); })) return;
+  node.shield->takeFetched(f, nowMs_);
+  flush(node);
+}
+
 // An upstream: runs what it is given, and answers, or loses the answer.
 auto SystemSim::fetch(const std::string& name, const upstream::Fetch& fetch) -> void {
-  auto life = nodes_.at(name)->life;
-  auto answer = [this, name, life](upstream::Fetched f) {
-    auto& node = *nodes_.at(name);
-    if (!node.isUp || node.life != life) return;
-    if (node.frozenUntilMs > nowMs_) {
-      at(node.frozenUntilMs, [this, name, life, f] {
-        auto& node = *nodes_.at(name);
-        if (!node.isUp || node.life != life) return;
-        node.shield->takeFetched(f, nowMs_);
-        flush(node);
-      });
-      return;
-    }
-    node.shield->takeFetched(f, nowMs_);
-    flush(node);
-  };
+  auto answer = [this, name, life = nodes_.at(name)->life](const upstream::Fetched& f) { fetched(name, life, f); };
   upstream::Fetched f;
   f.id = fetch.id;
   f.status = 200;
@@ -461,10 +441,7 @@
     flush(node);
   };
   auto& node = *nodes_.at(edge);
-  if (node.frozenUntilMs > nowMs_)
-    at(node.frozenUntilMs, give);
-  else
-    give();
+  if (!isBefore(node.frozenUntilMs, give)) give();
 }
 
 auto SystemSim::answered(const caller::Stream* stream, const caller::Answer& answer) -> void {
@@ -762,12 +739,7 @@
   for (auto& [name, node] : nodes_) at(pick(0, 50), [this, n = name] { startNode(n); });
   plan();
   auto endMs = props_.faultsMs + props_.healMs;
-  while (!events_.empty() && events_.top().atMs <= endMs && verdict_.faults.size() < 10) {
-    auto event = events_.top();
-    events_.pop();
-    nowMs_ = event.atMs;
-    event.what();
-  }
+  pass(endMs, [this] { return verdict_.faults.size() < 10; });
   for (const auto& [id, count] : ran_) {
     if (count > 1) fault("write " + id + " ran " + std::to_string(count) + " times");
     ++verdict_.writesRan;
--- a/lib/sim/system_sim.hpp
+++ b/lib/sim/system_sim.hpp
@@ -4,8 +4,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -13,6 +11,7 @@
 #include "agent/feed.hpp"
 #include "caller/edge.hpp"
 #include "core/registry.hpp"
+#include "sim/timeline.hpp"
 #include "upstream/shield.hpp"
 
 namespace dykestage::sim {
@@ -26,7 +25,7 @@
 };
 
 /// Runs one seeded history. Example: `auto v = SystemSim({.seed = 3, .crashes = true}).run();`
-class SystemSim {
+class SystemSim : Timeline {
  public:
   /// A guard taken out on purpose, from outside: what the simulator does instead of what programs do. The checker
   /// must catch each.
@@ -61,20 +60,6 @@
  private:
   struct Core;
   struct Node;
-  struct Event {
-    int64_t atMs;
-    uint64_t order;
-    std::function<void()> what;
-    auto operator<(const Event& o) const -> bool { return std::tie(atMs, order) > std::tie(o.atMs, o.order); }
-  };
-  struct Submitted {
-    bool isPurge = false;
-    int64_t fromMs = 0;
-    int64_t edition = 0;
-    std::string target;
-  };
-  auto at(int64_t ms, std::function<void()> what) -> void { events_.push({ms, order_++, std::move(what)}); }
-  auto pick(int64_t low, int64_t high) -> int64_t { return low + static_cast<int64_t>(random_() % static_cast<uint64_t>(high - low + 1)); }
   auto fault(const std::string& what) -> void;
   auto say(const std::string& what) -> void;
   auto isCut(const std::string& from, const std::string& to) const -> bool { return cuts_.count({from, to}) != 0; }
@@ -89,6 +74,7 @@
   auto flush(Node& node) -> void;
   auto nodeTick(const std::string& name, uint64_t life) -> void;
   auto fetch(const std::string& node, const upstream::Fetch& fetch) -> void;
+  auto fetched(const std::string& node, uint64_t life, const upstream::Fetched& fetched) -> void;
   auto http(const std::string& core, const std::string& method, const std::string& target, const std::string& body,
             std::function<void(const caller::Answer&)> then) -> void;
   auto ask(bool isWrite, const std::string& again) -> void;
@@ -103,10 +89,7 @@
   auto judgeTries() -> void;
 
   Props props_;
-  std::mt19937_64 random_;
-  int64_t nowMs_ = 0;
-  uint64_t order_ = 0, nextLife_ = 1, nextRequest_ = 1;
-  std::priority_queue<Event> events_;
+  uint64_t nextLife_ = 1, nextRequest_ = 1;
   std::map<std::string, std::unique_ptr<Core>> cores_;
   std::map<std::string, std::unique_ptr<Node>> nodes_;
   std::set<std::pair<std::string, std::string>> cuts_;
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -75,10 +75,11 @@
   return reply;
 }
 
-auto shieldAt(int64_t nowMs, std::shared_ptr<core::Frame> frame = frameOf()) -> upstream::Shield {
+auto shieldAt(int64_t nowMs, std::shared_ptr<core::Frame> frame = frameOf(), const std::string& name = "shield-1", uint64_t life = 1) -> upstream::Shield {
   upstream::Shield::Props props;
-  props.name = "shield-1";
+  props.name = name;
   props.site = "north";
+  props.life = life;
   upstream::Shield shield(props);
   shield.takeFrame({frame, nowMs - 3000}, nowMs - 3000);
   shield.takeFrame({frame, nowMs}, nowMs);
@@ -281,17 +282,6 @@
   }
 };
 
-auto shieldNamed(const std::string& name, uint64_t life, std::shared_ptr<core::Frame> frame = frameOf()) -> upstream::Shield {
-  upstream::Shield::Props props;
-  props.name = name;
-  props.site = "north";
-  props.life = life;
-  upstream::Shield shield(props);
-  shield.takeFrame({frame, 7000}, 7000);
-  shield.takeFrame({frame, 10000}, 10000);
-  return shield;
-}
-
 auto keyedAsk(uint64_t id) -> neighbour::Ask {
   auto ask = askOf(id, "POST", "/api/buy", core::UpstreamKind::kApplication);
   ask.key = "k";
@@ -310,7 +300,7 @@
 
 TEST_CASE("A write with a key leaves once its key is claimed, and whoever comes later runs nothing") {
   Claims core;
-  auto first = shieldNamed("shield-1", 1), second = shieldNamed("shield-2", 2);
+  auto first = shieldAt(10000), second = shieldAt(10000, frameOf(), "shield-2", 2);
   first.take("ed1", keyedAsk(1), 10000);
   auto out = first.output();
   CHECK(fetchesOf(out).empty());
@@ -358,7 +348,7 @@
   SECTION("the holder was restarted and remembers nothing: a later life of it runs nothing either") {
     auto frame = frameOf();
     frame->members["shield-1"].incarnation = 9;
-    auto again = shieldNamed("shield-1", 9, frame);
+    auto again = shieldAt(10000, frame, "shield-1", 9);
     out = later(again);
     CHECK(fetchesOf(out).empty());
     CHECK(out.replies.at(0).reply.code == kUnknown);
@@ -383,7 +373,7 @@
 }
 
 TEST_CASE("A claim that is not answered goes to another registry, and is then turned away untouched") {
-  auto shield = shieldNamed("shield-1", 1);
+  auto shield = shieldAt(10000);
   shield.take("ed1", keyedAsk(1), 10000);
   auto nonce = shield.output().claims.at(0).nonce;
   shield.tick(10099);
@@ -408,7 +398,7 @@
 }
 
 TEST_CASE("Claims that did not leave turn their writes away at once") {
-  auto shield = shieldNamed("shield-1", 1);
+  auto shield = shieldAt(10000);
   shield.take("ed1", keyedAsk(1), 10000);
   shield.unclaimed(shield.output().claims.at(0), 10000);
   auto out = shield.output();
@@ -424,7 +414,7 @@
   auto tried = 0, sentAtAll = 0;
   do {
     Claims core;
-    auto first = shieldNamed("shield-1", 1), second = shieldNamed("shield-2", 2);
+    auto first = shieldAt(10000), second = shieldAt(10000, frameOf(), "shield-2", 2);
     std::vector<std::pair<upstream::Shield*, neighbour::Claims>> letters;
     auto gather = [&](upstream::Shield& shield) {
       auto out = shield.output();
@@ -513,7 +503,7 @@
 
 TEST_CASE("A request with a key that is running or remembered is not run again") {
   Claims core;
-  auto shield = shieldNamed("shield-1", 1);
+  auto shield = shieldAt(10000);
   auto ask = keyedAsk(1);
   shield.take("ed1", ask, 10000);
   shield.takeClaimed(core.order(shield.output().claims.at(0)), 10001);
