--- a/lib/core/state.hpp
+++ b/lib/core/state.hpp
@@ -11,7 +11,7 @@
 
 namespace dykestage::core {
 
-enum class UpstreamKind : uint8_t { kStore = 0, kApplication = 1 };
+enum class UpstreamKind : uint8_t { kStore = 0, kApplication = 1, kAny = 2 };  // kAny: of a pool, whatever the route
 
 /// A path of a service: requests whose target starts with `prefix` go to upstreams of `kind`.
 struct Path {
@@ -39,6 +39,53 @@
 
 using Services = std::map<std::string, Service>;
 
+/// What may be repeated of a route's requests, and what may be kept.
+enum class RouteKind : uint8_t { kWriting = 0, kReadOnly = 1, kCacheable = 2 };
+
+/// A pool's part of a route's traffic.
+struct Share {
+  std::string pool;
+  int64_t weight = 1;
+  DYKESTAGE_FIELDS(pool, weight)
+};
+
+/// A route: requests of a host whose path starts with `prefix` go to upstreams of its pools, by weight.
+struct Route {
+  std::string host, prefix;
+  RouteKind kind = RouteKind::kWriting;
+  int64_t giveUpMs = 1000;  // the longest that a request is held
+  int64_t targetMs = 0;     // within it an answer earns its full worth
+  int64_t rank = 0;         // 0 is highest
+  std::vector<Share> shares;
+  int64_t tries = 1;        // upstreams that one request may be sent to at most
+  int64_t keepMs = 0;       // how long a read may be kept
+  uint64_t revision = 0;    // of the configuration that set it
+  DYKESTAGE_FIELDS(host, prefix, kind, giveUpMs, targetMs, rank, shares, tries, keepMs, revision)
+};
+
+/// A pool of upstreams, named by the service that they announce.
+struct Pool {
+  std::string probe = "/health";
+  int64_t connections = 0;  // that one upstream takes from all nodes together; 0: no limit
+  double ratePerS = 0;      // requests a second that the pool gets from all nodes together; 0: no limit
+  DYKESTAGE_FIELDS(probe, connections, ratePerS)
+};
+
+/// What callers may send.
+struct Limits {
+  int64_t headerBytes = 64 << 10, bodyBytes = 8 << 20, headerMs = 10000, idleMs = 60000;
+  DYKESTAGE_FIELDS(headerBytes, bodyBytes, headerMs, idleMs)
+};
+
+/// Routes and pools as the operator has set them, under a version that the operator names.
+struct Routing {
+  uint64_t version = 0;
+  std::map<std::string, Route> routes;
+  std::map<std::string, Pool> pools;
+  Limits limits;
+  DYKESTAGE_FIELDS(version, routes, pools, limits)
+};
+
 /// A number of a template's shape: fixed, or a parameter that tenants fill in.
 struct Value {
   int64_t number = 0;
@@ -108,7 +155,9 @@
   int64_t capacity = 1;
   bool isEmptying = false;
   bool isHeld = false;
-  DYKESTAGE_FIELDS(service, address, site, kind, capacity, isEmptying, isHeld)
+  int64_t coldMs = 0;    // how much longer it is slow from its start, as it said when it was announced
+  uint64_t number = 0;   // of its announcement: one with a lower number is late and changes nothing
+  DYKESTAGE_FIELDS(service, address, site, kind, capacity, isEmptying, isHeld, coldMs, number)
 };
 
 /// A node of the data plane (or its agent), as it joined.
@@ -142,11 +191,12 @@
 struct Frame {
   Revision revision;
   Services services;
+  Routing routing;
   std::vector<Purge> purges;   // newest ones, in order
   uint64_t purgeFloor = 0;     // purges up to here are no longer listed
   std::map<std::string, Upstream> upstreams;
   std::map<std::string, Member> members;
-  DYKESTAGE_FIELDS(revision, services, purges, purgeFloor, upstreams, members)
+  DYKESTAGE_FIELDS(revision, services, routing, purges, purgeFloor, upstreams, members)
 };
 
 /// Where the members of a kind are, and how many there are. Example: `for (auto& at : addressesOf(frame, "shield")) ...`
--- a/lib/tempo/bytes.hpp
+++ b/lib/tempo/bytes.hpp
@@ -1,5 +1,6 @@
 // Bytes: the one way in which dykestage writes values into bytes and reads them back.
 #pragma once
+#include <bit>
 #include <concepts>
 #include <cstdint>
 #include <map>
@@ -21,6 +22,7 @@
     for (size_t i = 0; i < sizeof(T); ++i) out_.push_back(static_cast<char>(static_cast<uint64_t>(value) >> (8 * i)));
     return *this;
   }
+  auto put(double value) -> Writer& { return put(std::bit_cast<uint64_t>(value)); }
   template <typename T>
     requires std::is_enum_v<T>
   auto put(T value) -> Writer& {
@@ -86,6 +88,7 @@
     at_ += sizeof(T);
     value = static_cast<T>(sum);
   }
+  auto read(double& value) -> void { value = std::bit_cast<double>(get<uint64_t>()); }
   template <typename T>
     requires std::is_enum_v<T>
   auto read(T& value) -> void {
