Simulators, rehearsals and stand-ins live under tests/; a build without them

lib/sim -> tests/sim, lib/mishap -> tests/mishap, programs/{origin,caller,fleet,rehearse,measure,history}.cpp -> tests/programs. They are libraries and programs of the tests: with -DDYKESTAGE_TESTS=OFF only lib, the daemons, console and replay are built, and Catch2 and trompeloeil are not needed. caller drives the mix against the stand-ins and so stands beside them.

--- a/lib/sim/fleet.hpp
+++ b/tests/sim/fleet.hpp
@@ -64,7 +64,7 @@
     int64_t boundMs = 2000;
     int64_t port = 0;  // first of ten on each machine; 0 looks for free ones
     std::vector<Upstream> upstreams;
-    bool hasMishaps = false;  // daemons are started with lib/mishap, which makes their machine fail when told to
+    bool hasMishaps = false;  // daemons are started with tests/mishap, which makes their machine fail when told to
     std::string registryExtra, shieldExtra, edgeExtra;  // more settings, as JSON members with leading commas
   };
   /// Reads a deployment's file. Example: `Fleet::take(program.settings(), faults)`
@@ -82,7 +82,7 @@
   auto isRunning(const std::string& name) -> bool;
   /// Empties a registry's data folder. Example: `fleet.wipe("registry-3");`
   auto wipe(const std::string& name) -> void;
-  /// Makes the machine under a process fail, from now on (lib/mishap); no orders end it.
+  /// Makes the machine under a process fail, from now on (tests/mishap); no orders end it.
   /// Example: `fleet.mishap("registry-2", "stallMs 3000\n");`
   auto mishap(const std::string& name, const std::string& orders) -> void;
   auto links() -> Links& { return links_; }
--- a/lib/sim/rehearsal_disks.cpp
+++ b/tests/sim/rehearsal_disks.cpp
@@ -1,4 +1,4 @@
-// Rehearsals of disks, clocks and moments that fail; lib/mishap makes them.
+// Rehearsals of disks, clocks and moments that fail; tests/mishap makes them.
 #include "sim/rehearsal.hpp"
 
 #include <signal.h>
