Programs as functions that another front can start; settings read again; a door for operators

A Door stands between a registry's HTTP face and its state machine; the token it gives a request comes back with the answer.

--- a/lib/caller/face.hpp
+++ b/lib/caller/face.hpp
@@ -67,6 +67,7 @@
   std::string body;
   bool keep = true;
   std::shared_ptr<Stream> stream;
+  std::string token = {};  // of the door that it came through; goes with its answer
 };
 
 /// An endpoint. `take` is called on Pistache's threads.
--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -164,13 +164,13 @@
   }
 }
 
-auto Registry::answer(const Who& who, const Answer& answer) -> void { out_.answers.push_back({who.stream, who.method, who.keep, answer}); }
+auto Registry::answer(const Who& who, const Answer& answer) -> void { out_.answers.push_back({who.stream, who.method, who.keep, answer, who.token}); }
 
 // A page of what ran here: it may rest on something that is not synced yet, and leaves once it is.
 auto Registry::page(const Who& who, const std::string& body) -> void {
   Step step;
   step.job = lastJob_;
-  step.pages.push_back({who.stream, who.method, who.keep, jsonAnswer(body)});
+  step.pages.push_back({who.stream, who.method, who.keep, jsonAnswer(body), who.token});
   steps_.push_back(std::move(step));
 }
 
@@ -233,7 +233,7 @@
 }
 
 auto Registry::take(const Request& request, int64_t nowMs) -> void {
-  Who who{request.stream, request.method, request.keep};
+  Who who{request.stream, request.method, request.keep, request.token};
   auto path = request.target.substr(0, request.target.find('?'));
   auto isGet = request.method == "GET" || request.method == "HEAD";
   auto isPost = request.method == "POST";
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -68,6 +68,7 @@
       std::string method;
       bool keep;
       caller::Answer answer;
+      std::string token = {};  // of the request
     };
     std::vector<Sent> letters;
     std::vector<Answered> answers;
@@ -127,6 +128,7 @@
     std::shared_ptr<caller::Stream> stream;
     std::string method;
     bool keep = true;
+    std::string token = {};
   };
 
   auto submit(Op op, Done done) -> void;
--- a/lib/operator/program.cpp
+++ b/lib/operator/program.cpp
@@ -23,7 +23,8 @@
 namespace dykestage::op {
 
 namespace {
-std::atomic<bool> stopping{false};
+constexpr int64_t kRereadMs = 1000;
+std::atomic<bool> stopping{false}, mustReread{false};
 int stopEvent = -1;
 
 auto onSignal(int) -> void {
@@ -32,6 +33,13 @@
   (void)!::write(stopEvent, &one, sizeof one);
 }
 
+auto onHangup(int) -> void { mustReread.store(true); }
+
+auto where() -> std::string {
+  auto path = absl::GetFlag(FLAGS_settings);
+  return path.empty() ? "what there is" : path;
+}
+
 [[noreturn]] auto refuse(const std::string& what) -> void {
   std::cerr << "settings: " << what << "\n";
   std::exit(2);
@@ -41,6 +49,13 @@
 Program::Program() : faults_(std::make_unique<std::vector<Fault>>()), json_(nullptr, cJSON_Delete) {}
 
 auto Program::start(int argc, char** argv, const std::string& about) -> Program {
+  return startWith(argc, argv, about, [] {
+    auto path = absl::GetFlag(FLAGS_settings);
+    return path.empty() ? std::optional<std::string>("{}") : readFile(path);
+  });
+}
+
+auto Program::startWith(int argc, char** argv, const std::string& about, Source source) -> Program {
   Program program;
   program.name_ = argv[0];
   absl::SetProgramUsageMessage(about + "\nSettings are listed in docs/settings.md.");
@@ -52,28 +67,50 @@
   absl::SetFlagsUsageConfig(config);
   auto left = absl::ParseCommandLine(argc, argv);
   for (size_t i = 1; i < left.size(); ++i) program.words_.emplace_back(left[i]);
-  auto path = absl::GetFlag(FLAGS_settings);
-  std::string text = "{}";
-  if (!path.empty()) {
-    auto read = readFile(path);
-    if (!read) refuse("cannot read " + path);
-    text = *read;
-  }
-  program.json_ = parse(text);
-  if (!program.json_) refuse(path + " is not JSON");
+  program.source_ = std::move(source);
+  auto text = program.source_();
+  if (!text) refuse("cannot read " + where());
+  if (auto fault = program.take(*text); !fault.empty()) refuse(fault);
+  return program;
+}
+
+// Returns why the text can't be taken; empty: it is.
+auto Program::take(const std::string& text) -> std::string {
+  auto json = parse(text);
+  if (!json) return where() + " is not JSON";
   for (const auto& one : absl::GetFlag(FLAGS_set)) {
     auto at = one.find('=');
-    if (at == std::string::npos || at == 0) refuse("--set wants key=value, not " + one);
+    if (at == std::string::npos || at == 0) return "--set wants key=value, not " + one;
     auto key = one.substr(0, at), value = one.substr(at + 1);
     auto item = parse(value);
     auto* made = item && !cJSON_IsNull(item.get()) ? item.release() : cJSON_CreateString(value.c_str());
-    if (cJSON_GetObjectItemCaseSensitive(program.json_.get(), key.c_str()))
-      cJSON_ReplaceItemInObjectCaseSensitive(program.json_.get(), key.c_str(), made);
+    if (cJSON_GetObjectItemCaseSensitive(json.get(), key.c_str()))
+      cJSON_ReplaceItemInObjectCaseSensitive(json.get(), key.c_str(), made);
     else
-      cJSON_AddItemToObject(program.json_.get(), key.c_str(), made);
+      cJSON_AddItemToObject(json.get(), key.c_str(), made);
   }
-  program.fields_ = std::make_unique<Fields>(program.json_.get(), "", *program.faults_);
-  return program;
+  text_ = text;
+  faults_->clear();
+  json_ = std::move(json);
+  fields_ = std::make_unique<Fields>(json_.get(), "", *faults_);
+  return "";
+}
+
+auto Program::reread(int64_t nowMs) -> bool {
+  if (!mustReread.exchange(false) && nowMs - rereadMs_ < kRereadMs) return false;
+  rereadMs_ = nowMs;
+  auto text = source_();
+  if (!text || *text == text_) return false;
+  auto fault = take(*text);
+  if (fault.empty()) return true;
+  text_ = *text;  // is told once
+  LOG(ERROR) << "settings: " << fault << "; the earlier ones hold.";
+  return false;
+}
+
+auto Program::isWell() const -> bool {
+  for (const auto& fault : *faults_) LOG(ERROR) << "settings: " << fault.place << " " << fault.what << "; the earlier ones hold.";
+  return faults_->empty();
 }
 
 auto Program::address(const std::string& key, std::string& into, bool needed) -> void {
@@ -106,6 +143,8 @@
   action.sa_handler = onSignal;
   ::sigaction(SIGTERM, &action, nullptr);
   ::sigaction(SIGINT, &action, nullptr);
+  action.sa_handler = onHangup;
+  ::sigaction(SIGHUP, &action, nullptr);
   ::signal(SIGPIPE, SIG_IGN);
 }
 
--- a/lib/operator/program.hpp
+++ b/lib/operator/program.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,11 @@
 class Program {
  public:
   static auto start(int argc, char** argv, const std::string& about) -> Program;
+  /// Reads the settings' JSON text; nothing when it can't be had.
+  using Source = std::function<std::optional<std::string>()>;
+  /// The same with settings from elsewhere than --settings.
+  /// Example: `auto program = Program::startWith(argc, argv, "edge: ...", [] { return readFile("/etc/edge.json"); });`
+  static auto startWith(int argc, char** argv, const std::string& about, Source source) -> Program;
   /// The settings, to be asked field by field. Example: `program.settings().integer("boundMs", 500, 60000, ms);`
   auto settings() -> Fields& { return *fields_; }
   /// A needed "ip:port". Example: `program.address("http", props.http);`
@@ -28,6 +34,11 @@
   auto addresses(const std::string& key, std::vector<std::string>& into, size_t least) -> void;
   /// Ends the checking: exits with 2 on any fault, with 0 after --check; then logs and signals are set up.
   auto ready() -> void;
+  /// Looks for other settings about every second, and at once after SIGHUP; true when there are some: settings() is then
+  /// to be asked again, and isWell() tells whether what was asked has no fault; faults are logged.
+  /// Example: `if (program.reread(nowMs)) { program.addresses("seeds", fresh, 1); if (program.isWell()) seeds = fresh; }`
+  auto reread(int64_t nowMs) -> bool;
+  auto isWell() const -> bool;
   /// True once SIGTERM or SIGINT came; a second one changes nothing. Example: `while (!Program::isStopping()) ...`
   static auto isStopping() -> bool;
   /// Readable once isStopping() is true. Example: `pollfd{Program::stopFd(), POLLIN, 0}`
@@ -37,6 +48,10 @@
 
  private:
   Program();
+  auto take(const std::string& text) -> std::string;
+  Source source_;
+  std::string text_;  // as last read
+  int64_t rereadMs_ = 0;
   std::unique_ptr<std::vector<Fault>> faults_;
   Json json_;
   std::unique_ptr<Fields> fields_;
--- a/programs/agent.cpp
+++ b/lib/program/agent.cpp
@@ -1,4 +1,6 @@
 // agent: stands beside one proxy, keeps the link to the control plane and feeds the proxy over loopback.
+#include "program/agent.hpp"
+
 #include <glog/logging.h>
 #include <poll.h>
 
@@ -8,9 +10,8 @@
 #include "caller/face.hpp"
 #include "neighbour/inbox.hpp"
 #include "neighbour/post.hpp"
-#include "operator/program.hpp"
 
-using namespace dykestage;
+namespace dykestage::program {
 
 namespace {
 constexpr size_t kNeighbours = 3;
@@ -36,8 +37,7 @@
 }
 }  // namespace
 
-auto main(int argc, char** argv) -> int {
-  auto program = op::Program::start(argc, argv, "agent: feeds the proxy beside it with news of the control plane");
+auto runAgent(op::Program& program) -> int {
   auto& s = program.settings();
   std::string name, address, listen, loopback, status;
   std::vector<std::string> seeds;
@@ -47,7 +47,7 @@
   program.address("listen", listen, false);
   program.address("loopback", loopback);
   program.address("status", status);
-  program.addresses("seeds", seeds, 3);
+  program.addresses("seeds", seeds, 1);
   s.integer("boundMs", 400, 60000, boundMs);
   program.ready();
 
@@ -161,7 +161,18 @@
     }
     outer->prune(nowMs);
     inner->prune(nowMs);
+    if (program.reread(nowMs)) {
+      std::vector<std::string> fresh;
+      program.addresses("seeds", fresh, 1);
+      if (program.isWell() && fresh != seeds) {
+        LOG(INFO) << "agent: " << fresh.size() << " seeds are new.";
+        seeds = std::move(fresh);
+        order = neighbour::rendezvous(name, seeds);
+      }
+    }
   }
   LOG(INFO) << "agent: Stopped.";
   return 0;
 }
+
+}  // namespace dykestage::program
--- a/programs/edge.cpp
+++ b/lib/program/edge.cpp
@@ -1,4 +1,6 @@
 // edge: takes callers' requests, answers from its cache or asks a shield.
+#include "program/edge.hpp"
+
 #include <glog/logging.h>
 #include <poll.h>
 
@@ -9,9 +11,8 @@
 #include "caller/record.hpp"
 #include "neighbour/inbox.hpp"
 #include "neighbour/post.hpp"
-#include "operator/program.hpp"
 
-using namespace dykestage;
+namespace dykestage::program {
 
 namespace {
 struct Page {
@@ -41,8 +42,7 @@
 }
 }  // namespace
 
-auto main(int argc, char** argv) -> int {
-  auto program = op::Program::start(argc, argv, "edge: takes callers' requests");
+auto runEdge(op::Program& program) -> int {
   auto& s = program.settings();
   caller::Edge::Props props;
   std::string http, status, recordAt, address, listen, agentAt;
@@ -151,6 +151,7 @@
       post->prune(nowMs);
     }
     std::erase_if(writing, [](auto& stream) { return stream->flush(); });
+    if (program.reread(nowMs)) LOG(INFO) << "edge: Settings have changed; they take effect at the next start.";
     if (op::Program::isStopping() && stopAtMs < 0) {
       // Not ready from now on; whoever still comes is served while the platform looks elsewhere.
       LOG(INFO) << "edge: Emptying.";
@@ -161,3 +162,5 @@
   LOG(INFO) << "edge: Stopped.";
   return 0;
 }
+
+}  // namespace dykestage::program
--- a/programs/registry.cpp
+++ b/lib/program/registry.cpp
@@ -1,4 +1,6 @@
 // registry: a core node. Orders and keeps the control plane's state; serves operators, upstreams and agents.
+#include "program/registry.hpp"
+
 #include <glog/logging.h>
 #include <poll.h>
 
@@ -11,9 +13,8 @@
 #include "disk/ring.hpp"
 #include "neighbour/inbox.hpp"
 #include "neighbour/post.hpp"
-#include "operator/program.hpp"
 
-using namespace dykestage;
+namespace dykestage::program {
 
 namespace {
 struct Synced {
@@ -28,8 +29,7 @@
 }
 }  // namespace
 
-auto main(int argc, char** argv) -> int {
-  auto program = op::Program::start(argc, argv, "registry: a core node of dykestage");
+auto runRegistry(op::Program& program, op::Door& door) -> int {
   auto& s = program.settings();
   core::Registry::Props props;
   disk::Props diskProps;
@@ -150,7 +150,17 @@
         post->warm(letter->from);  // so that the answer finds its line open
         registry.take(letter->from, letter->kind, letter->body, nowMs);
       }
-      if (auto* request = std::get_if<caller::Request>(&input)) registry.take(*request, nowMs);
+      if (auto* request = std::get_if<caller::Request>(&input)) {
+        auto stream = request->stream;
+        auto method = request->method;
+        auto keep = request->keep;
+        auto entered = door.enter(std::move(*request));
+        if (auto* own = std::get_if<caller::Request>(&entered)) registry.take(*own, nowMs);
+        if (auto* answer = std::get_if<caller::Answer>(&entered)) {
+          stream->answer(*answer, method, keep);
+          writing.push_back(stream);
+        }
+      }
       if (auto* synced = std::get_if<Synced>(&input)) registry.synced(synced->number, synced->fill, synced->tookUs, nowMs);
     }
     registry.tick(nowMs);
@@ -159,11 +169,12 @@
       if (!jobs.push(std::move(job))) isBroken = true;
     for (auto& letter : out.letters) post->send(letter.to, letter.kind, letter.body);
     for (auto& a : out.answers) {
-      a.stream->answer(a.answer, a.method, a.keep);
+      a.stream->answer(door.leave(a.token, std::move(a.answer)), a.method, a.keep);
       writing.push_back(a.stream);
     }
     std::erase_if(writing, [](auto& stream) { return stream->flush(); });
     post->prune(nowMs);
+    if (program.reread(nowMs)) LOG(INFO) << "registry: Settings have changed; they take effect at the next start.";
     if (isBroken) {
       LOG(ERROR) << "registry: Stopping, since the disk can't be relied on.";
       std::_Exit(3);
@@ -177,3 +188,5 @@
   // told to nobody.
   std::_Exit(0);
 }
+
+}  // namespace dykestage::program
