--- a/lib/agent/link.cpp
+++ b/lib/agent/link.cpp
@@ -34,7 +34,7 @@
   Told told;
   while (!isStopping_) {
     pollfd fds[] = {{letters_.fd(), POLLIN, 0}, {told_.fd(), POLLIN, 0}, {passed_.fd(), POLLIN, 0}};
-    ::poll(fds, 3, static_cast<int>(props_.boundMs / 200));
+    ::poll(fds, 3, static_cast<int>(props_.boundMs / 40));
     for (auto& one : told_.take()) told = std::move(one);
     auto nowMs = neighbour::steadyMs();
     for (auto& letter : letters_.take()) {
--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -15,39 +15,98 @@
 Paths::Paths(std::shared_ptr<const core::Frame> frame) : frame_(std::move(frame)) {
   for (auto it = frame_->services.begin(); it != frame_->services.end(); ++it)
     for (const auto& host : it->second.hosts) byHost_.try_emplace(lower(host), it);
+  for (const auto& [name, route] : frame_->routing.routes) routes_.try_emplace(lower(route.host) + route.prefix, &route);
 }
 
 auto Paths::find(const std::string& host, const std::string& target) const -> std::optional<Found> {
-  auto it = byHost_.find(lower(host.substr(0, host.find(':'))));
+  auto name = lower(host.substr(0, host.find(':')));
+  // The longest prefix first: prefixes end with a slash.
+  auto path = target.substr(0, target.find('?'));
+  for (auto end = path.rfind('/'); !routes_.empty() && end != std::string::npos; end = end == 0 ? std::string::npos : path.rfind('/', end - 1)) {
+    auto at = routes_.find(name + path.substr(0, end + 1));
+    if (at == routes_.end()) continue;
+    const auto& route = *at->second;
+    Found found;
+    found.service = name;
+    found.route = &route;
+    found.path = {route.prefix, core::UpstreamKind::kAny, route.kind == core::RouteKind::kCacheable ? route.keepMs : 0, ""};
+    found.deadlineMs = route.giveUpMs;
+    int64_t sum = 0;
+    for (const auto& share : route.shares) sum += share.weight;
+    auto place = sum > 0 ? static_cast<int64_t>(neighbour::hash(route.prefix + "\n" + path) % static_cast<uint64_t>(sum)) : 0;
+    for (const auto& share : route.shares) {
+      place -= share.weight;
+      if (place >= 0) continue;
+      found.pool = share.pool;
+      break;
+    }
+    return found;
+  }
+  auto it = byHost_.find(name);
   if (it == byHost_.end()) return std::nullopt;
   const auto& [service, stable] = *it->second;
   Found found;
-  found.service = service;
+  found.service = found.pool = service;
   found.rollout = stable.rollout;
-  auto slot = neighbour::hash(stable.rollout + "\n" + service + "\n" + target.substr(0, target.find('?'))) % 1000;
+  auto slot = neighbour::hash(stable.rollout + "\n" + service + "\n" + path) % 1000;
   found.isNext = !stable.next.empty() && static_cast<int64_t>(slot) < stable.slicePermille;
   const auto& props = found.isNext ? stable.next.front() : stable;
   const core::Path* best = nullptr;
-  for (const auto& path : props.paths)
-    if (target.rfind(path.prefix, 0) == 0 && (!best || path.prefix.size() > best->prefix.size())) best = &path;
+  for (const auto& one : props.paths)
+    if (target.rfind(one.prefix, 0) == 0 && (!best || one.prefix.size() > best->prefix.size())) best = &one;
   if (!best) return std::nullopt;
   found.path = *best;
   found.deadlineMs = props.deadlineMs;
   return found;
 }
 
-auto Edge::shields() const -> std::vector<std::string> { return core::addressesOf(*held_.frame, "shield"); }
+auto rangeOf(const std::string& value) -> std::optional<Range> {
+  if (value.rfind("bytes=", 0) != 0) return std::nullopt;
+  auto dash = value.find('-');
+  if (dash == std::string::npos || dash == 6) return std::nullopt;
+  auto first = value.substr(6, dash - 6), last = value.substr(dash + 1);
+  auto isNumber = [](const std::string& text) { return text.size() <= 15 && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; }); };
+  if (!isNumber(first) || !isNumber(last)) return std::nullopt;
+  Range range{std::stoull(first), std::nullopt};
+  if (!last.empty()) range.last = std::stoull(last);
+  if (range.last && *range.last < range.first) return std::nullopt;
+  return range;
+}
+
+auto slice(Answer whole, const Range& range) -> Answer {
+  auto size = whole.body.size();
+  std::erase_if(whole.headers, [](const auto& h) { auto n = lower(h.first); return n == "content-length" || n == "content-range"; });
+  if (range.first >= size) {
+    whole.status = 416;
+    whole.headers.emplace_back("Content-Range", "bytes */" + std::to_string(size));
+    whole.body.clear();
+    return whole;
+  }
+  auto last = std::min(range.last.value_or(size - 1), size - 1);
+  whole.status = 206;
+  whole.headers.emplace_back("Content-Range", "bytes " + std::to_string(range.first) + "-" + std::to_string(last) + "/" + std::to_string(size));
+  whole.body = whole.body.substr(range.first, last - range.first + 1);
+  return whole;
+}
+
+auto Edge::shields() const -> std::vector<std::string> {
+  std::vector<std::string> list;
+  for (const auto& one : fetchers_)
+    if (one.name != props_.name) list.push_back(one.address);
+  return list;
+}
+
+auto Edge::turnAway(const Request& request, uint32_t code, int64_t retryMs) -> void {
+  ++figures_.turnedAway;
+  out_.answers.push_back({request.stream, request.method, request.keep, codeAnswerMs(code, retryMs > 0 ? retryMs : props_.retryMs)});
+}
 
 auto Edge::take(Request request, int64_t nowMs) -> void {
   ++figures_.requests;
-  auto turnAway = [&](uint32_t code) {
-    ++figures_.turnedAway;
-    out_.answers.push_back({request.stream, request.method, request.keep, codeAnswer(code, 1)});
-  };
-  if (!isCurrent(nowMs)) return turnAway(kNotCurrent);
-  if (request.target.empty() || request.target[0] != '/') return turnAway(kBadRequest);
+  if (!isCurrent(nowMs)) return turnAway(request, kNotCurrent, 0);
+  if (request.target.empty() || request.target[0] != '/') return turnAway(request, kBadRequest, 0);
   auto found = paths_.find(header(request.headers, "host"), request.target);
-  if (!found) return turnAway(kNoService);
+  if (!found) return turnAway(request, kNoService, 0);
   const auto& service = found->service;
   auto& path = found->path;
   auto hasPolicyFailed = false;
@@ -63,47 +122,57 @@
   }
   Waiting w;
   w.service = service;
+  w.pool = found->pool;
   w.path = path;
   w.startMs = nowMs;
   w.untilMs = nowMs + found->deadlineMs;
   w.rollout = found->rollout;
   w.isNext = found->isNext;
   w.hasPolicyFailed = hasPolicyFailed;
-  w.isWrite = isWrite(request.method);
-  w.isShared = path.kind == core::UpstreamKind::kStore && path.keepMs > 0 && policy::isShareable(request.method, request.headers);
+  if (!props_.names.tryId.empty()) w.tryId = header(request.headers, props_.names.tryId);
+  if (!props_.names.timeLeft.empty())
+    if (auto left = header(request.headers, props_.names.timeLeft); !left.empty()) w.untilMs = std::min(w.untilMs, nowMs + std::max<int64_t>(1, std::atoll(left.c_str())));
+  if (found->route) {
+    w.isWrite = found->route->kind == core::RouteKind::kWriting;
+    w.tries = std::max<int64_t>(1, found->route->tries);
+    w.rank = found->route->rank;
+    w.routeKey = service + found->route->prefix;
+    w.isShared = path.keepMs > 0;
+    if (w.isShared && request.method == "GET" && has(request.headers, "range")) w.range = rangeOf(header(request.headers, "range"));
+    if (w.range) std::erase_if(request.headers, [](const auto& h) { return lower(h.first) == "range"; });
+    w.isShared = w.isShared && policy::isShareable(request.method, request.headers);
+  } else {
+    w.isWrite = isWrite(request.method);
+    w.isShared = path.kind == core::UpstreamKind::kStore && path.keepMs > 0 && policy::isShareable(request.method, request.headers);
+  }
+  budgets_.of(*held_.frame, w.pool).asked(nowMs);
   if (w.isShared) {
-    const auto* copy = cache_.get(service, request.target, request.headers, nowMs);
+    auto copy = cache_->get(service, request.target, request.headers, nowMs, found->route ? w.pool : "");
     if (copy && nowMs - copy->bornMs < path.keepMs) {
       ++figures_.hits;
       Answer answer{copy->status, copy->headers, copy->body};
       answer.headers.emplace_back("Age", std::to_string((nowMs - copy->bornMs) / 1000));
       if (hasPolicyFailed) answer.headers.emplace_back("Dykestage-Policy", std::to_string(kPolicyFailed));
+      if (w.range && answer.status == 200) answer = slice(std::move(answer), *w.range);
       measure(found->rollout, found->isNext, 0, answer.status, false, 0);
-      auto untilMs = std::min(held_.asOfMs + props_.staleMs, copy->bornMs + path.keepMs + props_.staleMs);
+      auto untilMs = copy->bornMs + path.keepMs + props_.staleMs;
+      if (!props_.servesStale) untilMs = std::min(untilMs, held_.asOfMs + props_.staleMs);
       out_.answers.push_back({request.stream, request.method, request.keep, std::move(answer), untilMs});
       return;
     }
-    w.joinKey = service + "\n" + request.target;
+    w.joinKey = service + "\n" + request.target + "\n" + w.pool;
   }
-  w.purges = cache_.purges();
+  w.purges = cache_->purges();
   auto joinKey = w.joinKey;
-  auto stream = request.stream;
-  auto method = request.method;
-  auto keep = request.keep;
+  if (waiting_.size() >= props_.requests) return turnAway(request, kEdgeFull, 0);
   w.request = std::move(request);
   auto id = waiting_.add(std::move(w));
-  if (!id) {
-    ++figures_.turnedAway;
-    out_.answers.push_back({stream, method, keep, codeAnswer(kEdgeFull, 1)});
-    return;
-  }
-  budgets_.of(*held_.frame, service).asked(nowMs);
   if (!joinKey.empty()) {
     auto [it, isFirst] = joins_.try_emplace(joinKey, *id);
     if (!isFirst) {
       // Nobody joins what was asked for before a purge that may concern it.
       auto* leader = waiting_.get(it->second);
-      if (leader && !cache_.mayBePurgedSince(leader->purges, service, leader->request.target)) {
+      if (leader && !cache_->mayBePurgedSince(leader->purges, service, leader->request.target)) {
         ++figures_.joins;
         leader->followers.push_back(*id);
         return;
@@ -119,60 +188,79 @@
   return answered.untilMs == 0 || nowMs < answered.untilMs ? answered.answer : late;
 }
 
+// Whom to ask, best first. A kept object and a key belong to one fetcher, whoever asks; the rest stays on this machine
+// where it can, else near.
+auto Edge::order(const Waiting& w, uint64_t id, int64_t nowMs) const -> std::vector<size_t> {
+  constexpr size_t kMost = 3;
+  auto key = header(w.request.headers, "idempotency-key");
+  auto isOwned = w.isShared || (w.isWrite && !key.empty());
+  std::vector<size_t> list;
+  auto size = sizes_.find(w.routeKey);
+  auto isNearOnly = w.isShared && !w.routeKey.empty() && size != sizes_.end() && size->second > static_cast<double>(props_.zoneBytes);
+  auto hashed = neighbour::hash(isOwned ? w.service + "\n" + (w.isShared ? w.request.target : key) : std::to_string(id));
+  if (!isOwned && self_) list.push_back(*self_);
+  std::vector<size_t> near;
+  if (isNearOnly || !isOwned) {
+    std::vector<uint64_t> hashes;
+    std::vector<size_t> places;
+    for (size_t i = 0; i < fetchers_.size(); ++i)
+      if (fetchers_[i].isNear) hashes.push_back(fetcherHashes_[i]), places.push_back(i);
+    for (auto at : neighbour::heaviest(hashed, hashes, kMost)) near.push_back(places[at]);
+  }
+  for (auto at : near) list.push_back(at);
+  for (auto at : neighbour::heaviest(hashed, fetcherHashes_, kMost + w.tried.size())) list.push_back(at);
+  if (self_) list.push_back(*self_);
+  std::vector<size_t> kept;
+  for (auto at : list)
+    if (!w.tried.count(fetchers_[at].name) && std::find(kept.begin(), kept.end(), at) == kept.end()) kept.push_back(at);
+  std::stable_sort(kept.begin(), kept.end(), [&](auto a, auto b) { return isSilent(fetchers_[a].address, nowMs) < isSilent(fetchers_[b].address, nowMs); });
+  return kept;
+}
+
 auto Edge::ask(uint64_t id, bool isExtra, int64_t nowMs) -> void {
   auto& w = *waiting_.get(id);
-  std::vector<std::string> names;
-  for (const auto& [name, member] : held_.frame->members)
-    if (member.kind == "shield" && !w.tried.count(name)) names.push_back(name);
-  if (names.empty()) return giveUp(id, w.refusal, nowMs);
+  auto order = this->order(w, id, nowMs);
+  if (order.empty()) return giveUp(id, w.refusal, nowMs);
   if (nowMs >= w.untilMs) return giveUp(id, kDeadline, nowMs);
-  // A kept object and a key belong to one shield, whoever asks; the rest stays near.
-  auto key = header(w.request.headers, "idempotency-key");
-  std::vector<std::string> order;
-  if (w.isShared)
-    order = neighbour::rendezvous(w.service + "\n" + w.request.target, names);
-  else if (w.isWrite && !key.empty())
-    order = neighbour::rendezvous(w.service + "\n" + key, names);
-  else {
-    order = neighbour::rendezvous(std::to_string(id), names);
-    std::stable_sort(order.begin(), order.end(), [&](const auto& a, const auto& b) {
-      const auto& members = held_.frame->members;
-      return (members.at(a).site == props_.site) > (members.at(b).site == props_.site);
-    });
-  }
-  const auto& members = held_.frame->members;
-  std::stable_sort(order.begin(), order.end(),
-                   [&](const auto& a, const auto& b) { return isSilent(members.at(a).address, nowMs) < isSilent(members.at(b).address, nowMs); });
-  const auto& member = members.at(order.front());
-  w.tried.insert(order.front());
-  w.shield = member.address;
+  const auto& fetcher = fetchers_[order.front()];
+  w.tried.insert(fetcher.name);
+  w.shield = fetcher.address;
   w.wasSent = true;
   w.askedMs = nowMs;
   if (w.firstAskedMs == 0) w.firstAskedMs = nowMs;
-  auto& owing = owing_[member.address];
-  if (owing.sinceMs == 0) owing.sinceMs = nowMs;
-  owing.lastAskedMs = nowMs;
+  auto isSelf = order.front() == self_;
+  if (!isSelf) {
+    auto& owing = owing_[fetcher.address];
+    if (owing.sinceMs == 0) owing.sinceMs = nowMs;
+    owing.lastAskedMs = nowMs;
+  }
   Ask ask;
   ask.id = id;
   ask.life = props_.life;
   ask.service = w.service;
+  ask.pool = w.pool;
   ask.kind = w.path.kind;
   ask.method = w.request.method;
   ask.target = w.request.target;
   ask.headers = endToEnd(w.request.headers);
+  if (!props_.names.timeLeft.empty()) std::erase_if(ask.headers, [&](const auto& h) { return lower(h.first) == lower(props_.names.timeLeft); });
   ask.body = w.request.body;
   ask.remainingMs = w.untilMs - nowMs;
   ask.keepMs = w.path.keepMs;
   ask.purges = held_.frame->revision.purges;
   ask.isShared = w.isShared;
   ask.isExtra = isExtra;
-  if (w.isWrite) ask.key = key;
+  ask.isWrite = w.isWrite;
+  ask.tries = w.tries;
+  ask.rank = w.rank;
+  ask.tryId = w.tryId;
+  if (w.isWrite) ask.key = header(w.request.headers, "idempotency-key");
   ++figures_.asks;
   if (isExtra) {
     ++figures_.extras;
-    budgets_.of(*held_.frame, w.service).tried(nowMs);
+    budgets_.of(*held_.frame, w.pool).tried(nowMs);
   }
-  out_.asks.push_back({w.shield, std::move(ask)});
+  out_.asks.push_back({w.shield, std::move(ask), isSelf});
 }
 
 // A frozen or cut-off shield keeps its lines up and says nothing. One that owes replies comes last, until it
@@ -196,7 +284,7 @@
     if (!w || w->shield != shield || !w->wasSent) continue;
     if (w->isWrite)
       giveUp(id, kUnknown, nowMs);
-    else if (budgets_.of(*held_.frame, w->service).mayTry(nowMs))
+    else if (budgets_.of(*held_.frame, w->pool).mayTry(nowMs))
       ask(id, true, nowMs);
     else
       giveUp(id, kUpstreamLost, nowMs);
@@ -207,10 +295,22 @@
   auto before = shields();
   auto isNew = held.frame != held_.frame;
   auto hasNewPaths = held.frame->revision.configuration != held_.frame->revision.configuration;
+  auto hasNewMembers = held.frame->revision.members != held_.frame->revision.members;
   held_ = held;
   if (!isNew) return;
   if (hasNewPaths) paths_ = Paths(held_.frame);
-  cache_.purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor);
+  cache_->purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor);
+  if (hasNewMembers) {
+    fetchers_.clear();
+    fetcherHashes_.clear();
+    self_.reset();
+    for (const auto& [name, member] : held_.frame->members) {
+      if (!core::fetches(member)) continue;
+      if (props_.fetches && name == props_.name) self_ = fetchers_.size();
+      fetchers_.push_back({name, member.address, member.site == props_.site});
+      fetcherHashes_.push_back(neighbour::hash(name));
+    }
+  }
   scripts_.clear();
   std::set<std::string> running;
   for (const auto& [name, service] : held_.frame->services) running.insert(service.rollout);
@@ -228,7 +328,10 @@
   if (reply.code != kOk) {
     // What a shield turned away untouched may go to another one; that costs the upstreams nothing.
     auto mayMove = reply.isUntouched && isTurnedAway(reply.code) && reply.code != kDeadline;
-    if (mayMove && w->tried.size() < shields().size()) {
+    w->retryMs = reply.retryMs;
+    // A pool without an upstream that can take it now has none elsewhere either; other reasons are a fetcher's own.
+    auto isPools = props_.fetches && reply.code == kNoUpstream;
+    if (mayMove && !isPools && w->tried.size() < std::min<size_t>(fetchers_.size(), 3)) {
       w->wasSent = false;
       w->refusal = reply.code;
       return ask(reply.id, false, nowMs);
@@ -238,14 +341,21 @@
   }
   Answer answer{static_cast<int>(reply.status), reply.headers, reply.body};
   w->isFetched = reply.isFetched;
-  w->load = std::atof(header(reply.headers, "dykestage-load").c_str());
+  if (!w->rollout.empty()) w->load = std::atof(header(reply.headers, props_.names.load).c_str());
+  if (!w->routeKey.empty() && answer.status == 200) {
+    auto& size = sizes_.try_emplace(w->routeKey, static_cast<double>(answer.body.size())).first->second;
+    size = 0.9 * size + 0.1 * static_cast<double>(answer.body.size());
+  }
   auto ageMs = reply.ageMs + std::max<int64_t>(0, nowMs - w->firstAskedMs - reply.heldMs);
-  auto terms = policy::termsOf(answer.status, answer.headers, w->path.keepMs);
+  auto terms = policy::termsOf(answer.status, answer.headers, w->path.keepMs, props_.names.labels);
   if (!w->isShared || terms.keepMs <= 0 || reply.keepMs <= 0) return finish(reply.id, answer, nullptr, nowMs);
-  policy::Copy copy{answer.status, answer.headers, answer.body, nowMs - ageMs, std::min(terms.keepMs, reply.keepMs), reply.purges, terms.vary};
-  cache_.put(w->service, w->request.target, w->request.headers, copy, terms.labels);
+  auto copy = std::make_shared<const policy::Copy>(
+      policy::Copy{answer.status, answer.headers, answer.body, nowMs - ageMs, std::min(terms.keepMs, reply.keepMs), reply.purges, terms.vary});
+  // What was fetched by this very process is in the one cache already.
+  auto isKept = !isCacheOwn_ && self_ && from == fetchers_[*self_].address;
+  if (!isKept) cache_->put(w->service, w->request.target, w->request.headers, copy, terms.labels, w->routeKey.empty() ? "" : w->pool);
   answer.headers.emplace_back("Age", std::to_string(ageMs / 1000));
-  finish(reply.id, answer, &copy, nowMs);
+  finish(reply.id, answer, copy.get(), nowMs);
 }
 
 auto Edge::giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void {
@@ -256,7 +366,9 @@
     ++figures_.unknown;
   else
     ++figures_.turnedAway;
-  finish(id, codeAnswer(code, 1), nullptr, nowMs);
+  // A read that ran nowhere is turned away: its caller may come back.
+  if (code == kDeadline && !w.wasSent) code = kNoShield;
+  finish(id, codeAnswerMs(code, w.retryMs > 0 ? w.retryMs : props_.retryMs), nullptr, nowMs);
 }
 
 // Ends a request, and those that joined it: they share a copy that may be shared, or the same refusal; an
@@ -302,6 +414,7 @@
 auto Edge::answer(Waiting& w, Answer answer, int64_t nowMs) -> void {
   if (w.hasPolicyFailed) answer.headers.emplace_back("Dykestage-Policy", std::to_string(kPolicyFailed));
   measure(w.rollout, w.isNext, nowMs - w.startMs, answer.status, w.isFetched, w.load);
+  if (w.range && answer.status == 200 && header(answer.headers, "dykestage-code").empty()) answer = slice(std::move(answer), *w.range);
   out_.answers.push_back({w.request.stream, w.request.method, w.request.keep, std::move(answer)});
 }
 
@@ -314,7 +427,7 @@
       continue;
     }
     auto isLate = w->wasSent && (nowMs - w->startMs) * 100 >= (w->untilMs - w->startMs) * props_.hedgePercent;
-    if (w->isWrite || w->isHedged || !isLate || w->tried.size() >= shields().size() || !budgets_.of(*held_.frame, w->service).mayTry(nowMs)) continue;
+    if (w->isWrite || w->isHedged || !isLate || w->tried.size() >= std::min<size_t>(fetchers_.size(), 3) || !budgets_.of(*held_.frame, w->pool).mayTry(nowMs)) continue;
     w->isHedged = true;
     ask(id, true, nowMs);
   }
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -10,6 +10,7 @@
 
 #include "caller/codes.hpp"
 #include "caller/face.hpp"
+#include "caller/names.hpp"
 #include "core/state.hpp"
 #include "neighbour/messages.hpp"
 #include "policy/cache.hpp"
@@ -29,14 +30,17 @@
 
 /// Where a request belongs.
 struct Found {
-  std::string service;
+  std::string service;   // under which copies are kept: a service, or the host of a route
+  std::string pool;      // upstreams that it may go to; the service itself, where no route names a pool
   core::Path path;
   int64_t deadlineMs = 1000;
   std::string rollout;   // the one that this service takes part in, if any
   bool isNext = false;   // the request falls into the slice of the new revision
+  const core::Route* route = nullptr;  // of the frame in force; none: a service
 };
-/// Finds the service and path for a request; a stable hash of the target tells the slice, so that one object
-/// is always served under one revision. Example: `Paths paths(frame); if (auto found = paths.find("shop.example", "/a")) ...`
+/// Finds the route, or the service and path, for a request; a stable hash of the target tells the pool or the slice,
+/// so that one object is always served under one of them.
+/// Example: `Paths paths(frame); if (auto found = paths.find("shop.example", "/a")) ...`
 class Paths {
  public:
   explicit Paths(std::shared_ptr<const core::Frame> frame);
@@ -45,7 +49,19 @@
  private:
   std::shared_ptr<const core::Frame> frame_;
   std::unordered_map<std::string, core::Services::const_iterator> byHost_;
+  std::unordered_map<std::string, const core::Route*> routes_;  // by host and prefix
 };
+
+/// Part of a body that a request asks for: from `first` to `last`, or to the end.
+struct Range {
+  size_t first = 0;
+  std::optional<size_t> last;
+};
+/// A single range of bytes that names its first one; anything else is left to the upstream. Example: `rangeOf("bytes=5-9")`
+auto rangeOf(const std::string& value) -> std::optional<Range>;
+/// The part of a whole answer that a range asks for (206), or 416. Example: `auto part = slice(std::move(whole), range);`
+auto slice(Answer whole, const Range& range) -> Answer;
+
 class Edge {
  public:
   struct Props {
@@ -57,6 +73,12 @@
     double triesPart = 0.25;      // part of a service's extra tries that the edges may use
     int64_t suspectMs = 250;      // silence of a shield that owes replies, after which others come first; 1/8 of the bound
     int64_t hedgePercent = 40;    // of its time that a read waits before another shield is asked as well
+    bool fetches = false;         // this process fetches itself, beside this machine
+    bool servesStale = false;     // out of touch with the core it goes on with what it knows
+    int64_t retryMs = 100;        // when to come back, where nothing better is known; 1/20 of the bound
+    size_t zoneBytes = 32 << 10;  // answers that are larger on average are shared within a site only
+    HeaderNames names;
+    policy::TryBounds tries;      // of pools
   };
   struct Output {
     struct Answered {
@@ -69,6 +91,7 @@
     struct Asked {
       std::string to;
       neighbour::Ask ask;
+      bool isSelf = false;  // the fetcher in this very process
     };
     std::vector<Answered> answers;
     std::vector<Asked> asks;
@@ -77,7 +100,9 @@
     uint64_t requests = 0, hits = 0, joins = 0, asks = 0, extras = 0, turnedAway = 0, unknown = 0, refused = 0, policyFailures = 0;
   };
 
-  explicit Edge(Props props) : props_(std::move(props)), waiting_(props_.requests), cache_(props_.cacheBytes) {}
+  /// A process that fetches itself keeps one cache for both. Example: `Edge edge(props, cache); Shield shield(props2, cache);`
+  explicit Edge(Props props, std::shared_ptr<policy::Cache> cache = nullptr)
+      : props_(std::move(props)), waiting_(props_.requests), isCacheOwn_(!cache), cache_(cache ? std::move(cache) : std::make_shared<policy::Cache>(props_.cacheBytes)) {}
 
   /// Takes a caller's request. Example: `edge.take(request, nowMs); post(edge.output());`
   auto take(Request request, int64_t nowMs) -> void;
@@ -98,23 +123,34 @@
   static auto atLast(const Output::Answered& answered, int64_t nowMs) -> const Answer&;
   /// Where the shields of the frame are. Example: `for (auto& at : edge.shields()) post->warm(at);`
   auto shields() const -> std::vector<std::string>;
-  auto isCurrent(int64_t nowMs) const -> bool { return held_.isCurrent(nowMs, props_.staleMs); }
+  /// True while it may act on what it knows; what serves stale may from the first configuration on.
+  auto isCurrent(int64_t nowMs) const -> bool {
+    return props_.servesStale ? held_.asOfMs >= 0 && held_.frame->revision.configuration > 0 : held_.isCurrent(nowMs, props_.staleMs);
+  }
+  /// The knowledge's age, ms; -1: none yet. Example: `page.number("ageMs", edge.ageMs(nowMs));`
+  auto ageMs(int64_t nowMs) const -> int64_t { return held_.asOfMs < 0 ? -1 : nowMs - held_.asOfMs; }
+  /// What callers may send, as the configuration has it. Example: `face->limit(edge.limits());`
+  auto limits() const -> const core::Limits& { return held_.frame->routing.limits; }
   auto revision() const -> core::Revision { return held_.frame->revision; }
   auto figures() const -> Figures { return figures_; }
   /// What rollouts are judged by. Example: `link.tell({edge.revision(), {}, edge.samples()});`
   auto samples() const -> const neighbour::Samples& { return samples_; }
   auto open() const -> size_t { return waiting_.size(); }
-  auto cache() const -> const policy::Cache& { return cache_; }
+  auto cache() const -> const policy::Cache& { return *cache_; }
 
  private:
   struct Waiting {
     Request request;
-    std::string service;
+    std::string service, pool;
     core::Path path;
+    std::optional<Range> range;
+    std::string routeKey;   // host and prefix, for the size of its answers
+    int64_t tries = 3, rank = 0, retryMs = 0;
+    std::string tryId;
     int64_t startMs = 0, untilMs = 0, askedMs = 0, firstAskedMs = 0;
     uint64_t purges = 0;  // in force when it was first asked for
-    std::string shield;
-    std::set<std::string> tried;
+    std::string shield;      // its address
+    std::set<std::string> tried;  // names
     bool isWrite = false, isShared = false, wasSent = false, isHedged = false;
     uint32_t refusal = kNoShield;  // why the last shield did not take it
     std::string joinKey;
@@ -130,14 +166,25 @@
   auto finish(uint64_t id, const Answer& answer, const policy::Copy* copy, int64_t nowMs) -> void;
   auto answer(Waiting& waiting, Answer answer, int64_t nowMs) -> void;
   auto isSilent(const std::string& shield, int64_t nowMs) const -> bool;
+  auto order(const Waiting& waiting, uint64_t id, int64_t nowMs) const -> std::vector<size_t>;
+  auto turnAway(const Request& request, uint32_t code, int64_t retryMs) -> void;
 
   Props props_;
   HeldFrame held_;
   Paths paths_{held_.frame};  // of the configuration in force
+  struct Fetcher {  // a member that fetches
+    std::string name, address;
+    bool isNear = false;
+  };
+  std::vector<Fetcher> fetchers_;
+  std::vector<uint64_t> fetcherHashes_;
+  std::optional<size_t> self_;  // among them
   policy::Slab<Waiting> waiting_;
-  policy::Cache cache_;
+  bool isCacheOwn_;
+  std::shared_ptr<policy::Cache> cache_;
   std::map<std::string, uint64_t> joins_;
-  policy::TryBudgets budgets_{"edge", props_.triesPart};
+  std::map<std::string, double> sizes_;  // of answers, smoothed, by route
+  policy::TryBudgets budgets_{props_.fetches ? "proxy" : "edge", props_.triesPart, props_.tries};
   neighbour::Samples samples_;
   std::map<std::string, std::optional<policy::Script>> scripts_;  // by text; none: it does not compile here
   struct Owing {  // a shield that has been asked and has not replied since
--- a/lib/core/state.hpp
+++ b/lib/core/state.hpp
@@ -162,7 +162,7 @@
 
 /// A node of the data plane (or its agent), as it joined.
 struct Member {
-  std::string kind, site, address;  // "edge" or "shield"; address between own processes
+  std::string kind, site, address;  // "edge", "shield", or "proxy": an edge that fetches itself; address between own processes
   std::string agent;                // where its agent listens
   uint64_t incarnation = 0;
   auto operator==(const Member&) const -> bool = default;
@@ -199,6 +199,9 @@
   DYKESTAGE_FIELDS(revision, services, routing, purges, purgeFloor, upstreams, members)
 };
 
+/// True for members that fetch from upstreams. Example: `if (fetches(member)) askable.push_back(member.address);`
+inline auto fetches(const Member& member) -> bool { return member.kind != "edge"; }
+
 /// Where the members of a kind are, and how many there are. Example: `for (auto& at : addressesOf(frame, "shield")) ...`
 auto addressesOf(const Frame& frame, const std::string& kind, const std::string& except = "") -> std::vector<std::string>;
 auto countOf(const Frame& frame, const std::string& kind) -> int64_t;
--- a/lib/neighbour/messages.hpp
+++ b/lib/neighbour/messages.hpp
@@ -81,8 +81,13 @@
   uint64_t purges = 0;   // purge number in force at the edge when it asked
   bool isShared = false; // may be answered from the shared cache
   bool isExtra = false;  // an extra try
+  bool isWrite = false;  // runs once at most
   std::string key;       // Idempotency-Key
-  DYKESTAGE_FIELDS(id, life, service, kind, method, target, headers, body, remainingMs, keepMs, purges, isShared, isExtra, key)
+  std::string pool;      // of upstreams; the service itself, where no route names one
+  int64_t tries = 3;     // upstreams that it may be sent to at most
+  int64_t rank = 0;      // 0 is highest
+  std::string tryId;     // the caller's name for this try; upstreams answer with it
+  DYKESTAGE_FIELDS(id, life, service, kind, method, target, headers, body, remainingMs, keepMs, purges, isShared, isExtra, isWrite, key, pool, tries, rank, tryId)
 };
 
 /// A shield's answer to an Ask.
@@ -99,7 +104,8 @@
   int64_t keepMs = 0;     // 0: not to be kept
   uint64_t purges = 0;    // purge number when the fill began
   bool isFetched = false; // an upstream was asked for it
-  DYKESTAGE_FIELDS(id, life, code, isUntouched, status, headers, body, ageMs, heldMs, keepMs, purges, isFetched)
+  int64_t retryMs = 0;    // turned away: when to come back; 0: not known
+  DYKESTAGE_FIELDS(id, life, code, isUntouched, status, headers, body, ageMs, heldMs, keepMs, purges, isFetched, retryMs)
 };
 
 /// Shield to registry, by way of its agent: claims of Idempotency-Keys before writes leave, and keys given back.
--- a/lib/neighbour/post.cpp
+++ b/lib/neighbour/post.cpp
@@ -108,12 +108,30 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
 }
 
+namespace {
+auto mix(uint64_t h) -> uint64_t {
+  h ^= h >> 33, h *= 0xff51afd7ed558ccdull, h ^= h >> 33, h *= 0xc4ceb9fe1a85ec53ull, h ^= h >> 33;
+  return h;
+}
+}  // namespace
+
 auto hash(const std::string& text) -> uint64_t {
   uint64_t h = 14695981039346656037ull;
   for (unsigned char c : text) h = (h ^ c) * 1099511628211ull;
-  // Mixed once more, since the plain sum keeps near names near.
-  h ^= h >> 33, h *= 0xff51afd7ed558ccdull, h ^= h >> 33, h *= 0xc4ceb9fe1a85ec53ull, h ^= h >> 33;
-  return h;
+  return mix(h);  // since the plain sum keeps near names near
+}
+
+auto heaviest(uint64_t key, const std::vector<uint64_t>& names, size_t count) -> std::vector<size_t> {
+  std::vector<std::pair<uint64_t, size_t>> best;  // rising
+  for (size_t i = 0; i < names.size(); ++i) {
+    std::pair one{mix(key ^ names[i]), i};
+    if (best.size() == count && (count == 0 || one < best.front())) continue;
+    if (best.size() == count) best.erase(best.begin());
+    best.insert(std::upper_bound(best.begin(), best.end(), one), one);
+  }
+  std::vector<size_t> places;
+  for (auto it = best.rbegin(); it != best.rend(); ++it) places.push_back(it->second);
+  return places;
 }
 
 auto rendezvous(const std::string& key, std::vector<std::string> names) -> std::vector<std::string> {
--- a/lib/neighbour/post.hpp
+++ b/lib/neighbour/post.hpp
@@ -21,7 +21,7 @@
 
 /// Of the letters between processes, told at the head of each. It grows by one whenever a letter's fields change:
 /// letters of another version are turned away whole, so that nothing is misread. Example: `Writer().put(kWireVersion)`
-inline constexpr uint16_t kWireVersion = 2;
+inline constexpr uint16_t kWireVersion = 3;
 
 /// What a letter holds; the kinds are listed in messages.hpp.
 struct Letter {
@@ -83,6 +83,9 @@
 /// Orders names by their weight for a key, heaviest first (rendezvous hashing).
 /// Example: `auto owner = rendezvous("shop/cover/7", shields).front();`
 auto rendezvous(const std::string& key, std::vector<std::string> names) -> std::vector<std::string>;
+/// The places of the `count` heaviest of the names for a key, heaviest first, from hashes made before: one look at each.
+/// Example: `for (auto at : heaviest(hash("shop/cover/7"), nameHashes, 3)) ask(members[at]);`
+auto heaviest(uint64_t key, const std::vector<uint64_t>& names, size_t count) -> std::vector<size_t>;
 /// A stable 64-bit hash. Example: `hash("tenant-7") % 100`
 auto hash(const std::string& text) -> uint64_t;
 
--- a/lib/operator/configuration.cpp
+++ b/lib/operator/configuration.cpp
@@ -57,6 +57,16 @@
   return true;
 }
 
+auto Fields::number(const std::string& key, double low, double high, double& into) -> bool {
+  const auto* item = raw(key);
+  if (!item) return false;
+  if (!cJSON_IsNumber(item) || !(item->valuedouble >= low && item->valuedouble <= high))
+    fault(key, "must be a number from " + std::to_string(low) + " to " + std::to_string(high));
+  else
+    into = item->valuedouble;
+  return true;
+}
+
 auto Fields::text(const std::string& key, std::string& into, bool needed) -> bool {
   const auto* item = raw(key);
   if (!item) {
--- a/lib/operator/configuration.hpp
+++ b/lib/operator/configuration.hpp
@@ -34,6 +34,7 @@
   Fields(const cJSON* json, std::string place, std::vector<Fault>& faults);
   /// Each takes a field when it is there; false when it is missing. Wrong types and ranges become faults.
   auto integer(const std::string& key, int64_t low, int64_t high, int64_t& into) -> bool;
+  auto number(const std::string& key, double low, double high, double& into) -> bool;
   auto text(const std::string& key, std::string& into, bool needed = false) -> bool;
   auto flag(const std::string& key, bool& into) -> bool;
   auto texts(const std::string& key, std::vector<std::string>& into) -> bool;
--- a/lib/operator/program.cpp
+++ b/lib/operator/program.cpp
@@ -76,6 +76,11 @@
   return program;
 }
 
+auto Program::part(const std::string& key) -> std::optional<Fields> {
+  const auto* object = fields_->raw(key);
+  return object ? std::optional<Fields>(std::in_place, object, key, *faults_) : std::nullopt;
+}
+
 auto Program::address(const std::string& key, std::string& into, bool needed) -> void {
   if (!fields_->text(key, into, needed)) return;
   auto isFree = into.ends_with(":0") && isAddress(into.substr(0, into.size() - 1) + "1");
--- a/lib/operator/program.hpp
+++ b/lib/operator/program.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,9 @@
   static auto start(int argc, char** argv, const std::string& about) -> Program;
   /// The settings, to be asked field by field. Example: `program.settings().integer("boundMs", 500, 60000, ms);`
   auto settings() -> Fields& { return *fields_; }
+  /// An object among the settings, to be asked field by field and closed; none if it is not there.
+  /// Example: `if (auto headers = program.part("headers")) headers->text("load", names.load);`
+  auto part(const std::string& key) -> std::optional<Fields>;
   /// A needed "ip:port". Example: `program.address("http", props.http);`
   auto address(const std::string& key, std::string& into, bool needed = true) -> void;
   /// A needed list of them. Example: `program.addresses("seeds", props.seeds, 3);`
--- a/lib/policy/cache.cpp
+++ b/lib/policy/cache.cpp
@@ -15,6 +15,8 @@
 namespace {
 auto baseOf(const std::string& service, const std::string& target) -> std::string { return service + "\n" + target; }
 
+auto keyOf(const std::string& base, const std::string& pool) -> std::string { return pool.empty() ? base : base + "\n@" + pool; }
+
 // A purge of a path means that path with every query.
 auto isAt(const std::string& target, const std::string& path) -> bool {
   return target == path || (target.size() > path.size() && target.compare(0, path.size(), path) == 0 && target[path.size()] == '?');
@@ -37,18 +39,22 @@
   return std::none_of(wishes.begin(), wishes.end(), [](const auto& w) { return w == "no-store" || w == "no-cache" || w == "max-age=0"; });
 }
 
-auto termsOf(int status, const Headers& headers, int64_t pathKeepMs) -> Terms {
+auto termsOf(int status, const Headers& headers, int64_t pathKeepMs, const std::string& labelsName) -> Terms {
   Terms terms;
   if (status != 200 && status != 404 && status != 410 && status != 301) return terms;
   if (has(headers, "set-cookie")) return terms;
   auto keepMs = pathKeepMs;
   auto isShared = false;
+  auto labels = lower(labelsName);
   for (const auto& [name, value] : headers) {
     auto n = lower(name);
     if (n == "vary")
       for (auto& one : listOf(value)) terms.vary.push_back(one);
-    if (n == "dykestage-labels")
-      for (auto& one : listOf(value)) terms.labels.push_back(one);
+    if (n == labels) {
+      auto list = value;
+      std::replace(list.begin(), list.end(), ' ', ',');
+      for (auto& one : listOf(list)) terms.labels.push_back(one);
+    }
     if (n != "cache-control") continue;
     for (const auto& wish : listOf(value)) {
       if (wish == "no-store" || wish == "private" || wish == "no-cache") keepMs = 0;
@@ -68,11 +74,11 @@
   return terms;
 }
 
-auto Cache::get(const std::string& service, const std::string& target, const Headers& request, int64_t nowMs) -> const Copy* {
+auto Cache::get(const std::string& service, const std::string& target, const Headers& request, int64_t nowMs, const std::string& pool) -> std::shared_ptr<const Copy> {
   auto base = baseOf(service, target);
   auto vary = vary_.find(base);
   auto& byKey = items_.get<ByKey>();
-  auto it = byKey.find(vary == vary_.end() ? base : base + variantOf(vary->second, request));
+  auto it = byKey.find(vary == vary_.end() ? keyOf(base, pool) : keyOf(base, pool) + variantOf(vary->second, request));
   if (it == byKey.end()) return nullptr;
   if (nowMs - it->copy->bornMs >= it->copy->keepMs) {
     drop(items_.project<0>(it));
@@ -80,7 +86,7 @@
   }
   auto& byUse = items_.get<ByUse>();
   byUse.relocate(byUse.end(), items_.project<ByUse>(it));
-  return it->copy.get();
+  return it->copy;
 }
 
 auto Cache::drop(Items::iterator it) -> void {
@@ -96,8 +102,9 @@
   if (items_.get<ByBase>().count(base) == 0) vary_.erase(base);
 }
 
-auto Cache::put(const std::string& service, const std::string& target, const Headers& request, Copy copy, const std::vector<std::string>& labels)
-    -> bool {
+auto Cache::put(const std::string& service, const std::string& target, const Headers& request, std::shared_ptr<const Copy> kept, const std::vector<std::string>& labels,
+                const std::string& pool) -> bool {
+  const auto& copy = *kept;
   if (copy.keepMs <= 0 || isPurgedSince(copy.purges, service, target, labels)) return false;
   auto base = baseOf(service, target);
   auto known = vary_.find(base);
@@ -111,11 +118,11 @@
   }
   Item item;
   item.base = base;
-  item.key = base + variantOf(copy.vary, request);
+  item.key = keyOf(base, pool) + variantOf(copy.vary, request);
   item.bytes = 512 + copy.body.size() + 2 * item.key.size();
   for (const auto& [name, value] : copy.headers) item.bytes += name.size() + value.size();
   if (item.bytes > boundBytes_ / 4) return false;
-  for (const auto& label : labels) item.labels.push_back(service + "\n" + label);
+  for (const auto& label : labels) item.labels.push_back(label);
   if (auto old = items_.get<ByKey>().find(item.key); old != items_.get<ByKey>().end()) {
     if (old->copy->bornMs > copy.bornMs) return false;  // what is here is newer
     drop(items_.project<0>(old));
@@ -123,7 +130,7 @@
   vary_[base] = copy.vary;
   for (const auto& label : item.labels) labelled_[label].insert(item.key);
   bytes_ += item.bytes;
-  item.copy = std::make_shared<const Copy>(std::move(copy));
+  item.copy = std::move(kept);
   items_.insert(std::move(item));
   while (bytes_ > boundBytes_) drop(items_.project<0>(items_.get<ByUse>().begin()));
   return true;
@@ -137,11 +144,14 @@
   for (const auto& purge : purges) {
     if (purge.number <= purges_) continue;
     if (!purge.label.empty()) {
-      auto it = labelled_.find(purge.service + "\n" + lower(purge.label));
+      auto it = labelled_.find(lower(purge.label));
       if (it != labelled_.end()) {
         auto keys = it->second;
-        for (const auto& key : keys)
-          if (auto item = items_.get<ByKey>().find(key); item != items_.get<ByKey>().end()) drop(items_.project<0>(item));
+        for (const auto& key : keys) {
+          auto item = items_.get<ByKey>().find(key);
+          auto isMeant = item != items_.get<ByKey>().end() && (purge.service.empty() || item->base.rfind(purge.service + "\n", 0) == 0);
+          if (isMeant) drop(items_.project<0>(item));
+        }
       }
     } else {
       auto& byBase = items_.get<ByBase>();
@@ -166,7 +176,7 @@
   if (since >= purges_) return false;
   if (since < floor_) return true;
   for (auto it = log_.rbegin(); it != log_.rend() && it->number > since; ++it)
-    if (it->service == service && concerns(*it)) return true;
+    if ((it->service.empty() || it->service == service) && concerns(*it)) return true;
   return false;
 }
 
@@ -182,22 +192,23 @@
 }
 
 auto TryBudgets::of(const core::Frame& frame, const std::string& service) -> TryBudget& {
-  auto& budget = budgets_.try_emplace(service, 0.0, 0.0).first->second;
-  if (auto it = frame.services.find(service); it != frame.services.end())
-    budget.set(static_cast<double>(it->second.triesPercent) / 100 * part_,
-               static_cast<double>(it->second.triesAllowance) * part_ / static_cast<double>(std::max<int64_t>(1, core::countOf(frame, kind_))));
+  auto& budget = budgets_.try_emplace(service, 0.0, 0.0, bounds_.windowMs).first->second;
+  auto nodes = static_cast<double>(std::max<int64_t>(1, core::countOf(frame, kind_)));
+  auto it = frame.services.find(service);
+  auto bounds = it == frame.services.end() ? bounds_ : TryBounds{static_cast<double>(it->second.triesPercent) / 100, static_cast<double>(it->second.triesAllowance)};
+  budget.set(bounds.share * part_, bounds.allowance * part_ / nodes);
   return budget;
 }
 
 auto TryBudget::at(int64_t nowMs) -> Slice& {
-  auto number = nowMs / 100;
+  auto number = nowMs / sliceMs_;
   auto& slice = slices_[number % 101];
   if (slice.number != number) slice = {number, 0, 0};
   return slice;
 }
 
 auto TryBudget::mayTry(int64_t nowMs) -> bool {
-  auto number = nowMs / 100;
+  auto number = nowMs / sliceMs_;
   double asked = 0, tried = 0;
   for (const auto& slice : slices_) {
     if (slice.number > number - 101) tried += slice.tried;
@@ -221,6 +232,15 @@
   return most;
 }
 
+auto RateBounds::share(double ratePerS, size_t nodes) const -> double {
+  if (ratePerS <= 0) return 0;
+  auto count = static_cast<double>(std::max<size_t>(1, nodes));
+  // What is above the rate pays for what nodes gather, and for requests that arrive closer together than they left.
+  auto spare = (over - 1) * ratePerS * windowS + slack - std::max(count, ratePerS / 5);
+  auto factor = over > 1 || slack > 0 ? std::clamp(1 + spare / 2 / (ratePerS * windowS), 0.5, over) : 1.0;
+  return ratePerS * factor / count;
+}
+
 auto RateShare::set(double share, int64_t nowMs) -> void {
   settle(nowMs);
   if (share_ <= 0) tokens_ = std::max(1.0, share / 5);
@@ -234,35 +254,16 @@
   tokens_ = std::min(std::max(1.0, share_ / 5), tokens_ + share_ * static_cast<double>(passedMs) / 1000.0);
 }
 
-auto RateShare::take(int64_t nowMs) -> bool {
+auto RateShare::has(int64_t nowMs) -> bool {
   if (share_ <= 0) return true;
   settle(nowMs);
-  if (tokens_ < 1) return false;
-  tokens_ -= 1;
-  return true;
+  return tokens_ >= 1;
 }
 
-auto place(const std::map<std::string, core::Upstream>& candidates, std::map<std::string, Health>& health, const std::string& site,
-           const std::set<std::string>& tried, int64_t easeMs, int64_t nowMs, uint64_t dice) -> std::optional<std::string> {
-  std::vector<std::pair<std::string, double>> weighted;
-  auto sum = 0.0;
-  for (const auto& [name, upstream] : candidates) {
-    if (tried.count(name)) continue;
-    auto& h = health.try_emplace(name, Health{.sinceMs = nowMs}).first->second;
-    if (h.shunUntilMs > nowMs) continue;
-    auto eased = easeMs > 0 ? std::clamp(static_cast<double>(nowMs - h.sinceMs) / static_cast<double>(easeMs), 0.1, 1.0) : 1.0;
-    auto weight = static_cast<double>(upstream.capacity) * eased / ((1 + std::max(0.0, h.load)) * (5 + h.tookMs) * (1 + h.open));
-    if (upstream.site == site) weight *= 3;
-    weighted.emplace_back(name, weight);
-    sum += weight;
-  }
-  if (weighted.empty()) return std::nullopt;
-  auto at = sum * static_cast<double>(dice % 1000003) / 1000003.0;
-  for (const auto& [name, weight] : weighted) {
-    at -= weight;
-    if (at <= 0) return name;
-  }
-  return weighted.back().first;
+auto RateShare::take(int64_t nowMs) -> bool {
+  if (!has(nowMs)) return false;
+  if (share_ > 0) tokens_ -= 1;
+  return true;
 }
 
 }  // namespace dykestage::policy
--- a/lib/policy/cache.hpp
+++ b/lib/policy/cache.hpp
@@ -5,6 +5,7 @@
 #include <boost/multi_index/ordered_index.hpp>
 #include <boost/multi_index/sequenced_index.hpp>
 #include <boost/multi_index_container.hpp>
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -39,7 +40,7 @@
 };
 /// Reads an answer's terms, within the path's own keep time.
 /// Example: `auto terms = termsOf(200, headers, path.keepMs); if (terms.keepMs > 0) cache.put(...);`
-auto termsOf(int status, const Headers& headers, int64_t pathKeepMs) -> Terms;
+auto termsOf(int status, const Headers& headers, int64_t pathKeepMs, const std::string& labelsName = "Dykestage-Labels") -> Terms;
 /// True when a request may be answered from a shared copy. Example: `isShareable("GET", headers)`
 auto isShareable(const std::string& method, const Headers& headers) -> bool;
 
@@ -55,11 +56,15 @@
 class Cache {
  public:
   explicit Cache(size_t boundBytes) : boundBytes_(boundBytes) {}
-  /// The copy that fits a request and is still within its keep time; null otherwise.
-  auto get(const std::string& service, const std::string& target, const Headers& request, int64_t nowMs) -> const Copy*;
+  /// The copy that fits a request and is still within its keep time; null otherwise. Where a route's traffic is
+  /// split, a copy belongs to the pool that it came from.
+  auto get(const std::string& service, const std::string& target, const Headers& request, int64_t nowMs, const std::string& pool = "") -> std::shared_ptr<const Copy>;
   /// Keeps a copy unless a purge that it missed has been in force since its fill began; false then.
-  auto put(const std::string& service, const std::string& target, const Headers& request, Copy copy, const std::vector<std::string>& labels)
-      -> bool;
+  auto put(const std::string& service, const std::string& target, const Headers& request, std::shared_ptr<const Copy> copy, const std::vector<std::string>& labels,
+           const std::string& pool = "") -> bool;
+  auto put(const std::string& service, const std::string& target, const Headers& request, Copy copy, const std::vector<std::string>& labels) -> bool {
+    return put(service, target, request, std::make_shared<const Copy>(std::move(copy)), labels);
+  }
   /// Brings purges in force, in order; a gap in their numbers empties the cache.
   /// Example: `cache.purge(frame.purges, frame.revision.purges, frame.purgeFloor);`
   auto purge(const std::vector<core::Purge>& purges, uint64_t upTo, uint64_t floor) -> void;
@@ -94,7 +99,7 @@
   size_t bytes_ = 0;
   Items items_;
   std::map<std::string, std::vector<std::string>> vary_;             // base → names
-  std::map<std::string, std::set<std::string>> labelled_;           // service and label → keys
+  std::map<std::string, std::set<std::string>> labelled_;           // label → keys
   std::vector<core::Purge> log_;                                     // purges still known by number
   uint64_t purges_ = 0, floor_ = 0;
 };
@@ -103,7 +108,7 @@
 /// Example: `if (budget.mayTry(nowMs)) { budget.tried(nowMs); askAgain(); }`
 class TryBudget {
  public:
-  TryBudget(double share, double allowance) : share_(share), allowance_(allowance) {}
+  explicit TryBudget(double share, double allowance, int64_t windowMs = 10000) : share_(share), allowance_(allowance), sliceMs_(std::max<int64_t>(1, windowMs / 100)) {}
   auto asked(int64_t nowMs) -> void { at(nowMs).asked += 1; }
   auto tried(int64_t nowMs) -> void { at(nowMs).tried += 1; }
   auto mayTry(int64_t nowMs) -> bool;
@@ -117,19 +122,28 @@
   };
   auto at(int64_t nowMs) -> Slice&;
   double share_, allowance_;
+  int64_t sliceMs_;
   Slice slices_[101];
 };
 
-/// The budgets of all services at one node: its part of what a service may try, shared among the nodes of its kind.
-/// Example: `TryBudgets budgets("edge", 0.25); if (budgets.of(frame, "shop").mayTry(nowMs)) ...`
+/// What all nodes together may try beyond the first time, of a pool that says nothing of its own.
+struct TryBounds {
+  double share = 0.2;      // of the requests for it
+  double allowance = 10;   // and so many more
+  int64_t windowMs = 10000;
+};
+
+/// The budgets of all services and pools at one node: its part of what may be tried, shared among the nodes of its kind.
+/// Example: `TryBudgets budgets("edge", 0.25, {}); if (budgets.of(frame, "shop").mayTry(nowMs)) ...`
 class TryBudgets {
  public:
-  TryBudgets(std::string kind, double part) : kind_(std::move(kind)), part_(part) {}
+  TryBudgets(std::string kind, double part, TryBounds bounds) : kind_(std::move(kind)), part_(part), bounds_(bounds) {}
   auto of(const core::Frame& frame, const std::string& service) -> TryBudget&;
 
  private:
   std::string kind_;
   double part_;
+  TryBounds bounds_;
   std::map<std::string, TryBudget> budgets_;
 };
 
@@ -154,6 +168,16 @@
   size_t now_ = 0;
 };
 
+/// How an origin's agreed rate is judged: over any window, with so much above it.
+struct RateBounds {
+  double windowS = 5;
+  double over = 1.0;    // times the rate
+  double slack = 0;     // and so many requests
+  /// What one of `nodes` may use of a rate, a second, so that all together stay within the bounds: each may gather a
+  /// fifth of a second of its share, one request at least. Example: `bounds.share(540, 8)`
+  auto share(double ratePerS, size_t nodes) const -> double;
+};
+
 /// This shield's share of an origin's agreed rate. It starts empty and gathers little, so that any window of
 /// 5 s stays near the rate. Example: `rate.set(300.0 / split.count(now), now); if (!rate.take(now)) turnAway();`
 class RateShare {
@@ -161,6 +185,8 @@
   /// Requests a second allowed from now on; 0 or less: no limit.
   auto set(double share, int64_t nowMs) -> void;
   auto take(int64_t nowMs) -> bool;
+  /// True while one may be taken. Example: `if (rate.has(nowMs)) hedge();`
+  auto has(int64_t nowMs) -> bool;
 
  private:
   auto settle(int64_t nowMs) -> void;
@@ -168,19 +194,4 @@
   int64_t filledMs_ = -1;
 };
 
-/// How one upstream does, as a shield sees it.
-struct Health {
-  double tookMs = 5;      // smoothed
-  double load = 0;        // reported in its answers, 0 to 1 and above
-  int open = 0;           // requests under way
-  int failures = 0;       // in a row
-  int64_t shunUntilMs = 0;
-  int64_t sinceMs = 0;    // when first seen: a new one is eased in
-};
-
-/// Chooses an upstream: near ones first, by capacity, load, speed and what is under way.
-/// Example: `auto name = place(candidates, health, "north", nowMs, pick); if (!name) turnAway(kNoUpstream);`
-auto place(const std::map<std::string, core::Upstream>& candidates, std::map<std::string, Health>& health, const std::string& site,
-           const std::set<std::string>& tried, int64_t easeMs, int64_t nowMs, uint64_t dice) -> std::optional<std::string>;
-
 }  // namespace dykestage::policy
--- /dev/null
+++ b/lib/policy/placement.cpp
@@ -0,0 +1,82 @@
+#include "policy/placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dykestage::policy {
+
+namespace {
+constexpr double kUnknownMs = 50;  // where nothing is known of a whole pool
+constexpr double kColdFactor = 2;
+constexpr double kSmooth = 0.15;
+}  // namespace
+
+auto Health::left(uint64_t id, int64_t nowMs) -> void {
+  ++open;
+  since.emplace(nowMs, id);
+}
+
+auto Health::ended(uint64_t id, int64_t leftMs, int64_t took, double waitedMs, bool isWell, int64_t nowMs) -> void {
+  open = std::max(0, open - 1);
+  since.erase({leftMs, id});
+  if (!isWell) return;
+  failures = 0;
+  auto sampleMs = std::max(static_cast<double>(took) - waitedMs, static_cast<double>(took) / 4);
+  if (nowMs < coldUntilMs) sampleMs /= kColdFactor;
+  tookMs = tookMs <= 0 ? sampleMs : (1 - kSmooth) * tookMs + kSmooth * sampleMs;
+}
+
+auto expect(const Candidate& candidate, double poolMs, const PlacementProps& props, int64_t nowMs) -> Placement {
+  const auto& h = *candidate.health;
+  auto slots = static_cast<double>(std::max<int64_t>(1, candidate.upstream->capacity));
+  auto baseMs = h.tookMs > 0 ? h.tookMs : poolMs > 0 ? poolMs : kUnknownMs;
+  if (nowMs < h.coldUntilMs) baseMs *= kColdFactor;
+  // What has not been answered for long tells of trouble before any answer does.
+  if (!h.since.empty()) {
+    auto oldestMs = static_cast<double>(nowMs - h.since.begin()->first);
+    if (oldestMs > 2 * baseMs) baseMs = oldestMs;
+  }
+  // Between two tellings, what others send is taken for what it was; without any, for what this node sends.
+  auto isTold = h.toldMs >= 0 && nowMs - h.toldMs < props.loadMs;
+  auto busy = isTold ? std::max(h.open, h.told + h.open - h.openWhenTold) : h.open * std::max<int64_t>(1, h.toldMs >= 0 ? 1 : props.nodes);
+  Placement p;
+  p.waitMs = std::max(0.0, busy + 1 - slots) * baseMs / slots;
+  auto share = std::min(1.0, busy / slots);
+  p.expectedMs = baseMs * (1 + 0.3 * share * share) + p.waitMs;
+  if (candidate.upstream->site != props.site) p.expectedMs *= props.farFactor;
+  return p;
+}
+
+auto poolMean(const std::vector<Candidate>& candidates) -> double {
+  auto sum = 0.0;
+  auto count = 0;
+  for (const auto& one : candidates)
+    if (one.health->tookMs > 0) sum += one.health->tookMs, ++count;
+  return count ? sum / count : 0;
+}
+
+auto choose(const std::vector<Candidate>& candidates, const std::set<std::string>& tried, const PlacementProps& props, uint64_t dice, int64_t nowMs)
+    -> std::optional<Placement> {
+  std::vector<std::pair<Placement, double>> weighted;
+  auto sum = 0.0;
+  auto poolMs = poolMean(candidates);
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    const auto& one = candidates[i];
+    if (tried.count(*one.name) || one.health->shunUntilMs > nowMs) continue;
+    if (props.connections > 0 && one.health->open >= props.connections) continue;
+    auto placement = expect(one, poolMs, props, nowMs);
+    placement.index = i;
+    auto weight = std::pow(1000 / (1 + placement.expectedMs), 3);
+    weighted.emplace_back(placement, weight);
+    sum += weight;
+  }
+  if (weighted.empty()) return std::nullopt;
+  auto at = sum * static_cast<double>(dice % 1000003) / 1000003.0;
+  for (const auto& [placement, weight] : weighted) {
+    at -= weight;
+    if (at <= 0) return placement;
+  }
+  return weighted.back().first;
+}
+
+}  // namespace dykestage::policy
--- /dev/null
+++ b/lib/upstream/desk.hpp
@@ -0,0 +1,48 @@
+// Upstream: what joins a shield's machine to its letters and fetches, in a process of its own or beside an edge.
+#pragma once
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "agent/link.hpp"
+#include "neighbour/post.hpp"
+#include "upstream/fetcher.hpp"
+#include "upstream/shield.hpp"
+
+namespace dykestage::upstream {
+
+/// Example:
+///   Desk desk(shield, fetcher, *post, link, {});
+///   if (!desk.take(letter, nowMs)) handleItself(letter);
+///   desk.flush(nowMs);
+class Desk {
+ public:
+  struct Props {
+    std::string self;        // address whose replies stay in this process; empty: none
+    int64_t boundMs = 2000;
+    std::function<void(const neighbour::Reply&)> reply;  // takes those
+  };
+  Desk(Shield& shield, Fetcher& fetcher, neighbour::Post& post, agent::Link& link, Props props)
+      : shield_(shield), fetcher_(fetcher), post_(post), link_(link), props_(std::move(props)) {}
+  /// Takes a letter that is meant for shields; false when it is another's.
+  auto take(const neighbour::Letter& letter, int64_t nowMs) -> bool;
+  /// Sends and starts what the machine asks for; true when there was anything. Example: `while (desk.flush(nowMs)) ...`
+  auto flush(int64_t nowMs) -> bool;
+  /// Keeps lines to other processes open. Example: each 1/20 of the bound `desk.warm();`
+  auto warm() -> void;
+  auto isIdle() const -> bool { return shield_.open() == 0 && replies_.empty(); }
+
+ private:
+  struct Waiting {  // for its line to come up
+    std::string to, body;
+    int64_t untilMs;
+  };
+  Shield& shield_;
+  Fetcher& fetcher_;
+  neighbour::Post& post_;
+  agent::Link& link_;
+  Props props_;
+  std::vector<Waiting> replies_;
+};
+
+}  // namespace dykestage::upstream
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -16,11 +16,14 @@
 namespace {
 constexpr uint64_t kProbeBit = 1ull << 63;
 constexpr int64_t kLeastMs = 20;  // less time than this is not worth a try
+
+// A route's copies belong to the pool that they came from; a service's need no such mark.
+auto poolKey(const Ask& ask) -> std::string { return ask.kind == core::UpstreamKind::kAny ? ask.pool : ""; }
 }  // namespace
 
 auto Shield::edges() const -> std::vector<std::string> { return core::addressesOf(*held_.frame, "edge"); }
 
-auto Shield::shields() const -> std::vector<std::string> { return core::addressesOf(*held_.frame, "shield", props_.name); }
+auto Shield::shields() const -> std::vector<std::string> { return core::addressesOf(*held_.frame, props_.kind, props_.name); }
 
 auto Shield::give(const std::string& from, const Ask& ask, Reply reply) -> void {
   reply.id = ask.id;
@@ -37,22 +40,22 @@
 
 auto Shield::take(const std::string& from, Ask ask, int64_t nowMs) -> void {
   ++figures_.asks;
-  if (!held_.isCurrent(nowMs, props_.staleMs)) return refuse(from, ask, kNotCurrent);
-  if (isEmptying_) return refuse(from, ask, kEmptying);
-  auto service = held_.frame->services.find(ask.service);
-  if (service == held_.frame->services.end()) return refuse(from, ask, kNoService);
+  if (!mayAct(nowMs)) return refuse(from, ask, kNotCurrent);
+  if (isEmptying_ && from != props_.address) return refuse(from, ask, kEmptying);
+  if (ask.pool.empty()) ask.pool = ask.service;
+  auto* view = viewOf(ask);
+  if (!view) return refuse(from, ask, kNoService);
   // Before the other shields have made room, a new one has no part in any origin's rate.
-  auto isLimited = service->second.originRate > 0 || std::any_of(service->second.next.begin(), service->second.next.end(), [](const auto& s) { return s.originRate > 0; });
-  if (isLimited && !split_.isSettled(nowMs)) return refuse(from, ask, kNotCurrent);
+  if (view->ratePerS > 0 && !split_.isSettled(nowMs)) return refuse(from, ask, kNotCurrent);
   if (ask.remainingMs <= kLeastMs) return refuse(from, ask, kDeadline);
-  if (!ask.isExtra) budgets_.of(*held_.frame, ask.service).asked(nowMs);
+  if (!ask.isExtra) budgets_.of(*held_.frame, ask.pool).asked(nowMs);
   Waiting w;
   w.from = from;
   w.startMs = nowMs;
   w.untilMs = nowMs + ask.remainingMs;
-  w.isWrite = isWrite(ask.method);
+  w.isWrite = ask.isWrite || (ask.kind != core::UpstreamKind::kAny && isWrite(ask.method));
   if (ask.isShared) {
-    const auto* copy = cache_.get(ask.service, ask.target, ask.headers, nowMs);
+    auto copy = cache_->get(ask.service, ask.target, ask.headers, nowMs, poolKey(ask));
     if (copy && nowMs - copy->bornMs < ask.keepMs) {
       ++figures_.hits;
       Reply reply;
@@ -64,7 +67,7 @@
       reply.purges = copy->purges;
       return give(from, ask, std::move(reply));
     }
-    w.joinKey = ask.service + "\n" + ask.target;
+    w.joinKey = ask.service + "\n" + ask.target + "\n" + ask.pool;
   }
   if (w.isWrite && !ask.key.empty()) w.memoryKey = ask.service + "\n" + ask.key;
   auto joinKey = w.joinKey, memoryKey = w.memoryKey;
@@ -97,7 +100,7 @@
     if (!isFirst) {
       // A fetch that began before a purge of the object is not joined.
       auto* leader = waiting_.get(it->second);
-      auto isOld = leader && cache_.mayBePurgedSince(leader->purges, leader->ask.service, leader->ask.target);
+      auto isOld = leader && cache_->mayBePurgedSince(leader->purges, leader->ask.service, leader->ask.target);
       if (leader && !isOld && join(it->second)) return;
       it->second = *place;
     }
@@ -247,80 +250,128 @@
   }
 }
 
+// The other one goes out only where there is room for it at once.
+auto Shield::hedge(uint64_t id, int64_t nowMs) -> void {
+  auto& w = *waiting_.get(id);
+  auto* view = viewOf(w.ask);
+  auto isFree = view && std::any_of(view->candidates.begin(), view->candidates.end(), [&](const auto& c) {
+    return !w.tried.count(*c.name) && c.health->shunUntilMs <= nowMs && static_cast<int64_t>(c.health->since.size()) < c.upstream->capacity;
+  });
+  auto& rate = rates_[w.ask.pool];
+  if (isFree && (view->ratePerS <= 0 || rate.has(nowMs))) dispatch(id, true, nowMs);
+}
+
+// What is known of the pool that an ask is for; null when it is not configured.
+auto Shield::viewOf(const Ask& ask) -> PoolView* {
+  auto it = views_.find({ask.pool, ask.kind});
+  return it == views_.end() ? nullptr : &it->second;
+}
+
 auto Shield::dispatch(uint64_t id, bool isExtra, int64_t nowMs) -> void {
   auto& w = *waiting_.get(id);
+  // While another fetch is under way, one that can't leave ends nothing.
+  auto fail = [&](uint32_t code) {
+    if (w.open == 0) giveUp(id, code, nowMs);
+  };
   // What was held (in an inbox, or by a frozen process) is looked at again before anything leaves.
-  if (!held_.isCurrent(nowMs, props_.staleMs)) return giveUp(id, kNotCurrent, nowMs);
+  if (!mayAct(nowMs)) return fail(kNotCurrent);
   auto left = w.untilMs - nowMs;
-  if (left <= kLeastMs) return giveUp(id, kDeadline, nowMs);
-  auto service = held_.frame->services.find(w.ask.service);
-  if (service == held_.frame->services.end()) return giveUp(id, kNoService, nowMs);
-  std::map<std::string, core::Upstream> candidates;
-  for (const auto& [name, upstream] : held_.frame->upstreams)
-    if (upstream.service == w.ask.service && upstream.kind == w.ask.kind && !upstream.isEmptying && !upstream.isHeld)
-      candidates.emplace(name, upstream);
+  if (left <= kLeastMs) return fail(kDeadline);
+  auto* view = viewOf(w.ask);
+  if (!view) return fail(kNoService);
   dice_ = dice_ * 6364136223846793005ull + 1442695040888963407ull;
-  auto chosen = policy::place(candidates, health_, props_.site, w.tried, props_.easeMs, nowMs, dice_ >> 33);
-  if (!chosen) return giveUp(id, kNoUpstream, nowMs);
-  auto& rate = rates_[w.ask.service];
-  // While a rollout runs, the lower of both revisions' rates holds for the origin.
-  auto originRate = service->second.originRate;
-  for (const auto& next : service->second.next)
-    if (next.originRate > 0) originRate = originRate > 0 ? std::min(originRate, next.originRate) : next.originRate;
-  rate.set(static_cast<double>(originRate) / static_cast<double>(split_.count(nowMs)), nowMs);
+  policy::PlacementProps props;
+  props.site = props_.site;
+  props.loadMs = props_.boundMs / 4;
+  props.nodes = static_cast<int64_t>(split_.count(nowMs));
+  if (view->connections > 0) props.connections = std::max<int64_t>(1, view->connections * 9 / 10 / props.nodes);
+  auto chosen = policy::choose(view->candidates, w.tried, props, dice_ >> 33, nowMs);
+  if (!chosen) return fail(kNoUpstream);
+  // What can't be answered in its time any more leaves no trace at an upstream.
+  if (chosen->waitMs > static_cast<double>(left)) {
+    w.retryMs = static_cast<int64_t>(chosen->waitMs) / 2;
+    return fail(kNoUpstream);
+  }
+  auto& rate = rates_[w.ask.pool];
+  rate.set(props_.rate.share(view->ratePerS, split_.count(nowMs)), nowMs);
   if (!rate.take(nowMs)) {
     ++figures_.rateTurnedAway;
-    return giveUp(id, kOriginRate, nowMs);
+    return fail(kOriginRate);
   }
-  const auto& upstream = candidates.at(*chosen);
-  w.tried.insert(*chosen);
-  w.instance = *chosen;
+  const auto& candidate = view->candidates[chosen->index];
+  auto fetchId = ++nextFetch_;
+  candidate.health->left(fetchId, nowMs);
+  fetching_[fetchId] = {id, *candidate.name, w.ask.pool, nowMs, chosen->waitMs, cache_->purges()};
+  w.tried.insert(*candidate.name);
   w.fetchedMs = nowMs;
-  w.purges = cache_.purges();
-  w.isSent = true;
+  w.expectedMs = chosen->expectedMs;
+  w.purges = std::min(w.open > 0 ? w.purges : cache_->purges(), cache_->purges());
+  ++w.open;
   ++w.tries;
-  ++health_[*chosen].open;
   ++figures_.fetches;
   if (isExtra) {
     ++figures_.extras;
-    budgets_.of(*held_.frame, w.ask.service).tried(nowMs);
+    budgets_.of(*held_.frame, w.ask.pool).tried(nowMs);
   }
+  const auto& names = props_.names;
   Fetch fetch;
-  fetch.id = id;
-  fetch.address = upstream.address;
+  fetch.id = fetchId;
+  fetch.address = candidate.upstream->address;
   fetch.method = w.ask.method;
   fetch.target = w.ask.target;
   fetch.headers = w.ask.headers;
-  fetch.headers.emplace_back("Dykestage-Service", w.ask.service);
-  fetch.headers.emplace_back("Dykestage-Instance", *chosen);
-  if (isExtra || w.ask.isExtra) fetch.headers.emplace_back("Dykestage-Extra", "1");
+  auto add = [&](const std::string& name, const std::string& value) {
+    if (!name.empty()) fetch.headers.emplace_back(name, value);
+  };
+  add(names.service, w.ask.service);
+  add(names.instance, *candidate.name);
+  add(names.timeLeft, std::to_string(left));
+  if (isExtra || w.ask.isExtra) add(names.extra, "1");
   fetch.body = w.ask.body;
   fetch.isWrite = w.isWrite;
   fetch.answerBytes = props_.answerBytes;
-  // A read leaves time for one more try; a write has all there is.
-  fetch.timeoutMs = w.isWrite || w.tries > 1 ? left - kLeastMs / 2 : left * 6 / 10;
+  fetch.tryHeader = names.tryId;
+  fetch.tryId = w.ask.tryId;
+  fetch.sealHeader = names.seal;
+  // A read of a service leaves time for one more try; a route's is tried elsewhere beside, not instead.
+  auto isRoute = w.ask.kind == core::UpstreamKind::kAny;
+  fetch.timeoutMs = isRoute || w.isWrite || w.tries > 1 ? left - kLeastMs / 4 : left * 6 / 10;
   // What was read before a purge is not handed out longer than the bound after it.
   if (w.ask.isShared) fetch.timeoutMs = std::min(fetch.timeoutMs, props_.boundMs);
-  fetch.actUntilMs = held_.asOfMs + props_.staleMs;
-  fetch.connectMs = std::max<int64_t>(kLeastMs, left / 4);
+  if (!props_.servesStale) fetch.actUntilMs = held_.asOfMs + props_.staleMs;
+  fetch.connectMs = isRoute ? std::min(props_.connectMs, left) : std::max<int64_t>(kLeastMs, left / 4);
   out_.fetches.push_back(std::move(fetch));
 }
 
-auto Shield::judge(const std::string& instance, const Fetched& f, int64_t nowMs) -> void {
-  auto it = health_.find(instance);
+auto Shield::isNotRun(const Fetched& f) const -> bool {
+  return f.fault == Fault::kNone && (f.status == 421 || (!props_.names.notRun.empty() && f.status >= 400 && has(f.headers, props_.names.notRun)));
+}
+
+auto Shield::judge(const Fetching& fetching, const Fetched& f, bool isNotRun, int64_t nowMs) -> void {
+  auto it = health_.find(fetching.instance);
   if (it == health_.end()) return;
   auto& h = it->second;
-  h.open = std::max(0, h.open - 1);
-  if (f.fault == Fault::kNone && f.status != 421) {
-    h.failures = 0;
-    h.tookMs = 0.9 * h.tookMs + 0.1 * static_cast<double>(f.tookMs);
-    auto load = header(f.headers, "dykestage-load");
-    if (!load.empty()) h.load = std::clamp(std::atof(load.c_str()), 0.0, 100.0);
+  auto isWell = f.fault == Fault::kNone && !isNotRun;
+  h.ended(f.id, fetching.leftMs, f.tookMs, fetching.waitMs, isWell && f.status < 500, nowMs);
+  if (f.fault == Fault::kNone) {
+    auto load = header(f.headers, props_.names.load);
+    if (std::count(load.begin(), load.end(), ',') == 2) {
+      h.told = std::atoi(load.c_str()) + std::atoi(load.c_str() + load.find(',') + 1);
+    } else if (!load.empty()) {
+      auto upstream = held_.frame->upstreams.find(fetching.instance);
+      auto slots = upstream == held_.frame->upstreams.end() ? 1 : upstream->second.capacity;
+      h.told = static_cast<int>(std::clamp(std::atof(load.c_str()), 0.0, 100.0) * static_cast<double>(slots));
+    }
+    if (!load.empty()) h.toldMs = nowMs, h.openWhenTold = h.open;
+  }
+  if (isWell) return;
+  if (isNotRun && f.status != 421) {
+    // It is full: others come first for as long as one of its slots takes to be free again, about.
+    h.shunUntilMs = std::max(h.shunUntilMs, nowMs + std::min<int64_t>(props_.boundMs / 10, static_cast<int64_t>(h.tookMs) / 2 + 10));
     return;
   }
-  if (f.fault == Fault::kTimeout) h.tookMs = 0.7 * h.tookMs + 0.3 * static_cast<double>(f.tookMs);
   ++h.failures;
-  if (h.failures >= 2 || f.isUntouched || f.status == 421) h.shunUntilMs = nowMs + std::min<int64_t>(props_.boundMs, 250LL << std::min(h.failures, 4));
+  if (h.failures >= 2 || f.isUntouched || isNotRun) h.shunUntilMs = nowMs + std::min<int64_t>(props_.boundMs, 250LL << std::min(h.failures, 4));
 }
 
 auto Shield::takeFetched(const Fetched& f, int64_t nowMs) -> void {
@@ -329,27 +380,39 @@
     if (it == probing_.end()) return;
     auto isWell = f.fault == Fault::kNone && f.status == 200;
     probes_[it->second] = isWell;
-    auto& h = health_.try_emplace(it->second, policy::Health{.sinceMs = nowMs}).first->second;
+    auto& h = health_[it->second];
     if (!isWell) h.shunUntilMs = std::max(h.shunUntilMs, nowMs + props_.probeMs * 3 / 2);
     probing_.erase(it);
     return;
   }
-  auto* w = waiting_.get(f.id);
+  auto found = fetching_.find(f.id);
+  if (found == fetching_.end()) return;
+  auto fetching = std::move(found->second);
+  fetching_.erase(found);
+  auto notRun = isNotRun(f);
+  judge(fetching, f, notRun, nowMs);
+  auto id = fetching.waiting;
+  auto* w = waiting_.get(id);
   if (!w) return;
-  judge(w->instance, f, nowMs);
-  w->wasTouched = w->wasTouched || !f.isUntouched;
-  w->isSent = false;
+  --w->open;
+  w->wasTouched = w->wasTouched || !(f.isUntouched || notRun);
+  if (w->open > 0 && (f.fault != Fault::kNone || notRun || f.status >= 500)) return;  // the other one may still be well
+  auto isRoute = w->ask.kind == core::UpstreamKind::kAny;
   if (f.fault == Fault::kNotSent) {
     // Nothing left for this upstream: another may be taken, for a write as well.
-    if (w->tries < 4) return dispatch(f.id, false, nowMs);
-    return giveUp(f.id, kNoUpstream, nowMs);
+    --w->tries;
+    if (++w->unsent < 4) return dispatch(id, false, nowMs);
+    return giveUp(id, kNoUpstream, nowMs);
   }
-  if (f.fault == Fault::kNone && f.status == 421) return retryOr(f.id, kMisdirected, nowMs);
-  if (f.fault == Fault::kNone && !w->isWrite && f.status == 503 && w->tries < 2 && budgets_.of(*held_.frame, w->ask.service).mayTry(nowMs))
-    return dispatch(f.id, true, nowMs);
+  if (f.fault == Fault::kNone && notRun && (isRoute || f.status == 421)) return retryOr(id, f.status == 421 ? kMisdirected : kNoUpstream, nowMs);
+  // Statuses that promise to callers that nothing ran are passed on only when the upstream promises it.
+  auto isPromise = f.status == 408 || f.status == 421 || f.status == 429 || f.status == 503;
+  if (f.fault == Fault::kNone && isRoute && w->isWrite && isPromise && !props_.names.notRun.empty()) return giveUp(id, kUnknown, nowMs);
+  auto mayAgain = f.fault == Fault::kNone && !w->isWrite && (isRoute ? f.status >= 500 && f.status != 504 : f.status == 503);
+  if (mayAgain && w->tries < std::min<int64_t>(w->ask.tries, 2) && budgets_.of(*held_.frame, w->ask.pool).mayTry(nowMs)) return dispatch(id, true, nowMs);
   if (f.fault != Fault::kNone) {
-    auto code = f.fault == Fault::kTooLarge ? kAnswerTooLarge : f.fault == Fault::kNotWhole ? kNotWhole : f.fault == Fault::kTimeout ? kDeadline : kUpstreamLost;
-    return retryOr(f.id, code, nowMs);
+    auto code = f.fault == Fault::kTooLarge ? kAnswerTooLarge : f.fault == Fault::kNotWhole || f.fault == Fault::kMixed ? kNotWhole : f.fault == Fault::kTimeout ? kDeadline : kUpstreamLost;
+    return retryOr(id, code, nowMs);
   }
   Reply reply;
   reply.status = static_cast<uint32_t>(f.status);
@@ -360,19 +423,22 @@
   reply.body = f.body;
   reply.isUntouched = false;
   reply.isFetched = true;
-  reply.ageMs = nowMs - w->fetchedMs;
-  reply.purges = w->purges;
-  auto terms = policy::termsOf(f.status, f.headers, w->ask.keepMs);
-  if (!w->ask.isShared || terms.keepMs <= 0) return finish(f.id, std::move(reply), nullptr, nowMs);
+  reply.ageMs = nowMs - fetching.leftMs;
+  reply.purges = fetching.purges;
+  auto terms = policy::termsOf(f.status, f.headers, w->ask.keepMs, props_.names.labels);
+  // A pool's refusals and errors are not kept.
+  if (!w->ask.isShared || terms.keepMs <= 0 || (isRoute && f.status != 200)) return finish(id, std::move(reply), nullptr, nowMs);
   reply.keepMs = terms.keepMs;
-  policy::Copy copy{f.status, reply.headers, f.body, w->fetchedMs, terms.keepMs, w->purges, terms.vary};
-  cache_.put(w->ask.service, w->ask.target, w->ask.headers, copy, terms.labels);
-  finish(f.id, std::move(reply), &copy, nowMs);
+  auto copy = std::make_shared<const policy::Copy>(policy::Copy{f.status, reply.headers, f.body, fetching.leftMs, terms.keepMs, fetching.purges, terms.vary});
+  cache_->put(w->ask.service, w->ask.target, w->ask.headers, copy, terms.labels, poolKey(w->ask));
+  finish(id, std::move(reply), copy.get(), nowMs);
 }
 
 auto Shield::retryOr(uint64_t id, uint32_t code, int64_t nowMs) -> void {
   auto& w = *waiting_.get(id);
-  auto mayTry = !w.isWrite && w.tries < 3 && code != kAnswerTooLarge && w.untilMs - nowMs > kLeastMs && budgets_.of(*held_.frame, w.ask.service).mayTry(nowMs);
+  // A write may go on only while it surely ran nowhere.
+  auto mayRun = !w.isWrite || (w.ask.kind == core::UpstreamKind::kAny && !w.wasTouched);
+  auto mayTry = mayRun && w.tries < std::min<int64_t>(w.ask.tries, 3) && code != kAnswerTooLarge && w.untilMs - nowMs > kLeastMs && budgets_.of(*held_.frame, w.ask.pool).mayTry(nowMs);
   if (mayTry) return dispatch(id, true, nowMs);
   giveUp(id, code, nowMs);
 }
@@ -384,9 +450,12 @@
     ++figures_.unknown;
   else
     ++figures_.turnedAway;
+  // A fetch still under way may yet run.
+  if (w.isWrite && w.open > 0) code = kUnknown;
   Reply reply;
   reply.code = code;
-  reply.isUntouched = !w.wasTouched && code != kUnknown;
+  reply.isUntouched = !w.wasTouched && w.open == 0 && code != kUnknown;
+  reply.retryMs = w.retryMs;
   finish(id, std::move(reply), nullptr, nowMs);
 }
 
@@ -440,8 +509,8 @@
   auto before = held_.frame;
   held_ = held;
   if (before == held_.frame) return;
-  cache_.purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor);
-  if (held_.frame->members.count(props_.name)) split_.set(static_cast<size_t>(core::countOf(*held_.frame, "shield")), nowMs);
+  cache_->purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor);
+  if (held_.frame->members.count(props_.name)) split_.set(static_cast<size_t>(core::countOf(*held_.frame, props_.kind)), nowMs);
   // Streams to an address that no longer is what it was are ended while idle.
   for (const auto& [name, upstream] : before->upstreams) {
     auto it = held_.frame->upstreams.find(name);
@@ -451,6 +520,26 @@
       probes_.erase(name);
     }
   }
+  views_.clear();
+  for (const auto& [name, service] : held_.frame->services) {
+    // While a rollout runs, the lower of both revisions' rates holds for the origin.
+    auto rate = service.originRate;
+    for (const auto& next : service.next)
+      if (next.originRate > 0) rate = rate > 0 ? std::min(rate, next.originRate) : next.originRate;
+    for (auto kind : {core::UpstreamKind::kStore, core::UpstreamKind::kApplication}) views_[{name, kind}].ratePerS = static_cast<double>(rate);
+  }
+  for (const auto& [name, pool] : held_.frame->routing.pools) views_[{name, core::UpstreamKind::kAny}] = {{}, pool.connections, pool.ratePerS};
+  for (const auto& [name, upstream] : held_.frame->upstreams) {
+    auto [health, isNew] = health_.try_emplace(name);
+    if (isNew && upstream.coldMs > 0) health->second.coldUntilMs = nowMs + upstream.coldMs;
+    if (isNew && upstream.coldMs == 0 && upstream.kind != core::UpstreamKind::kAny && before->revision.upstreams > 0) health->second.coldUntilMs = nowMs + props_.easeMs;
+    if (upstream.isEmptying || upstream.isHeld) continue;
+    for (auto kind : {upstream.kind, core::UpstreamKind::kAny})
+      if (auto view = views_.find({upstream.service, kind}); view != views_.end()) {
+        view->second.candidates.push_back({&name, &upstream, &health->second});
+        break;
+      }
+  }
 }
 
 auto Shield::probe() -> void {
@@ -461,10 +550,13 @@
     Fetch fetch;
     fetch.id = kProbeBit | nextProbe_++;
     fetch.address = upstream.address;
-    fetch.target = "/health";
-    fetch.headers = {{"Host", upstream.address}, {"Dykestage-Service", upstream.service}, {"Dykestage-Instance", name}};
+    auto pool = held_.frame->routing.pools.find(upstream.service);
+    fetch.target = pool == held_.frame->routing.pools.end() ? "/health" : pool->second.probe;
+    fetch.headers = {{"Host", upstream.address}};
+    if (!props_.names.service.empty()) fetch.headers.emplace_back(props_.names.service, upstream.service);
+    if (!props_.names.instance.empty()) fetch.headers.emplace_back(props_.names.instance, name);
     fetch.timeoutMs = props_.probeMs * 3 / 4;
-    fetch.actUntilMs = held_.asOfMs + props_.staleMs;
+    if (!props_.servesStale) fetch.actUntilMs = held_.asOfMs + props_.staleMs;
     fetch.connectMs = props_.probeMs / 2;
     fetch.answerBytes = 4096;
     probing_[fetch.id] = name;
@@ -488,7 +580,7 @@
     }
     ++it;
   }
-  if (nowMs - probedMs_ >= props_.probeMs && held_.isCurrent(nowMs, props_.staleMs)) {
+  if (props_.probeMs > 0 && nowMs - probedMs_ >= props_.probeMs && mayAct(nowMs)) {
     probedMs_ = nowMs;
     probe();
   }
@@ -499,7 +591,16 @@
       continue;
     }
     // A fetch ends by its own timeout; this ends the asks that joined another one, or asked another shield.
-    if (w && !w->isSent && nowMs >= w->untilMs) giveUp(id, w->isWrite ? kUnknown : kDeadline, nowMs);
+    if (w && w->open == 0 && nowMs >= w->untilMs) {
+      giveUp(id, w->isWrite ? kUnknown : kDeadline, nowMs);
+      continue;
+    }
+    // A read that takes far longer than it should goes to another upstream beside the first.
+    auto mayHedge = w && w->ask.kind == core::UpstreamKind::kAny && !w->isWrite && !w->isHedged && w->open == 1 && w->tries < w->ask.tries;
+    if (!mayHedge || static_cast<double>(nowMs - w->fetchedMs) < std::max(2.5 * w->expectedMs, static_cast<double>(props_.connectMs) / 2)) continue;
+    if (static_cast<double>(w->untilMs - nowMs) < w->expectedMs || !budgets_.of(*held_.frame, w->ask.pool).mayTry(nowMs)) continue;
+    w->isHedged = true;
+    hedge(id, nowMs);
   }
   forget(nowMs);
 }
--- a/lib/upstream/shield.hpp
+++ b/lib/upstream/shield.hpp
@@ -10,6 +10,7 @@
 
 #include "caller/edge.hpp"
 #include "policy/cache.hpp"
+#include "policy/placement.hpp"
 #include "policy/slab.hpp"
 #include "upstream/fetcher.hpp"
 
@@ -19,18 +20,25 @@
  public:
   struct Props {
     std::string name, site;
+    std::string address;             // its own, towards other processes
     int64_t boundMs = 2000;          // the freshness bound; everything below follows from it
     int64_t staleMs = 1500;          // 3/4 of it
     size_t requests = 4000;
     size_t cacheBytes = 256u << 20;
     size_t answerBytes = 8u << 20;
     double triesPart = 0.75;         // part of a service's extra tries that the shields may use
-    int64_t probeMs = 1000;
-    int64_t easeMs = 5000;           // a new upstream is eased in over this time
+    int64_t probeMs = 1000;          // 0: no probes
+    int64_t easeMs = 5000;           // a new upstream of a service is taken for cold so long
     uint64_t life = 1;               // of this process, as its member entry has it
     int64_t keyMs = 600000;          // how long a key is held, and an outcome remembered under it
     size_t keys = 100000;            // outcomes remembered, and their bytes; the oldest go first
     size_t keyBytes = 64u << 20;
+    bool servesStale = false;        // out of touch with the core it goes on with what it knows
+    std::string kind = "shield";     // of its member entry
+    caller::HeaderNames names;
+    policy::TryBounds tries;         // of pools
+    int64_t connectMs = 100;         // a connection that is not up by then goes to another upstream; 1/20 of the bound
+    policy::RateBounds rate;
   };
   struct Output {
     struct Replied {
@@ -52,8 +60,8 @@
     uint64_t asks = 0, hits = 0, joins = 0, fetches = 0, extras = 0, turnedAway = 0, unknown = 0, rateTurnedAway = 0;
   };
 
-  explicit Shield(Props props)
-      : props_(std::move(props)), waiting_(props_.requests), cache_(props_.cacheBytes), split_(props_.boundMs) {}
+  explicit Shield(Props props, std::shared_ptr<policy::Cache> cache = nullptr)
+      : props_(std::move(props)), waiting_(props_.requests), cache_(cache ? std::move(cache) : std::make_shared<policy::Cache>(props_.cacheBytes)), split_(props_.boundMs) {}
 
   /// Takes an ask; `from` is where the reply goes. Example: `shield.take(letter.from, ask, nowMs);`
   auto take(const std::string& from, neighbour::Ask ask, int64_t nowMs) -> void;
@@ -81,7 +89,11 @@
   /// follows from it is handed over too.
   /// Example: `auto out = shield.outputAfter([&](auto& l) { return post->send(l.to, l.kind, l.body); }, nowMs);`
   auto outputAfter(const std::function<bool(const Output::Told&)>& send, int64_t nowMs) -> Output;
-  auto isReady(int64_t nowMs) const -> bool { return !isEmptying_ && held_.isCurrent(nowMs, props_.staleMs) && split_.isSettled(nowMs); }
+  auto isReady(int64_t nowMs) const -> bool { return !isEmptying_ && mayAct(nowMs) && split_.isSettled(nowMs); }
+  /// True while it may act on what it knows. Example: `if (!shield.mayAct(nowMs)) turnAway(kNotCurrent);`
+  auto mayAct(int64_t nowMs) const -> bool {
+    return props_.servesStale ? held_.asOfMs >= 0 && held_.frame->revision.configuration > 0 : held_.isCurrent(nowMs, props_.staleMs);
+  }
   auto revision() const -> core::Revision { return held_.frame->revision; }
   /// Which upstreams answered their last probe. Example: `poll.probes = shield.probes();`
   auto probes() const -> const std::map<std::string, bool>& { return probes_; }
@@ -97,9 +109,12 @@
     int64_t startMs = 0, untilMs = 0, fetchedMs = 0;
     uint64_t purges = 0;
     std::set<std::string> tried;
-    std::string instance;
-    bool isWrite = false, wasTouched = false, isSent = false;
-    int tries = 0;
+    bool isWrite = false, wasTouched = false;
+    int open = 0;            // fetches under way
+    int tries = 0, unsent = 0;
+    int64_t retryMs = 0;     // when to come back, if it is turned away
+    bool isHedged = false;
+    double expectedMs = 0;   // of the fetch that left last
     std::string joinKey, memoryKey;
     uint64_t claim = 0;      // number of its claim of the key, under way or won
     int64_t claimMs = -1;    // since when the answer is waited for
@@ -124,6 +139,20 @@
   auto claim(uint64_t id, int64_t nowMs) -> void;
   auto giveBack(const std::string& key, uint64_t number, int64_t nowMs) -> void;
   auto forget(int64_t nowMs) -> void;
+  struct Fetching {  // one fetch under way
+    uint64_t waiting = 0;
+    std::string instance, pool;
+    int64_t leftMs = 0;
+    double waitMs = 0;
+    uint64_t purges = 0;
+  };
+  struct PoolView {  // of the frame in force
+    std::vector<policy::Candidate> candidates;
+    int64_t connections = 0;
+    double ratePerS = 0;
+  };
+  auto viewOf(const neighbour::Ask& ask) -> PoolView*;
+  auto hedge(uint64_t id, int64_t nowMs) -> void;
   auto dispatch(uint64_t id, bool isExtra, int64_t nowMs) -> void;
   auto retryOr(uint64_t id, uint32_t code, int64_t nowMs) -> void;
   auto giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void;
@@ -132,16 +161,20 @@
   auto give(const std::string& from, const neighbour::Ask& ask, neighbour::Reply reply) -> void;
   auto refuse(const std::string& from, const neighbour::Ask& ask, uint32_t code) -> void;
   auto probe() -> void;
-  auto judge(const std::string& instance, const Fetched& fetched, int64_t nowMs) -> void;
+  auto judge(const Fetching& fetching, const Fetched& fetched, bool isNotRun, int64_t nowMs) -> void;
+  auto isNotRun(const Fetched& fetched) const -> bool;
 
   Props props_;
   caller::HeldFrame held_;
   bool isEmptying_ = false;
   policy::Slab<Waiting> waiting_;
-  policy::Cache cache_;
+  std::shared_ptr<policy::Cache> cache_;
   policy::Split split_;
+  std::map<std::pair<std::string, core::UpstreamKind>, PoolView> views_;
+  std::map<uint64_t, Fetching> fetching_;
+  uint64_t nextFetch_ = 0;
   std::map<std::string, policy::RateShare> rates_;
-  policy::TryBudgets budgets_{"shield", props_.triesPart};
+  policy::TryBudgets budgets_{props_.kind, props_.triesPart, props_.tries};
   std::map<std::string, policy::Health> health_;
   std::map<std::string, uint64_t> joins_;
   std::map<std::string, Memory> memory_;
--- a/programs/agent.cpp
+++ b/programs/agent.cpp
@@ -41,7 +41,7 @@
   auto& s = program.settings();
   std::string name, address, listen, loopback, status;
   std::vector<std::string> seeds;
-  int64_t boundMs = 2000;
+  int64_t boundMs = 2000, graceMs = 0;
   s.text("name", name, true);
   program.address("address", address);
   program.address("listen", listen, false);
@@ -49,6 +49,7 @@
   program.address("status", status);
   program.addresses("seeds", seeds, 3);
   s.integer("boundMs", 400, 60000, boundMs);
+  s.integer("graceMs", 0, 600000, graceMs);
   program.ready();
 
   neighbour::Inbox<neighbour::Letter> inbox(4096);
@@ -77,11 +78,16 @@
   std::map<std::string, int64_t> pongMs;  // watched agents, by address
   auto order = neighbour::rendezvous(name, seeds);
   std::string target, proxyAt;
-  while (!op::Program::isStopping()) {
-    std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}, {pages.fd(), POLLIN, 0}, {op::Program::stopFd(), POLLIN, 0}};
+  auto stopAtMs = int64_t{-1};
+  for (;;) {
+    std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}, {pages.fd(), POLLIN, 0}};
+    if (stopAtMs < 0) fds.push_back({op::Program::stopFd(), POLLIN, 0});
     for (auto& stream : writing) fds.push_back({stream->fd(), POLLOUT, 0});
-    ::poll(fds.data(), fds.size(), static_cast<int>(boundMs / 200));
+    ::poll(fds.data(), fds.size(), static_cast<int>(boundMs / 40));
     auto nowMs = neighbour::steadyMs();
+    // A proxy that empties at the same time is fed until it is gone.
+    if (op::Program::isStopping() && stopAtMs < 0) stopAtMs = nowMs + graceMs * 9 / 10;
+    if (stopAtMs >= 0 && (nowMs >= stopAtMs || nowMs - proxyMs > boundMs / 2)) break;
     for (auto& r : pages.take()) {
       const auto& held = follower.held();
       auto isReady = held.isCurrent(nowMs, boundMs * 3 / 4);
--- a/programs/edge.cpp
+++ b/programs/edge.cpp
@@ -10,6 +10,7 @@
 #include "neighbour/inbox.hpp"
 #include "neighbour/post.hpp"
 #include "operator/program.hpp"
+#include "upstream/desk.hpp"
 
 using namespace dykestage;
 
@@ -19,12 +20,13 @@
 };
 using Input = std::variant<caller::Request, Page, neighbour::Letter, caller::HeldFrame>;
 
-auto statusPage(const caller::Edge& edge, bool isReady) -> std::string {
+auto statusPage(const caller::Edge& edge, const upstream::Shield* shield, bool isReady, int64_t nowMs) -> std::string {
   auto f = edge.figures();
   op::StatusPage page("edge");
   auto number = [&](const char* key, uint64_t value) { page.number(key, static_cast<double>(value)); };
   page.flag("ready", isReady);
   page.revision(edge.revision());
+  page.number("ageMs", static_cast<double>(edge.ageMs(nowMs)));
   number("requests", f.requests);
   number("hits", f.hits);
   number("joins", f.joins);
@@ -37,6 +39,14 @@
   number("open", edge.open());
   number("cacheBytes", edge.cache().bytes());
   number("cacheCopies", edge.cache().size());
+  if (shield) {
+    auto s = shield->figures();
+    number("fetches", s.fetches);
+    number("fetchesExtra", s.extras);
+    number("fetchesTurnedAway", s.turnedAway);
+    number("rateTurnedAway", s.rateTurnedAway);
+    number("fetchesOpen", shield->open());
+  }
   return page.take() + "\n";
 }
 }  // namespace
@@ -59,6 +69,34 @@
   s.integer("cacheBytes", 1 << 20, 1LL << 40, cacheBytes);
   s.integer("bodyBytes", 1 << 10, 64 << 20, bodyBytes);
   s.integer("threads", 1, 64, threads);
+  auto fetches = false;
+  int64_t graceMs = 3 * boundMs, rateWindowMs = 5000;
+  std::string readyPath = "/ready";
+  policy::RateBounds rate;
+  s.flag("fetches", fetches);
+  s.flag("servesStale", props.servesStale);
+  s.text("readyPath", readyPath);
+  s.integer("graceMs", 100, 600000, graceMs);
+  if (auto h = program.part("headers")) {
+    auto& names = props.names;
+    for (auto [key, name] : std::initializer_list<std::pair<const char*, std::string*>>{
+             {"try", &names.tryId}, {"timeLeft", &names.timeLeft}, {"instance", &names.instance}, {"service", &names.service}, {"extra", &names.extra},
+             {"load", &names.load}, {"labels", &names.labels}, {"notRun", &names.notRun}, {"seal", &names.seal}})
+      h->text(key, *name);
+    h->close();
+  }
+  if (auto b = program.part("budget")) {
+    b->number("share", 0, 1, props.tries.share);
+    b->number("allowance", 0, 1e6, props.tries.allowance);
+    b->integer("windowMs", 100, 600000, props.tries.windowMs);
+    b->close();
+  }
+  if (auto c = program.part("ceiling")) {
+    c->integer("windowMs", 100, 600000, rateWindowMs);
+    c->number("over", 1, 10, rate.over);
+    c->number("slack", 0, 1e6, rate.slack);
+    c->close();
+  }
   int64_t recordBytes = 64 << 20;
   s.text("record", recordAt);
   s.integer("recordBytes", 1 << 10, 1LL << 40, recordBytes);
@@ -70,6 +108,9 @@
   props.suspectMs = boundMs / 8;
   props.requests = static_cast<size_t>(requests);
   props.cacheBytes = static_cast<size_t>(cacheBytes);
+  props.fetches = fetches;
+  props.retryMs = boundMs / 20;
+  rate.windowS = static_cast<double>(rateWindowMs) / 1000;
 
   neighbour::Inbox<Input> inbox(16000);
   std::string reason;
@@ -81,9 +122,37 @@
     return 3;
   }
   props.life = agent::freshIncarnation();
-  caller::Edge edge(props);
-  agent::Link link({props.name, {"edge", props.site, post->address(), "", props.life}, agentAt, boundMs},
-                   [&](caller::HeldFrame f) { inbox.push(std::move(f)); });
+  // An edge that fetches itself holds a shield's machine too; both share one cache.
+  auto cache = std::make_shared<policy::Cache>(props.cacheBytes);
+  caller::Edge edge(props, cache);
+  upstream::Fetcher fetcher;
+  std::optional<upstream::Shield> shield;
+  if (fetches) {
+    upstream::Shield::Props own;
+    own.name = props.name;
+    own.site = props.site;
+    own.address = post->address();
+    own.kind = "proxy";
+    own.boundMs = boundMs;
+    own.staleMs = boundMs * 3 / 4;
+    own.probeMs = 0;  // answers and their loads tell how upstreams do
+    own.easeMs = boundMs * 5 / 2;
+    own.connectMs = boundMs / 20;
+    own.requests = props.requests;
+    own.answerBytes = static_cast<size_t>(bodyBytes);
+    own.servesStale = props.servesStale;
+    own.names = props.names;
+    own.tries = props.tries;
+    own.rate = rate;
+    own.life = props.life;
+    shield.emplace(own, cache);
+  }
+  agent::Link link({props.name, {fetches ? "proxy" : "edge", props.site, post->address(), "", props.life}, agentAt, boundMs},
+                   [&](caller::HeldFrame f) { inbox.push(std::move(f)); }, [&](neighbour::Letter l) { inbox.push(std::move(l)); });
+  std::optional<upstream::Desk> desk;
+  if (shield) desk.emplace(*shield, fetcher, *post, link, upstream::Desk::Props{post->address(), boundMs, [&](const neighbour::Reply& r) {
+    edge.takeReply(post->address(), r, neighbour::steadyMs());
+  }});
   auto open = [&](const std::string& at, int count, auto wrap) {
     auto [ip, port] = op::splitAddress(at);
     return std::make_unique<caller::Face>(caller::Face::Props{ip, port, count, static_cast<size_t>(bodyBytes)}, [&inbox, wrap](caller::Request r) {
@@ -102,8 +171,16 @@
   for (;;) {
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
     for (auto& stream : writing) fds.push_back({stream->fd(), POLLOUT, 0});
-    ::poll(fds.data(), fds.size(), 5);
+    // Deadlines are looked at every few ms while anything waits.
+    auto isIdle = edge.open() == 0 && (!desk || desk->isIdle());
+    auto waitMs = isIdle ? boundMs / 40 : boundMs / 200;
+    std::vector<upstream::Fetched> ended;
+    if (fetches)
+      ended = fetcher.run(fds, waitMs);
+    else
+      ::poll(fds.data(), fds.size(), static_cast<int>(waitMs));
     auto nowMs = neighbour::steadyMs();
+    for (auto& fetched : ended) shield->takeFetched(fetched, nowMs);
     auto isReady = edge.isCurrent(nowMs) && stopAtMs < 0;
     for (auto& input : inbox.take()) {
       if (auto* request = std::get_if<caller::Request>(&input)) {
@@ -115,31 +192,45 @@
         edge.take(std::move(*request), nowMs);
       }
       if (auto* letter = std::get_if<neighbour::Letter>(&input)) {
-        Reader r(letter->body);
-        auto reply = r.get<neighbour::Reply>();
-        if (letter->kind == neighbour::kReply && r.done()) edge.takeReply(letter->from, reply, nowMs);
+        if (letter->kind == neighbour::kReply) {
+          Reader r(letter->body);
+          auto reply = r.get<neighbour::Reply>();
+          if (r.done()) edge.takeReply(letter->from, reply, nowMs);
+        } else if (desk) {
+          desk->take(*letter, nowMs);
+        }
       }
       if (auto* held = std::get_if<caller::HeldFrame>(&input)) {
         edge.takeFrame(*held, nowMs);
+        if (shield) shield->takeFrame(*held, nowMs);
         link.tell({edge.revision(), {}, edge.samples()});
       }
       if (auto* page = std::get_if<Page>(&input)) {
         auto& r = page->request;
         auto refusal = isReady ? caller::kOk : stopAtMs >= 0 ? caller::kEmptying : caller::kNotCurrent;
-        auto answer = caller::pageAnswer(r.target, refusal, [&] { return statusPage(edge, isReady); });
+        auto target = r.target == readyPath ? "/ready" : r.target;
+        auto answer = caller::pageAnswer(target, refusal, [&] { return statusPage(edge, shield ? &*shield : nullptr, isReady, nowMs); });
         r.stream->answer(answer, r.method, r.keep);
         writing.push_back(r.stream);
       }
     }
     edge.tick(nowMs);
-    // An ask that did not leave is a new input, which may ask elsewhere.
-    for (auto out = edge.output(); !out.asks.empty() || !out.answers.empty(); out = edge.output()) {
-      for (auto& a : out.asks)
-        if (!post->send(a.to, neighbour::kAsk, Writer().put(a.ask).take())) edge.unsent(a.ask.id, nowMs);
+    if (shield) shield->tick(nowMs);
+    // An ask that did not leave, or that this very process answers, is a new input.
+    for (auto isMore = true; isMore;) {
+      auto out = edge.output();
+      isMore = !out.asks.empty();
+      for (auto& a : out.asks) {
+        if (a.isSelf && shield)
+          shield->take(a.to, std::move(a.ask), nowMs);
+        else if (!post->send(a.to, neighbour::kAsk, Writer().put(a.ask).take()))
+          edge.unsent(a.ask.id, nowMs);
+      }
       for (auto& a : out.answers) {
         a.stream->answer(caller::Edge::atLast(a, neighbour::steadyMs()), a.method, a.keep && stopAtMs < 0);
         writing.push_back(a.stream);
       }
+      isMore = (desk && desk->flush(nowMs)) || isMore || !out.answers.empty();
     }
     // Only now is it known which asks have left: lines that are down end what went over them.
     if (nowMs - warmedMs > boundMs / 20) {
@@ -148,15 +239,17 @@
         if (!post->isUp(at)) edge.lost(at, nowMs);
         post->warm(at);
       }
+      if (desk) desk->warm();
       post->prune(nowMs);
     }
     std::erase_if(writing, [](auto& stream) { return stream->flush(); });
     if (op::Program::isStopping() && stopAtMs < 0) {
       // Not ready from now on; whoever still comes is served while the platform looks elsewhere.
       LOG(INFO) << "edge: Emptying.";
-      stopAtMs = nowMs + 2 * boundMs;
+      stopAtMs = nowMs + graceMs * 2 / 3;
     }
-    if (stopAtMs >= 0 && (nowMs >= stopAtMs + boundMs / 2 || (nowMs >= stopAtMs && edge.open() == 0 && writing.empty()))) break;
+    auto isDone = edge.open() == 0 && writing.empty() && (!desk || desk->isIdle());
+    if (stopAtMs >= 0 && (nowMs >= stopAtMs + graceMs / 4 || (nowMs >= stopAtMs && isDone))) break;
   }
   LOG(INFO) << "edge: Stopped.";
   return 0;
--- a/programs/shield.cpp
+++ b/programs/shield.cpp
@@ -8,6 +8,7 @@
 #include "neighbour/inbox.hpp"
 #include "neighbour/post.hpp"
 #include "operator/program.hpp"
+#include "upstream/desk.hpp"
 #include "upstream/shield.hpp"
 
 using namespace dykestage;
@@ -74,6 +75,7 @@
     LOG(ERROR) << "shield: " << reason;
     return 3;
   }
+  props.address = post->address();
   props.life = agent::freshIncarnation();
   upstream::Shield shield(props);
   upstream::Fetcher fetcher;
@@ -83,11 +85,7 @@
   auto pages = std::make_unique<caller::Face>(caller::Face::Props{ip, port, 1, 1 << 16}, [&](caller::Request r) { inbox.push(std::move(r)); });
   LOG(INFO) << "shield: " << props.name << " at " << post->address() << ", status at port " << pages->port() << ".";
 
-  struct Waiting {
-    std::string to, body;
-    int64_t untilMs;
-  };
-  std::vector<Waiting> replies;
+  upstream::Desk desk(shield, fetcher, *post, link, {"", boundMs, {}});
   std::vector<std::shared_ptr<caller::Stream>> writing;
   auto stopAtMs = int64_t{-1};
   int64_t warmedMs = 0;
@@ -98,26 +96,7 @@
     auto nowMs = neighbour::steadyMs();
     for (auto& fetched : ended) shield.takeFetched(fetched, nowMs);
     for (auto& input : inbox.take()) {
-      if (auto* letter = std::get_if<neighbour::Letter>(&input)) {
-        if (letter->kind != neighbour::kClaimed && letter->kind != neighbour::kClaims) post->warm(letter->from);
-        Reader r(letter->body);
-        if (letter->kind == neighbour::kAsk) {
-          auto ask = r.get<neighbour::Ask>();
-          if (r.done()) shield.take(letter->from, std::move(ask), nowMs);
-        } else if (letter->kind == neighbour::kClaimed) {
-          auto claimed = r.get<neighbour::Claimed>();
-          if (r.done()) shield.takeClaimed(claimed, nowMs);
-        } else if (letter->kind == neighbour::kClaims) {
-          auto claims = r.get<neighbour::Claims>();
-          if (r.done()) shield.unclaimed(claims, nowMs);
-        } else if (letter->kind == neighbour::kKeyAsk) {
-          auto ask = r.get<neighbour::KeyAsk>();
-          if (r.done()) shield.takeKeyAsk(letter->from, ask, nowMs);
-        } else if (letter->kind == neighbour::kKeyTold) {
-          auto told = r.get<neighbour::KeyTold>();
-          if (r.done()) shield.takeKeyTold(told, nowMs);
-        }
-      }
+      if (auto* letter = std::get_if<neighbour::Letter>(&input)) desk.take(*letter, nowMs);
       if (auto* held = std::get_if<caller::HeldFrame>(&input)) {
         shield.takeFrame(*held, nowMs);
         link.tell({shield.revision(), shield.probes(), {}});
@@ -131,18 +110,11 @@
       }
     }
     shield.tick(nowMs);
-    auto out = shield.outputAfter([&](const auto& l) { return post->send(l.to, l.kind, l.body); }, nowMs);
-    for (auto& claims : out.claims) link.pass({neighbour::kClaims, "", Writer().put(claims).take()});
-    for (auto& address : out.drops) fetcher.drop(address);
-    for (auto& fetch : out.fetches) fetcher.start(std::move(fetch));
-    for (auto& r : out.replies) replies.push_back({r.to, Writer().put(r.reply).take(), nowMs + boundMs / 4});
-    // A line that is just coming up is waited for; an edge that has gone is not.
-    std::erase_if(replies, [&](const Waiting& w) { return post->send(w.to, neighbour::kReply, w.body) || nowMs >= w.untilMs; });
+    desk.flush(nowMs);
     std::erase_if(writing, [](auto& stream) { return stream->flush(); });
     if (nowMs - warmedMs > boundMs / 20) {
       warmedMs = nowMs;
-      for (const auto& at : shield.edges()) post->warm(at);
-      for (const auto& at : shield.shields()) post->warm(at);
+      desk.warm();
       post->prune(nowMs);
     }
     if (op::Program::isStopping() && stopAtMs < 0) {
@@ -151,7 +123,7 @@
       stopAtMs = nowMs + boundMs / 2;
     }
     // What is under way ends within its deadline; then the rest of the grace is not needed.
-    if (stopAtMs >= 0 && (nowMs >= stopAtMs + 2 * boundMs || (nowMs >= stopAtMs && shield.open() == 0))) break;
+    if (stopAtMs >= 0 && (nowMs >= stopAtMs + 2 * boundMs || (nowMs >= stopAtMs && desk.isIdle()))) break;
   }
   LOG(INFO) << "shield: Stopped.";
   return 0;
