--- a/lib/agent/feed.cpp
+++ b/lib/agent/feed.cpp
@@ -1,6 +1,7 @@
 #include "agent/feed.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace dykestage::agent {
 
@@ -32,6 +33,12 @@
   return given;
 }
 
+auto Giver::dueMs() const -> int64_t {
+  auto due = std::numeric_limits<int64_t>::max();
+  for (const auto& held : held_) due = std::min(due, held.sinceMs + holdMs_);
+  return due;
+}
+
 auto Follower::tick(const std::vector<std::string>& targets, size_t preferred, const Told& told, int64_t nowMs) -> std::optional<std::pair<std::string, Poll>> {
   if (targets.empty() || nowMs < waitUntilMs_) return std::nullopt;
   // What is in force has changed: that is told at once, by a question that takes the place of the open one.
--- a/lib/agent/feed.hpp
+++ b/lib/agent/feed.hpp
@@ -30,6 +30,8 @@
   auto take(std::string from, neighbour::Poll poll, int64_t nowMs) -> void;
   /// The answers that are due. `asOfMs` is when the frame was current, on this process's steady clock.
   auto give(const core::Frame& frame, int64_t asOfMs, int64_t nowMs) -> std::vector<std::pair<std::string, neighbour::Feed>>;
+  /// When the next question has to be answered, news or not. Example: `wait(giver.dueMs() - nowMs);`
+  auto dueMs() const -> int64_t;
 
  private:
   struct Held {
--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -38,11 +38,18 @@
 auto rolloutDetail(const OpResult& result) -> std::string { return ",\"rollout\":\"" + result.rollout + "\""; }
 
 auto diskFrame(const std::string& bytes, uint64_t fresh) -> DiskFrame {
-  if (bytes.empty()) return DiskFrame{DiskFrame::kVersion, fresh, {}, false, {}};
-  return Reader(bytes).get<DiskFrame>();
+  auto frame = DiskFrame::from(bytes);
+  if (bytes.empty()) frame.incarnation = fresh;
+  return frame;
 }
+
+auto versionDetail(uint64_t version) -> std::string { return ",\"version\":" + std::to_string(version); }
+auto unknownAnswer(const std::string& detail = "") -> Answer { return codeAnswer(kChangeUnknown, 0, detail); }
+auto faultsAnswer(const std::vector<op::Fault>& faults) -> Answer { return codeAnswer(kInvalid, 0, ",\"faults\":" + op::writeFaults(faults)); }
 }  // namespace
 
+auto DiskFrame::from(const std::string& bytes) -> DiskFrame { return bytes.empty() ? DiskFrame{} : Reader(bytes).get<DiskFrame>(); }
+
 auto DiskFrame::refusal(const std::string& bytes) -> std::string {
   if (bytes.empty()) return "";
   auto version = Reader(bytes).get<uint32_t>();
@@ -60,6 +67,8 @@
   for (const auto& write : writes) node_.replay(write);
   node_.replayed();
   taken_ = published_ = std::make_shared<Frame>(state_.frame());
+  disk_.slot = props_.slot;
+  disk_.addresses = props_.addresses;
   if (frame.empty()) saveFrame(true);
   LOG(INFO) << "core: Slot " << props_.slot << ", life " << disk_.incarnation << (frame.empty() ? ", blank disk." : ", disk read.");
 }
@@ -96,6 +105,8 @@
     if (auto it = props_.addresses.find(slot); it != props_.addresses.end())
       step.letters.push_back({it->second, neighbour::kTempo, Writer().put(bundle).take()});
   step.answers = std::move(made.answers);
+  if (ran_.empty() || state_.frame().revision != ran_.back().first) ran_.emplace_back(state_.frame().revision, nowMs);
+  while (ran_.size() > 1 && nowMs - ran_[1].second > 2 * ackMs()) ran_.pop_front();
   if (state_.frame().revision != taken_->revision) taken_ = step.published = std::make_shared<Frame>(state_.frame());
   if (!step.letters.empty() || !step.answers.empty() || step.published) steps_.push_back(std::move(step));
   if (wantsFrame_ && node_.isMember() && nowMs - frameTriedMs_ > props_.boundMs / 2) {
@@ -107,6 +118,7 @@
 }
 
 auto Registry::synced(uint64_t number, double fill, int64_t tookUs, int64_t nowMs) -> void {
+  nowMs_ = nowMs;
   if (number > 0) {
     ++syncs_;
     keep(syncsUs_, tookUs);
@@ -122,7 +134,7 @@
     steps_.pop_front();
     if (step.published) published_ = step.published;
     for (auto& letter : step.letters) out_.letters.push_back(std::move(letter));
-    for (auto& page : step.pages) out_.answers.push_back(std::move(page));
+    for (auto& [reply, answer] : step.pages) reply(answer);
     for (auto& answer : step.answers) {
       auto it = running_.find(answer.id);
       if (it == running_.end()) continue;
@@ -143,15 +155,13 @@
 
 // ---- submissions --------------------------------------------------------------------------------------
 
-auto Registry::submit(Op op, Done done) -> void { batch_.push_back({std::move(op), std::move(done)}); }
+auto Registry::submit(Op op, Done done) -> void {
+  if (batch_.empty()) batchSinceMs_ = nowMs_;
+  batch_.push_back({std::move(op), std::move(done)});
+}
 
 auto Registry::flushBatch(int64_t nowMs) -> void {
-  if (batch_.empty()) {
-    batchSinceMs_ = nowMs;
-    return;
-  }
-  if (nowMs - batchSinceMs_ < props_.batchMs || !node_.isMember()) return;
-  batchSinceMs_ = nowMs;
+  if (batch_.empty() || nowMs - batchSinceMs_ < props_.batchMs || !node_.isMember()) return;
   // Operations that touch the same partitions travel as one command.
   std::map<uint8_t, std::vector<Pending>> groups;
   for (auto& one : std::exchange(batch_, {})) groups[one.op.parts()].push_back(std::move(one));
@@ -166,37 +176,61 @@
 
 auto Registry::answer(const Who& who, const Answer& answer) -> void { out_.answers.push_back({who.stream, who.method, who.keep, answer}); }
 
+auto Registry::to(const Who& who) -> Reply {
+  return [this, who](const Answer& a) { answer(who, a); };
+}
+
+// Whoever waits longer is given the late answer; what was submitted goes on.
+auto Registry::within(int64_t forMs, const Who& who, Answer late) -> Reply {
+  auto waiter = std::make_shared<Waiter>(Waiter{who, nowMs_ + forMs, std::move(late), false});
+  waiters_.push_back(waiter);
+  return [this, waiter](const Answer& a) {
+    if (!std::exchange(waiter->isAnswered, true)) answer(waiter->who, a);
+  };
+}
+
+// A submission that is under way here already is not submitted again: whoever repeats it is answered together with
+// the first. Returns nothing then, else what answers all of them.
+auto Registry::joined(const std::string& key, const Who& who, const std::string& detail) -> Reply {
+  auto [it, isFirst] = underWay_.try_emplace(key);
+  it->second.push_back(within(props_.boundMs * 9 / 20, who, unknownAnswer(detail)));
+  if (!isFirst) return {};
+  return [this, key](const Answer& a) {
+    auto node = underWay_.extract(key);
+    if (node)
+      for (auto& reply : node.mapped()) reply(a);
+  };
+}
+
 // A page of what ran here: it may rest on something that is not synced yet, and leaves once it is.
-auto Registry::page(const Who& who, const std::string& body) -> void {
+auto Registry::page(Reply reply, const Answer& answer) -> void {
   Step step;
   step.job = lastJob_;
-  step.pages.push_back({who.stream, who.method, who.keep, jsonAnswer(body)});
+  step.pages.emplace_back(std::move(reply), answer);
   steps_.push_back(std::move(step));
 }
 
 auto Registry::json(const Who& who, const std::string& body) -> void { answer(who, jsonAnswer(body)); }
 
-auto Registry::invalid(const Who& who, const std::vector<op::Fault>& faults) -> void {
-  answer(who, codeAnswer(kInvalid, 0, ",\"faults\":" + op::writeFaults(faults)));
-}
+auto Registry::invalid(const Who& who, const std::vector<op::Fault>& faults) -> void { answer(who, faultsAnswer(faults)); }
 
 // An operator's change: submitted, and answered once it is acknowledged. `detail` goes with every answer; `again`, if
 // there is one, is tried when another change won; `told` adds what the result tells.
-auto Registry::change(Op op, const std::string& body, Who who, std::string detail, std::function<void()> again,
+auto Registry::change(Op op, const std::string& body, Reply reply, std::string detail, std::function<void()> again,
                       std::function<std::string(const OpResult&)> told) -> void {
   op.print = neighbour::hash(body);
   auto id = op.changeId;
-  submit(std::move(op), [this, who, id, detail, again, told](const OpResult* result, int64_t nowMs) {
+  submit(std::move(op), [this, reply, id, detail, again, told](const OpResult* result, int64_t nowMs) {
     auto known = result ? std::optional(*result) : state_.changed(id);
-    if (!known) return answer(who, codeAnswer(kChangeUnknown, 0, detail));
-    if (known->outcome == Outcome::kIdReused) return answer(who, codeAnswer(kIdReused, 0, detail));
-    if (known->outcome == Outcome::kRolloutRuns) return answer(who, codeAnswer(kRolloutRuns, 0, rolloutDetail(*known)));
+    if (!known) return reply(unknownAnswer(detail));
+    if (known->outcome == Outcome::kIdReused) return reply(codeAnswer(kIdReused, 0, detail));
+    if (known->outcome == Outcome::kRolloutRuns) return reply(codeAnswer(kRolloutRuns, 0, rolloutDetail(*known)));
     if (known->outcome == Outcome::kConflict) {
       ++conflicts_;
       if (again) return again();
-      return answer(who, codeAnswer(kConflict, 0, detail + revisionDetail(*known)));
+      return reply(codeAnswer(kConflict, 0, detail + revisionDetail(*known)));
     }
-    acknowledge(known->revision, nowMs, [this, who, detail, text = told(*known)] { json(who, "{\"code\":0" + detail + text + "}"); });
+    acknowledge(known->revision, nowMs, [reply, detail, text = told(*known)] { reply(jsonAnswer("{\"code\":0" + detail + text + "}")); });
   });
 }
 
@@ -211,14 +245,14 @@
   op::Json id(cJSON_CreateString(op->changeId.c_str()), cJSON_Delete);
   std::function<void()> again;
   if (!hasBase && tries > 0) again = [this, body, who, tries] { configure(body, who, tries - 1); };
-  change(std::move(*op), body, who, ",\"change\":" + op::print(id.get()), again, revisionDetail);
+  change(std::move(*op), body, to(who), ",\"change\":" + op::print(id.get()), again, revisionDetail);
 }
 
 auto Registry::submitTemplate(const std::string& body, Who who) -> void {
   std::vector<op::Fault> faults;
   auto op = op::readTemplate(body, faults);
   if (!op) return invalid(who, faults);
-  change(std::move(*op), body, who, "", {}, [](const OpResult& result) { return revisionDetail(result) + (result.rollout.empty() ? "" : rolloutDetail(result)); });
+  change(std::move(*op), body, to(who), "", {}, [](const OpResult& result) { return revisionDetail(result) + (result.rollout.empty() ? "" : rolloutDetail(result)); });
 }
 
 auto Registry::setTenants(const std::string& body, Who who, int tries) -> void {
@@ -229,10 +263,100 @@
   if (!hasBase) op->base = state_.frame().revision.configuration;
   std::function<void()> again;
   if (!hasBase && tries > 0) again = [this, body, who, tries] { setTenants(body, who, tries - 1); };
-  change(std::move(*op), body, who, "", again, revisionDetail);
+  change(std::move(*op), body, to(who), "", again, revisionDetail);
+}
+
+// Whoever sends the very same routing again joins the first, here and in the order.
+auto Registry::setRouting(const std::string& body, Who who) -> void {
+  std::vector<op::Fault> faults;
+  auto op = op::readRouting(body, faults);
+  if (!op) return invalid(who, faults);
+  op->print = neighbour::hash(Writer().put(*op).take());
+  auto version = op->routing.version;
+  auto reply = joined("routing " + std::to_string(version) + " " + std::to_string(op->print), who, versionDetail(version));
+  if (reply) orderRouting(std::move(*op), reply, false);
+}
+
+// What a change names can be checked only against the routing at its base. One that this registry has not run yet is
+// read first; one that is over has lost, unless it is this very change that was taken.
+auto Registry::orderRouting(Op op, Reply reply, bool hasRead) -> void {
+  const auto& now = state_.frame().routing;
+  auto version = op.routing.version;
+  if (!state_.taken(version, op.print)) {
+    if (op.base != now.version && !op.isWhole && !hasRead) {
+      Op read;
+      read.kind = OpKind::kRead;
+      return submit(std::move(read), [this, op, reply, version](const OpResult* result, int64_t) {
+        if (!result) return reply(unknownAnswer(versionDetail(version)));
+        orderRouting(op, reply, true);
+      });
+    }
+    if (op.base != now.version && !op.isWhole) {
+      ++conflicts_;
+      return page(reply, codeAnswer(kConflict, 0, versionDetail(now.version)));
+    }
+    std::vector<op::Fault> faults;
+    if (!op::checkRouting(op, now, faults)) return page(reply, faultsAnswer(faults));
+  }
+  submit(std::move(op), [this, reply, version](const OpResult* result, int64_t nowMs) {
+    if (!result) return reply(unknownAnswer(versionDetail(version)));
+    if (result->outcome == Outcome::kConflict) {
+      ++conflicts_;
+      return reply(codeAnswer(kConflict, 0, versionDetail(result->version)));
+    }
+    acknowledge(result->revision, nowMs, [reply, version] { reply(jsonAnswer("{\"code\":0" + versionDetail(version) + "}")); });
+  });
+}
+
+// A linearizable read: whatever was acknowledged before it came is ordered before it.
+auto Registry::showRouting(Who who) -> void {
+  Op read;
+  read.kind = OpKind::kRead;
+  submit(std::move(read), [this, reply = within(props_.boundMs * 9 / 20, who, codeAnswer(kNotCurrent, 1))](const OpResult* result, int64_t) {
+    if (result) page(reply, jsonAnswer(op::writeRouting(state_.frame().routing, state_.sources())));
+  });
+}
+
+// A purge with an id can be sent again and joins the first; one without is another purge each time.
+auto Registry::purge(const std::string& body, Who who) -> void {
+  std::vector<op::Fault> faults;
+  auto op = op::readPurge(body, faults);
+  if (!op) return invalid(who, faults);
+  auto reply = op->changeId.empty() ? to(who) : joined("purge " + std::to_string(neighbour::hash(body)) + " " + op->changeId, who, "");
+  if (!reply) return;
+  change(std::move(*op), body, reply, "", {}, [](const OpResult& result) { return ",\"purge\":" + std::to_string(result.revision.purges); });
+}
+
+auto Registry::announce(const std::string& body, Who who) -> void {
+  std::vector<op::Fault> faults;
+  auto op = op::readAnnouncement(body, faults);
+  if (!op) return invalid(who, faults);
+  auto stands = [](const char* state) { return std::string("{\"code\":0,\"state\":\"") + state + "\"}"; };
+  auto it = published_->upstreams.find(op->name);
+  auto isKnown = it != published_->upstreams.end();
+  auto number = op->upstream.number;
+  if (isKnown && number > 0 && number < it->second.number) return json(who, stands("late"));
+  auto isGone = op->kind == OpKind::kDeregister;
+  if (!isGone) beats_[op->name] = nowMs_;
+  if (isKnown && !isGone) {
+    // A beat that changes nothing is no command. How long it stays cold changes with each beat: the first counts.
+    auto known = it->second;
+    known.isHeld = op->upstream.isHeld;
+    known.coldMs = op->upstream.coldMs;
+    known.number = number;
+    if (Writer().put(known).take() == Writer().put(op->upstream).take()) return json(who, stands(it->second.isHeld ? "held" : "known"));
+  }
+  // An upstream waits no longer than a second.
+  auto reply = within(props_.boundMs * 2 / 5, who, unknownAnswer());
+  submit(*op, [this, reply, stands, isGone, name = op->name](const OpResult* result, int64_t) {
+    if (!result) return reply(unknownAnswer());
+    if (isGone) beats_.erase(name);
+    reply(jsonAnswer(stands(isGone ? "gone" : result->outcome == Outcome::kNoChange ? "late" : "taken")));
+  });
 }
 
 auto Registry::take(const Request& request, int64_t nowMs) -> void {
+  nowMs_ = nowMs;
   Who who{request.stream, request.method, request.keep};
   auto path = request.target.substr(0, request.target.find('?'));
   auto isGet = request.method == "GET" || request.method == "HEAD";
@@ -245,49 +369,28 @@
   if (!isReady(nowMs)) return answer(who, codeAnswer(node_.isMember() ? kNotCurrent : kNotMember, 1));
   if (isGet && path == "/configuration") return json(who, op::writeConfiguration(*published_));
   if (isGet && path == "/roster") return json(who, op::writeRoster(*published_));
-  if (isGet && path == "/templates") return page(who, op::writeTemplates(state_));
+  if (isGet && path == "/templates") return page(to(who), jsonAnswer(op::writeTemplates(state_)));
   if (isGet && path.rfind("/rollouts", 0) == 0) {
     auto wanted = path.size() > 10 ? path.substr(10) : "";
     std::string list;
     for (const auto& [id, rollout] : state_.rollouts())
       if (wanted.empty() || wanted == id) list += (list.empty() ? "" : ",") + op::writeRollout(id, rollout);
     if (!wanted.empty() && list.empty()) return answer(who, codeAnswer(kNoSuchChange, 0));
-    return page(who, wanted.empty() ? "[" + list + "]" : list);
+    return page(to(who), jsonAnswer(wanted.empty() ? "[" + list + "]" : list));
   }
   if (isGet && path.rfind("/changes/", 0) == 0) {
     auto result = state_.changed(path.substr(9));
     if (!result) return answer(who, codeAnswer(kNoSuchChange, 0));
-    return page(who, "{\"code\":0" + revisionDetail(*result) + ",\"purge\":" + std::to_string(result->revision.purges) + "}");
+    return page(to(who), jsonAnswer("{\"code\":0" + revisionDetail(*result) + ",\"purge\":" + std::to_string(result->revision.purges) + "}"));
   }
   if (running_.size() + batch_.size() + acks_.size() > props_.waiting) return answer(who, codeAnswer(kEdgeFull, 1));
+  if (isGet && path == "/routing") return showRouting(who);
+  if (isPost && path == "/routing") return setRouting(request.body, who);
   if (isPost && path == "/configuration") return configure(request.body, who, 5);
   if (isPost && path == "/templates") return submitTemplate(request.body, who);
   if (isPost && path == "/tenants") return setTenants(request.body, who, 5);
-  if (isPost && path == "/purge") {
-    std::vector<op::Fault> faults;
-    auto op = op::readPurge(request.body, faults);
-    if (!op) return invalid(who, faults);
-    return change(std::move(*op), request.body, who, "", {}, [](const OpResult& result) { return ",\"purge\":" + std::to_string(result.revision.purges); });
-  }
-  if (isPost && path == "/announce") {
-    std::vector<op::Fault> faults;
-    auto op = op::readAnnouncement(request.body, faults);
-    if (!op) return invalid(who, faults);
-    beats_[op->name] = nowMs;
-    auto it = published_->upstreams.find(op->name);
-    if (it != published_->upstreams.end()) {
-      auto known = it->second;
-      known.isHeld = op->upstream.isHeld;
-      // A beat that changes nothing is no command.
-      if (Writer().put(known).take() == Writer().put(op->upstream).take())
-        return json(who, std::string("{\"code\":0,\"state\":\"") + (it->second.isHeld ? "held" : "known") + "\"}");
-    }
-    submit(*op, [this, who](const OpResult* result, int64_t) {
-      if (!result) return answer(who, codeAnswer(kChangeUnknown, 0));
-      json(who, "{\"code\":0,\"state\":\"taken\"}");
-    });
-    return;
-  }
+  if (isPost && path == "/purge") return purge(request.body, who);
+  if (isPost && path == "/announce") return announce(request.body, who);
   answer(who, codeAnswer(kNoSuchPage, 0));
 }
 
@@ -302,14 +405,20 @@
 
 // A change is acknowledged when every node has it, or when whoever lacks it has stopped acting on what it has.
 auto Registry::acknowledge(const Revision& revision, int64_t nowMs, std::function<void()> done) -> void {
-  acks_.push_back({revision, nowMs, std::move(done)});
+  acks_.push_back({revision, std::min(nowMs, ranMs(revision)), std::move(done)});
   checkAcks(nowMs);
 }
 
+// When a revision ran here: whoever repeats a change waits from then on, not from its repetition.
+auto Registry::ranMs(const Revision& revision) const -> int64_t {
+  auto it = std::find_if(ran_.begin(), ran_.end(), [&](const auto& one) { return one.first.covers(revision); });
+  return it == ran_.end() ? nowMs_ : it->second;
+}
+
 auto Registry::checkAcks(int64_t nowMs) -> void {
   auto waiting = std::exchange(acks_, {});
   for (auto& ack : waiting) {
-    auto isOver = nowMs - ack.sinceMs > props_.staleMs + props_.tickMs / 4 || everyoneHas(ack.revision);
+    auto isOver = nowMs - ack.sinceMs > ackMs() || everyoneHas(ack.revision);
     if (!isOver) {
       acks_.push_back(std::move(ack));
       continue;
@@ -351,6 +460,7 @@
 // ---- letters ------------------------------------------------------------------------------------------
 
 auto Registry::take(const std::string& from, uint8_t kind, const std::string& body, int64_t nowMs) -> void {
+  nowMs_ = nowMs;
   Reader r(body);
   if (kind == neighbour::kTempo) {
     auto bundle = r.get<Bundle>();
@@ -457,6 +567,7 @@
     out_.letters.push_back({props_.addresses.at(hello.slot), neighbour::kTempo, Writer().put(Bundle{props_.slot, {ask}}).take()});
     return;
   }
+  if (!props_.mayForm) return;
   // First formation: every initial member must be blank, and must have synced the same list of lives.
   if (hellos_.size() + 1 < props_.addresses.size()) return;
   if (disk_.proposed.empty()) {
@@ -540,7 +651,7 @@
       auto since = heldSinceMs_.try_emplace(name, nowMs).first->second;
       Revision needed;
       needed.upstreams = published_->revision.upstreams;
-      if (nowMs - since > props_.staleMs + props_.tickMs / 4 || (nowMs > since && everyoneHas(needed))) decide(OpKind::kRelease, name, 0);
+      if (nowMs - since > ackMs() || (nowMs > since && everyoneHas(needed))) decide(OpKind::kRelease, name, 0);
     }
   }
   std::erase_if(heldSinceMs_, [&](const auto& one) { return !stillHeld.count(one.first); });
@@ -614,7 +725,8 @@
 // ---- time ---------------------------------------------------------------------------------------------
 
 auto Registry::tick(int64_t nowMs) -> void {
-  if (nowMs - helloMs_ >= props_.boundMs / 10) {
+  nowMs_ = nowMs;
+  if (nowMs - helloMs_ >= helloEveryMs()) {
     helloMs_ = nowMs;
     hello();
   }
@@ -632,7 +744,7 @@
     }
     if (isReady(nowMs)) watch(nowMs);
     // What nodes have in force is what acknowledgements wait for: news of it is told at once.
-    if (nowMs - haveMs_ >= props_.boundMs / 40 || (hasNewsOfMembers_ && nowMs - haveMs_ >= props_.batchMs)) {
+    if (nowMs - haveMs_ >= haveEveryMs()) {
       haveMs_ = nowMs;
       hasNewsOfMembers_ = false;
       Have have;
@@ -665,9 +777,31 @@
     it = runningSinceMs_.erase(it);
     for (auto& one : pending) one.done(nullptr, nowMs);
   }
+  std::erase_if(waiters_, [&](const auto& waiter) {
+    if (!waiter->isAnswered && nowMs >= waiter->untilMs) {
+      waiter->isAnswered = true;
+      answer(waiter->who, waiter->late);
+    }
+    return waiter->isAnswered;
+  });
   std::erase_if(heard_, [&](const auto& one) { return nowMs - one.second.heardMs > 20 * props_.memberMissMs; });
 }
 
+auto Registry::dueMs() const -> int64_t {
+  auto due = std::min(helloMs_ + helloEveryMs(), giver_.dueMs());
+  auto by = [&](int64_t atMs) { due = std::min(due, atMs); };
+  if (node_.isMember()) {
+    by(node_.dueMs());
+    by(tickedMs_ + props_.tickMs);
+    by(haveMs_ + haveEveryMs());
+    if (!batch_.empty()) by(batchSinceMs_ + props_.batchMs);
+  }
+  for (const auto& ack : acks_) by(ack.sinceMs + ackMs() + 1);
+  for (const auto& waiter : waiters_) by(waiter->untilMs);
+  for (const auto& [id, sinceMs] : runningSinceMs_) by(sinceMs + props_.answerMs);
+  return due;
+}
+
 auto Registry::statusPage(int64_t nowMs) const -> std::string {
   auto f = node_.figures();
   auto duty = state_.duty(kWatchDuty);
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -30,15 +30,19 @@
 /// What a registry's disk holds besides the writes behind it.
 struct DiskFrame {
   /// Grows by one whenever a record's fields change, here, in the state or in the ordering's writes.
-  static constexpr uint32_t kVersion = 2;
+  static constexpr uint32_t kVersion = 3;
   uint32_t version = kVersion;
   uint64_t incarnation = 0;
   std::map<uint32_t, uint64_t> proposed;  // the first members
   bool isFormed = false;
+  tempo::Slot slot = 0;
+  std::map<tempo::Slot, std::string> addresses;  // of all registries: what the settings say later does not change them
   std::string node;
-  DYKESTAGE_FIELDS(version, incarnation, proposed, isFormed, node)
+  DYKESTAGE_FIELDS(version, incarnation, proposed, isFormed, slot, addresses, node)
   /// Why a disk's frame can't be read by this release; empty: it can. Example: `if (auto why = DiskFrame::refusal(frame); !why.empty()) exit(3);`
   static auto refusal(const std::string& bytes) -> std::string;
+  /// Reads a disk's frame; a blank disk's has no addresses. Example: `auto saved = DiskFrame::from(found.frame);`
+  static auto from(const std::string& bytes) -> DiskFrame;
 };
 
 class Registry {
@@ -56,6 +60,7 @@
     int64_t memberMissMs = 5000;   // silence after which a data node is signed off
     int64_t answerMs = 5000;       // after it a submission's outcome is called unknown
     size_t waiting = 4000;         // submissions under way
+    bool mayForm = true;           // else a blank disk waits to be seated in a core that there is
   };
   struct Output {
     struct Sent {
@@ -85,6 +90,8 @@
   /// A disk job has been synced. Example: `registry.synced(job.number, ring.fill(), tookUs, nowMs);`
   auto synced(uint64_t number, double fill, int64_t tookUs, int64_t nowMs) -> void;
   auto tick(int64_t nowMs) -> void;
+  /// When time has to pass here at the latest, if nothing comes in before. Example: `poll(fds, registry.dueMs() - nowMs)`
+  auto dueMs() const -> int64_t;
   auto output() -> Output { return std::exchange(out_, {}); }
   /// Ready to serve operators, upstreams and agents. Example: `registry.isReady(nowMs)`
   auto isReady(int64_t nowMs) const -> bool;
@@ -96,11 +103,12 @@
     Op op;
     Done done;
   };
+  using Reply = std::function<void(const caller::Answer&)>;  // answers a request, or all that wait for the same
   struct Step {  // what may leave once a disk job is synced
     uint64_t job = 0;
     std::vector<Output::Sent> letters;
     std::vector<tempo::Answer> answers;
-    std::vector<Output::Answered> pages;
+    std::vector<std::pair<Reply, caller::Answer>> pages;
     std::shared_ptr<const Frame> published;
   };
   struct Heard {
@@ -129,6 +137,13 @@
     bool keep = true;
   };
 
+  struct Waiter {  // is told that the outcome is not known if it is not known in time
+    Who who;
+    int64_t untilMs = 0;
+    caller::Answer late;
+    bool isAnswered = false;
+  };
+
   auto submit(Op op, Done done) -> void;
   auto flushBatch(int64_t nowMs) -> void;
   auto collect(int64_t nowMs) -> void;
@@ -147,11 +162,23 @@
   auto everyoneHas(const Revision& revision) const -> bool;
   auto acknowledge(const Revision& revision, int64_t nowMs, std::function<void()> done) -> void;
   auto configure(const std::string& body, Who who, int tries) -> void;
+  auto setRouting(const std::string& body, Who who) -> void;
+  auto orderRouting(Op op, Reply reply, bool hasRead) -> void;
+  auto showRouting(Who who) -> void;
+  auto announce(const std::string& body, Who who) -> void;
+  auto purge(const std::string& body, Who who) -> void;
+  auto to(const Who& who) -> Reply;
+  auto within(int64_t forMs, const Who& who, caller::Answer late) -> Reply;
+  auto joined(const std::string& key, const Who& who, const std::string& detail) -> Reply;
+  auto ranMs(const Revision& revision) const -> int64_t;
+  auto ackMs() const -> int64_t { return props_.staleMs + props_.tickMs / 4; }
+  auto helloEveryMs() const -> int64_t { return node_.isMember() ? props_.boundMs / 4 : props_.boundMs / 10; }
+  auto haveEveryMs() const -> int64_t { return hasNewsOfMembers_ ? props_.batchMs : props_.boundMs / 10; }
   auto answer(const Who& who, const caller::Answer& answer) -> void;
-  auto page(const Who& who, const std::string& body) -> void;
+  auto page(Reply reply, const caller::Answer& answer) -> void;
   auto json(const Who& who, const std::string& body) -> void;
   auto invalid(const Who& who, const std::vector<op::Fault>& faults) -> void;
-  auto change(Op op, const std::string& body, Who who, std::string detail, std::function<void()> again,
+  auto change(Op op, const std::string& body, Reply reply, std::string detail, std::function<void()> again,
               std::function<std::string(const OpResult&)> told) -> void;
   auto statusPage(int64_t nowMs) const -> std::string;
   auto ageMs(int64_t nowMs) const -> int64_t { return asOfMs_ < 0 ? 1LL << 40 : nowMs - asOfMs_; }
@@ -183,6 +210,10 @@
   std::map<std::string, int64_t> heldSinceMs_;
   std::map<std::string, int64_t> joinTriedMs_;
   std::vector<Ack> acks_;
+  std::vector<std::shared_ptr<Waiter>> waiters_;
+  std::map<std::string, std::vector<Reply>> underWay_;      // submissions that whoever repeats them joins
+  std::deque<std::pair<Revision, int64_t>> ran_;            // when each revision ran here, back to ackMs() ago
+  int64_t nowMs_ = 0;                                       // of the input under way
   agent::Giver giver_;
   std::map<uint32_t, neighbour::Hello> hellos_;
   std::map<uint32_t, int64_t> strangers_;  // slot → since when an unseated life says hello
--- a/lib/core/state.cpp
+++ b/lib/core/state.cpp
@@ -9,6 +9,9 @@
 constexpr size_t kChangesKept = 10000;
 constexpr size_t kRolloutsKept = 200;
 constexpr size_t kKeysKept = 400000;
+constexpr size_t kRemovalsKept = 1000;
+constexpr size_t kTakenKept = 1000;
+constexpr size_t kGoneKept = 10000;
 constexpr auto bitOf(uint8_t part) -> uint8_t { return static_cast<uint8_t>(1u << part); }
 }  // namespace
 
@@ -23,9 +26,59 @@
   return std::count_if(frame.members.begin(), frame.members.end(), [&](const auto& one) { return one.second.kind == kind; });
 }
 
+auto ConfigurationLog::add(Removal removal) -> void {
+  removals.push_back(std::move(removal));
+  if (removals.size() <= kRemovalsKept) return;
+  floor = removals[kRemovalsKept / 2].revision;
+  std::erase_if(removals, [&](const Removal& r) { return r.revision <= floor; });
+}
+
+namespace {
+auto configurationSince(const Frame& frame, uint64_t since) -> ConfigurationNews {
+  const auto& log = frame.log;
+  // Whoever is behind the listed removals can't know which of its routes are gone.
+  if (since < log.floor) since = 0;
+  ConfigurationNews news;
+  news.since = since;
+  news.version = frame.routing.version;
+  news.log = {log.services, log.pools, log.limits, log.floor, {}};
+  if (since == 0) news.log.floor = frame.revision.configuration;
+  if (since == 0 || log.services > since) news.services = frame.services;
+  if (since == 0 || log.pools > since) news.pools = frame.routing.pools;
+  if (since == 0 || log.limits > since) news.limits = frame.routing.limits;
+  for (const auto& [name, route] : frame.routing.routes)
+    if (since == 0 || route.revision > since) news.routes.emplace(name, route);
+  for (const auto& removal : log.removals)
+    if (since > 0 && removal.revision > since) news.log.removals.push_back(removal);
+  return news;
+}
+
+auto join(Frame& frame, const ConfigurationNews& news) -> void {
+  auto& [version, routes, pools, limits] = frame.routing;
+  auto had = frame.revision.configuration;
+  auto& log = frame.log;
+  if (news.since == 0) {
+    routes.clear();
+    log.removals.clear();
+    log.floor = news.log.floor;
+  }
+  log.services = news.log.services, log.pools = news.log.pools, log.limits = news.log.limits;
+  if (news.services) frame.services = *news.services;
+  if (news.pools) pools = *news.pools;
+  if (news.limits) limits = *news.limits;
+  // A route may have been removed and set again since: what is set now counts.
+  for (const auto& removal : news.log.removals) {
+    routes.erase(removal.route);
+    if (removal.revision > had) log.add(removal);
+  }
+  for (const auto& [name, route] : news.routes) routes[name] = route;
+  version = news.version;
+}
+}  // namespace
+
 auto newsSince(const Frame& frame, const Revision& since) -> News {
   News news{frame.revision, {}, {}, frame.purgeFloor, {}, {}};
-  if (frame.revision.configuration > since.configuration) news.services = frame.services;
+  if (frame.revision.configuration > since.configuration) news.configuration = configurationSince(frame, since.configuration);
   if (frame.revision.upstreams > since.upstreams) news.upstreams = frame.upstreams;
   if (frame.revision.members > since.members) news.members = frame.members;
   for (const auto& purge : frame.purges)
@@ -35,11 +88,12 @@
 
 auto join(Frame& frame, const News& news) -> bool {
   if (!news.revision.covers(frame.revision)) return false;
-  auto isWhole = (news.revision.configuration == frame.revision.configuration || news.services) &&
+  auto isWhole = (news.revision.configuration == frame.revision.configuration ||
+                  (news.configuration && news.configuration->since <= frame.revision.configuration)) &&
                  (news.revision.upstreams == frame.revision.upstreams || news.upstreams) &&
                  (news.revision.members == frame.revision.members || news.members);
   if (!isWhole) return false;
-  if (news.services) frame.services = *news.services;
+  if (news.configuration) join(frame, *news.configuration);
   if (news.upstreams) frame.upstreams = *news.upstreams;
   if (news.members) frame.members = *news.members;
   frame.purgeFloor = std::max(frame.purgeFloor, news.purgeFloor);
@@ -60,8 +114,13 @@
       for (const auto& [service, props] : services) retires = retires || !props;
       return retires ? parts | bitOf(tempo::kUpstreams) : parts;  // a retired service takes its upstreams along
     }
+    case OpKind::kRouting: {
+      auto retires = isWhole || std::any_of(routing.pools.begin(), routing.pools.end(), [](const auto& p) { return !p.second; });
+      return bitOf(tempo::kConfiguration) | (retires ? bitOf(tempo::kUpstreams) : uint8_t{0});
+    }
     case OpKind::kPurge:
     case OpKind::kTemplate:
+    case OpKind::kRead:
       return bitOf(tempo::kConfiguration);
     case OpKind::kTenants: {
       auto retires = std::any_of(tenants.begin(), tenants.end(), [](const auto& t) { return !t.second; });
@@ -70,6 +129,7 @@
     case OpKind::kDecide:
       return bitOf(tempo::kConfiguration) | bitOf(tempo::kMembers);  // decided under a duty's term
     case OpKind::kAnnounce:
+    case OpKind::kDeregister:
       return bitOf(tempo::kUpstreams);
     case OpKind::kSignOff:
     case OpKind::kRelease:
@@ -121,6 +181,12 @@
       return claimKeys(op);
     case OpKind::kAnnounce:
       return announce(op);
+    case OpKind::kDeregister:
+      return deregister(op);
+    case OpKind::kRouting:
+      return setRouting(op);
+    case OpKind::kRead:
+      return {Outcome::kDone, {}, {}};
     case OpKind::kTemplate:
       return submitTemplate(op);
     case OpKind::kTenants:
@@ -194,19 +260,108 @@
       if (!isNamed) retired.insert(it->first);
       it = isNamed ? std::next(it) : frame_.services.erase(it);
     }
-  ++revision.configuration;
+  frame_.log.services = ++revision.configuration;
   OpResult result{Outcome::kDone, {}, {}};
   result.revision.configuration = revision.configuration;
   if (op.parts() & (1u << tempo::kUpstreams)) {
-    auto before = frame_.upstreams.size();
-    std::erase_if(frame_.upstreams, [&](const auto& one) { return retired.count(one.second.service) != 0; });
-    if (before != frame_.upstreams.size()) ++revision.upstreams;
+    retire(retired);
     result.revision.upstreams = revision.upstreams;
   }
   remember(op, result);
   return result;
 }
 
+// Upstreams go along with the service or pool that they belong to.
+auto State::retire(const std::set<std::string>& services) -> void {
+  auto isGone = [&](const auto& one) {
+    const auto& name = one.second.service;
+    return services.count(name) && !frame_.services.count(name) && !frame_.routing.pools.count(name);
+  };
+  if (std::erase_if(frame_.upstreams, isGone)) ++frame_.revision.upstreams;
+}
+
+// Its content was checked against the routing at its base, which must still be in force.
+auto State::setRouting(const Op& op) -> OpResult {
+  const auto& change = op.routing;
+  if (auto first = taken(change.version, op.print)) return *first;
+  auto& routing = frame_.routing;
+  OpResult result{Outcome::kDone, {}, {}};
+  if (op.base != routing.version || change.version <= routing.version) {
+    result.outcome = Outcome::kConflict;
+    result.version = routing.version;
+    return result;
+  }
+  auto& log = frame_.log;
+  auto revision = ++frame_.revision.configuration;
+  auto isSame = [](const auto& a, const auto& b) { return Writer().put(a).take() == Writer().put(b).take(); };
+  // A whole change retires what it does not name.
+  std::set<std::string> goneRoutes, gonePools;
+  for (const auto& [name, route] : routing.routes)
+    if (auto it = change.routes.find(name); it == change.routes.end() ? op.isWhole : !it->second) goneRoutes.insert(name);
+  for (const auto& [name, pool] : routing.pools)
+    if (auto it = change.pools.find(name); it == change.pools.end() ? op.isWhole : !it->second) gonePools.insert(name);
+  for (const auto& name : goneRoutes) {
+    routing.routes.erase(name);
+    sources_.routes.erase(name);
+    log.add({revision, name});
+  }
+  for (const auto& name : gonePools) {
+    routing.pools.erase(name);
+    sources_.pools.erase(name);
+    log.pools = revision;
+  }
+  for (const auto& [name, route] : change.routes) {
+    if (!route) continue;
+    auto next = *route;
+    auto it = routing.routes.find(name);
+    next.revision = it == routing.routes.end() ? 0 : it->second.revision;
+    if (it == routing.routes.end() || !isSame(next, it->second)) {
+      next.revision = revision;
+      routing.routes[name] = std::move(next);
+    }
+  }
+  for (const auto& [name, pool] : change.pools) {
+    if (!pool) continue;
+    auto it = routing.pools.find(name);
+    if (it != routing.pools.end() && isSame(*pool, it->second)) continue;
+    routing.pools[name] = *pool;
+    log.pools = revision;
+  }
+  if (change.limits || op.isWhole) {
+    auto next = change.limits.value_or(Limits{});
+    if (!isSame(next, routing.limits)) log.limits = revision;
+    routing.limits = next;
+    sources_.limits = change.sources.limits;
+  }
+  auto keepSources = [](auto& kept, const auto& items, const auto& sources) {
+    for (const auto& [name, item] : items) {
+      if (!item) continue;
+      if (auto it = sources.find(name); it != sources.end())
+        kept[name] = it->second;
+      else
+        kept.erase(name);
+    }
+  };
+  keepSources(sources_.routes, change.routes, change.sources.routes);
+  keepSources(sources_.pools, change.pools, change.sources.pools);
+  routing.version = change.version;
+  result.version = change.version;
+  result.revision.configuration = revision;
+  if (op.parts() & (1u << tempo::kUpstreams)) {
+    retire(gonePools);
+    result.revision.upstreams = frame_.revision.upstreams;
+  }
+  result.print = op.print;
+  taken_.push_back(result);
+  if (taken_.size() > kTakenKept) taken_.erase(taken_.begin(), taken_.begin() + kTakenKept / 2);
+  return result;
+}
+
+auto State::taken(uint64_t version, uint64_t print) const -> std::optional<OpResult> {
+  auto it = std::find_if(taken_.rbegin(), taken_.rend(), [&](const OpResult& r) { return r.version == version && r.print == print; });
+  return it == taken_.rend() ? std::nullopt : std::optional(*it);
+}
+
 auto fill(const Template& shape, const Tenant& tenant) -> Service {
   auto number = [&](const Value& value) {
     if (value.parameter.empty()) return value.number;
@@ -240,7 +395,7 @@
     }
     frame_.services[name] = std::move(service);
   }
-  ++frame_.revision.configuration;
+  frame_.log.services = ++frame_.revision.configuration;
 }
 
 auto State::submitTemplate(const Op& op) -> OpResult {
@@ -297,8 +452,8 @@
   OpResult result{Outcome::kDone, {}, {}};
   result.revision.configuration = revision.configuration;
   if (!retired.empty()) {
-    std::erase_if(frame_.upstreams, [&](const auto& one) { return retired.count(one.second.service) != 0; });
-    result.revision.upstreams = ++revision.upstreams;
+    retire(retired);
+    result.revision.upstreams = revision.upstreams;
   }
   remember(op, result);
   return result;
@@ -332,10 +487,39 @@
   return result;
 }
 
+// Announcements may overtake each other on their way; those that are not numbered are taken as they come.
+auto State::isLate(const Op& op) const -> bool {
+  if (op.upstream.number == 0) return false;
+  auto known = frame_.upstreams.find(op.name);
+  auto gone = gone_.find(op.name);
+  return (known != frame_.upstreams.end() && op.upstream.number < known->second.number) ||
+         (gone != gone_.end() && op.upstream.number <= gone->second);
+}
+
+auto State::deregister(const Op& op) -> OpResult {
+  if (isLate(op)) return {Outcome::kNoChange, {}, {}};
+  if (op.upstream.number > 0) {
+    gone_[op.name] = op.upstream.number;
+    goneOrder_.emplace_back(op.name, op.upstream.number);
+    if (goneOrder_.size() > kGoneKept) {
+      for (size_t i = 0; i < kGoneKept / 2; ++i)
+        if (auto it = gone_.find(goneOrder_[i].first); it != gone_.end() && it->second == goneOrder_[i].second) gone_.erase(it);
+      goneOrder_.erase(goneOrder_.begin(), goneOrder_.begin() + kGoneKept / 2);
+    }
+  }
+  if (!frame_.upstreams.erase(op.name)) return {Outcome::kNoChange, {}, {}};
+  OpResult result{Outcome::kDone, {}, {}};
+  result.revision.upstreams = ++frame_.revision.upstreams;
+  return result;
+}
+
 auto State::announce(const Op& op) -> OpResult {
+  if (isLate(op)) return {Outcome::kNoChange, {}, {}};
   auto next = op.upstream;
   auto it = frame_.upstreams.find(op.name);
   next.isHeld = it != frame_.upstreams.end() && it->second.isHeld;
+  // How long it is slow counts from its start: what it said first, for this address.
+  if (it != frame_.upstreams.end() && it->second.address == next.address) next.coldMs = it->second.coldMs;
   // An address belongs to one instance at a time. One that passes to another service is held until no node
   // can know the old entry any more, even where that entry has long been signed off.
   std::erase_if(frame_.upstreams, [&](const auto& one) { return one.first != op.name && one.second.address == next.address; });
@@ -419,8 +603,8 @@
 auto State::save(uint8_t part) const -> std::string {
   const auto& f = frame_;
   if (part == tempo::kConfiguration)
-    return Writer().put(f.revision.configuration).put(f.revision.purges).put(f.services).put(f.purges).put(f.purgeFloor).put(changes_).put(changeOrder_).put(templates_).put(lastRevisions_).put(tenants_).put(rollouts_).put(rolloutOrder_).take();
-  if (part == tempo::kUpstreams) return Writer().put(f.revision.upstreams).put(f.upstreams).put(owners_).take();
+    return Writer().put(f.revision.configuration).put(f.revision.purges).put(f.services).put(f.routing).put(f.log).put(sources_).put(taken_).put(f.purges).put(f.purgeFloor).put(changes_).put(changeOrder_).put(templates_).put(lastRevisions_).put(tenants_).put(rollouts_).put(rolloutOrder_).take();
+  if (part == tempo::kUpstreams) return Writer().put(f.revision.upstreams).put(f.upstreams).put(owners_).put(gone_).put(goneOrder_).take();
   if (part == tempo::kKeys) return Writer().put(keys_).put(clockMs_).put(clockSeenMs_).put(clockLife_).take();
   return Writer().put(f.revision.members).put(f.members).put(duties_).put(ticks_).put(lastTicks_).take();
 }
@@ -430,9 +614,9 @@
   auto readAll = [&](auto&... fields) { (r.read(fields), ...); };
   auto& f = frame_;
   if (part == tempo::kConfiguration)
-    readAll(f.revision.configuration, f.revision.purges, f.services, f.purges, f.purgeFloor, changes_, changeOrder_, templates_, lastRevisions_, tenants_, rollouts_, rolloutOrder_);
+    readAll(f.revision.configuration, f.revision.purges, f.services, f.routing, f.log, sources_, taken_, f.purges, f.purgeFloor, changes_, changeOrder_, templates_, lastRevisions_, tenants_, rollouts_, rolloutOrder_);
   else if (part == tempo::kUpstreams)
-    readAll(f.revision.upstreams, f.upstreams, owners_);
+    readAll(f.revision.upstreams, f.upstreams, owners_, gone_, goneOrder_);
   else if (part == tempo::kKeys) {
     readAll(keys_, clockMs_, clockSeenMs_, clockLife_);
     keyEnds_.clear();
--- a/lib/core/state.hpp
+++ b/lib/core/state.hpp
@@ -169,7 +169,7 @@
   DYKESTAGE_FIELDS(kind, site, address, agent, incarnation)
 };
 
-/// A purge: one path of a service, or one label of a service.
+/// A purge: one path of a service or of a route's host, or one label; without a service the label counts everywhere.
 struct Purge {
   uint64_t number = 0;
   std::string service, path, label;
@@ -187,31 +187,60 @@
   DYKESTAGE_FIELDS(configuration, purges, upstreams, members)
 };
 
+/// A route that was removed, and the configuration revision that removed it.
+struct Removal {
+  uint64_t revision = 0;
+  std::string route;
+  DYKESTAGE_FIELDS(revision, route)
+};
+
+/// What differences between configurations are made from: the revision at which each part changed last, and the
+/// routes removed after `floor`.
+struct ConfigurationLog {
+  uint64_t services = 0, pools = 0, limits = 0, floor = 0;
+  std::vector<Removal> removals;
+  /// Notes a removal, within a bound. Example: `log.add({revision, "r-1"});`
+  auto add(Removal removal) -> void;
+  DYKESTAGE_FIELDS(services, pools, limits, floor, removals)
+};
+
 /// What a data node knows of the control plane. Parts that the asker had already are left out on the wire.
 struct Frame {
   Revision revision;
   Services services;
   Routing routing;
+  ConfigurationLog log;        // of services and routing
   std::vector<Purge> purges;   // newest ones, in order
   uint64_t purgeFloor = 0;     // purges up to here are no longer listed
   std::map<std::string, Upstream> upstreams;
   std::map<std::string, Member> members;
-  DYKESTAGE_FIELDS(revision, services, routing, purges, purgeFloor, upstreams, members)
+  DYKESTAGE_FIELDS(revision, services, routing, log, purges, purgeFloor, upstreams, members)
 };
 
 /// Where the members of a kind are, and how many there are. Example: `for (auto& at : addressesOf(frame, "shield")) ...`
 auto addressesOf(const Frame& frame, const std::string& kind, const std::string& except = "") -> std::vector<std::string>;
 auto countOf(const Frame& frame, const std::string& kind) -> int64_t;
 
+/// What of the configuration changed since a revision; since 0: all that there is.
+struct ConfigurationNews {
+  uint64_t since = 0, version = 0;
+  std::optional<Services> services;
+  std::map<std::string, Route> routes;
+  std::optional<std::map<std::string, Pool>> pools;
+  std::optional<Limits> limits;
+  ConfigurationLog log;  // its removals: those after `since`
+  DYKESTAGE_FIELDS(since, version, services, routes, pools, limits, log)
+};
+
 /// The parts of a frame that changed since a revision. Example: `auto news = newsSince(frame, asker);`
 struct News {
   Revision revision;
-  std::optional<std::map<std::string, Service>> services;
+  std::optional<ConfigurationNews> configuration;
   std::vector<Purge> purges;
   uint64_t purgeFloor = 0;
   std::optional<std::map<std::string, Upstream>> upstreams;
   std::optional<std::map<std::string, Member>> members;
-  DYKESTAGE_FIELDS(revision, services, purges, purgeFloor, upstreams, members)
+  DYKESTAGE_FIELDS(revision, configuration, purges, purgeFloor, upstreams, members)
 };
 auto newsSince(const Frame& frame, const Revision& since) -> News;
 /// Joins news to a frame; false when it would slide back. Example: `if (!join(frame, news)) return;`
@@ -238,19 +267,42 @@
   DYKESTAGE_FIELDS(life, number, print, shield, untilMs)
 };
 
-enum class OpKind : uint8_t { kTick, kConfigure, kPurge, kAnnounce, kSignOff, kRelease, kJoin, kLeave, kClaim, kTemplate, kTenants, kDecide, kKeys };
+/// Items of a routing as their author wrote them, as JSON; kept for whoever asks, and not sent to data nodes.
+struct Sources {
+  std::map<std::string, std::string> routes, pools;
+  std::string limits;
+  DYKESTAGE_FIELDS(routes, pools, limits)
+};
+
+/// A change of the routing: items to set, or to retire.
+struct RoutingChange {
+  uint64_t version = 0;
+  std::map<std::string, std::optional<Route>> routes;
+  std::map<std::string, std::optional<Pool>> pools;
+  std::optional<Limits> limits;
+  Sources sources;
+  DYKESTAGE_FIELDS(version, routes, pools, limits, sources)
+};
+
+enum class OpKind : uint8_t {
+  kTick, kConfigure, kPurge, kAnnounce, kSignOff, kRelease, kJoin, kLeave, kClaim, kTemplate, kTenants, kDecide, kKeys,
+  kDeregister,  // an upstream says that it is gone
+  kRouting,
+  kRead         // changes nothing: whoever has run it has run everything acknowledged before it
+};
 
 /// One operation inside a command. Fields that a kind does not use stay empty.
 struct Op {
   OpKind kind = OpKind::kTick;
   std::string changeId;                                      // kConfigure, kPurge, kTemplate, kTenants: names the submission
   uint64_t print = 0;                                        // of its content: an id stands for one content
-  uint64_t base = 0;                                         // kConfigure: revision it builds on
+  uint64_t base = 0;                                         // kConfigure: revision it builds on; kRouting: version
   std::map<std::string, std::optional<Service>> services;    // kConfigure: set, or retire
-  bool isWhole = false;                                      // kConfigure: what is not named is retired
+  bool isWhole = false;                                      // kConfigure, kRouting: what is not named is retired
+  RoutingChange routing;                                     // kRouting
   Purge purge;                                               // kPurge
   std::string name;                                          // instance, member or duty
-  Upstream upstream;                                         // kAnnounce
+  Upstream upstream;                                         // kAnnounce; kDeregister: its number
   Member member;                                             // kJoin
   uint64_t incarnation = 0;                                  // kLeave; kClaim: the holder
   uint64_t term = 0;                                         // kSignOff, kLeave, kRelease, kClaim, kDecide
@@ -259,7 +311,7 @@
   Decision decision;                                         // kDecide
   int64_t atMs = 0;                                          // kTick: the steady clock of its registry
   std::vector<KeyClaim> keys;                                // kKeys; name and incarnation tell the shield
-  DYKESTAGE_FIELDS(kind, changeId, print, base, services, isWhole, purge, name, upstream, member, incarnation, term, shape, tenants, decision, atMs, keys)
+  DYKESTAGE_FIELDS(kind, changeId, print, base, services, isWhole, routing, purge, name, upstream, member, incarnation, term, shape, tenants, decision, atMs, keys)
   /// The partitions it touches, as bits. Example: `node.submit(op.parts(), ...)`
   auto parts() const -> uint8_t;
 };
@@ -272,7 +324,8 @@
   std::string rollout;  // kTemplate: the rollout that it started, if any
   std::vector<KeyHeld> keys = {};  // kKeys: who holds each of them now
   uint64_t print = 0;              // of the submission's content
-  DYKESTAGE_FIELDS(outcome, revision, rollout, keys, print)
+  uint64_t version = 0;            // kRouting: the version in force
+  DYKESTAGE_FIELDS(outcome, revision, rollout, keys, print, version)
 };
 
 /// The one duty that exists today: watching beats and deriving sign-offs.
@@ -295,6 +348,10 @@
   auto frame() const -> const Frame& { return frame_; }
   /// The result of a change by its id, while remembered. Example: `state.changed("c-17")`
   auto changed(const std::string& changeId) const -> std::optional<OpResult>;
+  /// The items of the routing in force as they were written. Example: `state.sources().routes.at("r-1")`
+  auto sources() const -> const Sources& { return sources_; }
+  /// What became of a routing that was taken, by version and content, while remembered. Example: `state.taken(7, print)`
+  auto taken(uint64_t version, uint64_t print) const -> std::optional<OpResult>;
   /// Who holds a duty. Example: `state.duty(kWatchDuty).holder == me`
   auto duty(const std::string& name) const -> Duty;
   auto templates() const -> const std::map<std::string, Template>& { return templates_; }
@@ -310,7 +367,11 @@
  private:
   auto applyOp(const Op& op) -> OpResult;
   auto configure(const Op& op) -> OpResult;
+  auto setRouting(const Op& op) -> OpResult;
+  auto retire(const std::set<std::string>& services) -> void;
   auto announce(const Op& op) -> OpResult;
+  auto deregister(const Op& op) -> OpResult;
+  auto isLate(const Op& op) const -> bool;
   auto submitTemplate(const Op& op) -> OpResult;
   auto setTenants(const Op& op) -> OpResult;
   auto decide(const Op& op) -> OpResult;
@@ -327,6 +388,10 @@
   std::map<std::string, Rollout> rollouts_;
   std::vector<std::string> rolloutOrder_;
   std::map<std::string, std::string> owners_;  // address → the service that had it last
+  std::map<std::string, uint64_t> gone_;       // upstreams that said so → number of that announcement
+  std::vector<std::pair<std::string, uint64_t>> goneOrder_;
+  Sources sources_;
+  std::vector<OpResult> taken_;                // of routings, the newest ones
   std::map<std::string, OpResult> changes_;
   std::vector<std::string> changeOrder_;
   std::map<std::string, Duty> duties_;
--- a/lib/operator/configuration.cpp
+++ b/lib/operator/configuration.cpp
@@ -57,6 +57,16 @@
   return true;
 }
 
+auto Fields::number(const std::string& key, double low, double high, double& into) -> bool {
+  const auto* item = raw(key);
+  if (!item) return false;
+  if (!cJSON_IsNumber(item) || !(item->valuedouble >= low && item->valuedouble <= high))
+    fault(key, "must be a number from " + std::to_string(low) + " to " + std::to_string(high));
+  else
+    into = item->valuedouble;
+  return true;
+}
+
 auto Fields::text(const std::string& key, std::string& into, bool needed) -> bool {
   const auto* item = raw(key);
   if (!item) {
@@ -234,6 +244,184 @@
   return op;
 }
 
+namespace {
+constexpr auto kMostCount = int64_t{1} << 53;
+
+auto readSource(Fields& f, std::string& into) -> void {
+  if (const auto* source = f.raw("source")) into = print(source);
+}
+
+auto readRoute(const cJSON* json, const std::string& place, std::vector<Fault>& faults, std::string& source) -> core::Route {
+  core::Route route;
+  std::string kind;
+  Fields f(json, place, faults);
+  f.text("host", route.host, true);
+  if (f.text("prefix", route.prefix, true) && !route.prefix.starts_with('/')) f.fault("prefix", "must start with /");
+  f.text("kind", kind, true);
+  if (kind == "readOnly")
+    route.kind = core::RouteKind::kReadOnly;
+  else if (kind == "cacheable")
+    route.kind = core::RouteKind::kCacheable;
+  else if (!kind.empty() && kind != "writing")
+    f.fault("kind", "must be writing, readOnly or cacheable");
+  if (!f.integer("giveUpMs", 1, kMostCount, route.giveUpMs)) f.fault("giveUpMs", "is missing");
+  f.integer("targetMs", 0, kMostCount, route.targetMs);
+  if (route.targetMs - route.giveUpMs >= 60000) f.fault("targetMs", "must be less than 60000 over giveUpMs");
+  f.integer("rank", 0, kMostCount, route.rank);
+  f.integer("tries", 1, kMostCount, route.tries);
+  f.integer("keepMs", 0, kMostCount, route.keepMs);
+  readSource(f, source);
+  const auto* shares = f.raw("shares");
+  auto isList = cJSON_IsArray(shares) && shares->child;
+  if (!isList) f.fault("shares", "must be a list with at least one share");
+  auto index = 0;
+  auto weighs = false;
+  for (const auto* item = isList ? shares->child : nullptr; item; item = item->next, ++index) {
+    core::Share share;
+    Fields one(item, place + ".shares[" + std::to_string(index) + "]", faults);
+    one.text("pool", share.pool, true);
+    one.integer("weight", 0, 1LL << 40, share.weight);
+    one.close();
+    weighs = weighs || share.weight > 0;
+    route.shares.push_back(std::move(share));
+  }
+  if (isList && !weighs) f.fault("shares", "the weights add up to 0");
+  f.close();
+  return route;
+}
+
+auto readPool(const cJSON* json, const std::string& place, std::vector<Fault>& faults, std::string& source) -> core::Pool {
+  core::Pool pool;
+  Fields f(json, place, faults);
+  if (f.text("probe", pool.probe) && !pool.probe.starts_with('/')) f.fault("probe", "must start with /");
+  f.integer("connections", 0, kMostCount, pool.connections);
+  f.number("ratePerS", 0, 1e12, pool.ratePerS);
+  readSource(f, source);
+  f.close();
+  return pool;
+}
+
+// Named items: set by an object, retired by null.
+auto readItems(Fields& f, const std::string& key, std::vector<Fault>& faults, auto& items, auto& sources, auto read) -> void {
+  const auto* list = f.raw(key);
+  if (!list) return;
+  if (!cJSON_IsObject(list)) return f.fault(key, "must be an object");
+  for (const auto* item = list->child; item; item = item->next) {
+    std::string name = item->string, source;
+    auto place = key + "." + name;
+    if (name.empty() || name.size() > 256) faults.push_back({place, "a name has 1 to 256 bytes"});
+    if (items.count(name)) faults.push_back({place, "stands twice"});
+    if (cJSON_IsNull(item)) {
+      items[name] = std::nullopt;
+      continue;
+    }
+    items[name] = read(item, place, faults, source);
+    if (!source.empty()) sources[name] = source;
+  }
+}
+}  // namespace
+
+auto readRouting(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op> {
+  auto json = parseWhole(body, faults);
+  if (!json) return std::nullopt;
+  core::Op op;
+  op.kind = core::OpKind::kRouting;
+  auto& change = op.routing;
+  int64_t version = 0, base = 0;
+  Fields f(json.get(), "", faults);
+  if (!f.integer("version", 1, kMostCount, version)) f.fault("version", "is missing");
+  f.integer("base", 0, kMostCount, base);
+  f.flag("whole", op.isWhole);
+  change.version = static_cast<uint64_t>(version);
+  op.base = static_cast<uint64_t>(base);
+  if (version <= base) f.fault("version", "must be above base");
+  readItems(f, "routes", faults, change.routes, change.sources.routes, readRoute);
+  readItems(f, "pools", faults, change.pools, change.sources.pools, readPool);
+  if (const auto* limits = f.raw("limits")) {
+    core::Limits read;
+    Fields l(limits, "limits", faults);
+    l.integer("headerBytes", 1, kMostCount, read.headerBytes);
+    l.integer("bodyBytes", 0, kMostCount, read.bodyBytes);
+    l.integer("headerMs", 1, kMostCount, read.headerMs);
+    l.integer("idleMs", 1, kMostCount, read.idleMs);
+    readSource(l, change.sources.limits);
+    l.close();
+    change.limits = read;
+  }
+  f.close();
+  if (!faults.empty()) return std::nullopt;
+  return op;
+}
+
+auto checkRouting(const core::Op& op, const core::Routing& now, std::vector<Fault>& faults) -> bool {
+  auto merged = op.isWhole ? core::Routing{} : now;
+  auto merge = [](auto& items, const auto& change) {
+    for (const auto& [name, item] : change) {
+      if (item)
+        items[name] = *item;
+      else
+        items.erase(name);
+    }
+  };
+  merge(merged.routes, op.routing.routes);
+  merge(merged.pools, op.routing.pools);
+  for (const auto& [name, route] : merged.routes)
+    for (const auto& share : route.shares)
+      if (!merged.pools.count(share.pool)) faults.push_back({"routes." + name + ".shares", "no pool is named " + share.pool});
+  return faults.empty();
+}
+
+auto writeRouting(const core::Routing& routing, const core::Sources& sources) -> std::string {
+  Json json(cJSON_CreateObject(), cJSON_Delete);
+  auto number = [](cJSON* to, const char* key, auto value) { cJSON_AddNumberToObject(to, key, static_cast<double>(value)); };
+  auto source = [](cJSON* to, const std::string& text) {
+    if (!text.empty()) cJSON_AddRawToObject(to, "source", text.c_str());
+  };
+  auto sourceOf = [](const auto& list, const std::string& name) {
+    auto it = list.find(name);
+    return it == list.end() ? std::string() : it->second;
+  };
+  number(json.get(), "code", 0);
+  number(json.get(), "version", routing.version);
+  auto* routes = cJSON_AddObjectToObject(json.get(), "routes");
+  for (const auto& [name, route] : routing.routes) {
+    auto* r = cJSON_AddObjectToObject(routes, name.c_str());
+    cJSON_AddStringToObject(r, "host", route.host.c_str());
+    cJSON_AddStringToObject(r, "prefix", route.prefix.c_str());
+    cJSON_AddStringToObject(r, "kind", route.kind == core::RouteKind::kWriting    ? "writing"
+                                       : route.kind == core::RouteKind::kReadOnly ? "readOnly"
+                                                                                  : "cacheable");
+    number(r, "giveUpMs", route.giveUpMs);
+    number(r, "targetMs", route.targetMs);
+    number(r, "rank", route.rank);
+    auto* shares = cJSON_AddArrayToObject(r, "shares");
+    for (const auto& share : route.shares) {
+      auto* s = cJSON_CreateObject();
+      cJSON_AddStringToObject(s, "pool", share.pool.c_str());
+      number(s, "weight", share.weight);
+      cJSON_AddItemToArray(shares, s);
+    }
+    number(r, "tries", route.tries);
+    number(r, "keepMs", route.keepMs);
+    source(r, sourceOf(sources.routes, name));
+  }
+  auto* pools = cJSON_AddObjectToObject(json.get(), "pools");
+  for (const auto& [name, pool] : routing.pools) {
+    auto* p = cJSON_AddObjectToObject(pools, name.c_str());
+    cJSON_AddStringToObject(p, "probe", pool.probe.c_str());
+    number(p, "connections", pool.connections);
+    number(p, "ratePerS", pool.ratePerS);
+    source(p, sourceOf(sources.pools, name));
+  }
+  auto* limits = cJSON_AddObjectToObject(json.get(), "limits");
+  number(limits, "headerBytes", routing.limits.headerBytes);
+  number(limits, "bodyBytes", routing.limits.bodyBytes);
+  number(limits, "headerMs", routing.limits.headerMs);
+  number(limits, "idleMs", routing.limits.idleMs);
+  source(limits, sources.limits);
+  return print(json.get());
+}
+
 auto readPurge(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op> {
   auto json = parseWhole(body, faults);
   if (!json) return std::nullopt;
@@ -241,10 +429,15 @@
   op.kind = core::OpKind::kPurge;
   Fields f(json.get(), "", faults);
   f.text("change", op.changeId);
-  f.text("service", op.purge.service, true);
+  std::string host;
+  f.text("service", op.purge.service);
+  f.text("host", host);
   f.text("path", op.purge.path);
   f.text("label", op.purge.label);
   f.close();
+  if (!host.empty() && !op.purge.service.empty()) faults.push_back({"host", "either a service or a host may be given"});
+  if (op.purge.service.empty()) op.purge.service = host;
+  if (op.purge.service.empty() && op.purge.label.empty()) faults.push_back({"service", "is missing; a label alone needs none"});
   if (op.purge.path.empty() == op.purge.label.empty()) faults.push_back({"path", "either a path or a label must be given"});
   if (!faults.empty()) return std::nullopt;
   return op;
@@ -260,18 +453,23 @@
   Fields f(json.get(), "", faults);
   f.text("instance", op.name, true);
   f.text("service", u.service, true);
-  f.text("kind", kind, true);
+  f.text("kind", kind);
   f.text("address", u.address, true);
   f.text("site", u.site, true);
   f.integer("capacity", 1, 100000, u.capacity);
   f.text("state", state);
+  f.integer("coldMs", 0, 86400000, u.coldMs);
+  int64_t number = 0;
+  f.integer("number", 1, 1LL << 53, number);
+  u.number = static_cast<uint64_t>(number);
   f.close();
   if (!kind.empty() && kind != "store" && kind != "application") f.fault("kind", "must be store or application");
   if (!u.address.empty() && !isAddress(u.address)) f.fault("address", "must be an IP number and a port");
   if (!op.name.empty() && !isName(op.name)) f.fault("instance", "a name has letters, digits, - _ . only, at most 64");
-  if (!state.empty() && state != "working" && state != "emptying") f.fault("state", "must be working or emptying");
-  u.kind = kind == "store" ? core::UpstreamKind::kStore : core::UpstreamKind::kApplication;
+  if (!state.empty() && state != "working" && state != "emptying" && state != "gone") f.fault("state", "must be working, emptying or gone");
+  u.kind = kind.empty() ? core::UpstreamKind::kAny : kind == "store" ? core::UpstreamKind::kStore : core::UpstreamKind::kApplication;
   u.isEmptying = state == "emptying";
+  if (state == "gone") op.kind = core::OpKind::kDeregister;
   if (!faults.empty()) return std::nullopt;
   return op;
 }
@@ -583,7 +781,7 @@
   for (const auto& [name, u] : frame.upstreams) {
     auto* o = cJSON_AddObjectToObject(upstreams, name.c_str());
     cJSON_AddStringToObject(o, "service", u.service.c_str());
-    cJSON_AddStringToObject(o, "kind", u.kind == core::UpstreamKind::kStore ? "store" : "application");
+    cJSON_AddStringToObject(o, "kind", u.kind == core::UpstreamKind::kStore ? "store" : u.kind == core::UpstreamKind::kAny ? "any" : "application");
     cJSON_AddStringToObject(o, "address", u.address.c_str());
     cJSON_AddStringToObject(o, "site", u.site.c_str());
     cJSON_AddNumberToObject(o, "capacity", static_cast<double>(u.capacity));
--- a/lib/operator/configuration.hpp
+++ b/lib/operator/configuration.hpp
@@ -34,6 +34,7 @@
   Fields(const cJSON* json, std::string place, std::vector<Fault>& faults);
   /// Each takes a field when it is there; false when it is missing. Wrong types and ranges become faults.
   auto integer(const std::string& key, int64_t low, int64_t high, int64_t& into) -> bool;
+  auto number(const std::string& key, double low, double high, double& into) -> bool;
   auto text(const std::string& key, std::string& into, bool needed = false) -> bool;
   auto flag(const std::string& key, bool& into) -> bool;
   auto texts(const std::string& key, std::vector<std::string>& into) -> bool;
@@ -69,7 +70,16 @@
 auto writeRollout(const std::string& id, const core::Rollout& rollout) -> std::string;
 /// Faults as a JSON list of places. Example: `writeFaults(faults)`
 auto writeFaults(const std::vector<Fault>& faults) -> std::string;
-/// Takes a purge: {"change": id, "service": s, "path": p} or with "label".
+/// Takes a change of the routing: {"version", "base", "whole", "routes", "pools", "limits"}; with any fault nothing.
+/// Example: `auto op = readRouting(body, faults); if (!op) return turnAway(faults);`
+auto readRouting(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op>;
+/// True when the change fits together with the routing at its base; else the faults say why not.
+/// Example: `if (!checkRouting(*op, frame.routing, faults)) return turnAway(faults);`
+auto checkRouting(const core::Op& op, const core::Routing& now, std::vector<Fault>& faults) -> bool;
+/// The routing as JSON, each item with its source. Example: `writeRouting(state.frame().routing, state.sources())`
+auto writeRouting(const core::Routing& routing, const core::Sources& sources) -> std::string;
+/// Takes a purge: {"change": id, "service": s or "host": h, "path": p or "label": l}, or a label alone.
+/// Example: `auto op = readPurge(body, faults);`
 auto readPurge(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op>;
 /// Takes an upstream's announcement. Example: `auto op = readAnnouncement(body, faults);`
 auto readAnnouncement(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op>;
--- a/lib/tempo/tempo.cpp
+++ b/lib/tempo/tempo.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <limits>
 #include <utility>
 
 namespace dykestage::tempo {
@@ -557,6 +558,7 @@
 
 auto Node::tick(int64_t nowMs) -> void {
   if (!isMember()) return;
+  tickedMs_ = nowMs;
   alive_ = bit(slot_);
   for (auto slot : others())
     if (nowMs - heardMs_.try_emplace(slot, nowMs).first->second < props_.suspectMs) alive_ |= bit(slot);
@@ -584,12 +586,17 @@
     sendAll(make(Kind::kCommitAsk, id, 0));
   }
   if (nowMs - promisedMs_ >= props_.promiseMs) {
-    promisedMs_ = nowMs;
+    auto isIdle = nowMs - idledMs_ >= props_.idleMs;
+    if (isIdle) idledMs_ = nowMs;
     for (auto slot : others()) {
+      if (!isIdle && !waits(slot)) continue;
+      promisedMs_ = nowMs;
       auto m = make(Kind::kPromises, {}, 0);
       for (uint8_t part = 0; part < kParts; ++part) {
+        auto& known = parts_[part].known[slot];
         m.promises.push_back(promise(part, parts_[part].acked[slot]));
-        m.have.push_back(parts_[part].known[slot].upTo);
+        m.have.push_back(known.upTo);
+        known.told = known.upTo;
       }
       send(slot, std::move(m));
     }
@@ -600,6 +607,24 @@
   forget();
 }
 
+// A living replica waits for promises that it lacks, as far as known here, and to hear which of its own have come.
+auto Node::waits(Slot slot) const -> bool {
+  if (!(alive_ & bit(slot))) return false;
+  return std::any_of(parts_.begin(), parts_.end(), [&](const PartState& part) {
+    auto acked = part.acked.find(slot);
+    auto known = part.known.find(slot);
+    return (acked == part.acked.end() ? 0 : acked->second) < part.clock || (known != part.known.end() && known->second.upTo != known->second.told);
+  });
+}
+
+auto Node::dueMs() const -> int64_t {
+  if (!isMember()) return std::numeric_limits<int64_t>::max();
+  auto slots = others();
+  auto hasOpen = std::any_of(entries_.begin(), entries_.end(), [](const auto& one) { return !one.second.executed; });
+  auto isBusy = hasOpen || std::any_of(slots.begin(), slots.end(), [&](Slot slot) { return waits(slot); });
+  return isBusy ? std::max(promisedMs_, tickedMs_) + props_.promiseMs : idledMs_ + props_.idleMs;
+}
+
 // ---- execution at stability (§3.2) --------------------------------------------------------------------
 
 auto Node::stable(uint8_t part) const -> Stamp {
--- a/lib/tempo/tempo.hpp
+++ b/lib/tempo/tempo.hpp
@@ -124,11 +124,12 @@
 struct Props {
   uint32_t replicas = 5;
   uint32_t faults = 2;
-  int64_t promiseMs = 20;
+  int64_t promiseMs = 20;    // between promises to a replica that lacks some, or that waits to hear what is known here
+  int64_t idleMs = 100;      // between promises when nothing waits for them; below suspectMs
   int64_t slowMs = 40;       // wait for a whole fast quorum before a majority is enough
   int64_t recoveryMs = 250;  // wait before a command is recovered
   int64_t askMs = 40;        // wait before a missing commit is asked for
-  int64_t suspectMs = 150;   // silence after which a replica is believed dead
+  int64_t suspectMs = 250;   // silence after which a replica is believed dead
   size_t keepCommands = 4096;
   // Rule breakers for the proof that the checker bites; all off in any real run.
   int breakSlowQuorum = 0;     // replies too few in a slow quorum
@@ -177,6 +178,8 @@
   auto receive(Slot from, const Message& message, int64_t nowMs) -> void;
   /// Lets time pass: promises, retries, recovery. Example: every few ms `node.tick(nowMs);`
   auto tick(int64_t nowMs) -> void;
+  /// When time has to pass here at the latest. Example: `wait(node.dueMs() - nowMs); node.tick(nowMs);`
+  auto dueMs() const -> int64_t;
   /// The slots believed alive: seated lives heard within suspectMs. Example: `if (node.alive() & Node::bit(2)) ...`
   auto alive() const -> uint32_t { return alive_; }
   /// Hands over what there is to write, send and answer. Example: `auto out = node.take();`
@@ -240,6 +243,7 @@
     Stamp upTo = 0;
     Stamp executed = 0;
     std::map<Stamp, Id> attached;  // not committed here yet
+    Stamp told = 0;                // upTo as that replica was last told that it is known here
   };
   struct PartState {
     Stamp clock = 0;
@@ -288,6 +292,7 @@
   auto send(Slot to, Message message) -> void { out_.sends.push_back({to, std::move(message)}); }
   auto sendAll(const Message& message) -> void;
   auto leastAcked(uint8_t part) const -> Stamp;
+  auto waits(Slot slot) const -> bool;
   auto make(Kind kind, const Id& id, uint8_t part) const -> Message;
   auto others() const -> std::vector<Slot>;
   auto slotOf(Incarnation incarnation) const -> Slot;
@@ -310,7 +315,7 @@
   std::map<Id, Entry> entries_;
   std::map<Incarnation, Ranges> done_;
   std::map<Id, Stamp> doneStamps_;
-  int64_t promisedMs_ = 0, forgotMs_ = 0;
+  int64_t promisedMs_ = 0, idledMs_ = 0, tickedMs_ = 0, forgotMs_ = 0;
   int64_t frameAskedMs_ = -1'000'000;
   bool isReplaying_ = false;
   Figures figures_;
--- a/programs/registry.cpp
+++ b/programs/registry.cpp
@@ -2,7 +2,9 @@
 #include <glog/logging.h>
 #include <poll.h>
 
+#include <algorithm>
 #include <chrono>
+#include <limits>
 #include <thread>
 #include <variant>
 
@@ -33,21 +35,26 @@
   auto& s = program.settings();
   core::Registry::Props props;
   disk::Props diskProps;
-  std::string http, name, listen;
+  std::string http, name, listen, address;
   std::vector<std::string> registries;
-  int64_t slot = 0, faults = 0, boundMs = 2000, ringFiles = 4, ringBytes = 8 << 20, bodyBytes = 8 << 20, threads = 2;
+  int64_t slot = 0, beatMs = 0, faults = 0, boundMs = 2000, ringFiles = 4, ringBytes = 8 << 20, bodyBytes = 8 << 20, threads = 2;
   s.text("name", name);
-  s.integer("slot", 1, 30, slot);
+  auto hasSlot = s.integer("slot", 1, 30, slot);
   program.addresses("registries", registries, 3);
   program.address("http", http);
   program.address("listen", listen, false);
+  program.address("address", address, false);
   s.text("data", diskProps.folder, true);
   s.integer("boundMs", 400, 60000, boundMs);
-  props.beatMissMs = boundMs * 3 / 2;
+  s.integer("beatMs", 1, 600000, beatMs);
+  s.flag("mayForm", props.mayForm);
+  props.beatMissMs = std::max(boundMs * 3 / 2, 3 * beatMs);
   props.memberMissMs = boundMs * 5 / 2;
   s.integer("beatMissMs", 200, 600000, props.beatMissMs);
   s.integer("memberMissMs", 200, 600000, props.memberMissMs);
   s.integer("batchMs", 0, 100, props.batchMs);
+  props.core.idleMs = boundMs / 20;
+  props.core.suspectMs = boundMs / 8;
   s.integer("promiseMs", 1, 1000, props.core.promiseMs);
   s.integer("slowMs", 1, 10000, props.core.slowMs);
   s.integer("recoveryMs", 10, 60000, props.core.recoveryMs);
@@ -56,14 +63,21 @@
   s.integer("ringBytes", 1 << 20, 1 << 30, ringBytes);
   s.integer("bodyBytes", 1 << 10, 64 << 20, bodyBytes);
   s.integer("threads", 1, 16, threads);
+  if (!hasSlot) {
+    // All registries sort the same list and so agree on the slots.
+    std::sort(registries.begin(), registries.end());
+    auto own = std::find(registries.begin(), registries.end(), address.empty() ? listen : address);
+    if (own == registries.end())
+      s.fault("slot", "is missing, and neither address nor listen is among registries");
+    else
+      slot = own - registries.begin() + 1;
+  }
   auto count = static_cast<int64_t>(registries.size());
-  if (slot < 1 || slot > count) s.fault("slot", "must be the place of this registry in registries, from 1");
+  if (hasSlot && (slot < 1 || slot > count)) s.fault("slot", "must be the place of this registry in registries, from 1");
   if (!s.integer("faults", 1, std::max<int64_t>(1, (count - 1) / 2), faults)) faults = std::max<int64_t>(1, (count - 1) / 2);
   program.ready();
 
   props.slot = static_cast<tempo::Slot>(slot);
-  props.core.replicas = static_cast<uint32_t>(count);
-  props.core.faults = static_cast<uint32_t>(faults);
   for (size_t i = 0; i < registries.size(); ++i) props.addresses[static_cast<tempo::Slot>(i + 1)] = registries[i];
   // Everything below follows from the freshness bound.
   props.boundMs = boundMs;
@@ -84,11 +98,21 @@
     LOG(ERROR) << "disk: " << reason << ".";
     return 3;
   }
+  if (auto saved = core::DiskFrame::from(found.frame); !saved.addresses.empty()) {
+    // The core is what it was formed as: a later list that is shorter, or sorted otherwise, seats nobody elsewhere.
+    if (saved.addresses != props.addresses || saved.slot != props.slot) LOG(WARNING) << "registry: The disk's list of registries holds, not the settings'.";
+    props.addresses = saved.addresses;
+    props.slot = saved.slot;
+  }
+  count = static_cast<int64_t>(props.addresses.size());
+  props.core.replicas = static_cast<uint32_t>(count);
+  props.core.faults = static_cast<uint32_t>(std::min(faults, std::max<int64_t>(1, (count - 1) / 2)));
   if (found.tornBytes) LOG(INFO) << "disk: Dropped a torn tail of " << found.tornBytes << " bytes.";
 
+  const auto own = props.addresses.at(props.slot);
   neighbour::Inbox<Input> inbox(16000);
   neighbour::Inbox<core::DiskJob> jobs(16000);
-  auto post = neighbour::Post::open({listen.empty() ? registries[props.slot - 1] : listen, registries[props.slot - 1]}, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
+  auto post = neighbour::Post::open({listen.empty() ? own : listen, own}, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
   if (!post) {
     LOG(ERROR) << "post: " << reason;
     return 3;
@@ -136,14 +160,17 @@
                                                auto method = r.method;
                                                if (!inbox.push(std::move(r))) stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
                                              });
-  LOG(INFO) << "registry: Slot " << slot << " serves " << ip << ":" << face->port() << ".";
+  LOG(INFO) << "registry: Slot " << props.slot << " serves " << ip << ":" << face->port() << ".";
 
   std::vector<std::shared_ptr<caller::Stream>> writing;
   auto stopAtMs = int64_t{-1};
   for (;;) {
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
+    // Once it is stopping, the signal's descriptor stays readable and tells nothing more.
+    if (stopAtMs < 0) fds.push_back({op::Program::stopFd(), POLLIN, 0});
     for (auto& stream : writing) fds.push_back({stream->fd(), POLLOUT, 0});
-    ::poll(fds.data(), fds.size(), 2);
+    auto dueMs = std::min(registry.dueMs(), stopAtMs < 0 ? std::numeric_limits<int64_t>::max() : stopAtMs);
+    ::poll(fds.data(), fds.size(), static_cast<int>(std::clamp<int64_t>(dueMs - neighbour::steadyMs(), 0, boundMs / 8)));
     auto nowMs = neighbour::steadyMs();
     for (auto& input : inbox.take()) {
       if (auto* letter = std::get_if<neighbour::Letter>(&input)) {
