--- a/lib/caller/face.cpp
+++ b/lib/caller/face.cpp
@@ -1,61 +1,141 @@
 #include "caller/face.hpp"
 
-#include <pistache/endpoint.h>
-#include <pistache/http.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <pistache/http_defs.h>
 #include <pistache/peer.h>
+#include <pistache/reactor.h>
+#include <pistache/transport.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <sys/timerfd.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cstring>
+#include <system_error>
 
 #include "caller/codes.hpp"
+#include "neighbour/post.hpp"
 
 namespace dykestage::caller {
 
-namespace Http = Pistache::Http;
-
 namespace {
-constexpr size_t kHeadBytes = 64u << 10;
 constexpr auto kStreamData = "dykestage";
+constexpr int64_t kSweepMs = 1000, kDrainSweepMs = 100;
+constexpr int64_t kLingerMs = 1000;       // after our half ended, for the caller to end its own or to go on sending
+constexpr int64_t kMostLingerMs = 10000;
+constexpr size_t kPieceBytes = 64u << 10;
+constexpr size_t kHeldBytes = 1u << 20;   // written bytes that a waiting answer may still hold
+constexpr size_t kChunkLineBytes = 256;
 
-auto isSame(const std::string& a, const std::string& b) -> bool {
+auto isSame(std::string_view a, std::string_view b) -> bool {
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
-auto reasonOf(int status) -> std::string {
+auto reasonOf(int status) -> const char* {
   switch (status) {
     case 200: return "OK";
     case 204: return "No Content";
+    case 206: return "Partial Content";
     case 304: return "Not Modified";
     default: return status < 400 ? "OK" : "Error";
   }
 }
 
-// Picks the header lines out of a head that Pistache has accepted; false for lines that readers could
-// understand differently (folds, space before the colon, no colon, control bytes).
-auto readHead(const std::string& head, std::string& target, Headers& headers) -> bool {
+auto isMethod(std::string_view name) -> bool {
+#define METHOD(_, text) \
+  if (name == text) return true;
+  HTTP_METHODS
+#undef METHOD
+  return false;
+}
+
+// Reads the head of a request; false for lines that readers could understand differently (folds, space before the
+// colon, no colon, control bytes).
+auto readHead(std::string_view head, Request& request, bool& isOld) -> bool {
   auto end = head.find("\r\n");
   auto line = head.substr(0, end);
   auto first = line.find(' '), last = line.rfind(' ');
-  if (first == std::string::npos || last <= first) return false;
-  target = line.substr(first + 1, last - first - 1);
+  if (first == std::string_view::npos || last <= first + 1) return false;
+  auto method = line.substr(0, first), target = line.substr(first + 1, last - first - 1), version = line.substr(last + 1);
+  isOld = version == "HTTP/1.0";
+  if (!isMethod(method) || (!isOld && version != "HTTP/1.1")) return false;
+  if (std::any_of(target.begin(), target.end(), [](unsigned char c) { return c <= ' ' || c == 127; })) return false;
+  request.method = method;
+  request.target = target;
+  request.headers.reserve(16);
   for (auto at = end + 2; at < head.size();) {
     auto next = head.find("\r\n", at);
-    if (next == std::string::npos || next == at) break;
+    if (next == std::string_view::npos || next == at) break;
     line = head.substr(at, next - at);
     at = next + 2;
     auto colon = line.find(':');
-    if (colon == std::string::npos || colon == 0) return false;
+    if (colon == std::string_view::npos || colon == 0) return false;
     auto name = line.substr(0, colon);
     if (std::any_of(name.begin(), name.end(), [](unsigned char c) { return c <= ' ' || c >= 127; })) return false;
     auto from = line.find_first_not_of(" \t", colon + 1);
-    auto value = from == std::string::npos ? "" : line.substr(from, line.find_last_not_of(" \t") - from + 1);
+    auto value = from == std::string_view::npos ? std::string_view() : line.substr(from, line.find_last_not_of(" \t") - from + 1);
     if (std::any_of(value.begin(), value.end(), [](unsigned char c) { return (c < ' ' && c != '\t') || c == 127; })) return false;
-    headers.emplace_back(std::move(name), std::move(value));
+    request.headers.emplace_back(name, value);
   }
   return true;
 }
+
+// Takes a chunked body apart, however the reads cut it.
+class Chunks {
+ public:
+  enum class State { kMore, kDone, kBad, kTooLarge };
+  // Takes `bytes` up to the end of the body off their front.
+  auto take(std::string_view& bytes, std::string& body, size_t mostBody, size_t mostTrailers) -> State {
+    while (!bytes.empty()) {
+      if (part_ == Part::kData) {
+        auto piece = bytes.substr(0, left_);
+        if (body.size() + piece.size() > mostBody) return State::kTooLarge;
+        body.append(piece);
+        bytes.remove_prefix(piece.size());
+        left_ -= piece.size();
+        if (left_ == 0) part_ = Part::kDataEnd;
+        continue;
+      }
+      auto c = bytes.front();
+      bytes.remove_prefix(1);
+      if (line_.empty() ? c == '\n' : line_.back() == '\r' && c != '\n') return State::kBad;
+      line_ += c;
+      if (c != '\n') {
+        if (line_.size() > kChunkLineBytes && part_ != Part::kTrailers) return State::kBad;
+        if (part_ == Part::kTrailers && ++trailerBytes_ > mostTrailers) return State::kTooLarge;
+        continue;
+      }
+      if (line_.size() < 2 || line_[line_.size() - 2] != '\r') return State::kBad;
+      line_.resize(line_.size() - 2);
+      auto line = std::exchange(line_, {});
+      if (part_ == Part::kDataEnd) {
+        if (!line.empty()) return State::kBad;
+        part_ = Part::kSize;
+      } else if (part_ == Part::kTrailers) {
+        if (line.empty()) return State::kDone;
+      } else {
+        auto digits = line.find_first_not_of("0123456789abcdefABCDEF");
+        if (digits == std::string::npos) digits = line.size();
+        auto rest = line.find_first_not_of(" \t", digits);  // nothing, or what an extension says: nobody has to read it
+        if (digits == 0 || digits > 15 || (rest != std::string::npos && line[rest] != ';')) return State::kBad;
+        left_ = std::stoull(line.substr(0, digits), nullptr, 16);
+        if (left_ > mostBody) return State::kTooLarge;
+        part_ = left_ == 0 ? Part::kTrailers : Part::kData;
+      }
+    }
+    return State::kMore;
+  }
+
+ private:
+  enum class Part { kSize, kData, kDataEnd, kTrailers };
+  Part part_ = Part::kSize;
+  std::string line_;
+  size_t left_ = 0, trailerBytes_ = 0;
+};
 }  // namespace
 
 auto lower(std::string text) -> std::string {
@@ -98,7 +178,7 @@
   return kept;
 }
 
-Stream::Stream(int fd) : fd_(::dup(fd)) {}
+Stream::Stream(int fd, std::shared_ptr<const Limits> limits) : fd_(::dup(fd)), limits_(std::move(limits)) {}
 
 auto Stream::note(const std::string& bytes) -> void {
   (void)!::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
@@ -106,181 +186,471 @@
 
 auto Stream::cut() -> void { ::shutdown(fd_.get(), SHUT_RDWR); }
 
-auto Stream::answer(const Answer& answer, const std::string& method, bool keep) -> void {
+auto Stream::answer(const Answer& answer, const std::string& method, bool keep) -> void { write(answer, nullptr, method, keep); }
+
+auto Stream::answer(Answer&& answer, const std::string& method, bool keep) -> void { write(answer, &answer.body, method, keep); }
+
+// `movable`: the answer's body, if it may be taken.
+auto Stream::write(const Answer& answer, std::string* movable, const std::string& method, bool keep) -> void {
+  std::lock_guard lock(writes_);
   if (!isOpen.load()) return;  // each request has one answer
-  keep = keep && !mustClose.load();
-  std::string bytes = "HTTP/1.1 " + std::to_string(answer.status) + " " + reasonOf(answer.status) + "\r\n";
+  keep = keep && !mustClose.load() && !(limits_ && limits_->isDraining.load());
   auto isBare = answer.status == 204 || answer.status == 304 || answer.status < 200;
   auto isHead = method == "HEAD";
+  auto hasBody = !isBare && !isHead;
+  std::string head;
+  head.reserve(512);
+  head.append("HTTP/1.1 ").append(std::to_string(answer.status)).append(" ").append(reasonOf(answer.status)).append("\r\n");
+  auto hasLength = false;
   for (const auto& [name, value] : answer.headers) {
-    if (isSame(name, "content-length") && !(isHead || answer.status == 304)) continue;
-    bytes += name + ": " + value + "\r\n";
+    auto isLength = isSame(name, "content-length");
+    if (isLength && !(isHead || answer.status == 304)) continue;
+    hasLength = hasLength || isLength;
+    head.append(name).append(": ").append(value).append("\r\n");
   }
-  if (!isBare && !isHead) bytes += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
-  if (isHead && !has(answer.headers, "content-length") && !isBare) bytes += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
-  if (!keep) bytes += "Connection: close\r\n";
-  bytes += "\r\n";
-  if (!isBare && !isHead) bytes += answer.body;
-  waiting_ += bytes;
+  if (!isBare && !hasLength) head.append("Content-Length: ").append(std::to_string(answer.body.size())).append("\r\n");
+  // Callers that heed it send nothing in the second in which their stream may end.
+  auto keepS = keep && limits_ ? limits_->idleMs.load() / 1000 - 1 : 0;
+  if (keepS > 0) head.append("Keep-Alive: timeout=").append(std::to_string(keepS)).append("\r\n");
+  if (!keep) head.append("Connection: close\r\n");
+  head.append("\r\n");
+  if (!keep) mustClose.store(true);
   closesAfter_ = !keep;
-  if (keep) isOpen.store(false);  // the next request may come before the last byte is taken
-  flush();
+  isOpen.store(false);  // the next request may come before the last byte is taken
+  size_t sent = 0;
+  if (waiting_.empty()) {
+    iovec pieces[2] = {{head.data(), head.size()}, {const_cast<char*>(answer.body.data()), answer.body.size()}};
+    msghdr message{};
+    message.msg_iov = pieces;
+    message.msg_iovlen = hasBody && !answer.body.empty() ? 2 : 1;
+    ssize_t n = 0;
+    do n = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+    while (n < 0 && errno == EINTR);
+    sent = n > 0 ? static_cast<size_t>(n) : 0;  // what is wrong with the stream shows in send()
+  }
+  if (sent < head.size()) {
+    waiting_.append(head, sent);
+    if (hasBody) waiting_ += answer.body;
+  } else if (hasBody && sent - head.size() < answer.body.size()) {
+    sent_ = sent - head.size();
+    if (movable)
+      waiting_ = std::move(*movable);
+    else
+      waiting_.assign(answer.body, std::exchange(sent_, 0));
+  }
+  send();
 }
 
 auto Stream::flush() -> bool {
-  size_t done = 0;
-  while (done < waiting_.size()) {
-    auto n = ::send(fd_.get(), waiting_.data() + done, waiting_.size() - done, MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (pending_.load() == 0) return true;
+  std::lock_guard lock(writes_);
+  return send();
+}
+
+auto Stream::send() -> bool {
+  while (sent_ < waiting_.size()) {
+    auto n = ::send(fd_.get(), waiting_.data() + sent_, waiting_.size() - sent_, MSG_NOSIGNAL | MSG_DONTWAIT);
     if (n > 0) {
-      done += static_cast<size_t>(n);
+      sent_ += static_cast<size_t>(n);
       continue;
     }
     if (n < 0 && errno == EINTR) continue;
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
-    waiting_.clear();  // the caller is gone
+    sent_ = waiting_.size();  // the caller is gone
     ::shutdown(fd_.get(), SHUT_RDWR);
-    return true;
   }
-  waiting_.erase(0, done);
-  if (waiting_.empty() && closesAfter_) ::shutdown(fd_.get(), SHUT_WR);
+  if (sent_ == waiting_.size()) {
+    sent_ = 0;
+    std::string().swap(waiting_);
+    answeredMs_.store(neighbour::steadyMs());
+    if (closesAfter_) end(answeredMs_.load());
+  } else if (sent_ > kHeldBytes && sent_ > waiting_.size() / 2) {
+    waiting_ = waiting_.substr(std::exchange(sent_, 0));
+  }
+  pending_.store(waiting_.size());
   return waiting_.empty();
 }
 
-class Face::Handler : public Http::Handler {
+auto Stream::isAhead() -> bool {
+  std::lock_guard lock(writes_);
+  if (isOpen.load()) mustClose.store(true);
+  return isOpen.load();
+}
+
+auto Stream::close(int64_t nowMs) -> void {
+  std::lock_guard lock(writes_);
+  if (isOpen.load() || !waiting_.empty()) return;
+  mustClose.store(true);
+  end(nowMs);
+}
+
+auto Stream::end(int64_t nowMs) -> void {
+  if (closedMs_.load() >= 0) return;
+  ::shutdown(fd_.get(), SHUT_WR);
+  closedMs_.store(nowMs);
+}
+
+struct Face::Shared {
+  std::shared_ptr<Limits> limits = std::make_shared<Limits>();
+  std::function<void(Request)> take;
+  TakeGone takeGone;
+  disk::Fd listening;
+  uint16_t port = 0;
+  std::atomic<size_t> streams{0};
+  std::atomic<int> accepting{0};  // threads that do
+  std::vector<int> timers;        // of all threads, set before they run
+  auto sweepNow() -> void {
+    itimerspec soon{{0, 0}, {0, 1}};
+    for (auto timer : timers) ::timerfd_settime(timer, 0, &soon, nullptr);
+  }
+};
+
+namespace {
+// A request as far as it has been read.
+struct Reading {
+  Reading(int fd, const std::shared_ptr<const Limits>& limits, int64_t nowMs)
+      : stream(std::make_shared<Stream>(fd, limits)), openedMs(nowMs), lastMs(nowMs) {}
+  enum class Part { kHead, kLength, kChunks };
+  std::shared_ptr<Stream> stream;
+  Part part = Part::kHead;
+  std::string head;
+  Request request;
+  size_t left = 0;  // of a body with a length
+  Chunks chunks;
+  int64_t openedMs, lastMs, sinceMs = 0;  // the stream, its last bytes, the request's first ones
+  auto isIdle() const -> bool { return part == Part::kHead && head.empty(); }
+};
+}  // namespace
+
+class Face::Handler : public Pistache::Tcp::Handler {
  public:
-  HTTP_PROTOTYPE(Handler)
-  Handler(size_t bodyBytes, std::function<void(Request)> take) : bodyBytes_(bodyBytes), take_(std::move(take)) {}
-  void onRequest(const Http::Request&, Http::ResponseWriter) override {}  // requests are taken in onInput
+  PROTOTYPE_OF(Pistache::Tcp::Handler, Handler)
+  explicit Handler(std::shared_ptr<Shared> shared) : shared_(std::move(shared)) {}
 
  private:
-  struct Reading {
-    explicit Reading(int fd) : stream(std::make_shared<Stream>(fd)) {}
-    std::shared_ptr<Stream> stream;
-    std::string head;
-    size_t headBytes = 0, seenBytes = 0;
-  };
-
   void onConnection(const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
-    peer->putData(ParserData, std::make_shared<Http::RequestParser>(bodyBytes_ + kHeadBytes));
-    peer->putData(kStreamData, std::make_shared<Reading>(peer->fd()));
+    ++shared_->streams;
+    peer->putData(kStreamData, std::make_shared<Reading>(peer->fd(), shared_->limits, neighbour::steadyMs()));
+  }
+
+  void onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
+    --shared_->streams;
+    auto reading = std::static_pointer_cast<Reading>(peer->getData(kStreamData));
+    if (shared_->takeGone && reading->stream->isOpen.load()) shared_->takeGone(reading->stream);
   }
 
   void onInput(const char* buffer, size_t length, const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
     auto reading = std::static_pointer_cast<Reading>(peer->getData(kStreamData));
-    auto& stream = *reading->stream;
-    // Pistache drops what follows a request in one read; a caller that sends ahead is told by the close to
-    // send again.
-    if (stream.isOpen.load()) {
-      stream.mustClose.store(true);
+    reading->lastMs = neighbour::steadyMs();
+    // What was sent ahead is not read; a caller that does so is told by the close to send again.
+    if (reading->stream->isAhead() || reading->stream->mustClose.load()) return;
+    try {
+      read(*reading, {buffer, length}, peer->fd());
+    } catch (const std::exception&) {  // no memory for it
+      refuse(*reading, kRequestTooLarge);
+    }
+  }
+
+  auto refuse(Reading& reading, uint32_t code) -> void {
+    auto& stream = *reading.stream;
+    stream.mustClose.store(true);
+    stream.isOpen.store(true);
+    stream.answer(codeAnswerMs(code, 0), "GET", false);
+  }
+
+  auto read(Reading& reading, std::string_view bytes, int fd) -> void {
+    if (reading.part != Reading::Part::kHead) return readBody(reading, bytes, fd, bytes.size());
+    if (reading.head.empty()) reading.sinceMs = reading.lastMs;
+    auto isWhole = reading.head.empty();  // most heads come in one piece and are read where they are
+    auto from = std::max<size_t>(reading.head.size(), 3) - 3;
+    if (!isWhole) reading.head.append(bytes);
+    auto all = isWhole ? bytes : std::string_view(reading.head);
+    auto end = all.find("\r\n\r\n", from);
+    if (std::min(end, all.size()) > shared_->limits->headerBytes.load()) return refuse(reading, kRequestTooLarge);
+    if (end == std::string_view::npos) {
+      if (isWhole) reading.head = bytes;
       return;
     }
-    if (stream.mustClose.load()) return;
-    auto parser = getParser(peer);
-    auto refuse = [&](uint32_t code) {
-      stream.mustClose.store(true);
-      stream.isOpen.store(true);
-      stream.answer(codeAnswer(code, 0), "GET", false);
-    };
-    reading->seenBytes += length;
-    std::string fed;  // what the parser is given
-    if (reading->headBytes == 0) {
-      reading->head.append(buffer, length);
-      auto end = reading->head.find("\r\n\r\n");
-      if (end == std::string::npos) {
-        if (reading->head.size() > kHeadBytes) refuse(kRequestTooLarge);
-        return;
+    auto rest = bytes.substr(bytes.size() - (all.size() - end - 4));
+    if (!takeHead(reading, all.substr(0, end + 4), rest.empty())) return;
+    reading.head.clear();
+    readBody(reading, rest, fd, bytes.size());
+  }
+
+  auto takeHead(Reading& reading, std::string_view head, bool isBodyToCome) -> bool {
+    auto& request = reading.request;
+    auto isOld = false;
+    auto isBad = !readHead(head, request, isOld);
+    auto isChunked = false, hasLength = false, isClose = false, isKept = false, waits = false;
+    std::string_view size;
+    for (const auto& [name, value] : request.headers) {
+      if (isSame(name, "content-length")) {
+        isBad = isBad || hasLength || value.empty() || value.size() > 18 || value.find_first_not_of("0123456789") != std::string::npos;
+        hasLength = true;
+        size = value;
+      } else if (isSame(name, "transfer-encoding")) {
+        isBad = isBad || isChunked || !isSame(value, "chunked");
+        isChunked = true;
+      } else if (isSame(name, "connection")) {
+        for (const auto& one : listOf(value)) {
+          isClose = isClose || one == "close";
+          isKept = isKept || one == "keep-alive";
+        }
+      } else if (isSame(name, "expect")) {
+        waits = isSame(value, "100-continue");
       }
-      reading->headBytes = end + 4;
-      auto rest = reading->head.substr(end + 4);
-      reading->head.resize(end + 4);
-      std::string target;
-      Headers headers;
-      if (!readHead(reading->head, target, headers)) return refuse(kBadRequest);
-      auto lengths = std::count_if(headers.begin(), headers.end(), [](const auto& h) { return isSame(h.first, "content-length"); });
-      auto isChunked = has(headers, "transfer-encoding");
-      if (lengths > 1 || (isChunked && lengths > 0) || (isChunked && lower(header(headers, "transfer-encoding")) != "chunked"))
-        return refuse(kBadRequest);
-      auto size = header(headers, "content-length");
-      if ((lengths > 0 && size.empty()) || size.size() > 18 || !std::all_of(size.begin(), size.end(), [](char c) { return c >= '0' && c <= '9'; }))
-        return refuse(kBadRequest);
-      if (!size.empty() && std::stoull(size) > bodyBytes_) return refuse(kRequestTooLarge);
-      if (lower(header(headers, "expect")) == "100-continue" && rest.empty()) stream.note("HTTP/1.1 100 Continue\r\n\r\n");
-      // Pistache parses many headers by their meaning and refuses what it doesn't know, such as a cookie without
-      // a value. Those are not this face's business: the parser gets the method and what frames the body.
-      auto line = reading->head.substr(0, reading->head.find("\r\n"));
-      fed = line.substr(0, line.find(' ')) + " /" + line.substr(line.rfind(' ')) + "\r\n";
-      if (lengths > 0) fed += "Content-Length: " + size + "\r\n";
-      if (isChunked) fed += "Transfer-Encoding: chunked\r\n";
-      fed += "\r\n" + rest;
+    }
+    if (isBad || (isChunked && hasLength)) {
+      refuse(reading, kBadRequest);
+      return false;
+    }
+    reading.left = hasLength ? std::stoull(std::string(size)) : 0;
+    if (reading.left > shared_->limits->bodyBytes.load()) {
+      refuse(reading, kRequestTooLarge);
+      return false;
+    }
+    if (waits && isBodyToCome) reading.stream->note("HTTP/1.1 100 Continue\r\n\r\n");
+    request.keep = isOld ? isKept : !isClose;
+    reading.part = isChunked ? Reading::Part::kChunks : Reading::Part::kLength;
+    return true;
+  }
+
+  auto readBody(Reading& reading, std::string_view bytes, int fd, size_t readBytes) -> void {
+    auto& body = reading.request.body;
+    if (reading.part == Reading::Part::kChunks) {
+      auto state = reading.chunks.take(bytes, body, shared_->limits->bodyBytes.load(), shared_->limits->headerBytes.load());
+      if (state == Chunks::State::kMore) return;
+      if (state != Chunks::State::kDone) return refuse(reading, state == Chunks::State::kBad ? kBadRequest : kRequestTooLarge);
     } else {
-      fed.assign(buffer, length);
+      auto piece = bytes.substr(0, reading.left);
+      body.append(piece);
+      bytes.remove_prefix(piece.size());
+      reading.left -= piece.size();
+      // Pistache reads small pieces; when one was full, more is likely to wait.
+      while (reading.left > 0 && readBytes == Pistache::Const::MaxBuffer) {
+        static thread_local std::vector<char> buffer(kPieceBytes);
+        auto n = ::recv(fd, buffer.data(), std::min(reading.left, buffer.size()), MSG_DONTWAIT);
+        if (n <= 0) break;
+        body.append(buffer.data(), static_cast<size_t>(n));
+        reading.left -= static_cast<size_t>(n);
+      }
+      if (reading.left > 0) return;
     }
-    try {
-      if (!parser->feed(fed.data(), fed.size())) return refuse(kRequestTooLarge);
-      if (parser->parse() != Http::Private::State::Done) return;
-      Request request;
-      request.method = Http::methodString(parser->request.method());
-      request.body = parser->request.body();
-      auto version = parser->request.version();
-      if (!readHead(reading->head, request.target, request.headers)) return refuse(kBadRequest);
-      if (request.body.size() > bodyBytes_) return refuse(kRequestTooLarge);
-      auto connection = listOf(header(request.headers, "connection"));
-      auto isNamed = [&](const char* what) { return std::find(connection.begin(), connection.end(), what) != connection.end(); };
-      request.keep = version == Http::Version::Http11 ? !isNamed("close") : isNamed("keep-alive");
-      auto isPlain = !has(request.headers, "transfer-encoding");
-      if (isPlain && reading->seenBytes > reading->headBytes + request.body.size()) stream.mustClose.store(true);
-      request.stream = reading->stream;
-      parser->reset();
-      reading->head.clear();
-      reading->headBytes = reading->seenBytes = 0;
-      stream.isOpen.store(true);
-      take_(std::move(request));
-    } catch (const std::exception&) {
-      refuse(kBadRequest);
+    if (!bytes.empty()) reading.stream->mustClose.store(true);
+    auto request = std::exchange(reading.request, {});
+    request.stream = reading.stream;
+    reading.part = Reading::Part::kHead;
+    reading.chunks = {};
+    reading.stream->isOpen.store(true);
+    shared_->take(std::move(request));
+  }
+
+  std::shared_ptr<Shared> shared_;
+};
+
+// One a thread: Pistache's, with a look after streams that have waited too long, and accepting on the thread that
+// will read.
+class Face::Transport : public Pistache::Tcp::Transport {
+ public:
+  Transport(std::shared_ptr<Shared> shared, const std::shared_ptr<Face::Handler>& handler)
+      : Pistache::Tcp::Transport(handler),
+        shared_(std::move(shared)),
+        handler_(handler),
+        timer_(::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)) {}
+  ~Transport() override {
+    for (const auto& [fd, peer] : peers) ::close(fd);
+  }
+
+  auto clone() const -> std::shared_ptr<Pistache::Aio::Handler> override {
+    return std::make_shared<Transport>(shared_, std::make_shared<Face::Handler>(*handler_));
+  }
+
+  void registerPoller(Pistache::Polling::Epoll& poller) override {
+    Pistache::Tcp::Transport::registerPoller(poller);
+    for (auto fd : {shared_->listening.get(), timer_.get()})
+      poller.addFd(fd, Pistache::Flags<Pistache::Polling::NotifyOn>(Pistache::Polling::NotifyOn::Read), tagOf(fd), Pistache::Polling::Mode::Level);
+    shared_->timers.push_back(timer_.get());
+    ++shared_->accepting;
+  }
+
+  void onReady(const Pistache::Aio::FdSet& fds) override {
+    auto isTimer = false, isAccept = false;
+    std::vector<Pistache::Polling::Event> others;
+    for (const auto& one : fds) {
+      if (one.getTag() == tagOf(timer_.get()))
+        isTimer = true;
+      else if (isAccepting_ && one.getTag() == tagOf(shared_->listening.get()))
+        isAccept = true;
+    }
+    if (!isTimer && !isAccept) return Pistache::Tcp::Transport::onReady(fds);
+    // Reads are reported once: none of this round may be left out. They go first, so that none meets a stream that
+    // the sweep has ended.
+    for (const auto& one : fds) {
+      if (one.getTag() == tagOf(timer_.get()) || one.getTag() == tagOf(shared_->listening.get())) continue;
+      Pistache::Polling::Event event(one.getTag());
+      if (one.isReadable()) event.flags.setFlag(Pistache::Polling::NotifyOn::Read);
+      if (one.isWritable()) event.flags.setFlag(Pistache::Polling::NotifyOn::Write);
+      if (one.isHangup()) event.flags.setFlag(Pistache::Polling::NotifyOn::Hangup);
+      others.push_back(event);
+    }
+    if (!others.empty()) Pistache::Tcp::Transport::onReady(Pistache::Aio::FdSet(std::move(others)));
+    if (isAccept) accept();
+    if (isTimer) sweep();
+  }
+
+ private:
+  static auto tagOf(int fd) -> Pistache::Polling::Tag { return Pistache::Polling::Tag(static_cast<uint64_t>(fd)); }
+
+  auto arm(int64_t waitMs) -> void {
+    itimerspec at{{0, 0}, {waitMs / 1000, waitMs % 1000 * 1000000}};
+    ::timerfd_settime(timer_.get(), 0, &at, nullptr);
+    isArmed_ = true;
+  }
+
+  auto accept() -> void {
+    for (auto i = 0; i < 64; ++i) {  // then others' turn
+      sockaddr_in from{};
+      socklen_t size = sizeof from;
+      auto fd = ::accept4(shared_->listening.get(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0 && (errno == EMFILE || errno == ENFILE)) ::usleep(1000);  // it stays ready: no spinning
+      if (fd < 0) return;
+      handleNewPeer(Pistache::Tcp::Peer::Create(fd, Pistache::Address::fromUnix(&from)));
+      if (!isArmed_) arm(kSweepMs);
+    }
+  }
+
+  // Ends what has waited too long. It runs on the thread that reads, so no request can be read meanwhile.
+  auto sweep() -> void {
+    uint64_t count = 0;
+    (void)!::read(timer_.get(), &count, sizeof count);
+    const auto& limits = *shared_->limits;
+    auto isDraining = limits.isDraining.load();
+    if (isDraining && isAccepting_) {
+      accept();
+      isAccepting_ = false;
+      reactor()->removeFd(key(), shared_->listening.get());
+      if (--shared_->accepting == 0) ::shutdown(shared_->listening.get(), SHUT_RDWR);  // others are refused
+    }
+    auto nowMs = neighbour::steadyMs();
+    auto headerMs = limits.headerMs.load(), idleMs = limits.idleMs.load();
+    if (isDraining) idleMs = idleMs > 0 ? std::min(idleMs, limits.drainIdleMs.load()) : limits.drainIdleMs.load();
+    auto mayIdle = idleMs > 0 || isDraining;
+    auto nextMs = headerMs > 0 ? headerMs / 2 : int64_t{60000};
+    std::vector<std::shared_ptr<Pistache::Tcp::Peer>> ended;
+    for (const auto& [fd, peer] : peers) {
+      auto reading = std::static_pointer_cast<Reading>(peer->getData(kStreamData));
+      auto& stream = *reading->stream;
+      if (auto closedMs = stream.closedMs(); closedMs >= 0) {
+        if (nowMs >= std::max(closedMs, reading->lastMs) + kLingerMs || nowMs >= closedMs + kMostLingerMs) ended.push_back(peer);
+        nextMs = 0;
+        continue;
+      }
+      if (stream.isOpen.load() || stream.pending() > 0) continue;
+      auto sinceMs = std::max(reading->openedMs, stream.answeredMs());
+      auto limitMs = mayIdle ? idleMs : int64_t{-1};
+      if (!reading->isIdle()) {
+        sinceMs = reading->part == Reading::Part::kHead ? reading->sinceMs : reading->lastMs;
+        limitMs = headerMs > 0 ? headerMs : -1;
+      }
+      if (limitMs < 0) continue;
+      if (nowMs < sinceMs + limitMs) {
+        nextMs = std::min(nextMs, sinceMs + limitMs - nowMs);
+        continue;
+      }
+      // What has come but is not read yet will be, in this thread's next round.
+      auto unread = 0;
+      if (::ioctl(fd, FIONREAD, &unread) == 0 && unread > 0) continue;
+      stream.close(nowMs);
+      nextMs = 0;
+    }
+    for (const auto& peer : ended) {
+      --shared_->streams;
+      removePeer(peer);
     }
+    isArmed_ = false;
+    if (!peers.empty()) arm(std::max(nextMs, isDraining ? kDrainSweepMs : kSweepMs));
   }
 
-  size_t bodyBytes_;
-  std::function<void(Request)> take_;
+  std::shared_ptr<Shared> shared_;
+  std::shared_ptr<Face::Handler> handler_;
+  disk::Fd timer_;
+  bool isArmed_ = false, isAccepting_ = true;
 };
 
-struct Face::Endpoint {
-  explicit Endpoint(const Pistache::Address& address) : http(address) {}
-  Http::Endpoint http;
+struct Face::Reactor {
+  std::shared_ptr<Pistache::Aio::Reactor> reactor = Pistache::Aio::Reactor::create();
 };
 
-Face::Face(Props props, std::function<void(Request)> take) {
-  Pistache::Address address(props.ip, Pistache::Port(props.port));
-  endpoint_ = std::make_unique<Endpoint>(address);
-  auto options = Http::Endpoint::options()
-                     .threads(props.threads)
-                     .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay | Pistache::Tcp::Options::CloseOnExec)
-                     .backlog(1024)
-                     .maxRequestSize(props.bodyBytes + kHeadBytes);
-  endpoint_->http.init(options);
-  endpoint_->http.setHandler(std::make_shared<Handler>(props.bodyBytes, std::move(take)));
-  endpoint_->http.serveThreaded();
+Face::Face(Props props, std::function<void(Request)> take, TakeGone takeGone) : shared_(std::make_shared<Shared>()), reactor_(std::make_unique<Reactor>()) {
+  shared_->take = std::move(take);
+  shared_->takeGone = std::move(takeGone);
+  shared_->limits->bodyBytes.store(props.bodyBytes);
+  shared_->listening = disk::Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  auto listening = shared_->listening.get();
+  auto on = 1;
+  ::setsockopt(listening, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  ::setsockopt(listening, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);  // accepted streams inherit it
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_port = htons(props.port);
+  socklen_t size = sizeof at;
+  if (::inet_pton(AF_INET, props.ip.c_str(), &at.sin_addr) != 1 || ::bind(listening, reinterpret_cast<sockaddr*>(&at), size) != 0 ||
+      ::listen(listening, 1024) != 0 || ::getsockname(listening, reinterpret_cast<sockaddr*>(&at), &size) != 0)
+    throw std::system_error(errno, std::generic_category(), "can't listen at " + props.ip + ":" + std::to_string(props.port));
+  shared_->port = ntohs(at.sin_port);
+  reactor_->reactor->init(Pistache::Aio::AsyncContext(static_cast<size_t>(props.threads)));
+  reactor_->reactor->addHandler(std::make_shared<Transport>(shared_, std::make_shared<Handler>(shared_)));
+  reactor_->reactor->run();
 }
 
-Face::~Face() { endpoint_->http.shutdown(); }
+Face::~Face() { reactor_->reactor->shutdown(); }
 
-auto Face::port() const -> uint16_t { return static_cast<uint16_t>(endpoint_->http.getPort()); }
+auto Face::port() const -> uint16_t { return shared_->port; }
+
+auto Face::limit(size_t headerBytes, size_t bodyBytes, int64_t headerMs, int64_t idleMs) -> void {
+  auto& limits = *shared_->limits;
+  limits.headerBytes.store(headerBytes);
+  limits.bodyBytes.store(bodyBytes);
+  limits.headerMs.store(headerMs);
+  limits.idleMs.store(idleMs);
+  shared_->sweepNow();
+}
+
+auto Face::drain(int64_t idleMs) -> void {
+  shared_->limits->drainIdleMs.store(idleMs);
+  shared_->limits->isDraining.store(true);
+  shared_->sweepNow();
+}
+
+auto Face::streams() const -> size_t { return shared_->streams.load(); }
 
 auto pageAnswer(const std::string& target, uint32_t refusal, const std::function<std::string()>& status) -> Answer {
-  if (target == "/ready") return refusal == kOk ? Answer{200, {}, "ready\n"} : codeAnswer(refusal, 1);
+  if (target == "/ready") return refusal == kOk ? Answer{200, {}, "ready\n"} : codeAnswerMs(refusal, 1000);
   if (target == "/status") return {200, {{"Content-Type", "application/json"}}, status()};
-  return codeAnswer(kNoSuchPage, 0);
+  return codeAnswerMs(kNoSuchPage, 0);
 }
 
-auto codeAnswer(uint32_t code, int64_t retryAfterS, const std::string& detail) -> Answer {
+auto codeAnswerMs(uint32_t code, int64_t retryAfterMs, const std::string& detail) -> Answer {
   Answer answer;
   answer.status = statusOf(code);
   answer.headers.emplace_back("Content-Type", "application/json");
   answer.headers.emplace_back("Dykestage-Code", std::to_string(code));
-  if (isTurnedAway(code)) answer.headers.emplace_back("Retry-After", std::to_string(std::max<int64_t>(1, retryAfterS)));
+  if (isTurnedAway(code)) {
+    auto waitMs = std::max<int64_t>(1, retryAfterMs);
+    auto seconds = std::to_string(waitMs / 1000);
+    if (waitMs % 1000 != 0) {
+      seconds += "." + std::to_string(1000 + waitMs % 1000).substr(1);
+      seconds.erase(seconds.find_last_not_of('0') + 1);
+    }
+    answer.headers.emplace_back("Retry-After", seconds);
+  }
   answer.headers.emplace_back("Cache-Control", "no-store");
   answer.body = "{\"code\":" + std::to_string(code) + ",\"text\":\"" + textOf(code) + "\"" + detail + "}\n";
   return answer;
 }
 
+auto codeAnswer(uint32_t code, int64_t retryAfterS, const std::string& detail) -> Answer {
+  return codeAnswerMs(code, std::max<int64_t>(1, retryAfterS) * 1000, detail);
+}
+
 }  // namespace dykestage::caller
