--- a/lib/operator/configuration.cpp
+++ b/lib/operator/configuration.cpp
@@ -452,15 +452,17 @@
   std::string kind, state;
   Fields f(json.get(), "", faults);
   f.text("instance", op.name, true);
-  f.text("service", u.service, true);
+  f.text("state", state);
+  auto isGone = state == "gone";
+  f.text("service", u.service, !isGone);
   f.text("kind", kind);
-  f.text("address", u.address, true);
-  f.text("site", u.site, true);
+  f.text("address", u.address, !isGone);
+  f.text("site", u.site, !isGone);
   f.integer("capacity", 1, 100000, u.capacity);
-  f.text("state", state);
   f.integer("coldMs", 0, 86400000, u.coldMs);
-  int64_t number = 0;
-  f.integer("number", 1, 1LL << 53, number);
+  // Without a number "gone" is the last word: whatever numbered announcement comes after it is late.
+  int64_t number = isGone ? kMostCount : 0;
+  f.integer("number", 1, kMostCount, number);
   u.number = static_cast<uint64_t>(number);
   f.close();
   if (!kind.empty() && kind != "store" && kind != "application") f.fault("kind", "must be store or application");
@@ -469,7 +471,7 @@
   if (!state.empty() && state != "working" && state != "emptying" && state != "gone") f.fault("state", "must be working, emptying or gone");
   u.kind = kind.empty() ? core::UpstreamKind::kAny : kind == "store" ? core::UpstreamKind::kStore : core::UpstreamKind::kApplication;
   u.isEmptying = state == "emptying";
-  if (state == "gone") op.kind = core::OpKind::kDeregister;
+  if (isGone) op.kind = core::OpKind::kDeregister;
   if (!faults.empty()) return std::nullopt;
   return op;
 }
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -152,6 +152,14 @@
   CHECK(state.frame().upstreams.empty());
   CHECK(run(state, announce("u1", "p", R"(, "number": 7)")).outcome == Outcome::kDone);
   CHECK(state.frame().upstreams.size() == 1);
+  // Without a number it is the last word, and needs no more than the instance.
+  std::vector<op::Fault> faults;
+  auto last = op::readAnnouncement(R"({"instance": "u1", "state": "gone"})", faults);
+  REQUIRE(last);
+  CHECK(run(state, *last).outcome == Outcome::kDone);
+  CHECK(run(state, announce("u1", "p", R"(, "number": 800)")).outcome == Outcome::kNoChange);
+  CHECK(state.frame().upstreams.empty());
+  CHECK(!op::readAnnouncement(R"({"instance": "u1", "state": "working"})", faults));
 }
 
 TEST_CASE("A purge names a service or a host with a path, or a label that counts everywhere") {
