--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -338,8 +338,9 @@
   if (isKnown && number > 0 && number < it->second.number) return json(who, stands("late"));
   auto isGone = op->kind == OpKind::kDeregister;
   if (!isGone) beats_[op->name] = nowMs_;
-  if (isKnown && !isGone) {
+  if (isKnown && !isGone && !op->upstream.isEmptying) {
     // A beat that changes nothing is no command. How long it stays cold changes with each beat: the first counts.
+  // "Emptying" is ordered each time: what this registry knows may be an earlier such state that is over.
     auto known = it->second;
     known.isHeld = op->upstream.isHeld;
     known.coldMs = op->upstream.coldMs;
@@ -348,10 +349,13 @@
   }
   // An upstream waits no longer than a second.
   auto reply = within(props_.boundMs * 2 / 5, who, unknownAnswer());
-  submit(*op, [this, reply, stands, isGone, name = op->name](const OpResult* result, int64_t) {
+  submit(*op, [this, reply, stands, isGone, number, name = op->name](const OpResult* result, int64_t) {
     if (!result) return reply(unknownAnswer());
     if (isGone) beats_.erase(name);
-    reply(jsonAnswer(stands(isGone ? "gone" : result->outcome == Outcome::kNoChange ? "late" : "taken")));
+    if (isGone || result->outcome != Outcome::kNoChange) return reply(jsonAnswer(stands(isGone ? "gone" : "taken")));
+    auto known = state_.frame().upstreams.find(name);
+    auto isLate = known == state_.frame().upstreams.end() || number < known->second.number;
+    reply(jsonAnswer(stands(isLate ? "late" : known->second.isHeld ? "held" : "known")));
   });
 }
 
--- a/lib/core/state.cpp
+++ b/lib/core/state.cpp
@@ -520,6 +520,11 @@
   next.isHeld = it != frame_.upstreams.end() && it->second.isHeld;
   // How long it is slow counts from its start: what it said first, for this address.
   if (it != frame_.upstreams.end() && it->second.address == next.address) next.coldMs = it->second.coldMs;
+  if (it != frame_.upstreams.end()) {
+    auto known = it->second;
+    known.number = next.number;
+    if (Writer().put(known).take() == Writer().put(next).take()) return {Outcome::kNoChange, {}, {}};
+  }
   // An address belongs to one instance at a time. One that passes to another service is held until no node
   // can know the old entry any more, even where that entry has long been signed off.
   std::erase_if(frame_.upstreams, [&](const auto& one) { return one.first != op.name && one.second.address == next.address; });
--- a/lib/upstream/fetcher.hpp
+++ b/lib/upstream/fetcher.hpp
@@ -24,10 +24,11 @@
   int64_t connectMs = 250;
   bool isWrite = false;       // goes out once on a fresh stream, or not at all
   size_t answerBytes = 8u << 20;
+  std::string tryHeader, tryId, sealHeader;
   int64_t actUntilMs = 0;     // looked at again when the first byte is about to leave; 0: no limit
 };
 
-enum class Fault : uint8_t { kNone, kNotSent, kLost, kTimeout, kNotWhole, kTooLarge };
+enum class Fault : uint8_t { kNone, kNotSent, kLost, kTimeout, kNotWhole, kTooLarge, kMixed };
 
 struct Fetched {
   uint64_t id = 0;
