--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -174,7 +174,7 @@
   }
 }
 
-auto Registry::answer(const Who& who, const Answer& answer) -> void { out_.answers.push_back({who.stream, who.method, who.keep, answer}); }
+auto Registry::answer(const Who& who, const Answer& answer) -> void { out_.answers.push_back({who.stream, who.method, who.keep, answer, who.token}); }
 
 auto Registry::to(const Who& who) -> Reply {
   return [this, who](const Answer& a) { answer(who, a); };
@@ -361,7 +361,7 @@
 
 auto Registry::take(const Request& request, int64_t nowMs) -> void {
   nowMs_ = nowMs;
-  Who who{request.stream, request.method, request.keep};
+  Who who{request.stream, request.method, request.keep, request.token};
   auto path = request.target.substr(0, request.target.find('?'));
   auto isGet = request.method == "GET" || request.method == "HEAD";
   auto isPost = request.method == "POST";
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -73,6 +73,7 @@
       std::string method;
       bool keep;
       caller::Answer answer;
+      std::string token = {};  // of the request
     };
     std::vector<Sent> letters;
     std::vector<Answered> answers;
@@ -135,6 +136,7 @@
     std::shared_ptr<caller::Stream> stream;
     std::string method;
     bool keep = true;
+    std::string token = {};
   };
 
   struct Waiter {  // is told that the outcome is not known if it is not known in time
