--- a/lib/caller/face.cpp
+++ b/lib/caller/face.cpp
@@ -535,7 +535,7 @@
     auto headerMs = limits.headerMs.load(), idleMs = limits.idleMs.load();
     if (isDraining) idleMs = idleMs > 0 ? std::min(idleMs, limits.drainIdleMs.load()) : limits.drainIdleMs.load();
     auto mayIdle = idleMs > 0 || isDraining;
-    auto nextMs = headerMs > 0 ? headerMs / 2 : int64_t{60000};
+    auto nextMs = isDraining ? 0 : headerMs > 0 ? headerMs / 2 : int64_t{60000};
     std::vector<std::shared_ptr<Pistache::Tcp::Peer>> ended;
     for (const auto& [fd, peer] : peers) {
       auto reading = std::static_pointer_cast<Reading>(peer->getData(kStreamData));
--- a/lib/upstream/fetcher.cpp
+++ b/lib/upstream/fetcher.cpp
@@ -1,6 +1,7 @@
 #include "upstream/fetcher.hpp"
 
 #include <arpa/inet.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,25 +15,78 @@
 
 namespace {
 constexpr size_t kHeadBytes = 64u << 10;
+constexpr size_t kSpare = 64;
 struct List {
   curl_slist* head = nullptr;
   ~List() { curl_slist_free_all(head); }
   auto add(const std::string& line) -> void { head = curl_slist_append(head, line.c_str()); }
 };
+
+auto isNamed(std::string_view text, std::string_view name) -> bool {
+  return text.size() == name.size() && strncasecmp(text.data(), name.data(), name.size()) == 0;
+}
+
+// What `Keep-Alive: timeout=5, max=100` says, in ms; -1: nothing.
+auto keepMsOf(const Headers& headers) -> int64_t {
+  for (const auto& one : caller::listOf(caller::header(headers, "keep-alive"))) {
+    if (one.rfind("timeout=", 0) != 0) continue;
+    auto digits = one.substr(8, 9);
+    if (!digits.empty() && digits.find_first_not_of("0123456789") == std::string::npos) return std::stoll(digits) * 1000;
+  }
+  return -1;
+}
+
+// What a 2xx must be beyond its length: framed as libcurl read it, in the encoding asked for, sealed.
+auto isSound(const Fetch& fetch, const Fetched& result) -> bool {
+  std::string length;
+  for (const auto& [name, value] : result.headers) {
+    if (isNamed(name, "transfer-encoding") && !isNamed(value, "chunked")) return false;
+    if (isNamed(name, "content-length") && !length.empty() && std::exchange(length, value) != value) return false;
+    if (isNamed(name, "content-length")) length = value;
+  }
+  if (result.status < 200 || result.status > 299) return true;
+  auto encoding = caller::lower(caller::header(result.headers, "content-encoding"));
+  if (!encoding.empty() && encoding != "identity" && caller::header(fetch.headers, "accept-encoding").empty()) return false;
+  return fetch.sealHeader.empty() || caller::has(result.headers, fetch.sealHeader);
+}
 }  // namespace
 
 struct Fetcher::Call {
-  Call() : easy(curl_easy_init(), curl_easy_cleanup) {}
+  Call(Fetcher* of, Easy handle) : fetcher(of), easy(std::move(handle)) {}
+  Fetcher* fetcher;
   Easy easy;
   Fetch fetch;
   List lines;
   Fetched result;
   size_t headBytes = 0;
-  bool isTooLarge = false, isMalformed = false;
+  bool hasStray = false, isProvisional = false, hasHead = false;
+  bool isTooLarge = false, isMalformed = false, isMixed = false;
   int64_t startMs = 0;
 };
 
-Fetcher::Fetcher() : multi_(curl_multi_init()) {
+Fetcher::Fetcher() : multi_(curl_multi_init()), events_(::epoll_create1(EPOLL_CLOEXEC)) {
+  auto onSocket = +[](CURL*, curl_socket_t socket, int what, void* at, void* known) -> int {
+    auto& fetcher = *static_cast<Fetcher*>(at);
+    if (what == CURL_POLL_REMOVE) {
+      ::epoll_ctl(fetcher.events_.get(), EPOLL_CTL_DEL, socket, nullptr);
+      return 0;
+    }
+    epoll_event event{};
+    if (what & CURL_POLL_IN) event.events |= EPOLLIN;
+    if (what & CURL_POLL_OUT) event.events |= EPOLLOUT;
+    event.data.fd = socket;
+    ::epoll_ctl(fetcher.events_.get(), known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, socket, &event);
+    if (!known) curl_multi_assign(fetcher.multi_, socket, &fetcher);
+    return 0;
+  };
+  auto onTimer = +[](CURLM*, long waitMs, void* at) -> int {
+    static_cast<Fetcher*>(at)->dueMs_ = waitMs < 0 ? -1 : neighbour::steadyMs() + waitMs;
+    return 0;
+  };
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, onSocket);
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, onTimer);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
   curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, 256L);
   curl_multi_setopt(multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
 }
@@ -43,24 +97,83 @@
   curl_multi_cleanup(multi_);
 }
 
+auto Fetcher::limit(size_t perHost, size_t total) -> void {
+  perHost_ = perHost;
+  total_ = total;
+  // So many fetches have their turn at most; libcurl, too, then ends idle streams rather than go above.
+  curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(perHost));
+  curl_multi_setopt(multi_, CURLMOPT_MAX_TOTAL_CONNECTIONS, static_cast<long>(total));
+}
+
+auto Fetcher::hasRoom(const std::string& address) const -> bool {
+  if (total_ > 0 && calls_.size() >= total_) return false;
+  auto busy = busy_.find(address);
+  return perHost_ == 0 || busy == busy_.end() || busy->second < perHost_;
+}
+
 auto Fetcher::start(Fetch fetch) -> void {
-  auto call = std::make_unique<Call>();
+  auto nowMs = neighbour::steadyMs();
+  if (hasRoom(fetch.address)) return send(std::move(fetch), nowMs, false);
+  Waiting one{nextPlace_++, fetch.id, fetch.address, nowMs, nowMs + std::max<int64_t>(1, fetch.timeoutMs), nullptr};
+  one.fetch = std::make_shared<Fetch>(std::move(fetch));
+  waiting_.insert(std::move(one));
+}
+
+// Gives turns to those that wait for an address, or, where room for all was short, to the first that can have one.
+auto Fetcher::admit(const std::string& address, int64_t nowMs) -> void {
+  auto go = [&](const Waiting& one) {
+    auto fetch = std::move(*one.fetch);
+    fetch.timeoutMs = std::max<int64_t>(1, one.untilMs - nowMs);
+    send(std::move(fetch), one.startMs, false);
+  };
+  auto& list = waiting_.get<ByAddress>();
+  for (auto at = list.lower_bound(address); at != list.end() && at->address == address && hasRoom(address);) {
+    go(*at);
+    at = list.erase(at);
+  }
+  if (total_ == 0) return;
+  auto& places = waiting_.get<ByPlace>();
+  for (auto at = places.begin(); at != places.end() && calls_.size() < total_;) {
+    if (!hasRoom(at->address)) {
+      ++at;
+      continue;
+    }
+    go(*at);
+    at = places.erase(at);
+  }
+}
+
+auto Fetcher::send(Fetch fetch, int64_t startMs, bool isFresh) -> void {
+  Easy handle(nullptr, curl_easy_cleanup);
+  if (spare_.empty()) {
+    handle.reset(curl_easy_init());
+  } else {
+    handle = std::move(spare_.back());
+    spare_.pop_back();
+  }
+  auto call = std::make_unique<Call>(this, std::move(handle));
   auto* easy = call->easy.get();
   call->fetch = std::move(fetch);
   call->result.id = call->fetch.id;
-  call->startMs = neighbour::steadyMs();
+  call->startMs = startMs;
   const auto& f = call->fetch;
-  auto url = "http://" + f.address + f.target;
-  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
-  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+  ++busy_[f.address];
+  // The target goes out as it is: what libcurl makes of a URL may lose some of it.
+  curl_easy_setopt(easy, CURLOPT_URL, ("http://" + f.address + "/").c_str());
+  curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, f.target.c_str());
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
   curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt(easy, CURLOPT_HTTP_CONTENT_DECODING, 0L);
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<int64_t>(1, f.timeoutMs)));
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::max<int64_t>(1, std::min(f.connectMs, f.timeoutMs))));
   curl_easy_setopt(easy, CURLOPT_PRIVATE, call.get());
+  auto told = keepMs_.find(f.address);
+  auto idleMs = told == keepMs_.end() ? idleMs_ : told->second * 4 / 5;
+  // libcurl counts begun seconds only once they are full: 4 stands for less than 5.
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(std::max<int64_t>(0, idleMs / 1000 - 1)));
   if (f.method == "HEAD") {
     curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
   } else if (f.method == "GET" && f.body.empty()) {
@@ -71,18 +184,17 @@
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(f.body.size()));
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, f.method.c_str());
   }
-  if (f.isWrite) {
-    // libcurl sends again by itself when a reused stream turns out to be dead: a write never rides on one.
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-  }
+  // libcurl sends again by itself when a reused stream turns out to be dead: a write never rides on one.
+  if (f.isWrite || isFresh) curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+  if (f.isWrite) curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
   auto hasType = false, hasAccept = false, hasAgent = false;
+  std::string line;
   for (const auto& [name, value] : f.headers) {
-    call->lines.add(value.empty() ? name + ";" : name + ": " + value);
-    auto n = caller::lower(name);
-    hasType = hasType || n == "content-type";
-    hasAccept = hasAccept || n == "accept";
-    hasAgent = hasAgent || n == "user-agent";
+    line.assign(name).append(value.empty() ? ";" : ": ").append(value);
+    call->lines.add(line);
+    hasType = hasType || isNamed(name, "content-type");
+    hasAccept = hasAccept || isNamed(name, "accept");
+    hasAgent = hasAgent || isNamed(name, "user-agent");
   }
   call->lines.add("Expect:");
   if (!hasType) call->lines.add("Content-Type:");
@@ -94,54 +206,84 @@
     char ip[INET_ADDRSTRLEN] = {};
     const auto* in = reinterpret_cast<const sockaddr_in*>(&to->addr);
     if (fd >= 0 && to->family == AF_INET && ::inet_ntop(AF_INET, &in->sin_addr, ip, sizeof ip))
-      (*static_cast<std::map<curl_socket_t, std::string>*>(at))[fd] = std::string(ip) + ":" + std::to_string(ntohs(in->sin_port));
+      static_cast<Fetcher*>(at)->sockets_[fd].address = std::string(ip) + ":" + std::to_string(ntohs(in->sin_port));
     return fd;
   };
   auto onClose = +[](void* at, curl_socket_t socket) -> int {
-    static_cast<std::map<curl_socket_t, std::string>*>(at)->erase(socket);
+    auto& fetcher = *static_cast<Fetcher*>(at);
+    if (auto known = fetcher.sockets_.find(socket); known != fetcher.sockets_.end()) {
+      fetcher.kept_.erase(known->second.keptAs);
+      fetcher.sockets_.erase(known);
+    }
     return ::close(socket);
   };
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, onOpen);
-  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &sockets_);
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, onClose);
-  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, &sockets_);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+  // Returning less than was given ends the transfer and closes its stream.
   auto onHead = +[](char* data, size_t size, size_t count, void* at) -> size_t {
     auto& call = *static_cast<Call*>(at);
-    std::string line(data, size * count);
+    if (call.hasHead) return size * count;  // what follows chunks says nothing about the answer
+    std::string_view line(data, size * count);
     call.headBytes += line.size();
     if (call.headBytes > kHeadBytes) {
       call.isTooLarge = true;
       return 0;
     }
-    if (line.rfind("HTTP/", 0) == 0) {
+    if (line.substr(0, 5) == "HTTP/") {
       call.result.headers.clear();  // a provisional answer came before
+      auto space = line.find(' ');
+      call.isProvisional = space != std::string_view::npos && line.substr(space + 1, 1) == "1";
       return size * count;
     }
-    while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) line.pop_back();
-    if (line.empty()) return size * count;
+    while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) line.remove_suffix(1);
+    if (line.empty()) {
+      if (call.isProvisional) return size * count;
+      call.hasHead = true;
+      const auto& f = call.fetch;
+      call.isMixed = !f.tryHeader.empty() && caller::header(call.result.headers, f.tryHeader) != f.tryId;
+      return call.isMixed ? 0 : size * count;
+    }
     auto colon = line.find(':');
-    if (colon == std::string::npos || colon == 0 || line[0] == ' ' || line[0] == '\t') {
+    if (colon == std::string_view::npos || colon == 0 || line[0] == ' ' || line[0] == '\t') {
       call.isMalformed = true;
       return 0;
     }
     auto from = line.find_first_not_of(" \t", colon + 1);
-    call.result.headers.emplace_back(line.substr(0, colon), from == std::string::npos ? "" : line.substr(from));
+    call.result.headers.emplace_back(line.substr(0, colon), from == std::string_view::npos ? std::string_view() : line.substr(from));
     return size * count;
   };
   auto onBody = +[](char* data, size_t size, size_t count, void* at) -> size_t {
     auto& call = *static_cast<Call*>(at);
-    if (call.result.body.size() + size * count > call.fetch.answerBytes) {
+    auto& body = call.result.body;
+    if (body.size() + size * count > call.fetch.answerBytes) {
       call.isTooLarge = true;
       return 0;
     }
-    call.result.body.append(data, size * count);
+    if (body.empty()) {
+      curl_off_t length = 0;
+      curl_easy_getinfo(call.easy.get(), CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+      if (length > 0) body.reserve(std::min(static_cast<size_t>(length), call.fetch.answerBytes));
+    }
+    body.append(data, size * count);
     return size * count;
   };
   // The last point before bytes leave: the stream is up, the request is not sent. A fetch that waited for its turn,
-  // or whose process was frozen, goes no further once what it rests on is too old.
-  auto onReady = +[](void* at, char*, char*, int, int) -> int {
-    auto untilMs = static_cast<Call*>(at)->fetch.actUntilMs;
-    return untilMs > 0 && neighbour::steadyMs() >= untilMs ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  // or whose process was frozen, goes no further once what it rests on is too old. Nor does it go out on a kept stream
+  // on which bytes have come since the last answer: they belong to no request.
+  auto onReady = +[](void* at, char*, char*, int, int ownPort) -> int {
+    auto& call = *static_cast<Call*>(at);
+    auto untilMs = call.fetch.actUntilMs;
+    if (untilMs > 0 && neighbour::steadyMs() >= untilMs) return CURL_PREREQFUNC_ABORT;
+    auto kept = call.fetcher->kept_.find({call.fetch.address, ownPort});
+    char byte = 0;
+    if (kept != call.fetcher->kept_.end() && ::recv(kept->second, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) {
+      call.hasStray = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
+    ++call.result.sends;
+    return CURL_PREREQFUNC_OK;
   };
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onReady);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, call.get());
@@ -149,79 +291,162 @@
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, call.get());
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, call.get());
-  curl_multi_add_handle(multi_, easy);
   calls_[easy] = std::move(call);
+  curl_multi_add_handle(multi_, easy);
 }
 
-auto Fetcher::run(std::vector<pollfd>& extra, int64_t waitMs) -> std::vector<Fetched> {
-  std::vector<curl_waitfd> fds;
-  for (const auto& one : extra) {
-    short events = 0;
-    if (one.events & POLLIN) events |= CURL_WAIT_POLLIN;
-    if (one.events & POLLOUT) events |= CURL_WAIT_POLLOUT;
-    fds.push_back({one.fd, events, 0});
-  }
-  int running = 0, ready = 0;
-  curl_multi_perform(multi_, &running);
+auto Fetcher::remove(CURL* easy) -> Fetch {
+  auto node = calls_.extract(easy);
+  auto& call = *node.mapped();
+  curl_multi_remove_handle(multi_, easy);
+  auto busy = busy_.find(call.fetch.address);
+  if (--busy->second == 0) busy_.erase(busy);
+  if (spare_.size() < kSpare) {
+    curl_easy_reset(easy);
+    spare_.push_back(std::move(call.easy));
+  }
+  return std::move(call.fetch);
+}
+
+auto Fetcher::cancel(uint64_t id) -> void {
+  auto& places = waiting_.get<ByPlace>();
+  for (auto at = places.begin(); at != places.end();) at = at->id == id ? places.erase(at) : std::next(at);
+  std::vector<std::pair<CURL*, std::string>> found;
+  for (const auto& [easy, call] : calls_)
+    if (call->fetch.id == id) found.emplace_back(easy, call->fetch.address);
+  for (const auto& [easy, address] : found) {
+    remove(easy);
+    admit(address, neighbour::steadyMs());
+  }
+}
+
+auto Fetcher::act(curl_socket_t socket, int events) -> void {
+  auto running = 0;
+  if (socket == CURL_SOCKET_TIMEOUT) dueMs_ = -1;  // libcurl tells anew
+  curl_multi_socket_action(multi_, socket, events, &running);
+}
+
+auto Fetcher::end(CURL* easy, CURLcode code) -> Fetched {
+  auto& call = *calls_.at(easy);
+  auto& result = call.result;
+  long status = 0, sent = 0;
+  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+  result.status = static_cast<int>(status);
+  result.tookMs = neighbour::steadyMs() - call.startMs;
+  auto isBare = status == 204 || status == 304 || call.fetch.method == "HEAD";
+  auto isChunked = caller::lower(caller::header(result.headers, "transfer-encoding")) == "chunked";
+  // An answer without a length and without chunks ends where the stream ends: whole and cut look alike.
+  auto hasEnd = isBare || isChunked || caller::has(result.headers, "content-length");
+  if (call.isMixed)
+    result.fault = Fault::kMixed;
+  else if (call.isTooLarge)
+    result.fault = Fault::kTooLarge;
+  else if (call.isMalformed)
+    result.fault = Fault::kNotWhole;
+  else if (code == CURLE_OK)
+    result.fault = hasEnd && status >= 200 && isSound(call.fetch, result) ? Fault::kNone : Fault::kNotWhole;
+  else if (sent == 0)
+    result.fault = Fault::kNotSent;
+  else if (code == CURLE_OPERATION_TIMEDOUT)
+    result.fault = Fault::kTimeout;
+  else if (code == CURLE_PARTIAL_FILE || code == CURLE_WEIRD_SERVER_REPLY || code == CURLE_UNSUPPORTED_PROTOCOL || status != 0)
+    result.fault = Fault::kNotWhole;
+  else
+    result.fault = Fault::kLost;
+  result.isUntouched = sent == 0;
+  if (code == CURLE_OK) {
+    if (auto keepMs = keepMsOf(result.headers); keepMs >= 0)
+      keepMs_[call.fetch.address] = keepMs;
+    else
+      keepMs_.erase(call.fetch.address);
+    curl_socket_t socket = CURL_SOCKET_BAD;
+    long ownPort = 0;
+    curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &socket);
+    curl_easy_getinfo(easy, CURLINFO_LOCAL_PORT, &ownPort);
+    if (auto known = sockets_.find(socket); known != sockets_.end()) {
+      known->second.keptAs = {call.fetch.address, static_cast<int>(ownPort)};
+      kept_[known->second.keptAs] = socket;
+    }
+  }
+  return std::move(result);
+}
+
+auto Fetcher::ended() -> std::vector<Fetched> {
+  std::vector<Fetched> list;
   auto left = 0;
-  auto* first = curl_multi_info_read(multi_, &left);
-  if (!first) {
-    curl_multi_poll(multi_, fds.data(), static_cast<unsigned>(fds.size()), static_cast<int>(waitMs), &ready);
-    curl_multi_perform(multi_, &running);
-    first = curl_multi_info_read(multi_, &left);
-  }
-  std::vector<Fetched> ended;
-  for (auto* message = first; message; message = curl_multi_info_read(multi_, &left)) {
+  std::vector<std::string> freed;
+  while (auto* message = curl_multi_info_read(multi_, &left)) {
     if (message->msg != CURLMSG_DONE) continue;
     auto* easy = message->easy_handle;
-    auto code = message->data.result;
-    auto& call = *calls_.at(easy);
-    auto& result = call.result;
-    long status = 0, sent = 0;
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
-    result.status = static_cast<int>(status);
-    result.tookMs = neighbour::steadyMs() - call.startMs;
-    auto isBare = status == 204 || status == 304 || call.fetch.method == "HEAD";
-    auto isChunked = caller::lower(caller::header(result.headers, "transfer-encoding")) == "chunked";
-    // An answer without a length and without chunks ends where the stream ends: whole and cut look alike.
-    auto hasEnd = isBare || isChunked || caller::has(result.headers, "content-length");
-    if (call.isTooLarge)
-      result.fault = Fault::kTooLarge;
-    else if (call.isMalformed)
-      result.fault = Fault::kNotWhole;
-    else if (code == CURLE_OK)
-      result.fault = hasEnd && status >= 200 ? Fault::kNone : Fault::kNotWhole;
-    else if (sent == 0)
-      result.fault = Fault::kNotSent;
-    else if (code == CURLE_OPERATION_TIMEDOUT)
-      result.fault = Fault::kTimeout;
-    else if (code == CURLE_PARTIAL_FILE || code == CURLE_WEIRD_SERVER_REPLY || code == CURLE_UNSUPPORTED_PROTOCOL || status != 0)
-      result.fault = Fault::kNotWhole;
-    else
-      result.fault = Fault::kLost;
-    result.isUntouched = sent == 0;
-    curl_multi_remove_handle(multi_, easy);
-    ended.push_back(std::move(result));
-    calls_.erase(easy);
+    const auto& call = *calls_.at(easy);
+    auto startMs = call.startMs;
+    // Nothing of it has left: it goes out on a stream of its own, in the time that is left.
+    if (call.hasStray && call.result.sends == 0) {
+      auto fetch = remove(easy);
+      fetch.timeoutMs -= neighbour::steadyMs() - startMs;
+      send(std::move(fetch), startMs, true);
+      continue;
+    }
+    list.push_back(end(easy, message->data.result));
+    auto fetch = remove(easy);
+    if (!waiting_.empty()) freed.push_back(fetch.address);
+  }
+  if (waiting_.empty()) return list;
+  auto nowMs = neighbour::steadyMs();
+  auto& ends = waiting_.get<ByEnd>();
+  for (auto at = ends.begin(); at != ends.end() && at->untilMs <= nowMs; at = ends.erase(at)) {
+    Fetched late;
+    late.id = at->id;
+    late.fault = Fault::kNotSent;
+    late.isUntouched = true;
+    late.tookMs = nowMs - at->startMs;
+    list.push_back(std::move(late));
   }
-  for (size_t i = 0; i < extra.size(); ++i) {
-    extra[i].revents = 0;
-    if (fds[i].revents & CURL_WAIT_POLLIN) extra[i].revents |= POLLIN;
-    if (fds[i].revents & CURL_WAIT_POLLOUT) extra[i].revents |= POLLOUT;
+  for (const auto& address : freed) admit(address, nowMs);
+  return list;
+}
+
+auto Fetcher::run(std::vector<pollfd>& extra, int64_t waitMs) -> std::vector<Fetched> {
+  for (auto& one : extra) one.revents = 0;
+  if (dueMs_ >= 0 && neighbour::steadyMs() >= dueMs_) act(CURL_SOCKET_TIMEOUT, 0);
+  auto list = ended();
+  if (!list.empty()) return list;
+  auto untilMs = dueMs_;
+  if (!waiting_.empty()) {
+    auto firstMs = waiting_.get<ByEnd>().begin()->untilMs;
+    untilMs = untilMs < 0 ? firstMs : std::min(untilMs, firstMs);
+  }
+  if (untilMs >= 0) waitMs = std::clamp<int64_t>(untilMs - neighbour::steadyMs(), 0, waitMs);
+  std::vector<pollfd> fds;
+  fds.reserve(extra.size() + 1);
+  fds.assign(extra.begin(), extra.end());
+  fds.push_back({events_.get(), POLLIN, 0});
+  ::poll(fds.data(), fds.size(), static_cast<int>(waitMs));
+  for (size_t i = 0; i < extra.size(); ++i) extra[i].revents = fds[i].revents;
+  if (fds.back().revents & POLLIN) {
+    epoll_event events[64];
+    auto count = ::epoll_wait(events_.get(), events, 64, 0);
+    for (auto i = 0; i < count; ++i) {
+      auto seen = events[i].events;
+      act(events[i].data.fd, (seen & EPOLLIN ? CURL_CSELECT_IN : 0) | (seen & EPOLLOUT ? CURL_CSELECT_OUT : 0) |
+                                 (seen & (EPOLLERR | EPOLLHUP) ? CURL_CSELECT_ERR : 0));
+    }
   }
-  return ended;
+  if (dueMs_ >= 0 && neighbour::steadyMs() >= dueMs_) act(CURL_SOCKET_TIMEOUT, 0);
+  return ended();
 }
 
 auto Fetcher::drop(const std::string& address) -> void {
+  keepMs_.erase(address);
   std::vector<curl_socket_t> busy;
   for (auto& [easy, call] : calls_) {
     curl_socket_t active = CURL_SOCKET_BAD;
     curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &active);
     busy.push_back(active);
   }
-  for (const auto& [socket, to] : sockets_)
-    if (to == address && std::find(busy.begin(), busy.end(), socket) == busy.end()) ::shutdown(socket, SHUT_RDWR);
+  for (const auto& [socket, one] : sockets_)
+    if (one.address == address && std::find(busy.begin(), busy.end(), socket) == busy.end()) ::shutdown(socket, SHUT_RDWR);
 }
 
 auto fetchOnce(Fetch fetch) -> Fetched {
@@ -232,7 +457,7 @@
   std::vector<pollfd> none;
   while (neighbour::steadyMs() < untilMs) {
     auto ended = fetcher.run(none, 50);
-    if (!ended.empty()) return ended.front();
+    if (!ended.empty()) return std::move(ended.front());
   }
   Fetched lost;
   lost.id = id;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,11 +1,14 @@
 // The HTTP face and the fetcher over real sockets: what passes whole, what is refused, what is not an answer.
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/push.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <mutex>
 #include <thread>
 
 #include "caller/codes.hpp"
@@ -346,3 +349,625 @@
   CHECK(why.find("version " + std::to_string(frame.version)) != std::string::npos);
   CHECK(why.find("reads " + std::to_string(core::DiskFrame::kVersion)) != std::string::npos);
 }
+
+namespace {
+// An upstream that answers each request on each connection as a function says; the bytes go out as they are.
+struct Upstream {
+  using Handle = std::function<std::string(int connection, int request, const std::string& head)>;
+  explicit Upstream(Handle handle) : handle(std::move(handle)), listening(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    ::inet_pton(AF_INET, "127.0.0.1", &at.sin_addr);
+    REQUIRE(::bind(listening.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+    REQUIRE(::listen(listening.get(), 64) == 0);
+    socklen_t size = sizeof at;
+    ::getsockname(listening.get(), reinterpret_cast<sockaddr*>(&at), &size);
+    port = ntohs(at.sin_port);
+    loop = std::thread([this] {
+      for (;;) {
+        auto fd = ::accept(listening.get(), nullptr, nullptr);
+        if (fd < 0) return;
+        serving.emplace_back([this, fd, connection = ++connections] { serve(fd, connection); });
+      }
+    });
+  }
+  ~Upstream() {
+    isOver = true;
+    ::shutdown(listening.get(), SHUT_RDWR);
+    loop.join();
+    for (auto& one : serving) one.join();
+  }
+  auto at() const -> std::string { return "127.0.0.1:" + std::to_string(port); }
+  auto serve(int number, int connection) -> void {
+    disk::Fd fd(number);
+    std::string read;
+    for (auto request = 0; !isOver;) {
+      pollfd ready{number, POLLIN, 0};
+      if (::poll(&ready, 1, 20) == 0) continue;
+      char buffer[4096];
+      auto n = ::recv(number, buffer, sizeof buffer, 0);
+      if (n <= 0) break;
+      read.append(buffer, static_cast<size_t>(n));
+      for (auto end = read.find("\r\n\r\n"); end != std::string::npos; end = read.find("\r\n\r\n")) {
+        auto bytes = handle(connection, ++request, read.substr(0, end + 2));
+        read.erase(0, end + 4);
+        if (bytes == "close") return;
+        (void)!::send(number, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (!afterwards) continue;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        bytes = afterwards(connection);
+        (void)!::send(number, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+      }
+    }
+    ++closed;
+  }
+  Handle handle;
+  std::function<std::string(int connection)> afterwards;  // sent a moment after an answer
+  disk::Fd listening;
+  int port = 0;
+  std::atomic<int> connections{0}, closed{0};
+  std::atomic<bool> isOver{false};
+  std::vector<std::thread> serving;
+  std::thread loop;
+};
+
+auto valueOf(const std::string& head, const std::string& name) -> std::string {
+  auto at = head.find("\r\n" + name + ": ");
+  if (at == std::string::npos) return "";
+  at += name.size() + 4;
+  return head.substr(at, head.find("\r\n", at) - at);
+}
+
+auto sealed(const std::string& id, const std::string& body) -> std::string {
+  return "HTTP/1.1 200 OK\r\nX-Try: " + id + "\r\nX-Seal: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+auto askFor(const Upstream& upstream, const std::string& id) -> upstream::Fetch {
+  upstream::Fetch f;
+  f.address = upstream.at();
+  f.headers = {{"X-Try", id}};
+  f.tryHeader = "X-Try";
+  f.tryId = id;
+  f.sealHeader = "X-Seal";
+  f.timeoutMs = 20000;
+  f.connectMs = 5000;
+  return f;
+}
+
+auto finish(upstream::Fetcher& fetcher, size_t count = 1) -> std::vector<upstream::Fetched> {
+  std::vector<upstream::Fetched> all;
+  std::vector<pollfd> none;
+  for (auto untilMs = neighbour::steadyMs() + 30000; all.size() < count && neighbour::steadyMs() < untilMs;)
+    for (auto& one : fetcher.run(none, 1000)) all.push_back(std::move(one));
+  REQUIRE(all.size() == count);
+  return all;
+}
+
+auto sleepMs(int64_t ms) -> void { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
+
+auto waitUntil(const std::function<bool()>& isSo) -> bool {
+  auto untilMs = neighbour::steadyMs() + 20000;
+  while (!isSo() && neighbour::steadyMs() < untilMs) sleepMs(5);
+  return isSo();
+}
+
+auto readSome(const disk::Fd& fd, size_t least = 1) -> std::string {
+  std::string all;
+  char buffer[4096];
+  for (ssize_t n = 0; all.size() < least && (n = ::recv(fd.get(), buffer, sizeof buffer, 0)) > 0;) all.append(buffer, static_cast<size_t>(n));
+  return all;
+}
+
+auto sendAll(const disk::Fd& fd, const std::string& bytes) -> void {
+  REQUIRE(::send(fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+}
+}  // namespace
+
+TEST_CASE("An answer to another request is not taken, and its stream is not used again") {
+  using upstream::Fault;
+  SECTION("a whole surplus answer right behind the first, or a moment later") {
+    for (auto isLate : {false, true}) {
+      Upstream upstream([&](int connection, int, const std::string& head) {
+        auto id = valueOf(head, "X-Try");
+        return sealed(id, "for " + id) + (connection == 1 && !isLate ? sealed(id, "again") : "");
+      });
+      if (isLate) upstream.afterwards = [](int connection) { return connection == 1 ? sealed("1", "again") : ""; };
+      upstream::Fetcher fetcher;
+      for (auto id : {"1", "2", "3"}) {
+        fetcher.start(askFor(upstream, id));
+        auto ended = finish(fetcher);
+        CHECK(ended[0].fault == Fault::kNone);
+        CHECK(ended[0].body == std::string("for ") + id);
+        CHECK(ended[0].sends == 1);
+        sleepMs(60);
+      }
+      CHECK(upstream.connections == 2);
+    }
+  }
+  SECTION("in the place of the next one due") {
+    Upstream upstream([&](int connection, int request, const std::string& head) {
+      auto id = valueOf(head, "X-Try");
+      return (connection == 1 && request == 2 ? sealed("1", "surplus") : "") + sealed(id, "for " + id);
+    });
+    upstream::Fetcher fetcher;
+    fetcher.start(askFor(upstream, "1"));
+    CHECK(finish(fetcher)[0].body == "for 1");
+    fetcher.start(askFor(upstream, "2"));
+    auto mixed = finish(fetcher)[0];
+    CHECK(mixed.fault == Fault::kMixed);
+    CHECK(mixed.body.empty());
+    CHECK_FALSE(mixed.isUntouched);
+    CHECK(upstream.connections == 1);
+    CHECK(waitUntil([&] { return upstream.closed == 1; }));
+    fetcher.start(askFor(upstream, "3"));
+    CHECK(finish(fetcher)[0].body == "for 3");
+    CHECK(upstream.connections == 2);
+  }
+  SECTION("without the id, whatever its status") {
+    for (auto bytes : {"HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"}) {
+      Upstream upstream([&](int, int, const std::string&) { return std::string(bytes); });
+      upstream::Fetcher fetcher;
+      fetcher.start(askFor(upstream, "1"));
+      CHECK(finish(fetcher)[0].fault == Fault::kMixed);
+    }
+  }
+  SECTION("a provisional answer needs no id") {
+    Upstream upstream([&](int, int, const std::string& head) {
+      return "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + sealed(valueOf(head, "X-Try"), "ok");
+    });
+    upstream::Fetcher fetcher;
+    fetcher.start(askFor(upstream, "1"));
+    auto answer = finish(fetcher)[0];
+    CHECK(answer.fault == Fault::kNone);
+    CHECK(answer.status == 200);
+    CHECK_FALSE(caller::has(answer.headers, "link"));
+  }
+}
+
+TEST_CASE("Bytes after a whole answer never reach the next request") {
+  using upstream::Fault;
+  std::vector<std::string> firsts = {"HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nok",
+                                     "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n",
+                                     "HTTP/1.1 204 No Content\r\nX-Try: 1\r\nX-Seal: s\r\n\r\n",
+                                     "HTTP/1.1 304 Not Modified\r\nX-Try: 1\r\n\r\n",
+                                     "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"};
+  std::vector<std::string> extras = {"garbage", "\r\n\r\n", std::string(40000, 'g'), sealed("2", "forged early"), "HTTP/1.1 2"};
+  for (const auto& first : firsts)
+    for (const auto& extra : extras) {
+      Upstream upstream([&](int connection, int, const std::string& head) {
+        return connection == 1 ? first + extra : sealed(valueOf(head, "X-Try"), "true");
+      });
+      upstream::Fetcher fetcher;
+      fetcher.start(askFor(upstream, "1"));
+      CHECK(finish(fetcher)[0].fault == Fault::kNone);
+      sleepMs(10);  // all of it has come
+      fetcher.start(askFor(upstream, "2"));
+      auto answer = finish(fetcher)[0];
+      INFO(first << "+" << extra.substr(0, 20));
+      // On a stream whose surplus was read with the answer, the upstream answers as before: that is not for us.
+      if (answer.fault == Fault::kNone) CHECK(answer.body == "true");
+      CHECK((answer.fault == Fault::kNone || answer.fault == Fault::kMixed));
+    }
+  // They come while the next request is under way.
+  for (std::string extra : {"garbage", "garbage\r\n", "\r\n\r\n", "\r\n"}) {
+    Upstream upstream([&](int connection, int request, const std::string& head) {
+      return (connection == 1 && request == 2 ? extra : "") + sealed(valueOf(head, "X-Try"), "true");
+    });
+    upstream::Fetcher fetcher;
+    fetcher.start(askFor(upstream, "1"));
+    CHECK(finish(fetcher)[0].fault == Fault::kNone);
+    fetcher.start(askFor(upstream, "2"));
+    auto answer = finish(fetcher)[0];
+    INFO(extra);
+    CHECK(answer.fault != Fault::kNone);
+    fetcher.start(askFor(upstream, "3"));
+    CHECK(finish(fetcher)[0].body == "true");
+    CHECK(upstream.connections == 2);
+  }
+}
+
+TEST_CASE("A success is whole with its seal, in the encoding asked for, and framed in one way") {
+  using upstream::Fault;
+  struct Row {
+    std::string head;
+    Fault fault;
+    int status;
+  };
+  std::vector<Row> rows = {
+      {"200 OK\r\nX-Seal: s\r\nContent-Length: 2", Fault::kNone, 200},
+      {"200 OK\r\nContent-Length: 2", Fault::kNotWhole, 200},
+      {"404 Not Found\r\nContent-Length: 2", Fault::kNone, 404},
+      {"206 Partial Content\r\nX-Seal: s\r\nContent-Range: bytes 0-1/9\r\nContent-Length: 2", Fault::kNone, 206},
+      {"416 Range Not Satisfiable\r\nContent-Range: bytes */9\r\nContent-Length: 2", Fault::kNone, 416},
+      {"200 OK\r\nX-Seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 2", Fault::kNotWhole, 200},
+      {"200 OK\r\nX-Seal: s\r\nContent-Encoding: identity\r\nContent-Length: 2", Fault::kNone, 200},
+      {"500 Error\r\nContent-Encoding: gzip\r\nContent-Length: 2", Fault::kNone, 500},
+      {"200 OK\r\nX-Seal: s\r\nContent-Length: 2\r\nContent-Length: 3", Fault::kNotWhole, 200},
+  };
+  for (const auto& row : rows) {
+    Upstream upstream([&](int, int, const std::string&) { return "HTTP/1.1 " + row.head + "\r\nX-Try: 1\r\nConnection: close\r\n\r\nok"; });
+    upstream::Fetcher fetcher;
+    auto f = askFor(upstream, "1");
+    f.timeoutMs = 1000;  // one of them leaves open what is still to come
+    fetcher.start(f);
+    auto answer = finish(fetcher)[0];
+    INFO(row.head);
+    CHECK(answer.status == row.status);
+    if (row.head.find("Length: 3") == std::string::npos) CHECK(static_cast<int>(answer.fault) == static_cast<int>(row.fault));
+    CHECK((answer.fault == Fault::kNone) == (row.fault == Fault::kNone));
+    if (answer.fault == Fault::kNone) CHECK(answer.body == "ok");
+  }
+  Upstream gzip([](int, int, const std::string&) {
+    return std::string("HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 3\r\n\r\n\x1f\x8bx");
+  });
+  upstream::Fetcher fetcher;
+  auto f = askFor(gzip, "1");
+  f.headers.emplace_back("Accept-Encoding", "gzip");
+  fetcher.start(f);
+  auto asked = finish(fetcher)[0];
+  CHECK(asked.fault == Fault::kNone);
+  CHECK(asked.body == "\x1f\x8bx");
+}
+
+TEST_CASE("Targets reach the upstream to the byte, and nothing is added to what is accepted") {
+  std::string line, head;
+  Upstream upstream([&](int, int, const std::string& h) {
+    head = h;
+    line = h.substr(0, h.find("\r\n"));
+    return sealed("1", "ok");
+  });
+  upstream::Fetcher fetcher;
+  for (std::string target : {"/", "/a?", "/a?x=1&&y=%zz", "/a#b", "//a/../b/./c", "/%2f%2F", "/a;b?c?d", "/\xc3\xa4", "/@x:1/", "*"}) {
+    auto f = askFor(upstream, "1");
+    f.target = target;
+    fetcher.start(f);
+    CHECK(finish(fetcher)[0].status == 200);
+    CHECK(line == "GET " + target + " HTTP/1.1");
+    CHECK(caller::lower(head).find("accept-encoding") == std::string::npos);
+  }
+}
+
+TEST_CASE("Fetches to one upstream wait for their turn, and end untouched when it does not come") {
+  using upstream::Fault;
+  std::atomic<int> running{0}, most{0}, seen{0};
+  std::atomic<bool> isHeld{true};
+  Upstream upstream([&](int, int, const std::string& head) {
+    ++seen;
+    most = std::max(most.load(), ++running);
+    while (isHeld) sleepMs(5);
+    --running;
+    return sealed(valueOf(head, "X-Try"), "ok");
+  });
+  upstream::Fetcher fetcher;
+  fetcher.limit(2, 0);
+  for (auto id : {1, 2, 3, 4, 5}) {
+    auto f = askFor(upstream, std::to_string(id));
+    f.id = static_cast<uint64_t>(id);
+    if (id == 3) f.timeoutMs = 300;
+    fetcher.start(f);
+  }
+  CHECK(fetcher.open() == 5);
+  auto startMs = neighbour::steadyMs();
+  auto late = finish(fetcher)[0];
+  CHECK(late.id == 3);
+  CHECK(late.fault == Fault::kNotSent);
+  CHECK(late.isUntouched);
+  CHECK(late.sends == 0);
+  CHECK(neighbour::steadyMs() - startMs >= 250);
+  fetcher.cancel(4);
+  CHECK(fetcher.open() == 3);
+  isHeld = false;
+  auto served = finish(fetcher, 3);
+  for (const auto& one : served) {
+    CHECK(one.fault == Fault::kNone);
+    CHECK(one.id != 4);
+  }
+  CHECK(seen == 4 - 1);
+  CHECK(most <= 2);
+
+  // Kept streams make room for fresh ones.
+  for (auto i = 0; i < 4; ++i) {
+    auto f = askFor(upstream, "w");
+    f.method = "POST";
+    f.isWrite = true;
+    fetcher.start(f);
+  }
+  for (const auto& one : finish(fetcher, 4)) CHECK(one.fault == Fault::kNone);
+  CHECK(most <= 2);
+  CHECK(upstream.connections - upstream.closed <= 2);
+
+  // All together have a limit, too.
+  Upstream other([](int, int, const std::string& head) { return sealed(valueOf(head, "X-Try"), "ok"); });
+  upstream::Fetcher few;
+  few.limit(0, 1);
+  for (auto i = 0; i < 6; ++i) few.start(askFor(i % 2 ? upstream : other, std::to_string(i)));
+  for (const auto& one : finish(few, 6)) CHECK(one.fault == Fault::kNone);
+}
+
+TEST_CASE("A fetch that is cancelled closes its stream, and others take its turn") {
+  std::atomic<int> seen{0};
+  std::atomic<bool> isHeld{true};
+  Upstream upstream([&](int, int, const std::string& head) {
+    auto id = valueOf(head, "X-Try");
+    ++seen;
+    while (id == "1" && isHeld) sleepMs(5);
+    return sealed(id, "ok");
+  });
+  upstream::Fetcher fetcher;
+  fetcher.limit(1, 0);
+  for (auto id : {1, 2}) {
+    auto f = askFor(upstream, std::to_string(id));
+    f.id = static_cast<uint64_t>(id);
+    fetcher.start(f);
+  }
+  std::vector<pollfd> none;
+  while (seen == 0) CHECK(fetcher.run(none, 10).empty());
+  fetcher.cancel(1);
+  auto ended = finish(fetcher);
+  isHeld = false;
+  CHECK(ended[0].id == 2);
+  CHECK(ended[0].body == "ok");
+  CHECK(fetcher.open() == 0);
+  CHECK(upstream.connections == 2);
+}
+
+TEST_CASE("Kept streams are used as long as the upstream tells, and a read that met a dead one tells so") {
+  using upstream::Fault;
+  Upstream upstream([&](int, int request, const std::string& head) {
+    if (valueOf(head, "X-Try") == "die" && request > 1) return std::string("close");
+    auto bytes = sealed(valueOf(head, "X-Try"), "ok");
+    return bytes.insert(bytes.find("X-Seal"), "Keep-Alive: timeout=1, max=9\r\n");
+  });
+  upstream::Fetcher fetcher;
+  auto ask = [&](const std::string& id) {
+    fetcher.start(askFor(upstream, id));
+    auto answer = finish(fetcher)[0];
+    CHECK(answer.fault == Fault::kNone);
+    return answer.sends;
+  };
+  CHECK(ask("1") == 1);
+  CHECK(ask("2") == 1);
+  CHECK(upstream.connections == 1);
+  sleepMs(1100);
+  CHECK(ask("3") == 1);
+  CHECK(upstream.connections == 2);
+  CHECK(ask("die") == 2);
+  CHECK(upstream.connections == 3);
+
+  Upstream silent([&](int, int, const std::string& head) { return sealed(valueOf(head, "X-Try"), "ok"); });
+  upstream::Fetcher brief;
+  brief.keepFor(1000);
+  for (auto id : {"1", "2"}) {
+    brief.start(askFor(silent, id));
+    CHECK(finish(brief)[0].fault == Fault::kNone);
+  }
+  CHECK(silent.connections == 1);
+  sleepMs(1100);
+  brief.start(askFor(silent, "3"));
+  CHECK(finish(brief)[0].fault == Fault::kNone);
+  CHECK(silent.connections == 2);
+}
+
+TEST_CASE("A fetcher sleeps until its next time limit, however long it may wait") {
+  std::atomic<bool> isHeld{true};
+  Upstream upstream([&](int, int, const std::string&) {
+    while (isHeld) sleepMs(5);
+    return std::string("close");
+  });
+  upstream::Fetcher fetcher;
+  auto f = askFor(upstream, "1");
+  f.timeoutMs = 200;
+  fetcher.start(f);
+  std::vector<pollfd> none;
+  auto startMs = neighbour::steadyMs();
+  auto rounds = 0;
+  std::vector<upstream::Fetched> ended;
+  for (; ended.empty() && rounds < 100; ++rounds) ended = fetcher.run(none, 15000);
+  isHeld = false;
+  REQUIRE(ended.size() == 1);
+  CHECK(ended[0].fault == upstream::Fault::kTimeout);
+  CHECK(neighbour::steadyMs() - startMs < 10000);
+  CHECK(rounds < 20);
+}
+
+TEST_CASE("Chunked requests arrive to the byte, however the reads cut them") {
+  Server server([](const Request& r) { return Answer{200, {}, "[" + r.body + "]"}; }, 1u << 16);
+  std::string bytes = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n3;x=\"y\"\r\na\r\n\r\n0004 \r\ndefg\r\n0\r\nX-T: 1\r\n\r\n";
+  for (size_t cut = 0; cut < bytes.size(); cut += 1) {
+    auto fd = connectTo(server.at());
+    auto on = 1;
+    ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    sendAll(fd, bytes.substr(0, cut));
+    sleepMs(2);
+    sendAll(fd, bytes.substr(cut));
+    auto answer = readSome(fd, 1u << 20);
+    INFO(cut);
+    CHECK(answer.find("[a\r\ndefg]") != std::string::npos);
+  }
+  auto head = std::string("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (std::string bad : {"-1\r\n", "+3\r\nabc\r\n", " 3\r\nabc\r\n", "0x3\r\nabc\r\n", "3\nabc\r\n", "3\r\nabcd\r\n", "\r\n", "3 3\r\nabc\r\n",
+                          "1000000000000000\r\n", "3\rX\nabc", "g\r\n"}) {
+    INFO(bad);
+    CHECK(raw(server.at(), head + bad).rfind("HTTP/1.1 400 ", 0) == 0);
+  }
+  CHECK(raw(server.at(), head + "10001\r\n").rfind("HTTP/1.1 413 ", 0) == 0);
+  CHECK(raw(server.at(), "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n").rfind("HTTP/1.1 400 ", 0) == 0);
+  CHECK(raw(server.at(), "GET /a b HTTP/1.1\r\nHost: a\r\n\r\n").rfind("HTTP/1.1 400 ", 0) == 0);
+}
+
+TEST_CASE("Limits of a face change while it runs") {
+  Server server([](const Request& r) { return Answer{200, {}, std::to_string(r.body.size())}; });
+  auto status = [&](const std::string& bytes) { return raw(server.at(), bytes).substr(9, 3); };
+  auto request = [](size_t headerBytes, size_t bodyBytes) {
+    return "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nX-Fill: " + std::string(headerBytes, 'x') + "\r\nContent-Length: " + std::to_string(bodyBytes) +
+           "\r\n\r\n" + std::string(bodyBytes, 'b');
+  };
+  CHECK(status(request(9000, 9000)) == "200");
+  server.face.limit(8000, 16000, 3000, 15000);
+  CHECK(status(request(9000, 9000)) == "413");
+  CHECK(status(request(7000, 15000)) == "200");
+  CHECK(status(request(7000, 16001)) == "413");
+  server.face.limit(16000, 20000, 3000, 15000);
+  CHECK(status(request(9000, 16001)) == "200");
+}
+
+TEST_CASE("A face ends streams that are idle or stall, and no others") {
+  std::atomic<bool> isHeld{false};
+  Server server([&](const Request& r) {
+    while (isHeld) sleepMs(5);
+    return Answer{200, {}, "[" + r.body + "]"};
+  });
+  server.face.limit(64 << 10, 8 << 20, 1000, 3000);
+  auto idle = connectTo(server.at());
+  auto served = connectTo(server.at());
+  sendAll(served, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  auto answer = readSome(served);
+  CHECK(answer.find("\r\nKeep-Alive: timeout=2\r\n") != std::string::npos);
+  auto half = connectTo(server.at());
+  sendAll(half, "GET / HTTP/1.1\r\nHost:");
+  auto stalled = connectTo(server.at());
+  sendAll(stalled, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n123");
+  auto startMs = neighbour::steadyMs();
+  // A body that comes slowly is waited for.
+  auto slow = connectTo(server.at());
+  sendAll(slow, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\nConnection: close\r\n\r\n");
+  for (auto i = 0; i < 8; ++i) {
+    sleepMs(400);
+    sendAll(slow, std::to_string(i));
+  }
+  CHECK(readSome(slow, 1u << 20).find("[01234567]") != std::string::npos);
+  CHECK(readSome(half).empty());
+  CHECK(readSome(stalled).empty());
+  CHECK(readSome(idle).empty());
+  CHECK(readSome(served).empty());
+  CHECK(neighbour::steadyMs() - startMs >= 2900);
+  CHECK(neighbour::steadyMs() - startMs < 15000);
+  CHECK(waitUntil([&] { return server.face.streams() == 0; }));
+  // A request that runs for longer than all of these is waited for.
+  server.face.limit(64 << 10, 8 << 20, 100, 100);
+  isHeld = true;
+  auto runs = connectTo(server.at());
+  sendAll(runs, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  sleepMs(2500);
+  isHeld = false;
+  CHECK(readSome(runs).rfind("HTTP/1.1 200 ", 0) == 0);
+}
+
+TEST_CASE("A face tells when a caller is gone while its request runs") {
+  std::vector<std::shared_ptr<Stream>> held, gone;
+  std::mutex both;
+  auto count = [&](auto& list) {
+    std::lock_guard lock(both);
+    return list.size();
+  };
+  Face face({"127.0.0.1", 0, 1, 1 << 16},
+            [&](Request r) {
+              if (r.target == "/now") return r.stream->answer({200, {}, "ok"}, r.method, r.keep);
+              std::lock_guard lock(both);
+              held.push_back(r.stream);
+            },
+            [&](std::shared_ptr<Stream> s) {
+              std::lock_guard lock(both);
+              gone.push_back(std::move(s));
+            });
+  auto at = "127.0.0.1:" + std::to_string(face.port());
+  {
+    auto answered = connectTo(at);
+    sendAll(answered, "GET /now HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(readSome(answered).rfind("HTTP/1.1 200 ", 0) == 0);
+    auto waits = connectTo(at);
+    sendAll(waits, "GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(waitUntil([&] { return count(held) == 1; }));
+    CHECK(count(gone) == 0);
+  }
+  CHECK(waitUntil([&] { return count(gone) == 1; }));
+  CHECK(waitUntil([&] { return face.streams() == 0; }));
+  std::lock_guard lock(both);
+  CHECK(gone.size() == 1);
+  CHECK(gone[0] == held[0]);
+  held[0]->answer({200, {}, "to nobody"}, "GET", true);
+}
+
+TEST_CASE("A face that drains answers what runs, ends what is idle, and accepts nobody") {
+  std::atomic<bool> isHeld{true};
+  Server server([&](const Request& r) {
+    while (r.target == "/held" && isHeld) sleepMs(5);
+    return Answer{200, {}, "ok"};
+  });
+  auto idle = connectTo(server.at());
+  auto later = connectTo(server.at());
+  for (const auto* fd : {&idle, &later}) {
+    sendAll(*fd, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(readSome(*fd).find("Connection: close") == std::string::npos);
+  }
+  auto runs = connectTo(server.at());
+  sendAll(runs, "GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+  sleepMs(50);
+  server.face.drain(700);
+  auto isRefused = [&] {
+    disk::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(server.face.port());
+    ::inet_pton(AF_INET, "127.0.0.1", &to.sin_addr);
+    return ::connect(fd.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) != 0;
+  };
+  CHECK(waitUntil(isRefused));
+  // A kept stream may still bring a request; its answer says that it was the last.
+  sendAll(later, "GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+  sleepMs(1500);
+  isHeld = false;
+  for (const auto* fd : {&runs, &later}) {
+    auto answer = readSome(*fd, 1u << 20);
+    CHECK(answer.rfind("HTTP/1.1 200 ", 0) == 0);
+    CHECK(answer.find("\r\nConnection: close\r\n") != std::string::npos);
+  }
+  CHECK(readSome(idle).empty());
+  // The end is no reset, whatever the caller had sent meanwhile.
+  sendAll(idle, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  char byte = 0;
+  CHECK(::recv(idle.get(), &byte, 1, 0) == 0);
+  CHECK(waitUntil([&] { return server.face.streams() == 0; }));
+}
+
+TEST_CASE("What a slow reader leaves is counted, and is whole in the end") {
+  std::string body(24u << 20, 'x');
+  for (size_t i = 0; i < body.size(); i += 997) body[i] = static_cast<char>('a' + i % 26);
+  std::shared_ptr<Stream> stream;
+  std::atomic<bool> isAnswered{false};
+  Face face({"127.0.0.1", 0, 1, 1 << 16}, [&](Request r) {
+    stream = r.stream;
+    if (r.target == "/moved")
+      stream->answer(Answer{200, {}, body}, r.method, r.keep);
+    else {
+      Answer kept{200, {}, body};
+      stream->answer(kept, r.method, r.keep);
+    }
+    isAnswered = true;
+  });
+  for (std::string target : {"/moved", "/copied"}) {
+    isAnswered = false;
+    auto fd = connectTo("127.0.0.1:" + std::to_string(face.port()));
+    sendAll(fd, "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(waitUntil([&] { return isAnswered.load(); }));
+    CHECK(stream->pending() > 1u << 20);
+    std::string got;
+    std::thread reader([&] { got = readSome(fd, body.size() + 100); });
+    CHECK(waitUntil([&] { return stream->flush(); }));
+    CHECK(stream->pending() == 0);
+    ::shutdown(stream->fd(), SHUT_WR);
+    reader.join();
+    CHECK(got.substr(got.find("\r\n\r\n") + 4) == body);
+  }
+}
+
+TEST_CASE("A code's answer tells the wait in seconds, with fractions where there are any") {
+  auto told = [](const Answer& answer) { return header(answer.headers, "Retry-After"); };
+  CHECK(told(codeAnswer(kNoUpstream, 0)) == "1");
+  CHECK(told(codeAnswer(kNoUpstream, 3)) == "3");
+  CHECK(told(codeAnswerMs(kNoUpstream, 2000)) == "2");
+  CHECK(told(codeAnswerMs(kNoUpstream, 250)) == "0.25");
+  CHECK(told(codeAnswerMs(kNoUpstream, 1005)) == "1.005");
+  CHECK(told(codeAnswerMs(kNoUpstream, 0)) == "0.001");
+  CHECK(told(codeAnswerMs(kBadRequest, 250)).empty());
+}
