--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -4,6 +4,7 @@
 #include <glog/logging.h>
 #include <poll.h>
 
+#include <algorithm>
 #include <variant>
 
 #include "agent/link.hpp"
@@ -72,7 +73,10 @@
   auto fetches = false;
   int64_t graceMs = 3 * boundMs, rateWindowMs = 5000;
   std::string readyPath = "/ready";
+  int64_t memoryBytes = 1 << 30, openFiles = 4096;
   policy::RateBounds rate;
+  s.integer("memoryBytes", 1 << 24, 1LL << 40, memoryBytes);
+  s.integer("openFiles", 64, 1 << 24, openFiles);
   s.flag("fetches", fetches);
   s.flag("servesStale", props.servesStale);
   s.text("readyPath", readyPath);
@@ -126,6 +130,8 @@
   auto cache = std::make_shared<policy::Cache>(props.cacheBytes);
   caller::Edge edge(props, cache);
   upstream::Fetcher fetcher;
+  // Of the descriptors a quarter is for callers, as requests; as many may go to upstreams.
+  fetcher.limit(0, static_cast<size_t>(openFiles) / 4);
   std::optional<upstream::Shield> shield;
   if (fetches) {
     upstream::Shield::Props own;
@@ -167,6 +173,7 @@
 
   std::vector<std::shared_ptr<caller::Stream>> writing;
   auto stopAtMs = int64_t{-1};
+  auto isDraining = false;
   int64_t warmedMs = 0;
   for (;;) {
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
@@ -203,6 +210,8 @@
       if (auto* held = std::get_if<caller::HeldFrame>(&input)) {
         edge.takeFrame(*held, nowMs);
         if (shield) shield->takeFrame(*held, nowMs);
+        const auto& limits = edge.limits();
+        face->limit(static_cast<size_t>(limits.headerBytes), static_cast<size_t>(std::min(limits.bodyBytes, bodyBytes)), limits.headerMs, limits.idleMs);
         link.tell({edge.revision(), {}, edge.samples()});
       }
       if (auto* page = std::get_if<Page>(&input)) {
@@ -243,12 +252,22 @@
       post->prune(nowMs);
     }
     std::erase_if(writing, [](auto& stream) { return stream->flush(); });
+    // What callers read slowly is held in memory, up to a quarter of it; then the largest goes.
+    size_t pending = 0;
+    for (auto& stream : writing) pending += stream->pending();
+    if (pending > static_cast<size_t>(memoryBytes) / 4)
+      (*std::max_element(writing.begin(), writing.end(), [](auto& a, auto& b) { return a->pending() < b->pending(); }))->cut();
     if (program.reread(nowMs)) LOG(INFO) << "edge: Settings have changed; they take effect at the next start.";
     if (op::Program::isStopping() && stopAtMs < 0) {
       // Not ready from now on; whoever still comes is served while the platform looks elsewhere.
       LOG(INFO) << "edge: Emptying.";
       stopAtMs = nowMs + graceMs * 2 / 3;
     }
+    // The platform has found it not ready by now, or ends it soon: nobody new is taken.
+    if (stopAtMs >= 0 && !isDraining && nowMs >= stopAtMs - graceMs / 6) {
+      isDraining = true;
+      face->drain(boundMs / 4);
+    }
     auto isDone = edge.open() == 0 && writing.empty() && (!desk || desk->isIdle());
     if (stopAtMs >= 0 && (nowMs >= stopAtMs + graceMs / 4 || (nowMs >= stopAtMs && isDone))) break;
   }
