--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -344,12 +344,15 @@
     known.isHeld = op->upstream.isHeld;
     known.coldMs = op->upstream.coldMs;
     known.number = number;
+    known.revision = op->upstream.revision;
     if (Writer().put(known).take() == Writer().put(op->upstream).take()) return json(who, stands(it->second.isHeld ? "held" : "known"));
   }
+  if (isKnown) op->base = it->second.revision;
   // An upstream waits no longer than a second.
   auto reply = within(props_.boundMs * 2 / 5, who, unknownAnswer());
   submit(*op, [this, reply, stands, isGone, name = op->name](const OpResult* result, int64_t) {
     if (!result) return reply(unknownAnswer());
+    if (result->outcome == Outcome::kConflict) return reply(codeAnswer(kNotCurrent, 1));
     if (isGone) beats_.erase(name);
     reply(jsonAnswer(stands(isGone ? "gone" : result->outcome == Outcome::kNoChange ? "late" : "taken")));
   });
--- a/lib/core/state.cpp
+++ b/lib/core/state.cpp
@@ -487,7 +487,7 @@
   return result;
 }
 
-// Announcements may overtake each other on their way; those that are not numbered are taken as they come.
+// Announcements may overtake each other on their way, by seconds where a registry's disk stalls.
 auto State::isLate(const Op& op) const -> bool {
   if (op.upstream.number == 0) return false;
   auto known = frame_.upstreams.find(op.name);
@@ -517,17 +517,26 @@
   if (isLate(op)) return {Outcome::kNoChange, {}, {}};
   auto next = op.upstream;
   auto it = frame_.upstreams.find(op.name);
-  next.isHeld = it != frame_.upstreams.end() && it->second.isHeld;
+  auto isListed = it != frame_.upstreams.end();
+  // Without a number, what another registry took in the meantime is taken for the newer one, unless both say the same.
+  if (next.number == 0 && isListed && it->second.revision != op.base) {
+    auto known = it->second;
+    known.isHeld = next.isHeld;
+    known.coldMs = next.coldMs;
+    known.revision = next.revision;
+    return {Writer().put(known).take() == Writer().put(next).take() ? Outcome::kDone : Outcome::kConflict, {}, {}};
+  }
+  next.isHeld = isListed && it->second.isHeld;
   // How long it is slow counts from its start: what it said first, for this address.
-  if (it != frame_.upstreams.end() && it->second.address == next.address) next.coldMs = it->second.coldMs;
+  if (isListed && it->second.address == next.address) next.coldMs = it->second.coldMs;
   // An address belongs to one instance at a time. One that passes to another service is held until no node
   // can know the old entry any more, even where that entry has long been signed off.
   std::erase_if(frame_.upstreams, [&](const auto& one) { return one.first != op.name && one.second.address == next.address; });
   auto [owner, isNew] = owners_.try_emplace(next.address, next.service);
   if (!isNew && owner->second != next.service) next.isHeld = true;
   owner->second = next.service;
+  next.revision = ++frame_.revision.upstreams;
   frame_.upstreams[op.name] = next;
-  ++frame_.revision.upstreams;
   OpResult result{Outcome::kDone, {}, {}};
   result.revision.upstreams = frame_.revision.upstreams;
   return result;
--- a/lib/core/state.hpp
+++ b/lib/core/state.hpp
@@ -157,7 +157,8 @@
   bool isHeld = false;
   int64_t coldMs = 0;    // how much longer it is slow from its start, as it said when it was announced
   uint64_t number = 0;   // of its announcement: one with a lower number is late and changes nothing
-  DYKESTAGE_FIELDS(service, address, site, kind, capacity, isEmptying, isHeld, coldMs, number)
+  uint64_t revision = 0; // of the upstreams when this was announced
+  DYKESTAGE_FIELDS(service, address, site, kind, capacity, isEmptying, isHeld, coldMs, number, revision)
 };
 
 /// A node of the data plane (or its agent), as it joined.
@@ -296,7 +297,7 @@
   OpKind kind = OpKind::kTick;
   std::string changeId;                                      // kConfigure, kPurge, kTemplate, kTenants: names the submission
   uint64_t print = 0;                                        // of its content: an id stands for one content
-  uint64_t base = 0;                                         // kConfigure: revision it builds on; kRouting: version
+  uint64_t base = 0;                                         // kConfigure: revision it builds on; kRouting: version; kAnnounce: revision of the entry it replaces
   std::map<std::string, std::optional<Service>> services;    // kConfigure: set, or retire
   bool isWhole = false;                                      // kConfigure, kRouting: what is not named is retired
   RoutingChange routing;                                     // kRouting
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -154,6 +154,21 @@
   CHECK(state.frame().upstreams.size() == 1);
 }
 
+TEST_CASE("An announcement without a number that rests on an entry changed since is refused") {
+  State state;
+  run(state, announce("u1", "p"));
+  auto late = announce("u1", "p");  // of a registry that saw no entry yet
+  CHECK(run(state, late).outcome == Outcome::kDone);
+  auto emptying = announce("u1", "p", R"(, "state": "emptying")");
+  emptying.base = state.frame().upstreams.at("u1").revision;
+  CHECK(run(state, emptying).outcome == Outcome::kDone);
+  CHECK(run(state, late).outcome == Outcome::kConflict);
+  CHECK(state.frame().upstreams.at("u1").isEmptying);
+  late.base = state.frame().upstreams.at("u1").revision;
+  CHECK(run(state, late).outcome == Outcome::kDone);
+  CHECK_FALSE(state.frame().upstreams.at("u1").isEmptying);
+}
+
 TEST_CASE("A purge names a service or a host with a path, or a label that counts everywhere") {
   std::vector<op::Fault> faults;
   CHECK(op::readPurge(R"({"host": "h.test", "path": "/a"})", faults)->purge.service == "h.test");
