--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -340,17 +340,20 @@
   if (!isGone) beats_[op->name] = nowMs_;
   if (isKnown && !isGone && !op->upstream.isEmptying) {
     // A beat that changes nothing is no command. How long it stays cold changes with each beat: the first counts.
-  // "Emptying" is ordered each time: what this registry knows may be an earlier such state that is over.
+    // "Emptying" is ordered each time: what this registry knows may be an earlier such state that is over.
     auto known = it->second;
     known.isHeld = op->upstream.isHeld;
     known.coldMs = op->upstream.coldMs;
     known.number = number;
+    known.revision = op->upstream.revision;
     if (Writer().put(known).take() == Writer().put(op->upstream).take()) return json(who, stands(it->second.isHeld ? "held" : "known"));
   }
+  if (isKnown) op->base = it->second.revision;
   // An upstream waits no longer than a second.
   auto reply = within(props_.boundMs * 2 / 5, who, unknownAnswer());
   submit(*op, [this, reply, stands, isGone, number, name = op->name](const OpResult* result, int64_t) {
     if (!result) return reply(unknownAnswer());
+    if (result->outcome == Outcome::kConflict) return reply(codeAnswer(kNotCurrent, 1));
     if (isGone) beats_.erase(name);
     if (isGone || result->outcome != Outcome::kNoChange) return reply(jsonAnswer(stands(isGone ? "gone" : "taken")));
     auto known = state_.frame().upstreams.find(name);
@@ -655,7 +658,7 @@
       auto since = heldSinceMs_.try_emplace(name, nowMs).first->second;
       Revision needed;
       needed.upstreams = published_->revision.upstreams;
-      if (nowMs - since > ackMs() || (nowMs > since && everyoneHas(needed))) decide(OpKind::kRelease, name, 0);
+      if (nowMs - since > heldMs() || (nowMs > since && everyoneHas(needed))) decide(OpKind::kRelease, name, 0);
     }
   }
   std::erase_if(heldSinceMs_, [&](const auto& one) { return !stillHeld.count(one.first); });
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -54,6 +54,7 @@
     int64_t boundMs = 2000;        // the freshness bound
     int64_t staleMs = 1500;        // 3/4 of it
     int64_t tickMs = 250;          // 1/8 of it
+    bool servesStale = false;      // data nodes go on with what they know: who lacks a change is not waited for as long
     int64_t holdMs = 200;          // 1/10: how long a question for news is held
     int64_t batchMs = 2;
     int64_t beatMissMs = 3000;     // silence after which an upstream is signed off
@@ -173,7 +174,8 @@
   auto within(int64_t forMs, const Who& who, caller::Answer late) -> Reply;
   auto joined(const std::string& key, const Who& who, const std::string& detail) -> Reply;
   auto ranMs(const Revision& revision) const -> int64_t;
-  auto ackMs() const -> int64_t { return props_.staleMs + props_.tickMs / 4; }
+  auto heldMs() const -> int64_t { return props_.staleMs + props_.tickMs / 4; }  // whoever lacks it by then has stopped acting
+  auto ackMs() const -> int64_t { return props_.servesStale ? props_.boundMs / 4 : heldMs(); }
   auto helloEveryMs() const -> int64_t { return node_.isMember() ? props_.boundMs / 4 : props_.boundMs / 10; }
   auto haveEveryMs() const -> int64_t { return hasNewsOfMembers_ ? props_.batchMs : props_.boundMs / 10; }
   auto answer(const Who& who, const caller::Answer& answer) -> void;
--- a/lib/core/state.hpp
+++ b/lib/core/state.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "policy/rollout.hpp"
@@ -157,7 +158,8 @@
   bool isHeld = false;
   int64_t coldMs = 0;    // how much longer it is slow from its start, as it said when it was announced
   uint64_t number = 0;   // of its announcement: one with a lower number is late and changes nothing
-  DYKESTAGE_FIELDS(service, address, site, kind, capacity, isEmptying, isHeld, coldMs, number)
+  uint64_t revision = 0; // of the upstreams when this was announced
+  DYKESTAGE_FIELDS(service, address, site, kind, capacity, isEmptying, isHeld, coldMs, number, revision)
 };
 
 /// A node of the data plane (or its agent), as it joined.
@@ -165,8 +167,12 @@
   std::string kind, site, address;  // "edge", "shield", or "proxy": an edge that fetches itself; address between own processes
   std::string agent;                // where its agent listens
   uint64_t incarnation = 0;
-  auto operator==(const Member&) const -> bool = default;
-  DYKESTAGE_FIELDS(kind, site, address, agent, incarnation)
+  uint64_t replaced = 0;            // the earlier life that was listed under its name when it joined; 0: none
+  /// Who it says that it is; not what was listed before it. Example: `if (listed == asker) ...`
+  auto operator==(const Member& o) const -> bool {
+    return std::tie(kind, site, address, agent, incarnation) == std::tie(o.kind, o.site, o.address, o.agent, o.incarnation);
+  }
+  DYKESTAGE_FIELDS(kind, site, address, agent, incarnation, replaced)
 };
 
 /// A purge: one path of a service or of a route's host, or one label; without a service the label counts everywhere.
@@ -299,7 +305,7 @@
   OpKind kind = OpKind::kTick;
   std::string changeId;                                      // kConfigure, kPurge, kTemplate, kTenants: names the submission
   uint64_t print = 0;                                        // of its content: an id stands for one content
-  uint64_t base = 0;                                         // kConfigure: revision it builds on; kRouting: version
+  uint64_t base = 0;                                         // kConfigure: revision it builds on; kRouting: version; kAnnounce: revision of the entry it replaces
   std::map<std::string, std::optional<Service>> services;    // kConfigure: set, or retire
   bool isWhole = false;                                      // kConfigure, kRouting: what is not named is retired
   RoutingChange routing;                                     // kRouting
--- a/lib/policy/cache.cpp
+++ b/lib/policy/cache.cpp
@@ -218,8 +218,11 @@
   return tried + 1 <= share_ * asked + allowance_;
 }
 
-auto Split::set(size_t shields, int64_t nowMs) -> void {
-  if (sinceMs_ < 0) sinceMs_ = nowMs;
+auto Split::set(size_t shields, bool isListed, int64_t nowMs) -> void {
+  if (sinceMs_ < 0) {
+    sinceMs_ = nowMs;
+    wasListed_ = isListed;
+  }
   if (shields == now_) return;
   if (now_ > 0) seen_.emplace_back(nowMs, now_);
   now_ = shields;
--- a/lib/policy/cache.hpp
+++ b/lib/policy/cache.hpp
@@ -152,18 +152,21 @@
 /// A split that gives this shield less takes effect at once; one that gives it more only after the old split
 /// has run out everywhere. The freshness bound tells when: a shield that has not learned of the new split by
 /// then turns requests away. A shield that has just come takes no part before the others have made room.
-/// Example: `split.set(shields.size(), nowMs); if (!split.isSettled(nowMs)) turnAway();`
+/// Example: `split.set(shields.size(), false, nowMs); if (!split.isSettled(nowMs)) turnAway();`
 class Split {
  public:
   explicit Split(int64_t leaseMs) : leaseMs_(leaseMs) {}
-  auto set(size_t shields, int64_t nowMs) -> void;
+  /// `isListed`: an earlier life of this shield was among them when this one came, so that the others left its part
+  /// to it all the time. Example: `split.set(8, member.replaced != 0, nowMs);`
+  auto set(size_t shields, bool isListed, int64_t nowMs) -> void;
   /// The number to divide by now. Example: `rate / split.count(nowMs)`
   auto count(int64_t nowMs) -> size_t;
-  auto isSettled(int64_t nowMs) const -> bool { return sinceMs_ >= 0 && nowMs - sinceMs_ >= leaseMs_; }
+  auto isSettled(int64_t nowMs) const -> bool { return sinceMs_ >= 0 && (wasListed_ || nowMs - sinceMs_ >= leaseMs_); }
 
  private:
   int64_t leaseMs_;
   int64_t sinceMs_ = -1;
+  bool wasListed_ = false;
   std::vector<std::pair<int64_t, size_t>> seen_;  // until when a count was in force
   size_t now_ = 0;
 };
--- a/lib/program/registry.cpp
+++ b/lib/program/registry.cpp
@@ -48,6 +48,7 @@
   s.integer("boundMs", 400, 60000, boundMs);
   s.integer("beatMs", 1, 600000, beatMs);
   s.flag("mayForm", props.mayForm);
+  s.flag("servesStale", props.servesStale);
   props.beatMissMs = std::max(boundMs * 3 / 2, 3 * beatMs);
   props.memberMissMs = boundMs * 5 / 2;
   s.integer("beatMissMs", 200, 600000, props.beatMissMs);
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -510,7 +510,8 @@
   held_ = held;
   if (before == held_.frame) return;
   cache_->purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor);
-  if (held_.frame->members.count(props_.name)) split_.set(static_cast<size_t>(core::countOf(*held_.frame, props_.kind)), nowMs);
+  if (auto own = held_.frame->members.find(props_.name); own != held_.frame->members.end())
+    split_.set(static_cast<size_t>(core::countOf(*held_.frame, props_.kind)), own->second.replaced != 0, nowMs);
   // Streams to an address that no longer is what it was are ended while idle.
   for (const auto& [name, upstream] : before->upstreams) {
     auto it = held_.frame->upstreams.find(name);
