--- a/lib/neighbour/post.cpp
+++ b/lib/neighbour/post.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 constexpr int64_t kIdleMs = 60000;
+constexpr int64_t kRedialMs = 100, kMostRedialMs = 800;
 }
 
 auto Post::open(Props props, std::function<void(Letter)> take, std::string& reason) -> std::unique_ptr<Post> {
@@ -61,6 +62,13 @@
 
 auto Post::line(const std::string& to) -> Line* {
   auto& held = lines_[to];
+  auto nowMs = steadyMs();
+  auto redialMs = kRedialMs;
+  if (held && held->pipes > 0) held->redialMs = kRedialMs, held->dialedMs = nowMs;
+  if (held && held->pipes <= 0 && nowMs - held->dialedMs >= held->redialMs) {
+    redialMs = std::min(2 * held->redialMs, kMostRedialMs);
+    held.reset();
+  }
   if (!held) {
     auto made = std::make_unique<Line>();
     if (nng_push0_open(&made->socket) != 0) return nullptr;
@@ -76,8 +84,10 @@
     auto local = props_.address.substr(0, props_.address.rfind(':'));
     if (nng_dial(made->socket, ("tcp://" + local + ";" + to).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) return nullptr;
     held = std::move(made);
+    held->dialedMs = nowMs;
+    held->redialMs = redialMs;
   }
-  held->usedMs = steadyMs();
+  held->usedMs = nowMs;
   return held.get();
 }
 
--- a/lib/neighbour/post.hpp
+++ b/lib/neighbour/post.hpp
@@ -51,7 +51,8 @@
   /// Passes a letter; false when it surely did not leave. Only one thread may call this.
   /// Example: `if (!post->send(to, kAsk, body)) tryNext();`
   auto send(const std::string& to, uint8_t kind, const std::string& body) -> bool;
-  /// Opens a line ahead of its first letter. Example: `post->warm(shield.address);`
+  /// Opens a line ahead of its first letter; one that does not come up is dialled anew, since what was sent to a machine
+  /// without power is not sent again for a second. Example: `post->warm(shield.address);`
   auto warm(const std::string& to) -> void { line(to); }
   /// True while a line is connected. Example: `if (!post->isUp(address)) ...`
   auto isUp(const std::string& to) -> bool;
@@ -62,7 +63,7 @@
   struct Line {
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     std::atomic<int> pipes{0};
-    int64_t usedMs = 0;
+    int64_t usedMs = 0, dialedMs = 0, redialMs = 0;
     ~Line() { nng_close(socket); }
   };
   explicit Post(Props props) : props_(std::move(props)) {}
--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -208,6 +208,7 @@
         }
       }
       if (auto* held = std::get_if<caller::HeldFrame>(&input)) {
+        if (held->frame->revision.configuration != edge.revision().configuration) LOG(INFO) << "edge: Configuration " << held->frame->revision.configuration << " is in force.";
         edge.takeFrame(*held, nowMs);
         if (shield) shield->takeFrame(*held, nowMs);
         const auto& limits = edge.limits();
