Pools with few slots: few nodes keep the upstreams, queue by rank and send no more than there are slots

Cause: nine nodes chose among six upstreams of three slots by loads told 300 ms before: queues at one, free slots at another. Ruled out: sharper weights (told load is as old). Told load counted the very request that it came with. Change: rendezvous hashing names a keeper for each 48 slots of a pool that has fewer than 8 slots a node; others ask it.

--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -198,6 +198,18 @@
   auto size = sizes_.find(w.routeKey);
   auto isNearOnly = w.isShared && !w.routeKey.empty() && size != sizes_.end() && size->second > static_cast<double>(props_.zoneBytes);
   auto hashed = neighbour::hash(isOwned ? w.service + "\n" + (w.isShared ? w.request.target : key) : std::to_string(id));
+  auto dispatch = dispatches_.find(w.pool);
+  if (!isOwned && !w.routeKey.empty() && dispatch != dispatches_.end() && !dispatch->second.nodes.empty()) {
+    const auto& [nodes, slots, keepers] = dispatch->second;
+    int64_t sum = 0;
+    for (auto one : slots) sum += one;
+    auto at = static_cast<int64_t>(hashed % static_cast<uint64_t>(std::max<int64_t>(1, sum)));
+    size_t first = 0;
+    while (first + 1 < nodes.size() && at >= slots[first]) at -= slots[first++];
+    for (size_t i = 0; i < nodes.size(); ++i) list.push_back(nodes[(first + i) % nodes.size()]);
+    // Should all of them be away, the next ones by weight are the same for everybody.
+    for (auto one : neighbour::heaviest(neighbour::hash("pool\n" + w.pool), fetcherHashes_, nodes.size() + kMost)) list.push_back(one);
+  }
   if (!isOwned && self_) list.push_back(*self_);
   std::vector<size_t> near;
   if (isNearOnly || !isOwned) {
@@ -266,6 +278,7 @@
 // A frozen or cut-off shield keeps its lines up and says nothing. One that owes replies comes last, until it
 // replies, or until it has been left alone for a while.
 auto Edge::isSilent(const std::string& shield, int64_t nowMs) const -> bool {
+  if (auto away = awayUntilMs_.find(shield); away != awayUntilMs_.end() && nowMs < away->second) return true;
   auto it = owing_.find(shield);
   return it != owing_.end() && it->second.sinceMs != 0 && nowMs - it->second.sinceMs >= props_.suspectMs &&
          nowMs - it->second.lastAskedMs < 8 * props_.suspectMs;
@@ -295,6 +308,7 @@
   auto before = shields();
   auto isNew = held.frame != held_.frame;
   auto hasNewPaths = held.frame->revision.configuration != held_.frame->revision.configuration;
+  auto hasNewUpstreams = held.frame->revision.upstreams != held_.frame->revision.upstreams;
   auto hasNewMembers = held.frame->revision.members != held_.frame->revision.members;
   held_ = held;
   if (!isNew) return;
@@ -311,6 +325,12 @@
       fetcherHashes_.push_back(neighbour::hash(name));
     }
   }
+  if (hasNewMembers || hasNewPaths || hasNewUpstreams) {
+    dispatches_.clear();
+    if (props_.fetches)
+      for (const auto& [name, pool] : held_.frame->routing.pools) dispatches_[name] = policy::dispatchOf(*held_.frame, name, fetcherHashes_);
+  }
+  if (hasNewMembers) awayUntilMs_.clear();
   scripts_.clear();
   std::set<std::string> running;
   for (const auto& [name, service] : held_.frame->services) running.insert(service.rollout);
@@ -329,6 +349,7 @@
     // What a shield turned away untouched may go to another one; that costs the upstreams nothing.
     auto mayMove = reply.isUntouched && isTurnedAway(reply.code) && reply.code != kDeadline;
     w->retryMs = reply.retryMs;
+    if (reply.code == kEmptying) awayUntilMs_[from] = nowMs + 4 * props_.suspectMs;
     // A pool without an upstream that can take it now has none elsewhere either; other reasons are a fetcher's own.
     auto isPools = props_.fetches && reply.code == kNoUpstream;
     if (mayMove && !isPools && w->tried.size() < std::min<size_t>(fetchers_.size(), 3)) {
@@ -352,7 +373,9 @@
   auto copy = std::make_shared<const policy::Copy>(
       policy::Copy{answer.status, answer.headers, answer.body, nowMs - ageMs, std::min(terms.keepMs, reply.keepMs), reply.purges, terms.vary});
   // What was fetched by this very process is in the one cache already.
-  auto isKept = !isCacheOwn_ && self_ && from == fetchers_[*self_].address;
+  // What is shared within the site stays with the node that it belongs to there: one copy a site.
+  auto isLarge = !w->routeKey.empty() && answer.body.size() > props_.zoneBytes;
+  auto isKept = (!isCacheOwn_ && self_ && from == fetchers_[*self_].address) || (isLarge && props_.fetches);
   if (!isKept) cache_->put(w->service, w->request.target, w->request.headers, copy, terms.labels, w->routeKey.empty() ? "" : w->pool);
   answer.headers.emplace_back("Age", std::to_string(ageMs / 1000));
   finish(reply.id, answer, copy.get(), nowMs);
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -14,6 +14,7 @@
 #include "core/state.hpp"
 #include "neighbour/messages.hpp"
 #include "policy/cache.hpp"
+#include "policy/placement.hpp"
 #include "policy/script.hpp"
 #include "policy/slab.hpp"
 
@@ -179,6 +180,8 @@
   std::vector<Fetcher> fetchers_;
   std::vector<uint64_t> fetcherHashes_;
   std::optional<size_t> self_;  // among them
+  std::map<std::string, policy::Dispatch> dispatches_;  // of pools
+  std::map<std::string, int64_t> awayUntilMs_;          // fetchers that said that they are about to stop, by address
   policy::Slab<Waiting> waiting_;
   bool isCacheOwn_;
   std::shared_ptr<policy::Cache> cache_;
--- a/lib/policy/placement.cpp
+++ b/lib/policy/placement.cpp
@@ -3,12 +3,16 @@
 #include <algorithm>
 #include <cmath>
 
+#include "neighbour/post.hpp"
+
 namespace dykestage::policy {
 
 namespace {
 constexpr double kUnknownMs = 50;  // where nothing is known of a whole pool
 constexpr double kColdFactor = 2;
 constexpr double kSmooth = 0.15;
+constexpr int64_t kSlotsPerNode = 8;    // with as many a node, told load is enough to go by
+constexpr int64_t kSlotsPerKeeper = 48; // that one node keeps, about
 }  // namespace
 
 auto Health::left(uint64_t id, int64_t nowMs) -> void {
@@ -66,6 +70,7 @@
     if (props.connections > 0 && one.health->open >= props.connections) continue;
     auto placement = expect(one, poolMs, props, nowMs);
     placement.index = i;
+    if (props.isFreeOnly && placement.waitMs > 0) continue;
     auto weight = std::pow(1000 / (1 + placement.expectedMs), 3);
     weighted.emplace_back(placement, weight);
     sum += weight;
@@ -79,4 +84,24 @@
   return weighted.back().first;
 }
 
+auto dispatchOf(const core::Frame& frame, const std::string& pool, const std::vector<uint64_t>& fetchers) -> Dispatch {
+  Dispatch dispatch;
+  int64_t slots = 0;
+  for (const auto& [name, upstream] : frame.upstreams)
+    if (upstream.service == pool && !upstream.isEmptying && !upstream.isHeld) slots += upstream.capacity;
+  if (slots == 0 || fetchers.size() < 2 || slots >= kSlotsPerNode * static_cast<int64_t>(fetchers.size())) return dispatch;
+  auto count = static_cast<size_t>((slots + kSlotsPerKeeper - 1) / kSlotsPerKeeper);
+  dispatch.nodes = neighbour::heaviest(neighbour::hash("pool\n" + pool), fetchers, count);
+  dispatch.slots.resize(dispatch.nodes.size());
+  std::vector<uint64_t> names;
+  for (auto at : dispatch.nodes) names.push_back(fetchers[at]);
+  for (const auto& [name, upstream] : frame.upstreams) {
+    if (upstream.service != pool || upstream.isEmptying || upstream.isHeld) continue;
+    auto keeper = neighbour::heaviest(neighbour::hash(name), names, 1).front();
+    dispatch.keepers[name] = keeper;
+    dispatch.slots[keeper] += upstream.capacity;
+  }
+  return dispatch;
+}
+
 }  // namespace dykestage::policy
--- a/lib/policy/placement.hpp
+++ b/lib/policy/placement.hpp
@@ -1,6 +1,7 @@
 // Policy: which upstream of a pool a request goes to. Pure: what is known of each upstream goes in, a choice comes out.
 #pragma once
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -47,6 +48,7 @@
   int64_t nodes = 1;        // that send to the same upstreams
   int64_t connections = 0;  // own ones to one upstream at most; 0: no limit
   double farFactor = 1.1;   // how much longer an upstream of another site seems
+  bool isFreeOnly = false;  // only those with a free slot
 };
 
 /// When an answer from an upstream may be expected, in ms. Example: `expect(candidate, 60, props, nowMs).expectedMs`
@@ -58,4 +60,15 @@
 auto choose(const std::vector<Candidate>& candidates, const std::set<std::string>& tried, const PlacementProps& props, uint64_t dice, int64_t nowMs)
     -> std::optional<Placement>;
 
+/// Who sends a pool's requests to its upstreams. Where there are few slots a node, nodes that choose for themselves find
+/// queues at one upstream and free slots at another; so a few nodes, by rendezvous hashing, each keep some of the
+/// upstreams to themselves and know what runs there, and the others ask them.
+struct Dispatch {
+  std::vector<size_t> nodes;              // places among the fetchers; none: every node for itself
+  std::vector<int64_t> slots;             // that each of them keeps
+  std::map<std::string, size_t> keepers;  // upstream → place in `nodes`
+};
+/// Example: `auto dispatch = dispatchOf(frame, "till", fetcherHashes); if (!dispatch.nodes.empty()) ask(dispatch.nodes[0]);`
+auto dispatchOf(const core::Frame& frame, const std::string& pool, const std::vector<uint64_t>& fetchers) -> Dispatch;
+
 }  // namespace dykestage::policy
--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -262,6 +262,7 @@
     if (op::Program::isStopping() && stopAtMs < 0) {
       // Not ready from now on; whoever still comes is served while the platform looks elsewhere.
       LOG(INFO) << "edge: Emptying.";
+      if (shield) shield->empty();  // other nodes ask elsewhere; its own callers are served on
       stopAtMs = nowMs + graceMs * 2 / 3;
     }
     // The platform has found it not ready by now, or ends it soon: nobody new is taken.
--- a/lib/upstream/shield.hpp
+++ b/lib/upstream/shield.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "caller/edge.hpp"
@@ -57,7 +58,7 @@
     std::vector<neighbour::Claims> claims;  // to a registry, by way of the agent
   };
   struct Figures {
-    uint64_t asks = 0, hits = 0, joins = 0, fetches = 0, extras = 0, turnedAway = 0, unknown = 0, rateTurnedAway = 0;
+    uint64_t asks = 0, hits = 0, joins = 0, fetches = 0, extras = 0, turnedAway = 0, unknown = 0, rateTurnedAway = 0, queued = 0;
   };
 
   explicit Shield(Props props, std::shared_ptr<policy::Cache> cache = nullptr)
@@ -109,7 +110,7 @@
     int64_t startMs = 0, untilMs = 0, fetchedMs = 0;
     uint64_t purges = 0;
     std::set<std::string> tried;
-    bool isWrite = false, wasTouched = false;
+    bool isWrite = false, wasTouched = false, isQueued = false, isNextExtra = false;
     int open = 0;            // fetches under way
     int tries = 0, unsent = 0;
     int64_t retryMs = 0;     // when to come back, if it is turned away
@@ -148,18 +149,24 @@
   };
   struct PoolView {  // of the frame in force
     std::vector<policy::Candidate> candidates;
+    std::vector<policy::Candidate> kept;  // of them, those that this node keeps to itself; none: it chooses among all
     int64_t connections = 0;
     double ratePerS = 0;
   };
   auto viewOf(const neighbour::Ask& ask) -> PoolView*;
   auto hedge(uint64_t id, int64_t nowMs) -> void;
   auto dispatch(uint64_t id, bool isExtra, int64_t nowMs) -> void;
+  auto send(uint64_t id, const policy::Candidate& candidate, const policy::Placement& placement, bool isExtra, int64_t nowMs) -> void;
+  auto queue(uint64_t id, bool isExtra, int64_t nowMs) -> void;
+  auto drain(const std::string& pool, int64_t nowMs) -> void;
+  auto placementOf(const PoolView& view, int64_t nowMs) -> policy::PlacementProps;
   auto retryOr(uint64_t id, uint32_t code, int64_t nowMs) -> void;
   auto giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void;
   auto finish(uint64_t id, neighbour::Reply reply, const policy::Copy* copy, int64_t nowMs) -> void;
   auto reply(const Waiting& waiting, neighbour::Reply reply, int64_t nowMs) -> void;
   auto give(const std::string& from, const neighbour::Ask& ask, neighbour::Reply reply) -> void;
   auto refuse(const std::string& from, const neighbour::Ask& ask, uint32_t code) -> void;
+  auto settle(const Fetched& fetched, int64_t nowMs) -> void;
   auto probe() -> void;
   auto judge(const Fetching& fetching, const Fetched& fetched, bool isNotRun, int64_t nowMs) -> void;
   auto isNotRun(const Fetched& fetched) const -> bool;
@@ -171,6 +178,7 @@
   std::shared_ptr<policy::Cache> cache_;
   policy::Split split_;
   std::map<std::pair<std::string, core::UpstreamKind>, PoolView> views_;
+  std::map<std::string, std::set<std::tuple<int64_t, int64_t, uint64_t>>> queues_;  // by pool: rank, arrival, id
   std::map<uint64_t, Fetching> fetching_;
   uint64_t nextFetch_ = 0;
   std::map<std::string, policy::RateShare> rates_;
