--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -98,12 +98,14 @@
 
 auto Edge::turnAway(const Request& request, uint32_t code, int64_t retryMs) -> void {
   ++figures_.turnedAway;
+  ++refusals_[code];
   out_.answers.push_back({request.stream, request.method, request.keep, codeAnswerMs(code, retryMs > 0 ? retryMs : props_.retryMs)});
 }
 
 auto Edge::take(Request request, int64_t nowMs) -> void {
   ++figures_.requests;
-  if (!isCurrent(nowMs)) return turnAway(request, kNotCurrent, 0);
+  // News comes soon, but not at once: whoever came back sooner would be turned away again.
+  if (!isCurrent(nowMs)) return turnAway(request, kNotCurrent, 4 * props_.retryMs);
   if (request.target.empty() || request.target[0] != '/') return turnAway(request, kBadRequest, 0);
   auto found = paths_.find(header(request.headers, "host"), request.target);
   if (!found) return turnAway(request, kNoService, 0);
@@ -385,6 +387,7 @@
   auto& w = *waiting_.get(id);
   // A write that was handed on may have run, whatever became of the answer.
   if (w.isWrite && w.wasSent && (isTurnedAway(code) || code == kDeadline)) code = kUnknown;
+  ++refusals_[code];
   if (code == kUnknown)
     ++figures_.unknown;
   else
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -134,6 +134,8 @@
   auto limits() const -> const core::Limits& { return held_.frame->routing.limits; }
   auto revision() const -> core::Revision { return held_.frame->revision; }
   auto figures() const -> Figures { return figures_; }
+  /// How many requests ended with each result code since the last call. Example: `for (auto [code, count] : edge.refusals()) ...`
+  auto refusals() -> std::map<uint32_t, uint64_t> { return std::exchange(refusals_, {}); }
   /// What rollouts are judged by. Example: `link.tell({edge.revision(), {}, edge.samples()});`
   auto samples() const -> const neighbour::Samples& { return samples_; }
   auto open() const -> size_t { return waiting_.size(); }
@@ -196,6 +198,7 @@
   std::map<std::string, Owing> owing_;  // by address
   Output out_;
   Figures figures_;
+  std::map<uint32_t, uint64_t> refusals_;
 };
 
 /// True for methods that change something. Example: `isWrite("POST")`
--- a/lib/policy/placement.cpp
+++ b/lib/policy/placement.cpp
@@ -40,9 +40,9 @@
     auto oldestMs = static_cast<double>(nowMs - h.since.begin()->first);
     if (oldestMs > 2 * baseMs) baseMs = oldestMs;
   }
-  // Between two tellings, what others send is taken for what it was; without any, for what this node sends.
+  // Between two tellings, what others send is taken for what it was; without any, for nothing.
   auto isTold = h.toldMs >= 0 && nowMs - h.toldMs < props.loadMs;
-  auto busy = isTold ? std::max(h.open, h.told + h.open - h.openWhenTold) : h.open * std::max<int64_t>(1, h.toldMs >= 0 ? 1 : props.nodes);
+  auto busy = isTold ? std::max(h.open, h.told + h.open - h.openWhenTold) : h.open;
   Placement p;
   p.waitMs = std::max(0.0, busy + 1 - slots) * baseMs / slots;
   auto share = std::min(1.0, busy / slots);
--- a/lib/policy/placement.hpp
+++ b/lib/policy/placement.hpp
@@ -45,7 +45,6 @@
 struct PlacementProps {
   std::string site;
   int64_t loadMs = 500;     // told load counts for so long
-  int64_t nodes = 1;        // that send to the same upstreams
   int64_t connections = 0;  // own ones to one upstream at most; 0: no limit
   double farFactor = 1.1;   // how much longer an upstream of another site seems
   bool isFreeOnly = false;  // only those with a free slot
--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -174,7 +174,7 @@
   std::vector<std::shared_ptr<caller::Stream>> writing;
   auto stopAtMs = int64_t{-1};
   auto isDraining = false;
-  int64_t warmedMs = 0;
+  int64_t warmedMs = 0, toldMs = 0;
   for (;;) {
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
     for (auto& stream : writing) fds.push_back({stream->fd(), POLLOUT, 0});
@@ -252,6 +252,12 @@
       if (desk) desk->warm();
       post->prune(nowMs);
     }
+    if (nowMs - toldMs > boundMs / 2) {
+      toldMs = nowMs;
+      std::string list;
+      for (auto [code, count] : edge.refusals()) list += (list.empty() ? "" : ", ") + std::to_string(code) + " " + std::to_string(count) + " times";
+      if (!list.empty()) LOG(INFO) << "edge: Own answers: " << list << ".";
+    }
     std::erase_if(writing, [](auto& stream) { return stream->flush(); });
     // What callers read slowly is held in memory, up to a quarter of it; then the largest goes.
     size_t pending = 0;
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -270,8 +270,8 @@
   props.site = props_.site;
   // What this node keeps to itself, no other one sends to: it knows what runs there.
   props.loadMs = view.kept.empty() ? props_.boundMs / 4 : 0;
-  props.nodes = view.kept.empty() ? static_cast<int64_t>(split_.count(nowMs)) : 1;
-  if (view.connections > 0) props.connections = std::max<int64_t>(1, view.connections * 9 / 10 / props.nodes);
+  auto nodes = view.kept.empty() ? static_cast<int64_t>(split_.count(nowMs)) : 1;
+  if (view.connections > 0) props.connections = std::max<int64_t>(1, view.connections * 9 / 10 / nodes);
   return props;
 }
 
@@ -320,8 +320,8 @@
     const auto& list = view->kept.empty() ? view->candidates : view->kept;
     auto poolMs = policy::poolMean(list);
     auto heldMs = static_cast<double>(nowMs - std::max(w->startMs, w->fetchedMs));
-    // What is known of others' load may be wrong: nothing waits here for longer than a request takes.
-    auto mustGo = heldMs > std::max(poolMs, 20.0);
+    // What is known of others' load may be wrong: then nothing waits here for longer than a request takes.
+    auto mustGo = view->kept.empty() && heldMs > std::max(poolMs, 20.0);
     // Those behind one that found no free slot find none either; whoever runs out of time is looked at.
     if (isNoneFree && w->tried.empty() && !mustGo && static_cast<double>(left) > 2 * poolMs) continue;
     auto props = placementOf(*view, nowMs);
