--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -198,7 +198,10 @@
   auto isOwned = w.isShared || (w.isWrite && !key.empty());
   std::vector<size_t> list;
   auto size = sizes_.find(w.routeKey);
-  auto isNearOnly = w.isShared && !w.routeKey.empty() && size != sizes_.end() && size->second > static_cast<double>(props_.zoneBytes);
+  auto isSized = w.isShared && !w.routeKey.empty() && size != sizes_.end();
+  auto isNearOnly = isSized && size->second > static_cast<double>(props_.zoneBytes);
+  // Over a narrow link one node could not hand a large answer to many: each fetches it, while its part of the rate lasts.
+  if (isSized && size->second > static_cast<double>(props_.linkBytes) && self_) list.push_back(*self_);
   auto hashed = neighbour::hash(isOwned ? w.service + "\n" + (w.isShared ? w.request.target : key) : std::to_string(id));
   auto dispatch = dispatches_.find(w.pool);
   if (!isOwned && !w.routeKey.empty() && dispatch != dispatches_.end() && !dispatch->second.nodes.empty()) {
@@ -376,7 +379,7 @@
       policy::Copy{answer.status, answer.headers, answer.body, nowMs - ageMs, std::min(terms.keepMs, reply.keepMs), reply.purges, terms.vary});
   // What was fetched by this very process is in the one cache already.
   // What is shared within the site stays with the node that it belongs to there: one copy a site.
-  auto isLarge = !w->routeKey.empty() && answer.body.size() > props_.zoneBytes;
+  auto isLarge = !w->routeKey.empty() && answer.body.size() > props_.zoneBytes && answer.body.size() <= props_.linkBytes;
   auto isKept = (!isCacheOwn_ && self_ && from == fetchers_[*self_].address) || (isLarge && props_.fetches);
   if (!isKept) cache_->put(w->service, w->request.target, w->request.headers, copy, terms.labels, w->routeKey.empty() ? "" : w->pool);
   answer.headers.emplace_back("Age", std::to_string(ageMs / 1000));
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -78,6 +78,7 @@
     bool servesStale = false;     // out of touch with the core it goes on with what it knows
     int64_t retryMs = 100;        // when to come back, where nothing better is known; 1/20 of the bound
     size_t zoneBytes = 32 << 10;  // answers that are larger on average are shared within a site only
+    size_t linkBytes = SIZE_MAX;  // and those that hold a link for longer than 1/100 of the bound, not between nodes
     HeaderNames names;
     policy::TryBounds tries;      // of pools
   };
--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -74,6 +74,8 @@
   int64_t graceMs = 3 * boundMs, rateWindowMs = 5000;
   std::string readyPath = "/ready";
   int64_t memoryBytes = 1 << 30, openFiles = 4096;
+  auto linkMbps = 0.0;
+  s.number("linkMbps", 0.01, 1e6, linkMbps);
   policy::RateBounds rate;
   s.integer("memoryBytes", 1 << 24, 1LL << 40, memoryBytes);
   s.integer("openFiles", 64, 1 << 24, openFiles);
@@ -114,6 +116,7 @@
   props.cacheBytes = static_cast<size_t>(cacheBytes);
   props.fetches = fetches;
   props.retryMs = boundMs / 20;
+  if (linkMbps > 0) props.linkBytes = static_cast<size_t>(linkMbps * 125 * static_cast<double>(boundMs) / 100);
   rate.windowS = static_cast<double>(rateWindowMs) / 1000;
 
   neighbour::Inbox<Input> inbox(16000);
