--- a/tests/programs/hollow.cpp
+++ b/tests/programs/hollow.cpp
@@ -2,16 +2,23 @@
 #include <glog/logging.h>
 #include <malloc.h>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <cmath>
+#include <filesystem>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
 
+#include "caller/edge.hpp"
 #include "neighbour/post.hpp"
 #include "operator/program.hpp"
+#include "sim/fleet.hpp"
 #include "sim/hollow.hpp"
+#include "upstream/fetcher.hpp"
+#include "upstream/shield.hpp"
 
 using namespace dykestage;
 
@@ -124,11 +131,36 @@
   std::vector<std::string> names;
   for (const auto& [name, member] : frame.members) names.push_back(name);
   auto neighboursUs = timedUs(4, [&] { neighbour::rendezvous("edge-0001", names); });
-  auto size = axis == "members" ? members : axis == "upstreams" ? upstreams : axis == "routes" ? routes : purges;
+  std::vector<uint64_t> hashes;
+  for (const auto& name : names) hashes.push_back(neighbour::hash(name));
+  auto heaviestUs = timedUs(200, [&] { neighbour::heaviest(neighbour::hash("/objects/1/cover-7"), hashes, 3); });
+  // What an edge that fetches itself does with a frame in which only purges are new.
+  auto cache = std::make_shared<policy::Cache>(16 << 20);
+  caller::Edge::Props edgeProps;
+  edgeProps.name = "edge-0001", edgeProps.fetches = true;
+  caller::Edge edge(edgeProps, cache);
+  upstream::Shield::Props shieldProps;
+  shieldProps.name = "edge-0001", shieldProps.kind = "proxy";
+  upstream::Shield shield(shieldProps, cache);
+  std::vector<std::shared_ptr<core::Frame>> frames;
+  for (uint64_t i = 0; i < 9; ++i) {
+    frames.push_back(std::make_shared<core::Frame>(frame));
+    frames.back()->revision.purges += i;
+    frames.back()->purges.push_back({frames.back()->revision.purges, "host-1.example", "/objects/1/cover-" + std::to_string(i), ""});
+  }
+  size_t at = 0;
+  auto takeFrameUs = timedUs(1, [&] { edge.takeFrame({frames[0], 1}, 1), shield.takeFrame({frames[0], 1}, 1); });
+  takeFrameUs = timedUs(8, [&] {
+    ++at;
+    edge.takeFrame({frames[at], 1}, 1);
+    shield.takeFrame({frames[at], 1}, 1);
+  });
+  auto size = axis == "members" || axis == "target" ? members : axis == "upstreams" ? upstreams : axis == "routes" ? routes : purges;
   Line line;
   line.put("what", "frame-" + axis).put("nodes", static_cast<double>(size)).put("seed", static_cast<double>(run));
   line.put("frameBytes", static_cast<double>(after.uordblks + after.hblkhd - before.uordblks - before.hblkhd) / 16);
   line.put("copyUs", copyUs).put("purgeUs", purgeUs).put("readUs", readUs).put("neighboursUs", neighboursUs);
+  line.put("heaviestUs", heaviestUs).put("takeFrameUs", takeFrameUs);
   line.put("wholeBytes", static_cast<double>(whole.size()));
   line.put("membersNewsBytes", static_cast<double>(Writer().put(membersNews).take().size()));
   line.put("upstreamsNewsBytes", static_cast<double>(Writer().put(upstreamsNews).take().size()));
@@ -136,6 +168,144 @@
   line.print();
 }
 
+// A cache of so many small objects: what it holds beyond their bodies.
+auto cacheOnce(int64_t run, int64_t objects) -> void {
+  constexpr int64_t kBody = 1000;
+  auto before = ::mallinfo2();
+  policy::Cache cache(size_t{1} << 40);
+  auto putUs = timedUs(1, [&] {
+    for (int64_t i = 0; i < objects; ++i) {
+      policy::Copy copy;
+      copy.headers = {{"Content-Type", "image/webp"}, {"Cache-Control", "max-age=600"}, {"ETag", "\"" + std::to_string(i) + "\""}};
+      copy.body = std::string(kBody, 'x');
+      copy.keepMs = 600000;
+      cache.put("host-1.example", "/objects/1/cover-" + std::to_string(i), {}, std::move(copy), {"label-" + std::to_string(i % 1000)});
+    }
+  });
+  auto after = ::mallinfo2();
+  auto held = static_cast<double>(after.uordblks + after.hblkhd - before.uordblks - before.hblkhd);
+  Line line;
+  line.put("what", "frame-cache").put("nodes", static_cast<double>(objects)).put("seed", static_cast<double>(run));
+  line.put("overheadBytes", held / static_cast<double>(objects) - kBody).put("putUs", putUs / static_cast<double>(objects));
+  line.print();
+}
+
+// ---- real processes -----------------------------------------------------------------------------------
+
+struct Usage {
+  double rssKb = 0, cpuNs = 0, descriptors = 0, threads = 0;
+  int count = 0;
+};
+
+auto countOf(const std::string& folder) -> double {
+  std::error_code error;
+  auto list = std::filesystem::directory_iterator(folder, error);
+  return error ? 0 : static_cast<double>(std::distance(list, std::filesystem::directory_iterator()));
+}
+
+// This process's children, by program.
+auto usage() -> std::map<std::string, Usage> {
+  std::map<std::string, Usage> all;
+  std::error_code error;
+  for (const auto& entry : std::filesystem::directory_iterator("/proc", error)) {
+    auto folder = entry.path().string();
+    std::string name, key, line;
+    pid_t parent = 0;
+    Usage one;
+    std::ifstream status(folder + "/status");
+    while (std::getline(status, line)) {
+      std::istringstream in(line);
+      in >> key;
+      if (key == "Name:") in >> name;
+      if (key == "PPid:") in >> parent;
+      if (key == "VmRSS:") in >> one.rssKb;
+      if (key == "Threads:") in >> one.threads;
+    }
+    if (parent != ::getpid()) continue;
+    one.descriptors = countOf(folder + "/fd");
+    for (const auto& task : std::filesystem::directory_iterator(folder + "/task", error)) {
+      double ns = 0;
+      std::ifstream(task.path().string() + "/schedstat") >> ns;
+      one.cpuNs += ns;
+    }
+    auto& sum = all[name];
+    sum.rssKb += one.rssKb, sum.cpuNs += one.cpuNs, sum.descriptors += one.descriptors, sum.threads += one.threads, ++sum.count;
+  }
+  return all;
+}
+
+auto syncsOf(sim::Fleet& fleet) -> double {
+  double syncs = 0;
+  for (const auto& address : fleet.https("registry")) {
+    upstream::Fetch fetch;
+    fetch.address = address;
+    fetch.target = "/status";
+    auto json = op::parse(upstream::fetchOnce(fetch).body);
+    if (const auto* item = json ? cJSON_GetObjectItemCaseSensitive(json.get(), "syncs") : nullptr) syncs += item->valuedouble;
+  }
+  return syncs;
+}
+
+// A fleet of real processes without traffic, edges that fetch themselves; purges at a rate if wanted.
+auto processesOnce(const std::string& what, int64_t run, const sim::Hollow::Props& props) -> bool {
+  sim::Fleet::Props of;
+  of.programs = std::filesystem::canonical("/proc/self/exe").parent_path();
+  of.folder = "run/hollow-" + std::to_string(::getpid());
+  std::filesystem::remove_all(of.folder);
+  of.sites = {"a", "b", "c", "d"};
+  of.linkUs = 500;
+  of.registries = static_cast<int>(props.registries);
+  of.shields = 0;
+  of.edges = static_cast<int>(props.nodes);
+  of.boundMs = props.boundMs;
+  of.edgeExtra = ",\"fetches\":true,\"threads\":1";
+  of.registryExtra = ",\"servesStale\":true";
+  sim::Fleet fleet(of);
+  fleet.startAll();
+  if (!fleet.awaitReady(60000)) {
+    std::cerr << "hollow: the fleet did not become ready\n";
+    return false;
+  }
+  ::usleep(static_cast<useconds_t>(props.settleMs * 1000));
+  auto before = usage();
+  auto syncs = syncsOf(fleet);
+  auto sinceMs = neighbour::steadyMs();
+  upstream::Fetcher fetcher;
+  std::vector<pollfd> none;
+  std::map<uint64_t, int64_t> sentMs;
+  std::vector<int64_t> tookMs;
+  uint64_t sent = 0;
+  auto registries = fleet.https("registry");
+  for (auto nowMs = sinceMs; nowMs - sinceMs < props.spanMs; nowMs = neighbour::steadyMs()) {
+    if (props.purgesPerS > 0 && static_cast<double>(sent) < static_cast<double>(nowMs - sinceMs) * props.purgesPerS / 1000) {
+      upstream::Fetch fetch;
+      fetch.id = ++sent;
+      fetch.address = registries[sent % registries.size()];
+      fetch.method = "POST";
+      fetch.target = "/purge";
+      fetch.body = "{\"host\":\"host-1.example\",\"path\":\"/objects/1/object-" + std::to_string(sent) + "\"}";
+      fetch.timeoutMs = 10000;
+      sentMs[sent] = nowMs;
+      fetcher.start(std::move(fetch));
+    }
+    for (auto& f : fetcher.run(none, 20))
+      if (f.status == 200) tookMs.push_back(neighbour::steadyMs() - sentMs[f.id]);
+  }
+  auto seconds = static_cast<double>(neighbour::steadyMs() - sinceMs) / 1000;
+  auto after = usage();
+  std::sort(tookMs.begin(), tookMs.end());
+  for (const auto& [name, sum] : after) {
+    Line line;
+    line.put("what", what + "-" + name).put("nodes", static_cast<double>(props.nodes)).put("seed", static_cast<double>(run));
+    line.put("rssKb", sum.rssKb / sum.count).put("descriptors", sum.descriptors / sum.count).put("threads", sum.threads / sum.count);
+    line.put("cpuPercent", (sum.cpuNs - before[name].cpuNs) / sum.count / seconds / 1e7);
+    if (name == "registry") line.put("syncsPerSReal", (syncsOf(fleet) - syncs) / sum.count / seconds);
+    if (name == "registry" && !tookMs.empty()) line.put("purgesSent", static_cast<double>(sent)).put("purgesAckP50Ms", static_cast<double>(tookMs[tookMs.size() / 2])).put("purgesAckMaxMs", static_cast<double>(tookMs.back()));
+    line.print();
+  }
+  return true;
+}
+
 // ---- the report ---------------------------------------------------------------------------------------
 
 struct Point {
@@ -220,9 +390,12 @@
       const auto* what = cJSON_GetObjectItemCaseSensitive(json.get(), "what");
       const auto* nodes = cJSON_GetObjectItemCaseSensitive(json.get(), "nodes");
       if (!cJSON_IsString(what) || !cJSON_IsNumber(nodes)) continue;
+      // Rows named so are told by their rate, all others by their number of nodes.
+      auto isByRate = std::string(what->valuestring).ends_with("-rate");
+      const auto* size = isByRate ? cJSON_GetObjectItemCaseSensitive(json.get(), "purgesPerS") : nodes;
       for (const auto* item = json->child; item; item = item->next) {
         if (!cJSON_IsNumber(item)) continue;
-        auto& p = all[what->valuestring][item->string][nodes->valuedouble];
+        auto& p = all[what->valuestring][item->string][size->valuedouble];
         auto v = item->valuedouble;
         p.least = p.runs ? std::min(p.least, v) : v;
         p.most = p.runs ? std::max(p.most, v) : v;
@@ -238,7 +411,7 @@
       {"registryhaveBytesPerS", "B/s"}, {"registrytempoBytesPerS", "B/s"}, {"registryCpuPercent", "% of a core", 100}, {"syncsPerS", "syncs/s"},
       {"diskBytesPerS", "B/s"}, {"purgesLastP50Ms", "ms"}, {"purgesLastMaxMs", "ms", 3900}, {"purgesAckP50Ms", "ms"}, {"purgesAckMaxMs", "ms", 3900},
       {"changesLastMaxMs", "ms", 11000}, {"changesAckMaxMs", "ms", 11000}, {"membersSeenMs", "ms"}, {"notCurrent", "nodes"}, {"current", "nodes"},
-      {"followNeighbours", "nodes"}, {"formMs", "ms"}, {"formAgentBytesIn", "B"}, {"formAgentCpuMs", "ms"}, {"formRegistryBytesOut", "B"}, {"formRegistryCpuMs", "ms"}, {"frameBytes", "B"}, {"copyUs", "us"}, {"purgeUs", "us"}, {"readUs", "us"}, {"wholeBytes", "B"},
+      {"followNeighbours", "nodes"}, {"formMs", "ms"}, {"formAgentBytesIn", "B"}, {"formAgentCpuMs", "ms"}, {"formRegistryBytesOut", "B"}, {"formRegistryCpuMs", "ms"}, {"frameBytes", "B"}, {"copyUs", "us"}, {"purgeUs", "us"}, {"readUs", "us"}, {"takeFrameUs", "us"}, {"heaviestUs", "us"}, {"overheadBytes", "B"}, {"putUs", "us"}, {"wholeBytes", "B"},
       {"membersNewsBytes", "B"}, {"upstreamsNewsBytes", "B"}, {"purgeNewsBytes", "B"}, {"rssKb", "KB"}, {"cpuPercent", "% of a core"}, {"descriptors", "open"},
       {"threads", "threads"}, {"syncsPerSReal", "syncs/s"}};
   for (const auto& [what, figures] : all) {
@@ -265,6 +438,7 @@
                                     "hollow: figures for docs/CAPACITY.md, one line of JSON a run\n"
                                     "  hollow run            hollow nodes in virtual time, as the settings say\n"
                                     "  hollow frames         one frame at many sizes: bytes, copies, letters\n"
+                                    "  hollow processes      real processes without traffic, from /proc\n"
                                     "  hollow report FILE..  fits and plots of such lines");
   auto& s = program.settings();
   sim::Hollow::Props props;
@@ -300,16 +474,23 @@
     }
     return 0;
   }
+  if (words.size() == 1 && words[0] == "processes") {
+    auto isWell = true;
+    for (auto run = first; run < first + runs; ++run) isWell = processesOnce(what, run, props) && isWell;
+    return isWell ? 0 : 1;
+  }
   if (words.size() == 1 && words[0] == "frames") {
     for (auto run = first; run < first + runs; ++run) {
       for (auto n : {20, 80, 320, 1300}) frameOnce("members", run, n, 0, 0, 0);
       for (auto n : {20, 45, 90, 180}) frameOnce("upstreams", run, 0, n, 0, 0);
       for (auto n : {50, 200, 800, 3200}) frameOnce("routes", run, 0, 0, n, 0);
       for (auto n : {125, 500, 1000, 2000}) frameOnce("purges", run, 0, 0, 0, n);
+      frameOnce("target", run, 1300, 180, 1000, 2000);
+      for (auto n : {1000, 4000, 16000, 64000}) cacheOnce(run, n);
     }
     return 0;
   }
   if (words.size() > 1 && words[0] == "report") return report({words.begin() + 1, words.end()}, plots);
-  std::cerr << "hollow: say run, frames, or report and files\n";
+  std::cerr << "hollow: say run, frames, processes, or report and files\n";
   return 2;
 }
