--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -10,6 +10,10 @@
 using neighbour::Ask;
 using neighbour::Reply;
 
+namespace {
+constexpr size_t kMostAsked = 3;  // fetchers, for one request
+}  // namespace
+
 auto isWrite(const std::string& method) -> bool { return method != "GET" && method != "HEAD" && method != "OPTIONS" && method != "TRACE"; }
 
 Paths::Paths(std::shared_ptr<const core::Frame> frame) : frame_(std::move(frame)) {
@@ -271,6 +275,7 @@
   ask.tries = w.tries;
   ask.rank = w.rank;
   ask.tryId = w.tryId;
+  ask.mayWait = w.tried.size() >= std::min<size_t>(fetchers_.size(), kMostAsked);
   if (w.isWrite) ask.key = header(w.request.headers, "idempotency-key");
   ++figures_.asks;
   if (isExtra) {
@@ -310,11 +315,11 @@
 }
 
 auto Edge::takeFrame(const HeldFrame& held, int64_t nowMs) -> void {
-  auto before = shields();
   auto isNew = held.frame != held_.frame;
   auto hasNewPaths = held.frame->revision.configuration != held_.frame->revision.configuration;
   auto hasNewUpstreams = held.frame->revision.upstreams != held_.frame->revision.upstreams;
   auto hasNewMembers = held.frame->revision.members != held_.frame->revision.members;
+  auto before = hasNewMembers ? shields() : std::vector<std::string>();
   held_ = held;
   if (!isNew) return;
   if (hasNewPaths) paths_ = Paths(held_.frame);
@@ -340,9 +345,11 @@
   std::set<std::string> running;
   for (const auto& [name, service] : held_.frame->services) running.insert(service.rollout);
   std::erase_if(samples_, [&](const auto& one) { return !running.count(one.first); });
-  auto after = shields();
+  if (before.empty()) return;
+  auto list = shields();
+  std::set<std::string> after(list.begin(), list.end());
   for (const auto& shield : before)
-    if (std::find(after.begin(), after.end(), shield) == after.end()) lost(shield, nowMs);
+    if (!after.count(shield)) lost(shield, nowMs);
 }
 
 auto Edge::takeReply(const std::string& from, const Reply& reply, int64_t nowMs) -> void {
@@ -357,7 +364,7 @@
     if (reply.code == kEmptying) awayUntilMs_[from] = nowMs + 4 * props_.suspectMs;
     // A pool without an upstream that can take it now has none elsewhere either; other reasons are a fetcher's own.
     auto isPools = props_.fetches && reply.code == kNoUpstream;
-    if (mayMove && !isPools && w->tried.size() < std::min<size_t>(fetchers_.size(), 3)) {
+    if (mayMove && !isPools && w->tried.size() < std::min<size_t>(fetchers_.size(), kMostAsked)) {
       w->wasSent = false;
       w->refusal = reply.code;
       return ask(reply.id, false, nowMs);
@@ -456,7 +463,7 @@
       continue;
     }
     auto isLate = w->wasSent && (nowMs - w->startMs) * 100 >= (w->untilMs - w->startMs) * props_.hedgePercent;
-    if (w->isWrite || w->isHedged || !isLate || w->tried.size() >= std::min<size_t>(fetchers_.size(), 3) || !budgets_.of(*held_.frame, w->pool).mayTry(nowMs)) continue;
+    if (w->isWrite || w->isHedged || !isLate || w->tried.size() >= std::min<size_t>(fetchers_.size(), kMostAsked) || !budgets_.of(*held_.frame, w->pool).mayTry(nowMs)) continue;
     w->isHedged = true;
     ask(id, true, nowMs);
   }
--- a/lib/neighbour/messages.hpp
+++ b/lib/neighbour/messages.hpp
@@ -87,7 +87,8 @@
   int64_t tries = 3;     // upstreams that it may be sent to at most
   int64_t rank = 0;      // 0 is highest
   std::string tryId;     // the caller's name for this try; upstreams answer with it
-  DYKESTAGE_FIELDS(id, life, service, kind, method, target, headers, body, remainingMs, keepMs, purges, isShared, isExtra, isWrite, key, pool, tries, rank, tryId)
+  bool mayWait = false;  // for its turn within a pool's rate: no other node is asked after this one
+  DYKESTAGE_FIELDS(id, life, service, kind, method, target, headers, body, remainingMs, keepMs, purges, isShared, isExtra, isWrite, key, pool, tries, rank, tryId, mayWait)
 };
 
 /// A shield's answer to an Ask.
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -349,6 +349,8 @@
     auto& rate = rates_[pool];
     rate.set(props_.rate.share(view->ratePerS, split_.count(nowMs)), nowMs);
     if (!rate.take(nowMs)) {
+      // A third of its time is waited for its turn, by whoever has nobody else to be asked.
+      if (w->ask.mayWait && 3 * (nowMs - w->startMs) < w->untilMs - w->startMs) continue;
       ++figures_.rateTurnedAway;
       fail(kOriginRate);
       continue;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -20,7 +20,7 @@
 const std::string kEdgeFile =
     "nodeName=edge-1\nzone=east\nip=10.1.0.35\nlistenOn.front=10.1.0.35:8144\nlistenOn.readyCheck=10.1.0.35:8140\n"
     "internalPorts=7660,7675\nseedNodes=10.2.0.39:8146,10.1.0.32:8146, 10.3.0.23:8146\nfirstBoot=true\nlimits.ramMb=256\n"
-    "limits.openFiles=4100\nlimits.cpuFraction=0.2\nbeatEveryMs=1500\nbounds.applyWithinMs=2000\nbounds.purgeWithinMs=1800\n"
+    "limits.openFiles=4100\nlimits.bandwidthMbps=1000.0\nlimits.cpuFraction=0.2\nbeatEveryMs=1500\nbounds.applyWithinMs=2000\nbounds.purgeWithinMs=1800\n"
     "bounds.drainWithinMs=2500\nbounds.gracePeriodS=6\nbounds.retryRatio=0.2\nbounds.retryPeriodS=10\nbounds.retryExtra=56\n"
     "bounds.ceilingPeriodS=5\nbounds.ceilingOvershoot=1.1\nnot.known.to=anyone\nno line at all\n";
 const std::string kRegistryFile =
@@ -90,20 +90,20 @@
   auto edge = readLines(kEdgeFile);
   CHECK(same(render("edge", edge), R"({"name":"edge-1","boundMs":1800,"site":"east","http":"10.1.0.35:8144","status":"10.1.0.35:8140",
     "readyPath":"/readiness","address":"10.1.0.35:7660","agent":"127.0.0.1:7662","fetches":true,"servesStale":true,"threads":1,
-    "cacheBytes":67108864,"bodyBytes":33554432,"memoryBytes":268435456,"openFiles":4100,"requests":1025,"graceMs":6000,
+    "cacheBytes":67108864,"bodyBytes":33554432,"memoryBytes":268435456,"openFiles":4100,"requests":1025,"linkMbps":1000,"graceMs":6000,
     "budget":{"share":0.2,"allowance":56,"windowMs":10000},"ceiling":{"windowMs":5000,"over":1.1,"slack":5},
     "headers":{"try":"Try-Id","timeLeft":"Time-Left","instance":"Intended-Server","load":"Server-Load","labels":"Object-Labels",
                "notRun":"Not-Run","seal":"Server-Seal"}})"));
   CHECK(same(render("agent", edge), R"({"name":"edge-1","boundMs":1800,"address":"10.1.0.35:7661","loopback":"127.0.0.1:7662",
-    "status":"10.1.0.35:7663","seeds":["10.1.0.32:7660","10.2.0.39:7660","10.3.0.23:7660"]})"));
+    "status":"10.1.0.35:7663","seeds":["10.1.0.32:7660","10.2.0.39:7660","10.3.0.23:7660"],"graceMs":6000})"));
   CHECK(same(render("registry", readLines(kRegistryFile)), R"({"name":"core-1","boundMs":2000,"http":"10.1.0.32:8146",
-    "registries":["10.1.0.32:7660","10.2.0.39:7660","10.3.0.23:7660"],"address":"10.1.0.32:7660","data":"/data/x","mayForm":false,
+    "registries":["10.1.0.32:7660","10.2.0.39:7660","10.3.0.23:7660"],"address":"10.1.0.32:7660","data":"/data/x","mayForm":false,"servesStale":true,
     "beatMs":1500,"ringBytes":4473924,"threads":1,"bodyBytes":8388608})"));
 }
 
 TEST_CASE("What the settings file lacks is left out, so that the program names it") {
   CHECK(same(render("agent", readLines("ip=10.1.0.35\n")), R"({"seeds":[]})"));
-  CHECK(same(render("registry", {}), R"({"registries":[],"mayForm":false,"threads":1,"bodyBytes":8388608})"));
+  CHECK(same(render("registry", {}), R"({"registries":[],"mayForm":false,"servesStale":true,"threads":1,"bodyBytes":8388608})"));
 }
 
 TEST_CASE("The settings file is read again each time, and its fields are what the environment's file says then") {
