--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -500,6 +500,14 @@
   } else if (kind == neighbour::kClaims) {
     auto claims = r.get<neighbour::Claims>();
     if (r.done() && isReady(nowMs)) onClaims(from, std::move(claims));
+  } else if (kind == neighbour::kGather) {
+    // Whoever still gathers is told the list; it never changes.
+    auto gather = r.get<neighbour::Gather>();
+    if (!r.done() || gather.isDone) return;
+    neighbour::Gather list;
+    list.isDone = true;
+    for (const auto& [slot, address] : props_.addresses) list.addresses.push_back(address);
+    out_.letters.push_back({from, neighbour::kGather, Writer().put(list).take()});
   } else if (kind == neighbour::kPoll) {
     auto poll = r.get<Poll>();
     if (r.done()) onPoll(from, std::move(poll), nowMs);
--- a/lib/neighbour/messages.hpp
+++ b/lib/neighbour/messages.hpp
@@ -9,7 +9,7 @@
 
 namespace dykestage::neighbour {
 
-enum LetterKind : uint8_t { kTempo = 1, kHello = 2, kHave = 3, kPoll = 4, kFeed = 5, kAsk = 6, kReply = 7, kClaims = 8, kClaimed = 9, kKeyAsk = 10, kKeyTold = 11, kPing = 12, kPong = 13 };
+enum LetterKind : uint8_t { kTempo = 1, kHello = 2, kHave = 3, kPoll = 4, kFeed = 5, kAsk = 6, kReply = 7, kClaims = 8, kClaimed = 9, kKeyAsk = 10, kKeyTold = 11, kPing = 12, kPong = 13, kGather = 14 };
 
 /// What an edge saw of the old and the new revision's traffic, by rollout, since it started.
 using Samples = std::map<std::string, std::pair<policy::Sample, policy::Sample>>;
@@ -33,6 +33,17 @@
   DYKESTAGE_FIELDS(slot, incarnation, epoch, isMember, proposed, isFormed)
 };
 
+/// Registry to registry, before there is a list of all: whom it has heard itself, and in which life; or the list, from
+/// whoever has one.
+struct Gather {
+  uint64_t life = 0;
+  std::map<std::string, uint64_t> heard;  // address → life
+  bool mayForm = false;
+  bool isDone = false;
+  std::vector<std::string> addresses;     // by slot, once it is done
+  DYKESTAGE_FIELDS(life, heard, mayForm, isDone, addresses)
+};
+
 /// Registry to registry: what its pollers have, and the beats it heard, as ages.
 struct Have {
   std::map<std::string, std::pair<uint64_t, std::pair<core::Revision, int64_t>>> members;  // name → incarnation, revision, age
--- a/lib/program/registry.cpp
+++ b/lib/program/registry.cpp
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "agent/link.hpp"
+#include "core/gathering.hpp"
 #include "core/registry.hpp"
 #include "disk/ring.hpp"
 #include "neighbour/inbox.hpp"
@@ -40,10 +41,12 @@
   int64_t slot = 0, beatMs = 0, faults = 0, boundMs = 2000, ringFiles = 4, ringBytes = 8 << 20, bodyBytes = 8 << 20, threads = 2;
   s.text("name", name);
   auto hasSlot = s.integer("slot", 1, 30, slot);
-  program.addresses("registries", registries, 3);
   program.address("http", http);
   program.address("listen", listen, false);
   program.address("address", address, false);
+  // With an address alone the list only names seeds, and may be one of some.
+  auto gathers = !hasSlot && !address.empty();
+  program.addresses("registries", registries, gathers ? 1 : 3);
   s.text("data", diskProps.folder, true);
   s.integer("boundMs", 400, 60000, boundMs);
   s.integer("beatMs", 1, 600000, beatMs);
@@ -64,22 +67,25 @@
   s.integer("ringBytes", 1 << 20, 1 << 30, ringBytes);
   s.integer("bodyBytes", 1 << 10, 64 << 20, bodyBytes);
   s.integer("threads", 1, 16, threads);
-  if (!hasSlot) {
+  if (!hasSlot && !gathers) {
     // All registries sort the same list and so agree on the slots.
     std::sort(registries.begin(), registries.end());
-    auto own = std::find(registries.begin(), registries.end(), address.empty() ? listen : address);
+    auto own = std::find(registries.begin(), registries.end(), listen);
     if (own == registries.end())
-      s.fault("slot", "is missing, and neither address nor listen is among registries");
+      s.fault("slot", "is missing, and so is address, and listen is not among registries");
     else
       slot = own - registries.begin() + 1;
   }
   auto count = static_cast<int64_t>(registries.size());
   if (hasSlot && (slot < 1 || slot > count)) s.fault("slot", "must be the place of this registry in registries, from 1");
-  if (!s.integer("faults", 1, std::max<int64_t>(1, (count - 1) / 2), faults)) faults = std::max<int64_t>(1, (count - 1) / 2);
+  auto hasFaults = s.integer("faults", 1, gathers ? 14 : std::max<int64_t>(1, (count - 1) / 2), faults);
   program.ready();
 
+  auto seat = [&props](const std::vector<std::string>& list) {
+    for (size_t i = 0; i < list.size(); ++i) props.addresses[static_cast<tempo::Slot>(i + 1)] = list[i];
+  };
+  if (!gathers) seat(registries);
   props.slot = static_cast<tempo::Slot>(slot);
-  for (size_t i = 0; i < registries.size(); ++i) props.addresses[static_cast<tempo::Slot>(i + 1)] = registries[i];
   // Everything below follows from the freshness bound.
   props.boundMs = boundMs;
   props.staleMs = boundMs * 3 / 4;
@@ -101,16 +107,13 @@
   }
   if (auto saved = core::DiskFrame::from(found.frame); !saved.addresses.empty()) {
     // The core is what it was formed as: a later list that is shorter, or sorted otherwise, seats nobody elsewhere.
-    if (saved.addresses != props.addresses || saved.slot != props.slot) LOG(WARNING) << "registry: The disk's list of registries holds, not the settings'.";
+    if (!gathers && (saved.addresses != props.addresses || saved.slot != props.slot)) LOG(WARNING) << "registry: The disk's list of registries holds, not the settings'.";
     props.addresses = saved.addresses;
     props.slot = saved.slot;
   }
-  count = static_cast<int64_t>(props.addresses.size());
-  props.core.replicas = static_cast<uint32_t>(count);
-  props.core.faults = static_cast<uint32_t>(std::min(faults, std::max<int64_t>(1, (count - 1) / 2)));
   if (found.tornBytes) LOG(INFO) << "disk: Dropped a torn tail of " << found.tornBytes << " bytes.";
 
-  const auto own = props.addresses.at(props.slot);
+  const auto own = props.addresses.empty() ? address : props.addresses.at(props.slot);
   neighbour::Inbox<Input> inbox(16000);
   neighbour::Inbox<core::DiskJob> jobs(16000);
   auto post = neighbour::Post::open({listen.empty() ? own : listen, own}, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
@@ -118,6 +121,62 @@
     LOG(ERROR) << "post: " << reason;
     return 3;
   }
+  auto [ip, port] = op::splitAddress(http);
+  auto face = std::make_unique<caller::Face>(caller::Face::Props{ip, port, static_cast<int>(threads), static_cast<size_t>(bodyBytes)},
+                                             [&](caller::Request r) {
+                                               auto stream = r.stream;
+                                               auto method = r.method;
+                                               if (!inbox.push(std::move(r))) stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
+                                             });
+
+  // Until there is a list of all registries, operators and upstreams are turned away.
+  std::vector<std::shared_ptr<caller::Stream>> writing;
+  if (props.addresses.empty()) {
+    LOG(INFO) << "registry: Gathering from " << registries.size() << " seeds.";
+    core::Gathering gathering({own, registries, agent::freshIncarnation(), boundMs, props.mayForm}, neighbour::steadyMs());
+    auto isTold = false;
+    while (!gathering.addresses()) {
+      std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}, {op::Program::stopFd(), POLLIN, 0}};
+      for (auto& stream : writing) fds.push_back({stream->fd(), POLLOUT, 0});
+      ::poll(fds.data(), fds.size(), static_cast<int>(std::clamp<int64_t>(gathering.dueMs() - neighbour::steadyMs(), 0, boundMs / 8)));
+      if (op::Program::isStopping()) {
+        LOG(INFO) << "registry: Stopped.";
+        std::_Exit(0);
+      }
+      auto nowMs = neighbour::steadyMs();
+      for (auto& input : inbox.take()) {
+        if (auto* letter = std::get_if<neighbour::Letter>(&input); letter && letter->kind == neighbour::kGather) {
+          Reader r(letter->body);
+          auto gather = r.get<neighbour::Gather>();
+          if (r.done()) gathering.take(letter->from, std::move(gather), nowMs);
+        }
+        if (auto* request = std::get_if<caller::Request>(&input)) {
+          auto stream = request->stream;
+          auto method = request->method;
+          auto keep = request->keep;
+          auto entered = door.enter(std::move(*request));
+          auto* asked = std::get_if<caller::Request>(&entered);
+          auto answer = asked ? door.leave(asked->token, caller::codeAnswer(caller::kNotMember, 1)) : std::get<caller::Answer>(entered);
+          stream->answer(answer, method, keep);
+          writing.push_back(stream);
+        }
+      }
+      gathering.tick(nowMs);
+      for (auto& sent : gathering.output()) post->send(sent.to, neighbour::kGather, Writer().put(sent.letter).take());
+      std::erase_if(writing, [](auto& stream) { return stream->flush(); });
+      post->prune(nowMs);
+      if (gathering.isLeftOut() && !std::exchange(isTold, true)) LOG(WARNING) << "registry: The core was formed without " << own << ": there is no seat.";
+    }
+    const auto& list = *gathering.addresses();
+    seat(list);
+    props.slot = static_cast<tempo::Slot>(std::find(list.begin(), list.end(), own) - list.begin() + 1);
+    LOG(INFO) << "registry: Gathered " << list.size() << " registries.";
+  }
+  count = static_cast<int64_t>(props.addresses.size());
+  auto most = std::max<int64_t>(1, (count - 1) / 2);
+  props.core.replicas = static_cast<uint32_t>(count);
+  props.core.faults = static_cast<uint32_t>(hasFaults ? std::min(faults, most) : most);
+
   for (const auto& [other, address] : props.addresses)
     if (other != props.slot) post->warm(address);
   core::Registry registry(props, found.frame, found.writes, agent::freshIncarnation());
@@ -154,16 +213,8 @@
     }
   });
 
-  auto [ip, port] = op::splitAddress(http);
-  auto face = std::make_unique<caller::Face>(caller::Face::Props{ip, port, static_cast<int>(threads), static_cast<size_t>(bodyBytes)},
-                                             [&](caller::Request r) {
-                                               auto stream = r.stream;
-                                               auto method = r.method;
-                                               if (!inbox.push(std::move(r))) stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
-                                             });
   LOG(INFO) << "registry: Slot " << props.slot << " serves " << ip << ":" << face->port() << ".";
 
-  std::vector<std::shared_ptr<caller::Stream>> writing;
   auto stopAtMs = int64_t{-1};
   for (;;) {
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
