--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -204,8 +204,8 @@
   auto size = sizes_.find(w.routeKey);
   auto isSized = w.isShared && !w.routeKey.empty() && size != sizes_.end();
   auto isNearOnly = isSized && size->second > static_cast<double>(props_.zoneBytes);
-  // Over a narrow link one node could not hand a large answer to many: each fetches it, while its part of the rate lasts.
-  if (isSized && size->second > static_cast<double>(props_.linkBytes) && self_) list.push_back(*self_);
+  // Over a narrow link one node can't hand a large answer to many: each fetches it, within its part of the rate.
+  if (isSized && size->second > static_cast<double>(props_.linkBytes) && self_ && !w.tried.count(props_.name)) return {*self_};
   auto hashed = neighbour::hash(isOwned ? w.service + "\n" + (w.isShared ? w.request.target : key) : std::to_string(id));
   auto dispatch = dispatches_.find(w.pool);
   if (!isOwned && !w.routeKey.empty() && dispatch != dispatches_.end() && !dispatch->second.nodes.empty()) {
@@ -275,7 +275,7 @@
   ask.tries = w.tries;
   ask.rank = w.rank;
   ask.tryId = w.tryId;
-  ask.mayWait = w.tried.size() >= std::min<size_t>(fetchers_.size(), kMostAsked);
+  ask.mayWait = order.size() == 1 || w.tried.size() >= std::min<size_t>(fetchers_.size(), kMostAsked);
   if (w.isWrite) ask.key = header(w.request.headers, "idempotency-key");
   ++figures_.asks;
   if (isExtra) {
