--- a/tests/system_test.cpp
+++ b/tests/system_test.cpp
@@ -41,6 +41,7 @@
                                                      {"splits", 65}, {"one-way cuts", 80}, {"freezes", 70},      {"core away", 75},
                                                      {"all", 55},    {"blackouts", 50}, {"pressed origin", 30},    {"stalled disks", 80}, {"upstreams lose answers", 95}};
   for (const auto& [name, props] : SystemSim::mixes()) {
+    if (props.isProxies) continue;
     auto v = runSeeds(name.c_str(), props, 20);
     INFO(name << ": " << (v.faults.empty() ? "" : v.faults.front()));
     CHECK(v.faults.empty());
@@ -51,6 +52,26 @@
   }
 }
 
+TEST_CASE("Proxies before three registries keep every rule while they are in touch, under every kind of failure") {
+  const std::map<std::string, uint64_t> leastWell = {{"proxies calm", 98},          {"proxies crash", 95},        {"proxies in herds", 85},
+                                                     {"proxies split", 60},         {"proxies cut off", 75},      {"proxies, wiped disk", 96},
+                                                     {"proxies, stalled and full disks", 96}, {"proxies, blackouts", 45}, {"proxies restarted in turn", 96},
+                                                     {"proxies, answers lost", 93}, {"proxies, upstreams come and go", 96},
+                                                     {"proxies, pressed origin", 80}, {"proxies, all", 65}};
+  for (const auto& [name, props] : SystemSim::mixes()) {
+    if (!props.isProxies) continue;
+    auto v = runSeeds(name.c_str(), props, 5);
+    INFO(name << ": " << (v.faults.empty() ? "" : v.faults.front()));
+    CHECK(v.faults.empty());
+    CHECK(100 * v.well > leastWell.at(name) * v.asked);
+    CHECK(v.readsJudged > 50);
+    CHECK(v.looks > 5000);
+    CHECK(v.writesRan > 500);
+    CHECK(v.configurations > 50);
+    CHECK(v.purges > 100);
+  }
+}
+
 TEST_CASE("The system's checker bites for each guard that is taken out") {
   using Broken = SystemSim::Broken;
   struct Row {
@@ -76,3 +97,37 @@
     CHECK(std::any_of(v.faults.begin(), v.faults.end(), [&](const auto& fault) { return fault.find(row.caught) != std::string::npos; }));
   }
 }
+
+TEST_CASE("The checker of proxies bites for each guard that is taken out") {
+  using Broken = SystemSim::Broken;
+  struct Row {
+    const char* name;
+    const char* caught;  // what the checker says
+    const char* mix;
+    Broken broken;
+  };
+  const std::vector<Row> rows = {
+      {"second send", "ran 2 times", "proxies calm", Broken::kSecondSend},
+      {"turned away after it ran", "was turned away and ran", "proxies, answers lost", Broken::kUntouched},
+      {"upstreams' leaving unheard", "after its leaving was acknowledged", "proxies, upstreams come and go", Broken::kUpstreams},
+      {"upstream not named", "whose pool no routing allowed", "proxies, upstreams come and go", Broken::kInstance},
+      {"routing stays as it was", "acts on routing", "proxies calm", Broken::kFirst},
+      {"routing goes back", "went back", "proxies calm", Broken::kBack},
+      {"loser acknowledged", "were acknowledged", "proxies calm", Broken::kLoser},
+      {"invalid acknowledged", "an invalid routing", "proxies calm", Broken::kInvalid},
+      {"refused and in force", "was refused and is in force", "proxies calm", Broken::kRefused},
+      {"acknowledged before the sync", "a read shows routing", "proxies, blackouts", Broken::kSync},
+      {"purges missed", "served a purged version", "proxies calm", Broken::kPurges},
+      {"copies kept for ever", "that was replaced", "proxies calm", Broken::kKeep},
+      {"rates unknown", "got more than its rate", "proxies, pressed origin", Broken::kRate},
+      {"tries without budget", "further tries", "proxies calm", Broken::kTries},
+      {"nodes stay away", "service is not back", "proxies, blackouts", Broken::kGone},
+  };
+  for (const auto& row : rows) {
+    auto props = SystemSim::mixes().at(row.mix);
+    props.broken = row.broken;
+    auto v = runSeeds(row.name, props, 5);
+    INFO(row.name << ": " << (v.faults.empty() ? "nothing" : v.faults.front()));
+    CHECK(std::any_of(v.faults.begin(), v.faults.end(), [&](const auto& fault) { return fault.find(row.caught) != std::string::npos; }));
+  }
+}
