--- a/tests/sim/proxy_sim.cpp
+++ b/tests/sim/proxy_sim.cpp
@@ -674,7 +674,7 @@
   }
   auto tookMs = u.baseMs * (nowMs_ < u.startMs + u.coldMs ? 2 : 1) + pick(0, 10);
   auto isMute = false;
-  if (props_.lossyUpstreams && !isHealed_ && pick(1, 100) <= 10) {
+  if (props_.lossyUpstreams && !isHealed_ && pick(1, 100) <= 35) {
     switch (pick(0, 4)) {
       case 0: f.fault = upstream::Fault::kLost; break;
       case 1: f.fault = upstream::Fault::kNotWhole; break;
@@ -902,11 +902,10 @@
   cuts_.clear();
   returnMs_ = nowMs_;
   for (auto& [name, core] : cores_) {
-    core->frozenUntilMs = core->stalledUntilMs = core->fullUntilMs = 0;
+    core->stalledUntilMs = core->fullUntilMs = 0;
     startCore(name);
   }
   for (auto& [name, node] : nodes_) {
-    node->frozenUntilMs = 0;
     node->isDraining = false;
     if (props_.broken != Broken::kGone) startNode(name);
   }
@@ -958,11 +957,16 @@
     });
   if (props_.freezes)
     kinds.push_back([=, this] {
-      auto ms = pick(300, 4000);
-      if (pick(0, 1) && areCoresWell())
-        cores_.at(anyCore())->frozenUntilMs = nowMs_ + ms;
-      else
-        nodes_.at(anyNode())->frozenUntilMs = nowMs_ + ms;
+      auto untilMs = std::min(nowMs_ + pick(300, 4000), props_.faultsMs);
+      if (pick(0, 1) && areCoresWell()) {
+        auto core = anyCore();
+        cores_.at(core)->frozenUntilMs = untilMs;
+        say("freeze " + core);
+      } else {
+        auto node = anyNode();
+        nodes_.at(node)->frozenUntilMs = untilMs;
+        say("freeze " + node);
+      }
     });
   if (props_.cuts)
     kinds.push_back([=, this] {
--- a/tests/sim/system_sim.cpp
+++ b/tests/sim/system_sim.cpp
@@ -59,7 +59,8 @@
       {"proxies restarted in turn", proxies({.rolling = true})},
       {"proxies, answers lost", proxies({.lossyUpstreams = true})},
       {"proxies, upstreams come and go", proxies({.upstreams = true})},
-      {"proxies, pressed origin", proxies({.crashes = true, .rate = 5})},
+      {"proxies, pressed origin", proxies({.crashes = true, .cuts = true, .herds = true, .rate = 5, .nodeCuts = true})},
+      {"proxies freeze", proxies({.freezes = true})},
       {"proxies, all", proxies({.crashes = true, .wipes = true, .cuts = true, .freezes = true, .lossyUpstreams = true, .stalls = true, .herds = true,
                                 .blackouts = true, .nodeCuts = true, .fullDisks = true, .rolling = true, .upstreams = true})},
   };
