--- a/tests/sim/proxy_sim.cpp
+++ b/tests/sim/proxy_sim.cpp
@@ -12,6 +12,7 @@
 constexpr int64_t kBoundMs = 2000;     // for routings, purges, and upstreams that leave
 constexpr int64_t kTouchMs = 3000, kStretchMs = 5000;
 constexpr int64_t kSyncMs = 4000;      // a registry whose disk was lost counts as lost for so long after its return
+constexpr int64_t kAckMs = 4000;       // within which a settled core acknowledges
 constexpr int64_t kReuseMs = 2000;     // after which an address may pass on
 constexpr int64_t kKeepMs = 3000;      // of kept objects
 constexpr int64_t kSlackMs = 2000;     // beyond that
@@ -185,6 +186,7 @@
     return runs(*c.second) && reaches[c.first] == cores_.size() && c.second->registry->isReady(nowMs_);
   });
   if (!areWell || troubledDisks > 0) coreTroubleMs_ = nowMs_;
+  if (!cuts_.empty()) linkTroubleMs_ = nowMs_;
   coreState_ = state;
   auto hasPaths = [&](const std::string& machine) {
     return std::all_of(cores_.begin(), cores_.end(), [&](const auto& one) { return reaches[one.first] * 2 <= cores_.size() || isJoined(machine, one.first); });
@@ -324,6 +326,7 @@
   change.sentMs = nowMs_;
   changes_[mark] = std::move(change);
   postRouting(mark);
+  expectAck("routing change " + std::to_string(mark), [this, mark] { return changes_.at(mark).isOver; });
 }
 
 // Whoever gets no clear answer within a second sends the very same again, to another registry.
@@ -405,6 +408,14 @@
   });
 }
 
+// While the core is settled and no link is in trouble, an order gets a clear answer in time.
+auto ProxySim::expectAck(const std::string& what, std::function<bool()> isOver) -> void {
+  at(nowMs_ + kAckMs, [this, what, isOver] {
+    auto isCalm = nowMs_ - unsettledMs_ > kTouchMs + kAckMs && nowMs_ - linkTroubleMs_ > kAckMs;
+    if (isCalm && !isOver()) fault(what + " has no clear answer after " + std::to_string(kAckMs) + " ms");
+  });
+}
+
 auto ProxySim::purge() -> void {
   Purge purge;
   purge.sentMs = nowMs_;
@@ -416,7 +427,9 @@
   purge.body = R"({"change":"p)" + std::to_string(purges_.size()) + R"(",)" +
                (isLabel ? R"("label":"l)" + std::to_string(number % 3) + "\"}" : R"("host":")" + kHost + R"(","path":")" + purge.targets[0] + "\"}");
   purges_.push_back(std::move(purge));
-  postPurge(purges_.size() - 1);
+  auto index = purges_.size() - 1;
+  postPurge(index);
+  expectAck("purge " + std::to_string(index), [this, index] { return purges_[index].ackMs >= 0; });
 }
 
 auto ProxySim::postPurge(size_t index) -> void {
@@ -705,7 +718,7 @@
 
 // ---- callers ------------------------------------------------------------------------------------------------
 
-auto ProxySim::askOnce(const std::string& target, bool isCounted) -> void {
+auto ProxySim::askOnce(const std::string& target, bool isCounted, int again) -> void {
   std::vector<std::string> up, ready;
   for (auto& [name, node] : nodes_) {
     if (node->isUp) up.push_back(name);
@@ -720,6 +733,7 @@
   Asked asked;
   asked.isWrite = prefixOf(target) == "/buy/";
   asked.isCounted = isCounted;
+  asked.again = again;
   asked.id = "t" + std::to_string(nextTry_++);
   asked.target = target;
   asked.node = ready[static_cast<size_t>(pick(0, static_cast<int64_t>(ready.size()) - 1))];
@@ -780,6 +794,9 @@
     }
   }
   if (answer.status != 200 || isOwn) {
+    // Some callers come again at once.
+    if (isTurnedAway && asked.again < 5 && pick(1, 3) == 1)
+      at(nowMs_ + pick(0, 50), [this, target = asked.target, again = asked.again + 1] { askOnce(target, false, again); });
     if (!asked.isCounted) return;
     isTurnedAway ? ++verdict_.busy : ++verdict_.unknown;
     if (isHealed_) say(asked.node + " answers " + std::to_string(answer.status) + " " + caller::header(answer.headers, "dykestage-code") + " to " + asked.target);
@@ -1017,6 +1034,12 @@
       if (names.empty()) return;
       const auto& u = upstreams_.at(names[static_cast<size_t>(pick(0, static_cast<int64_t>(names.size()) - 1))]);
       auto name = u.name, address = u.address, pool = u.pool;
+      if (pick(1, 4) == 1) {
+        say("upstream " + name + " turns slow");
+        upstreams_.at(name).baseMs *= 8;
+        at(nowMs_ + pick(1000, 4000), [this, name] { upstreams_.at(name).baseMs /= 8; });
+        return;
+      }
       startUpstream(pool, "", pick(500, 3000));
       static const std::vector<std::string> others = {"other", "shop", "till", "next"};
       auto next = others[static_cast<size_t>(pick(0, 3))];
--- a/tests/sim/proxy_sim.hpp
+++ b/tests/sim/proxy_sim.hpp
@@ -73,6 +73,7 @@
     bool isWrite = false, isCounted = true, isTouched = false;
     std::string id, target, node;
     int64_t atMs = 0;
+    int again = 0;  // how often it came before
   };
   struct Arrival {
     int64_t atMs;
@@ -110,6 +111,7 @@
   auto postRouting(uint64_t mark) -> void;
   auto takeOutcome(uint64_t mark, const caller::Answer& answer) -> void;
   auto readBack(bool isLast) -> void;
+  auto expectAck(const std::string& what, std::function<bool()> isOver) -> void;
   auto purge() -> void;
   auto postPurge(size_t index) -> void;
   auto mayRule(int64_t sentMs, const std::function<bool(const Content&)>& says) const -> bool;
@@ -127,12 +129,12 @@
   auto deliver(const std::shared_ptr<Call>& call, upstream::Fetched fetched) -> void;
   auto isBlocked(const std::string& node) const -> bool { return isCut(node, "upstreams") || isCut("upstreams", node); }
 
-  auto askOnce(const std::string& target, bool isCounted) -> void;
+  auto askOnce(const std::string& target, bool isCounted, int again = 0) -> void;
   auto judgeExtras() -> void;
   auto judgeRates() -> void;
 
   std::map<std::string, Touch> touch_;
-  int64_t unsettledMs_ = 0, noMajorityMs_ = 0, coreTroubleMs_ = 0, wipedUntilMs_ = 0, returnMs_ = 0;
+  int64_t unsettledMs_ = 0, noMajorityMs_ = 0, coreTroubleMs_ = 0, wipedUntilMs_ = 0, linkTroubleMs_ = 0, returnMs_ = 0;
   std::string coreState_;
 
   std::map<uint64_t, Change> changes_;  // by mark
--- a/tests/sim/system_sim.cpp
+++ b/tests/sim/system_sim.cpp
@@ -31,6 +31,8 @@
   auto proxies = [](Props props) {
     props.isProxies = true;
     props.faultsMs = 14000;
+    props.wayMs = 30;
+    props.syncMs = 8;
     props.healMs = 8000;
     return props;
   };
@@ -89,7 +91,7 @@
   auto life = core != cores_.end() ? core->second->life : node->second->life;
   auto isLocal = machine == fromMachine;
   // A cut line looks up, and loses what is sent until it is mended or given up.
-  at(nowMs_ + (isLocal ? 0 : pick(1, 4)), [this, fromMachine, from, to, kind, body, machine, life] {
+  at(nowMs_ + (isLocal ? 0 : pick(1, props_.wayMs)), [this, fromMachine, from, to, kind, body, machine, life] {
     if (machine != fromMachine && isCut(fromMachine, machine)) return;
     auto core = cores_.find(machine);
     auto now = core != cores_.end() ? core->second->life : nodes_.at(machine)->life;
@@ -216,7 +218,7 @@
   auto out = core.registry->output();
   auto machine = core.name;
   for (auto& job : out.jobs) {
-    auto doneMs = std::max({core.syncedMs, core.stalledUntilMs, nowMs_ + pick(0, 2)});
+    auto doneMs = std::max({core.syncedMs, core.stalledUntilMs, nowMs_ + pick(0, props_.syncMs)});
     core.syncedMs = doneMs;
     if (props_.broken == Broken::kSync) {
       at(nowMs_, [this, machine, life = core.life, number = job.number] {
--- a/tests/sim/system_sim.hpp
+++ b/tests/sim/system_sim.hpp
@@ -61,6 +61,7 @@
     int64_t rate = 60;         // the store's agreed rate
     Broken broken = Broken::kNothing;
     int64_t faultsMs = 9000, healMs = 9000;
+    int64_t wayMs = 4, syncMs = 2;  // at most, from machine to machine and to the disk
     bool keepHistory = false;
     // Proxies (an edge and a shield in one process) before three registries, fed by routing: see ProxySim.
     bool isProxies = false;
