--- a/tests/sim/system_sim.cpp
+++ b/tests/sim/system_sim.cpp
@@ -29,7 +29,7 @@
 
 auto SystemSim::mixes() -> const std::map<std::string, Props>& {
   auto proxies = [](Props props) {
-    props.isProxies = true;
+    props.hasProxies = true;
     props.faultsMs = 14000;
     props.wayMs = 30;
     props.syncMs = 8;
@@ -92,7 +92,7 @@
   auto isLocal = machine == fromMachine;
   auto arrivesMs = nowMs_ + (isLocal ? 0 : pick(1, props_.wayMs));
   // On one line nothing overtakes what was sent before it; where ways are short the histories do without that.
-  if (props_.isProxies && !isLocal) {
+  if (props_.hasProxies && !isLocal) {
     auto& last = lastArrivalsMs_[{fromMachine, machine}];
     arrivesMs = last = std::max(last, arrivesMs);
   }
@@ -837,7 +837,7 @@
 }
 
 auto runSystem(const SystemSim::Props& props) -> SystemVerdict {
-  return props.isProxies ? ProxySim(props).run() : SystemSim(props).run();
+  return props.hasProxies ? ProxySim(props).run() : SystemSim(props).run();
 }
 
 auto SystemSim::run() -> SystemVerdict {
--- a/tests/sim/system_sim.hpp
+++ b/tests/sim/system_sim.hpp
@@ -67,7 +67,7 @@
     int64_t wayMs = 4, syncMs = 2;  // at most, from machine to machine and to the disk
     bool keepHistory = false;
     // Proxies (an edge and a shield in one process) before three registries, fed by routing: see ProxySim.
-    bool isProxies = false;
+    bool hasProxies = false;
     bool nodeCuts = false;     // one node from all others, and perhaps from upstreams
     bool fullDisks = false;
     bool rolling = false;      // machines are restarted in turn
--- a/tests/system_test.cpp
+++ b/tests/system_test.cpp
@@ -41,7 +41,7 @@
                                                      {"splits", 65}, {"one-way cuts", 80}, {"freezes", 70},      {"core away", 75},
                                                      {"all", 55},    {"blackouts", 50}, {"pressed origin", 30},    {"stalled disks", 80}, {"upstreams lose answers", 95}};
   for (const auto& [name, props] : SystemSim::mixes()) {
-    if (props.isProxies) continue;
+    if (props.hasProxies) continue;
     auto v = runSeeds(name.c_str(), props, 20);
     INFO(name << ": " << (v.faults.empty() ? "" : v.faults.front()));
     CHECK(v.faults.empty());
@@ -59,7 +59,7 @@
                                                      {"proxies, answers lost", 80}, {"proxies, upstreams come and go", 96},
                                                      {"proxies, pressed origin", 70}, {"proxies, all", 55}};
   for (const auto& [name, props] : SystemSim::mixes()) {
-    if (!props.isProxies) continue;
+    if (!props.hasProxies) continue;
     auto v = runSeeds(name.c_str(), props, 5);
     INFO(name << ": " << (v.faults.empty() ? "" : v.faults.front()));
     CHECK(v.faults.empty());
@@ -135,8 +135,13 @@
     auto props = SystemSim::mixes().at(row.mix);
     props.broken = row.broken;
     props.rate = row.rate;
-    auto v = runSeeds(row.name, props, 5);
-    INFO(row.name << ": " << (v.faults.empty() ? "nothing" : v.faults.front()));
-    CHECK(std::any_of(v.faults.begin(), v.faults.end(), [&](const auto& fault) { return fault.find(row.caught) != std::string::npos; }));
+    // The first seed in which it is caught will do.
+    auto isCaught = false;
+    for (props.seed = 1; props.seed <= 5 && !isCaught; ++props.seed) {
+      auto v = runSystem(props);
+      isCaught = std::any_of(v.faults.begin(), v.faults.end(), [&](const auto& fault) { return fault.find(row.caught) != std::string::npos; });
+    }
+    INFO(row.name);
+    CHECK(isCaught);
   }
 }
