Where every upstream of a pool is shunned, they are asked all the same; kept upstreams' told load counts

Cause: since few nodes keep a pool, one node sees all its faults; two in a row shunned both of two upstreams, and everything was refused.

--- a/lib/policy/cache.cpp
+++ b/lib/policy/cache.cpp
@@ -192,11 +192,14 @@
 }
 
 auto TryBudgets::of(const core::Frame& frame, const std::string& service) -> TryBudget& {
+  return of(frame, service, 1 / static_cast<double>(std::max<int64_t>(1, core::countOf(frame, kind_))));
+}
+
+auto TryBudgets::of(const core::Frame& frame, const std::string& service, double partOfAllowance) -> TryBudget& {
   auto& budget = budgets_.try_emplace(service, 0.0, 0.0, bounds_.windowMs).first->second;
-  auto nodes = static_cast<double>(std::max<int64_t>(1, core::countOf(frame, kind_)));
   auto it = frame.services.find(service);
   auto bounds = it == frame.services.end() ? bounds_ : TryBounds{static_cast<double>(it->second.triesPercent) / 100, static_cast<double>(it->second.triesAllowance)};
-  budget.set(bounds.share * part_, bounds.allowance * part_ / nodes);
+  budget.set(bounds.share * part_, bounds.allowance * part_ * partOfAllowance);
   return budget;
 }
 
--- a/lib/policy/cache.hpp
+++ b/lib/policy/cache.hpp
@@ -139,6 +139,8 @@
  public:
   TryBudgets(std::string kind, double part, TryBounds bounds) : kind_(std::move(kind)), part_(part), bounds_(bounds) {}
   auto of(const core::Frame& frame, const std::string& service) -> TryBudget&;
+  /// The same for a pool whose upstreams few nodes keep: `partOfAllowance` is this node's, of what its kind may use.
+  auto of(const core::Frame& frame, const std::string& service, double partOfAllowance) -> TryBudget&;
 
  private:
   std::string kind_;
--- a/lib/policy/placement.cpp
+++ b/lib/policy/placement.cpp
@@ -35,14 +35,19 @@
   auto slots = static_cast<double>(std::max<int64_t>(1, candidate.upstream->capacity));
   auto baseMs = h.tookMs > 0 ? h.tookMs : poolMs > 0 ? poolMs : kUnknownMs;
   if (nowMs < h.coldUntilMs) baseMs *= kColdFactor;
+  // A request that takes far too long has lost its answer, more likely than it still holds a slot.
+  auto lostMs = static_cast<int64_t>(3 * baseMs);
+  auto own = static_cast<int>(std::count_if(h.since.begin(), h.since.end(), [&](const auto& one) { return nowMs - one.first <= lostMs; }));
   // What has not been answered for long tells of trouble before any answer does.
   if (!h.since.empty()) {
     auto oldestMs = static_cast<double>(nowMs - h.since.begin()->first);
     if (oldestMs > 2 * baseMs) baseMs = oldestMs;
   }
-  // Between two tellings, what others send is taken for what it was; without any, for nothing.
+  // Between two tellings, what others send is taken for what it was; without any, for nothing. Where no others send,
+  // what it tells shows which of this node's own requests are over there, though their answers are lost.
   auto isTold = h.toldMs >= 0 && nowMs - h.toldMs < props.loadMs;
-  auto busy = isTold ? std::max(h.open, h.told + h.open - h.openWhenTold) : h.open;
+  auto newer = static_cast<int>(std::count_if(h.since.begin(), h.since.end(), [&](const auto& one) { return one.first >= h.toldMs; }));
+  auto busy = !isTold ? own : props.isKept ? std::min(own, h.told + newer) : std::max(own, h.told + h.open - h.openWhenTold);
   Placement p;
   p.waitMs = std::max(0.0, busy + 1 - slots) * baseMs / slots;
   auto share = std::min(1.0, busy / slots);
@@ -64,9 +69,12 @@
   std::vector<std::pair<Placement, double>> weighted;
   auto sum = 0.0;
   auto poolMs = poolMean(candidates);
+  auto isShunned = [&](const Candidate& one) { return one.health->shunUntilMs > nowMs; };
+  // Where every one is shunned, shunning helps nobody: one that answers now and then is better than none.
+  auto isPanic = std::all_of(candidates.begin(), candidates.end(), [&](const auto& one) { return tried.count(*one.name) || isShunned(one); });
   for (size_t i = 0; i < candidates.size(); ++i) {
     const auto& one = candidates[i];
-    if (tried.count(*one.name) || one.health->shunUntilMs > nowMs) continue;
+    if (tried.count(*one.name) || (isShunned(one) && !isPanic)) continue;
     if (props.connections > 0 && one.health->open >= props.connections) continue;
     auto placement = expect(one, poolMs, props, nowMs);
     placement.index = i;
--- a/lib/policy/placement.hpp
+++ b/lib/policy/placement.hpp
@@ -47,6 +47,7 @@
   int64_t loadMs = 500;     // told load counts for so long
   int64_t connections = 0;  // own ones to one upstream at most; 0: no limit
   double farFactor = 1.1;   // how much longer an upstream of another site seems
+  bool isKept = false;      // no other node sends to them
   bool isFreeOnly = false;  // only those with a free slot
 };
 
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -49,7 +49,7 @@
   // Before the other shields have made room, a new one has no part in any origin's rate.
   if (view->ratePerS > 0 && !split_.isSettled(nowMs)) return refuse(from, ask, kNotCurrent);
   if (ask.remainingMs <= kLeastMs) return refuse(from, ask, kDeadline);
-  if (!ask.isExtra) budgets_.of(*held_.frame, ask.pool).asked(nowMs);
+  if (!ask.isExtra) budgetOf(ask).asked(nowMs);
   Waiting w;
   w.from = from;
   w.startMs = nowMs;
@@ -259,6 +259,14 @@
   if (view && (view->ratePerS <= 0 || rate.has(nowMs))) dispatch(id, true, nowMs);
 }
 
+// Of a pool that few nodes keep, the allowance is theirs: a third each time, since within one window it may pass to
+// another keeper and back.
+auto Shield::budgetOf(const Ask& ask) -> policy::TryBudget& {
+  auto* view = ask.kind == core::UpstreamKind::kAny ? viewOf(ask) : nullptr;
+  if (!view || view->keepers == 0) return budgets_.of(*held_.frame, ask.pool);
+  return budgets_.of(*held_.frame, ask.pool, view->kept.empty() ? 0 : 1.0 / 3 / static_cast<double>(view->keepers));
+}
+
 // What is known of the pool that an ask is for; null when it is not configured.
 auto Shield::viewOf(const Ask& ask) -> PoolView* {
   auto it = views_.find({ask.pool, ask.kind});
@@ -268,8 +276,8 @@
 auto Shield::placementOf(const PoolView& view, int64_t nowMs) -> policy::PlacementProps {
   policy::PlacementProps props;
   props.site = props_.site;
-  // What this node keeps to itself, no other one sends to: it knows what runs there.
-  props.loadMs = view.kept.empty() ? props_.boundMs / 4 : 0;
+  props.loadMs = props_.boundMs / 4;
+  props.isKept = !view.kept.empty();
   auto nodes = view.kept.empty() ? static_cast<int64_t>(split_.count(nowMs)) : 1;
   if (view.connections > 0) props.connections = std::max<int64_t>(1, view.connections * 9 / 10 / nodes);
   return props;
@@ -403,7 +411,7 @@
   ++figures_.fetches;
   if (isExtra) {
     ++figures_.extras;
-    budgets_.of(*held_.frame, w.ask.pool).tried(nowMs);
+    budgetOf(w.ask).tried(nowMs);
   }
   const auto& names = props_.names;
   Fetch fetch;
@@ -509,7 +517,7 @@
   auto isPromise = f.status == 408 || f.status == 421 || f.status == 429 || f.status == 503;
   if (f.fault == Fault::kNone && isRoute && w->isWrite && isPromise && !props_.names.notRun.empty()) return giveUp(id, kUnknown, nowMs);
   auto mayAgain = f.fault == Fault::kNone && !w->isWrite && (isRoute ? f.status >= 500 && f.status != 504 : f.status == 503);
-  if (mayAgain && w->tries < std::min<int64_t>(w->ask.tries, 2) && budgets_.of(*held_.frame, w->ask.pool).mayTry(nowMs)) return dispatch(id, true, nowMs);
+  if (mayAgain && w->tries < std::min<int64_t>(w->ask.tries, 2) && budgetOf(w->ask).mayTry(nowMs)) return dispatch(id, true, nowMs);
   if (f.fault != Fault::kNone) {
     auto code = f.fault == Fault::kTooLarge ? kAnswerTooLarge : f.fault == Fault::kNotWhole || f.fault == Fault::kMixed ? kNotWhole : f.fault == Fault::kTimeout ? kDeadline : kUpstreamLost;
     return retryOr(id, code, nowMs);
@@ -538,7 +546,7 @@
   auto& w = *waiting_.get(id);
   // A write may go on only while it surely ran nowhere.
   auto mayRun = !w.isWrite || (w.ask.kind == core::UpstreamKind::kAny && !w.wasTouched);
-  auto mayTry = mayRun && w.tries < std::min<int64_t>(w.ask.tries, 3) && code != kAnswerTooLarge && w.untilMs - nowMs > kLeastMs && budgets_.of(*held_.frame, w.ask.pool).mayTry(nowMs);
+  auto mayTry = mayRun && w.tries < std::min<int64_t>(w.ask.tries, 3) && code != kAnswerTooLarge && w.untilMs - nowMs > kLeastMs && budgetOf(w.ask).mayTry(nowMs);
   if (mayTry) return dispatch(id, true, nowMs);
   giveUp(id, code, nowMs);
 }
@@ -629,7 +637,7 @@
       if (next.originRate > 0) rate = rate > 0 ? std::min(rate, next.originRate) : next.originRate;
     for (auto kind : {core::UpstreamKind::kStore, core::UpstreamKind::kApplication}) views_[{name, kind}].ratePerS = static_cast<double>(rate);
   }
-  for (const auto& [name, pool] : held_.frame->routing.pools) views_[{name, core::UpstreamKind::kAny}] = {{}, {}, pool.connections, pool.ratePerS};
+  for (const auto& [name, pool] : held_.frame->routing.pools) views_[{name, core::UpstreamKind::kAny}] = {{}, {}, 0, pool.connections, pool.ratePerS};
   for (const auto& [name, upstream] : held_.frame->upstreams) {
     auto [health, isNew] = health_.try_emplace(name);
     if (isNew && upstream.coldMs > 0) health->second.coldUntilMs = nowMs + upstream.coldMs;
@@ -652,6 +660,7 @@
   for (const auto& [name, pool] : held_.frame->routing.pools) {
     auto& view = views_.at({name, core::UpstreamKind::kAny});
     auto dispatch = policy::dispatchOf(*held_.frame, name, hashes);
+    view.keepers = dispatch.nodes.size();
     auto place = std::find(dispatch.nodes.begin(), dispatch.nodes.end(), self.value_or(hashes.size()));
     if (!self || place == dispatch.nodes.end()) continue;
     for (const auto& candidate : view.candidates)
@@ -717,7 +726,7 @@
     // A read that takes far longer than it should goes to another upstream beside the first.
     auto mayHedge = w && w->ask.kind == core::UpstreamKind::kAny && !w->isWrite && !w->isHedged && w->open == 1 && w->tries < w->ask.tries;
     if (!mayHedge || static_cast<double>(nowMs - w->fetchedMs) < std::max(2.5 * w->expectedMs, static_cast<double>(props_.connectMs) / 2)) continue;
-    if (static_cast<double>(w->untilMs - nowMs) < w->expectedMs || !budgets_.of(*held_.frame, w->ask.pool).mayTry(nowMs)) continue;
+    if (static_cast<double>(w->untilMs - nowMs) < w->expectedMs || !budgetOf(w->ask).mayTry(nowMs)) continue;
     w->isHedged = true;
     hedge(id, nowMs);
   }
--- a/lib/upstream/shield.hpp
+++ b/lib/upstream/shield.hpp
@@ -150,10 +150,12 @@
   struct PoolView {  // of the frame in force
     std::vector<policy::Candidate> candidates;
     std::vector<policy::Candidate> kept;  // of them, those that this node keeps to itself; none: it chooses among all
+    size_t keepers = 0;      // nodes that keep the pool's upstreams; 0: every node for itself
     int64_t connections = 0;
     double ratePerS = 0;
   };
   auto viewOf(const neighbour::Ask& ask) -> PoolView*;
+  auto budgetOf(const neighbour::Ask& ask) -> policy::TryBudget&;
   auto hedge(uint64_t id, int64_t nowMs) -> void;
   auto dispatch(uint64_t id, bool isExtra, int64_t nowMs) -> void;
   auto send(uint64_t id, const policy::Candidate& candidate, const policy::Placement& placement, bool isExtra, int64_t nowMs) -> void;
