--- a/lib/policy/cache.cpp
+++ b/lib/policy/cache.cpp
@@ -234,8 +234,9 @@
 auto Split::count(int64_t nowMs) -> size_t {
   std::erase_if(seen_, [&](const auto& one) { return nowMs - one.first >= leaseMs_; });
   auto most = std::max<size_t>(1, now_);
-  // Whoever took over an earlier life's part can't know who has left since, and may still act: it begins with half.
-  if (wasListed_ && nowMs - sinceMs_ < leaseMs_) most *= 2;
+  // Whoever took over an earlier life's part can't know who has left of late and may still act: it leaves room for a
+  // quarter of all, one at least.
+  if (wasListed_ && nowMs - sinceMs_ < leaseMs_) most += std::max<size_t>(1, most / 4);
   for (const auto& [untilMs, count] : seen_) most = std::max(most, count);
   return most;
 }
