A process that ends soon answers what is under way before it does

Change: from SIGTERM on no request is held past 85% of the grace; what has not run by then is turned away, the rest gets its final answer. Test: route, a process that ends soon (the request had no answer before).

--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -138,6 +138,7 @@
   if (!props_.names.tryId.empty()) w.tryId = header(request.headers, props_.names.tryId);
   if (!props_.names.timeLeft.empty())
     if (auto left = header(request.headers, props_.names.timeLeft); !left.empty()) w.untilMs = std::min(w.untilMs, nowMs + std::max<int64_t>(1, std::atoll(left.c_str())));
+  w.untilMs = std::min(w.untilMs, std::max(nowMs + 1, endMs_));
   if (found->route) {
     w.isWrite = found->route->kind == core::RouteKind::kWriting;
     w.tries = std::max<int64_t>(1, found->route->tries);
@@ -454,6 +455,14 @@
   out_.answers.push_back({w.request.stream, w.request.method, w.request.keep, std::move(answer)});
 }
 
+auto Edge::endBy(int64_t untilMs) -> void {
+  endMs_ = untilMs;
+  for (auto id : waiting_.ids()) {
+    auto* w = waiting_.get(id);
+    w->untilMs = std::min(w->untilMs, untilMs);
+  }
+}
+
 auto Edge::tick(int64_t nowMs) -> void {
   for (auto id : waiting_.ids()) {
     auto* w = waiting_.get(id);
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -1,6 +1,7 @@
 // Caller: what an edge does with callers' requests. A state machine: requests, replies, frames and time go
 // in; answers and asks come out.
 #pragma once
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -118,6 +119,9 @@
   auto takeFrame(const HeldFrame& held, int64_t nowMs) -> void;
   /// Ends what has run out of time. Example: every 10 ms `edge.tick(nowMs);`
   auto tick(int64_t nowMs) -> void;
+  /// This process ends soon: whatever is under way, and whatever still comes, has its answer by then.
+  /// Example: on SIGTERM `edge.endBy(nowMs + graceMs * 85 / 100);`
+  auto endBy(int64_t untilMs) -> void;
   /// Hands over answers and asks. Example: `auto out = edge.output();`
   auto output() -> Output { return std::exchange(out_, {}); }
   /// What is left of an answer at the moment at which it leaves: a process that was held up since it decided does
@@ -200,6 +204,7 @@
   Output out_;
   Figures figures_;
   std::map<uint32_t, uint64_t> refusals_;
+  int64_t endMs_ = std::numeric_limits<int64_t>::max();
 };
 
 /// True for methods that change something. Example: `isWrite("POST")`
--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -273,6 +273,7 @@
       LOG(INFO) << "edge: Emptying.";
       if (shield) shield->empty();  // other nodes ask elsewhere; its own callers are served on
       stopAtMs = nowMs + graceMs * 2 / 3;
+      edge.endBy(nowMs + graceMs * 85 / 100);
     }
     // The platform has found it not ready by now, or ends it soon: nobody new is taken.
     if (stopAtMs >= 0 && !isDraining && nowMs >= stopAtMs - graceMs / 6) {
@@ -280,7 +281,7 @@
       face->drain(boundMs / 4);
     }
     auto isDone = edge.open() == 0 && writing.empty() && (!desk || desk->isIdle());
-    if (stopAtMs >= 0 && (nowMs >= stopAtMs + graceMs / 4 || (nowMs >= stopAtMs && isDone))) break;
+    if (stopAtMs >= 0 && (nowMs >= stopAtMs + graceMs / 4 + graceMs / 60 || (nowMs >= stopAtMs && isDone))) break;
   }
   LOG(INFO) << "edge: Stopped.";
   return 0;
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -344,6 +344,21 @@
   CHECK(out.replies[0].reply.code != kOk);
 }
 
+TEST_CASE("A process that ends soon answers what is under way, and what still comes, before it does") {
+  auto [frame, keeper] = fewSlots();
+  Node n(keeper == "e1" ? "e2" : "e1", frame);  // it asks the keeper, and hears nothing
+  n.ask("GET", "/list/1", {}, 10000);
+  n.edge.endBy(10300);
+  n.ask("GET", "/list/2", {}, 10100);
+  CHECK(n.asked.back().ask.remainingMs == 200);
+  n.edge.tick(10299);
+  n.step(10299);
+  CHECK(n.answers.empty());
+  n.edge.tick(10300);
+  n.step(10300);
+  CHECK(n.answers.size() == 2);
+}
+
 TEST_CASE("Out of touch with the core a node goes on with what it knows, if it is set so") {
   Node n;
   n.ask("GET", "/list/1", {}, 900000);
