--- a/lib/agent/feed.cpp
+++ b/lib/agent/feed.cpp
@@ -35,11 +35,13 @@
 
 auto Giver::dueMs() const -> int64_t {
   auto due = std::numeric_limits<int64_t>::max();
-  for (const auto& held : held_) due = std::min(due, held.sinceMs + holdMs_);
+  for (const auto& held : held_)
+    due = std::min(due, held.sinceMs + holdMs_);
   return due;
 }
 
-auto Follower::tick(const std::vector<std::string>& targets, size_t preferred, const Told& told, int64_t nowMs) -> std::optional<std::pair<std::string, Poll>> {
+auto Follower::tick(const std::vector<std::string>& targets, size_t preferred, const Told& told, int64_t nowMs)
+    -> std::optional<std::pair<std::string, Poll>> {
   if (targets.empty() || nowMs < waitUntilMs_) return std::nullopt;
   // What is in force has changed: that is told at once, by a question that takes the place of the open one.
   auto hasToTell = isAsking_ && !(told.revision == inForce_);
@@ -48,7 +50,9 @@
     mustMove_ = true;  // no answer
   }
   auto at = std::find(targets.begin(), targets.end(), target_);
-  auto isKnown = [&](const std::string& target) { return std::find(targets.begin(), targets.end(), target) != targets.end(); };
+  auto isKnown = [&](const std::string& target) {
+    return std::find(targets.begin(), targets.end(), target) != targets.end();
+  };
   if (at == targets.end()) {
     target_ = targets.front();
   } else if (mustMove_ && !neighbour_.empty() && isKnown(neighbour_)) {
--- a/lib/agent/feed.hpp
+++ b/lib/agent/feed.hpp
@@ -29,7 +29,8 @@
   explicit Giver(int64_t holdMs) : holdMs_(holdMs) {}
   auto take(std::string from, neighbour::Poll poll, int64_t nowMs) -> void;
   /// The answers that are due. `asOfMs` is when the frame was current, on this process's steady clock.
-  auto give(const core::Frame& frame, int64_t asOfMs, int64_t nowMs) -> std::vector<std::pair<std::string, neighbour::Feed>>;
+  auto give(const core::Frame& frame, int64_t asOfMs, int64_t nowMs)
+      -> std::vector<std::pair<std::string, neighbour::Feed>>;
   /// When the next question has to be answered, news or not. Example: `wait(giver.dueMs() - nowMs);`
   auto dueMs() const -> int64_t;
 
@@ -51,7 +52,8 @@
 class Follower {
  public:
   /// `firstNonce` is of this life alone, so that an answer to an earlier life is not taken for one of its own.
-  Follower(std::string name, int64_t answerMs, uint64_t firstNonce) : name_(std::move(name)), answerMs_(answerMs), nonce_(firstNonce) {}
+  Follower(std::string name, int64_t answerMs, uint64_t firstNonce)
+      : name_(std::move(name)), answerMs_(answerMs), nonce_(firstNonce) {}
   /// Who asks: a new incarnation is a new node. Example: `follower.be(member);`
   auto be(const core::Member& member) -> void { member_ = member; }
   /// The next question, when one is due. Givers are asked until one fails or knows nothing fresh; the first
--- a/lib/agent/link.cpp
+++ b/lib/agent/link.cpp
@@ -17,13 +17,18 @@
   thread_.join();
 }
 
-auto Link::tell(Told told) -> void { told_.push(std::move(told)); }
+auto Link::tell(Told told) -> void {
+  told_.push(std::move(told));
+}
 
-auto Link::pass(neighbour::Letter letter) -> void { passed_.push(std::move(letter)); }
+auto Link::pass(neighbour::Letter letter) -> void {
+  passed_.push(std::move(letter));
+}
 
 auto Link::run() -> void {
   std::string reason;
-  auto post = neighbour::Post::open({"127.0.0.1:0"}, [this](neighbour::Letter l) { letters_.push(std::move(l)); }, reason);
+  auto post = neighbour::Post::open(
+      {"127.0.0.1:0"}, [this](neighbour::Letter l) { letters_.push(std::move(l)); }, reason);
   if (!post) {
     LOG(ERROR) << "link: " << reason;
     return;
@@ -35,7 +40,8 @@
   while (!isStopping_) {
     pollfd fds[] = {{letters_.fd(), POLLIN, 0}, {told_.fd(), POLLIN, 0}, {passed_.fd(), POLLIN, 0}};
     ::poll(fds, 3, static_cast<int>(props_.boundMs / 40));
-    for (auto& one : told_.take()) told = std::move(one);
+    for (auto& one : told_.take())
+      told = std::move(one);
     auto nowMs = neighbour::steadyMs();
     for (auto& letter : letters_.take()) {
       if (letter.kind != neighbour::kFeed) {
--- a/lib/agent/link.hpp
+++ b/lib/agent/link.hpp
@@ -24,11 +24,13 @@
     int64_t boundMs = 2000;
   };
   /// `takeLetter` gets the registries' letters to the proxy, if it has any use for them.
-  Link(Props props, std::function<void(caller::HeldFrame)> take, std::function<void(neighbour::Letter)> takeLetter = {});
+  Link(Props props, std::function<void(caller::HeldFrame)> take,
+       std::function<void(neighbour::Letter)> takeLetter = {});
   ~Link();
   /// What the proxy acts on now; told to the core with the next question. Example: `link.tell({revision, probes, {}});`
   auto tell(Told told) -> void;
-  /// Passes a letter to a registry, by way of the agent; one that surely did not leave comes back. Example: `link.pass({neighbour::kClaims, "", body});`
+  /// Passes a letter to a registry, by way of the agent; one that surely did not leave comes back. Example:
+  /// `link.pass({neighbour::kClaims, "", body});`
   auto pass(neighbour::Letter letter) -> void;
 
  private:
--- a/lib/caller/codes.cpp
+++ b/lib/caller/codes.cpp
@@ -45,7 +45,8 @@
 
 auto allCodes() -> std::vector<uint32_t> {
   std::vector<uint32_t> list;
-  for (const auto& [code, row] : kRows) list.push_back(code);
+  for (const auto& [code, row] : kRows)
+    list.push_back(code);
   return list;
 }
 
--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -14,30 +14,38 @@
 constexpr size_t kMostAsked = 3;  // fetchers, for one request
 }  // namespace
 
-auto isWrite(const std::string& method) -> bool { return method != "GET" && method != "HEAD" && method != "OPTIONS" && method != "TRACE"; }
+auto isWrite(const std::string& method) -> bool {
+  return method != "GET" && method != "HEAD" && method != "OPTIONS" && method != "TRACE";
+}
 
 Paths::Paths(std::shared_ptr<const core::Frame> frame) : frame_(std::move(frame)) {
   for (auto it = frame_->services.begin(); it != frame_->services.end(); ++it)
-    for (const auto& host : it->second.hosts) byHost_.try_emplace(lower(host), it);
-  for (const auto& [name, route] : frame_->routing.routes) routes_.try_emplace(lower(route.host) + route.prefix, &route);
+    for (const auto& host : it->second.hosts)
+      byHost_.try_emplace(lower(host), it);
+  for (const auto& [name, route] : frame_->routing.routes)
+    routes_.try_emplace(lower(route.host) + route.prefix, &route);
 }
 
 auto Paths::find(const std::string& host, const std::string& target) const -> std::optional<Found> {
   auto name = lower(host.substr(0, host.find(':')));
   // The longest prefix first: prefixes end with a slash.
   auto path = target.substr(0, target.find('?'));
-  for (auto end = path.rfind('/'); !routes_.empty() && end != std::string::npos; end = end == 0 ? std::string::npos : path.rfind('/', end - 1)) {
+  for (auto end = path.rfind('/'); !routes_.empty() && end != std::string::npos;
+       end = end == 0 ? std::string::npos : path.rfind('/', end - 1)) {
     auto at = routes_.find(name + path.substr(0, end + 1));
     if (at == routes_.end()) continue;
     const auto& route = *at->second;
     Found found;
     found.service = name;
     found.route = &route;
-    found.path = {route.prefix, core::UpstreamKind::kAny, route.kind == core::RouteKind::kCacheable ? route.keepMs : 0, ""};
+    found.path = {route.prefix, core::UpstreamKind::kAny, route.kind == core::RouteKind::kCacheable ? route.keepMs : 0,
+                  ""};
     found.deadlineMs = route.giveUpMs;
     int64_t sum = 0;
-    for (const auto& share : route.shares) sum += share.weight;
-    auto place = sum > 0 ? static_cast<int64_t>(neighbour::hash(route.prefix + "\n" + path) % static_cast<uint64_t>(sum)) : 0;
+    for (const auto& share : route.shares)
+      sum += share.weight;
+    auto place =
+        sum > 0 ? static_cast<int64_t>(neighbour::hash(route.prefix + "\n" + path) % static_cast<uint64_t>(sum)) : 0;
     for (const auto& share : route.shares) {
       place -= share.weight;
       if (place >= 0) continue;
@@ -69,7 +77,9 @@
   auto dash = value.find('-');
   if (dash == std::string::npos || dash == 6) return std::nullopt;
   auto first = value.substr(6, dash - 6), last = value.substr(dash + 1);
-  auto isNumber = [](const std::string& text) { return text.size() <= 15 && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; }); };
+  auto isNumber = [](const std::string& text) {
+    return text.size() <= 15 && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
+  };
   if (!isNumber(first) || !isNumber(last)) return std::nullopt;
   Range range{std::stoull(first), std::nullopt};
   if (!last.empty()) range.last = std::stoull(last);
@@ -79,7 +89,10 @@
 
 auto slice(Answer whole, const Range& range) -> Answer {
   auto size = whole.body.size();
-  std::erase_if(whole.headers, [](const auto& h) { auto n = lower(h.first); return n == "content-length" || n == "content-range"; });
+  std::erase_if(whole.headers, [](const auto& h) {
+    auto n = lower(h.first);
+    return n == "content-length" || n == "content-range";
+  });
   if (range.first >= size) {
     whole.status = 416;
     whole.headers.emplace_back("Content-Range", "bytes */" + std::to_string(size));
@@ -88,7 +101,8 @@
   }
   auto last = std::min(range.last.value_or(size - 1), size - 1);
   whole.status = 206;
-  whole.headers.emplace_back("Content-Range", "bytes " + std::to_string(range.first) + "-" + std::to_string(last) + "/" + std::to_string(size));
+  whole.headers.emplace_back("Content-Range", "bytes " + std::to_string(range.first) + "-" + std::to_string(last) +
+                                                  "/" + std::to_string(size));
   whole.body = whole.body.substr(range.first, last - range.first + 1);
   return whole;
 }
@@ -103,7 +117,8 @@
 auto Edge::turnAway(const Request& request, uint32_t code, int64_t retryMs) -> void {
   ++figures_.turnedAway;
   ++refusals_[code];
-  out_.answers.push_back({request.stream, request.method, request.keep, codeAnswerMs(code, retryMs > 0 ? retryMs : props_.retryMs)});
+  out_.answers.push_back(
+      {request.stream, request.method, request.keep, codeAnswerMs(code, retryMs > 0 ? retryMs : props_.retryMs)});
 }
 
 auto Edge::take(Request request, int64_t nowMs) -> void {
@@ -137,7 +152,8 @@
   w.hasPolicyFailed = hasPolicyFailed;
   if (!props_.names.tryId.empty()) w.tryId = header(request.headers, props_.names.tryId);
   if (!props_.names.timeLeft.empty())
-    if (auto left = header(request.headers, props_.names.timeLeft); !left.empty()) w.untilMs = std::min(w.untilMs, nowMs + std::max<int64_t>(1, std::atoll(left.c_str())));
+    if (auto left = header(request.headers, props_.names.timeLeft); !left.empty())
+      w.untilMs = std::min(w.untilMs, nowMs + std::max<int64_t>(1, std::atoll(left.c_str())));
   w.untilMs = std::min(w.untilMs, std::max(nowMs + 1, endMs_));
   if (found->route) {
     w.isWrite = found->route->kind == core::RouteKind::kWriting;
@@ -145,12 +161,14 @@
     w.rank = found->route->rank;
     w.routeKey = service + found->route->prefix;
     w.isShared = path.keepMs > 0;
-    if (w.isShared && request.method == "GET" && has(request.headers, "range")) w.range = rangeOf(header(request.headers, "range"));
+    if (w.isShared && request.method == "GET" && has(request.headers, "range"))
+      w.range = rangeOf(header(request.headers, "range"));
     if (w.range) std::erase_if(request.headers, [](const auto& h) { return lower(h.first) == "range"; });
     w.isShared = w.isShared && policy::isShareable(request.method, request.headers);
   } else {
     w.isWrite = isWrite(request.method);
-    w.isShared = path.kind == core::UpstreamKind::kStore && path.keepMs > 0 && policy::isShareable(request.method, request.headers);
+    w.isShared = path.kind == core::UpstreamKind::kStore && path.keepMs > 0 &&
+                 policy::isShareable(request.method, request.headers);
   }
   budgets_.of(*held_.frame, w.pool).asked(nowMs);
   if (w.isShared) {
@@ -206,19 +224,25 @@
   auto isSized = w.isShared && !w.routeKey.empty() && size != sizes_.end();
   auto isNearOnly = isSized && size->second > static_cast<double>(props_.zoneBytes);
   // Over a narrow link one node can't hand a large answer to many: each fetches it, within its part of the rate.
-  if (isSized && size->second > static_cast<double>(props_.linkBytes) && self_ && !w.tried.count(props_.name)) return {*self_};
-  auto hashed = neighbour::hash(isOwned ? w.service + "\n" + (w.isShared ? w.request.target : key) : std::to_string(id));
+  if (isSized && size->second > static_cast<double>(props_.linkBytes) && self_ && !w.tried.count(props_.name))
+    return {*self_};
+  auto hashed =
+      neighbour::hash(isOwned ? w.service + "\n" + (w.isShared ? w.request.target : key) : std::to_string(id));
   auto dispatch = dispatches_.find(w.pool);
   if (!isOwned && !w.routeKey.empty() && dispatch != dispatches_.end() && !dispatch->second.nodes.empty()) {
     const auto& [nodes, slots, keepers] = dispatch->second;
     int64_t sum = 0;
-    for (auto one : slots) sum += one;
+    for (auto one : slots)
+      sum += one;
     auto at = static_cast<int64_t>(hashed % static_cast<uint64_t>(std::max<int64_t>(1, sum)));
     size_t first = 0;
-    while (first + 1 < nodes.size() && at >= slots[first]) at -= slots[first++];
-    for (size_t i = 0; i < nodes.size(); ++i) list.push_back(nodes[(first + i) % nodes.size()]);
+    while (first + 1 < nodes.size() && at >= slots[first])
+      at -= slots[first++];
+    for (size_t i = 0; i < nodes.size(); ++i)
+      list.push_back(nodes[(first + i) % nodes.size()]);
     // Should all of them be away, the next ones by weight are the same for everybody.
-    for (auto one : neighbour::heaviest(neighbour::hash("pool\n" + w.pool), fetcherHashes_, nodes.size() + kMost)) list.push_back(one);
+    for (auto one : neighbour::heaviest(neighbour::hash("pool\n" + w.pool), fetcherHashes_, nodes.size() + kMost))
+      list.push_back(one);
   }
   if (!isOwned && self_) list.push_back(*self_);
   std::vector<size_t> near;
@@ -227,15 +251,20 @@
     std::vector<size_t> places;
     for (size_t i = 0; i < fetchers_.size(); ++i)
       if (fetchers_[i].isNear) hashes.push_back(fetcherHashes_[i]), places.push_back(i);
-    for (auto at : neighbour::heaviest(hashed, hashes, kMost)) near.push_back(places[at]);
+    for (auto at : neighbour::heaviest(hashed, hashes, kMost))
+      near.push_back(places[at]);
   }
-  for (auto at : near) list.push_back(at);
-  for (auto at : neighbour::heaviest(hashed, fetcherHashes_, kMost + w.tried.size())) list.push_back(at);
+  for (auto at : near)
+    list.push_back(at);
+  for (auto at : neighbour::heaviest(hashed, fetcherHashes_, kMost + w.tried.size()))
+    list.push_back(at);
   if (self_) list.push_back(*self_);
   std::vector<size_t> kept;
   for (auto at : list)
     if (!w.tried.count(fetchers_[at].name) && std::find(kept.begin(), kept.end(), at) == kept.end()) kept.push_back(at);
-  std::stable_sort(kept.begin(), kept.end(), [&](auto a, auto b) { return isSilent(fetchers_[a].address, nowMs) < isSilent(fetchers_[b].address, nowMs); });
+  std::stable_sort(kept.begin(), kept.end(), [&](auto a, auto b) {
+    return isSilent(fetchers_[a].address, nowMs) < isSilent(fetchers_[b].address, nowMs);
+  });
   return kept;
 }
 
@@ -265,7 +294,8 @@
   ask.method = w.request.method;
   ask.target = w.request.target;
   ask.headers = endToEnd(w.request.headers);
-  if (!props_.names.timeLeft.empty()) std::erase_if(ask.headers, [&](const auto& h) { return lower(h.first) == lower(props_.names.timeLeft); });
+  if (!props_.names.timeLeft.empty())
+    std::erase_if(ask.headers, [&](const auto& h) { return lower(h.first) == lower(props_.names.timeLeft); });
   ask.body = w.request.body;
   ask.remainingMs = w.untilMs - nowMs;
   ask.keepMs = w.path.keepMs;
@@ -339,12 +369,14 @@
   if (hasNewMembers || hasNewPaths || hasNewUpstreams) {
     dispatches_.clear();
     if (props_.fetches)
-      for (const auto& [name, pool] : held_.frame->routing.pools) dispatches_[name] = policy::dispatchOf(*held_.frame, name, fetcherHashes_);
+      for (const auto& [name, pool] : held_.frame->routing.pools)
+        dispatches_[name] = policy::dispatchOf(*held_.frame, name, fetcherHashes_);
   }
   if (hasNewMembers) awayUntilMs_.clear();
   scripts_.clear();
   std::set<std::string> running;
-  for (const auto& [name, service] : held_.frame->services) running.insert(service.rollout);
+  for (const auto& [name, service] : held_.frame->services)
+    running.insert(service.rollout);
   std::erase_if(samples_, [&](const auto& one) { return !running.count(one.first); });
   if (before.empty()) return;
   auto list = shields();
@@ -383,13 +415,17 @@
   auto ageMs = reply.ageMs + std::max<int64_t>(0, nowMs - w->firstAskedMs - reply.heldMs);
   auto terms = policy::termsOf(answer.status, answer.headers, w->path.keepMs, props_.names.labels);
   if (!w->isShared || terms.keepMs <= 0 || reply.keepMs <= 0) return finish(reply.id, answer, nullptr, nowMs);
-  auto copy = std::make_shared<const policy::Copy>(
-      policy::Copy{answer.status, answer.headers, answer.body, nowMs - ageMs, std::min(terms.keepMs, reply.keepMs), reply.purges, terms.vary});
+  auto copy = std::make_shared<const policy::Copy>(policy::Copy{answer.status, answer.headers, answer.body,
+                                                                nowMs - ageMs, std::min(terms.keepMs, reply.keepMs),
+                                                                reply.purges, terms.vary});
   // What was fetched by this very process is in the one cache already.
   // What is shared within the site stays with the node that it belongs to there: one copy a site.
-  auto isLarge = !w->routeKey.empty() && answer.body.size() > props_.zoneBytes && answer.body.size() <= props_.linkBytes;
+  auto isLarge =
+      !w->routeKey.empty() && answer.body.size() > props_.zoneBytes && answer.body.size() <= props_.linkBytes;
   auto isKept = (!isCacheOwn_ && self_ && from == fetchers_[*self_].address) || (isLarge && props_.fetches);
-  if (!isKept) cache_->put(w->service, w->request.target, w->request.headers, copy, terms.labels, w->routeKey.empty() ? "" : w->pool);
+  if (!isKept)
+    cache_->put(w->service, w->request.target, w->request.headers, copy, terms.labels,
+                w->routeKey.empty() ? "" : w->pool);
   answer.headers.emplace_back("Age", std::to_string(ageMs / 1000));
   finish(reply.id, answer, copy.get(), nowMs);
 }
@@ -418,7 +454,8 @@
   for (auto follower : w->followers) {
     auto* f = waiting_.get(follower);
     if (!f) continue;
-    if (isRefusal || (copy && policy::variantOf(copy->vary, f->request.headers) == own && nowMs - copy->bornMs < copy->keepMs)) {
+    if (isRefusal ||
+        (copy && policy::variantOf(copy->vary, f->request.headers) == own && nowMs - copy->bornMs < copy->keepMs)) {
       auto taken = waiting_.take(follower);
       this->answer(*taken, answer, nowMs);
     } else {
@@ -429,7 +466,8 @@
   this->answer(*w, answer, nowMs);
 }
 
-auto Edge::measure(const std::string& rollout, bool isNext, int64_t tookMs, int status, bool isFetched, double load) -> void {
+auto Edge::measure(const std::string& rollout, bool isNext, int64_t tookMs, int status, bool isFetched, double load)
+    -> void {
   if (rollout.empty()) return;
   auto& [old, next] = samples_[rollout];
   (isNext ? next : old).add(tookMs, status >= 500, isFetched, load);
@@ -440,7 +478,8 @@
   std::string reason;
   auto it = scripts_.find(text);
   if (it == scripts_.end()) it = scripts_.emplace(text, policy::Script::compile(text, reason)).first;
-  auto ruling = it->second ? it->second->run(request.method, header(request.headers, "host"), request.target, reason) : std::nullopt;
+  auto ruling = it->second ? it->second->run(request.method, header(request.headers, "host"), request.target, reason)
+                           : std::nullopt;
   if (!ruling) {
     ++figures_.policyFailures;
     if (it->second) scripts_.erase(it);  // what it left behind goes too
@@ -451,7 +490,8 @@
 auto Edge::answer(Waiting& w, Answer answer, int64_t nowMs) -> void {
   if (w.hasPolicyFailed) answer.headers.emplace_back("Dykestage-Policy", std::to_string(kPolicyFailed));
   measure(w.rollout, w.isNext, nowMs - w.startMs, answer.status, w.isFetched, w.load);
-  if (w.range && answer.status == 200 && header(answer.headers, "dykestage-code").empty()) answer = slice(std::move(answer), *w.range);
+  if (w.range && answer.status == 200 && header(answer.headers, "dykestage-code").empty())
+    answer = slice(std::move(answer), *w.range);
   out_.answers.push_back({w.request.stream, w.request.method, w.request.keep, std::move(answer)});
 }
 
@@ -472,7 +512,9 @@
       continue;
     }
     auto isLate = w->wasSent && (nowMs - w->startMs) * 100 >= (w->untilMs - w->startMs) * props_.hedgePercent;
-    if (w->isWrite || w->isHedged || !isLate || w->tried.size() >= std::min<size_t>(fetchers_.size(), kMostAsked) || !budgets_.of(*held_.frame, w->pool).mayTry(nowMs)) continue;
+    if (w->isWrite || w->isHedged || !isLate || w->tried.size() >= std::min<size_t>(fetchers_.size(), kMostAsked) ||
+        !budgets_.of(*held_.frame, w->pool).mayTry(nowMs))
+      continue;
     w->isHedged = true;
     ask(id, true, nowMs);
   }
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -32,12 +32,12 @@
 
 /// Where a request belongs.
 struct Found {
-  std::string service;   // under which copies are kept: a service, or the host of a route
-  std::string pool;      // upstreams that it may go to; the service itself, where no route names a pool
+  std::string service;  // under which copies are kept: a service, or the host of a route
+  std::string pool;     // upstreams that it may go to; the service itself, where no route names a pool
   core::Path path;
   int64_t deadlineMs = 1000;
-  std::string rollout;   // the one that this service takes part in, if any
-  bool isNext = false;   // the request falls into the slice of the new revision
+  std::string rollout;                 // the one that this service takes part in, if any
+  bool isNext = false;                 // the request falls into the slice of the new revision
   const core::Route* route = nullptr;  // of the frame in force; none: a service
 };
 /// Finds the route, or the service and path, for a request; a stable hash of the target tells the pool or the slice,
@@ -59,21 +59,23 @@
   size_t first = 0;
   std::optional<size_t> last;
 };
-/// A single range of bytes that names its first one; anything else is left to the upstream. Example: `rangeOf("bytes=5-9")`
+/// A single range of bytes that names its first one; anything else is left to the upstream. Example:
+/// `rangeOf("bytes=5-9")`
 auto rangeOf(const std::string& value) -> std::optional<Range>;
-/// The part of a whole answer that a range asks for (206), or 416. Example: `auto part = slice(std::move(whole), range);`
+/// The part of a whole answer that a range asks for (206), or 416. Example: `auto part = slice(std::move(whole),
+/// range);`
 auto slice(Answer whole, const Range& range) -> Answer;
 
 class Edge {
  public:
   struct Props {
     std::string name, site;
-    uint64_t life = 1;            // of this process, as its member entry has it
-    int64_t staleMs = 1500;       // age of the frame from which requests are turned away
-    size_t requests = 4000;       // under way at a time
+    uint64_t life = 1;       // of this process, as its member entry has it
+    int64_t staleMs = 1500;  // age of the frame from which requests are turned away
+    size_t requests = 4000;  // under way at a time
     size_t cacheBytes = 64u << 20;
-    double triesPart = 0.25;      // part of a service's extra tries that the edges may use
-    int64_t suspectMs = 250;      // silence of a shield that owes replies, after which others come first; 1/8 of the bound
+    double triesPart = 0.25;  // part of a service's extra tries that the edges may use
+    int64_t suspectMs = 250;  // silence of a shield that owes replies, after which others come first; 1/8 of the bound
     int64_t hedgePercent = 40;    // of its time that a read waits before another shield is asked as well
     bool fetches = false;         // this process fetches itself, beside this machine
     bool servesStale = false;     // out of touch with the core it goes on with what it knows
@@ -81,7 +83,7 @@
     size_t zoneBytes = 32 << 10;  // answers that are larger on average are shared within a site only
     size_t linkBytes = SIZE_MAX;  // and those that hold a link for longer than 1/100 of the bound, not between nodes
     HeaderNames names;
-    policy::TryBounds tries;      // of pools
+    policy::TryBounds tries;  // of pools
   };
   struct Output {
     struct Answered {
@@ -100,12 +102,17 @@
     std::vector<Asked> asks;
   };
   struct Figures {
-    uint64_t requests = 0, hits = 0, joins = 0, asks = 0, extras = 0, turnedAway = 0, unknown = 0, refused = 0, policyFailures = 0;
+    uint64_t requests = 0, hits = 0, joins = 0, asks = 0, extras = 0, turnedAway = 0, unknown = 0, refused = 0,
+             policyFailures = 0;
   };
 
-  /// A process that fetches itself keeps one cache for both. Example: `Edge edge(props, cache); Shield shield(props2, cache);`
+  /// A process that fetches itself keeps one cache for both. Example: `Edge edge(props, cache); Shield shield(props2,
+  /// cache);`
   explicit Edge(Props props, std::shared_ptr<policy::Cache> cache = nullptr)
-      : props_(std::move(props)), waiting_(props_.requests), isCacheOwn_(!cache), cache_(cache ? std::move(cache) : std::make_shared<policy::Cache>(props_.cacheBytes)) {}
+      : props_(std::move(props)),
+        waiting_(props_.requests),
+        isCacheOwn_(!cache),
+        cache_(cache ? std::move(cache) : std::make_shared<policy::Cache>(props_.cacheBytes)) {}
 
   /// Takes a caller's request. Example: `edge.take(request, nowMs); post(edge.output());`
   auto take(Request request, int64_t nowMs) -> void;
@@ -131,7 +138,8 @@
   auto shields() const -> std::vector<std::string>;
   /// True while it may act on what it knows; what serves stale may from the first configuration on.
   auto isCurrent(int64_t nowMs) const -> bool {
-    return props_.servesStale ? held_.asOfMs >= 0 && held_.frame->revision.configuration > 0 : held_.isCurrent(nowMs, props_.staleMs);
+    return props_.servesStale ? held_.asOfMs >= 0 && held_.frame->revision.configuration > 0
+                              : held_.isCurrent(nowMs, props_.staleMs);
   }
   /// The knowledge's age, ms; -1: none yet. Example: `page.number("ageMs", edge.ageMs(nowMs));`
   auto ageMs(int64_t nowMs) const -> int64_t { return held_.asOfMs < 0 ? -1 : nowMs - held_.asOfMs; }
@@ -139,7 +147,8 @@
   auto limits() const -> const core::Limits& { return held_.frame->routing.limits; }
   auto revision() const -> core::Revision { return held_.frame->revision; }
   auto figures() const -> Figures { return figures_; }
-  /// How many requests ended with each result code since the last call. Example: `for (auto [code, count] : edge.refusals()) ...`
+  /// How many requests ended with each result code since the last call. Example: `for (auto [code, count] :
+  /// edge.refusals()) ...`
   auto refusals() -> std::map<uint32_t, uint64_t> { return std::exchange(refusals_, {}); }
   /// What rollouts are judged by. Example: `link.tell({edge.revision(), {}, edge.samples()});`
   auto samples() const -> const neighbour::Samples& { return samples_; }
@@ -152,12 +161,12 @@
     std::string service, pool;
     core::Path path;
     std::optional<Range> range;
-    std::string routeKey;   // host and prefix, for the size of its answers
+    std::string routeKey;  // host and prefix, for the size of its answers
     int64_t tries = 3, rank = 0, retryMs = 0;
     std::string tryId;
     int64_t startMs = 0, untilMs = 0, askedMs = 0, firstAskedMs = 0;
-    uint64_t purges = 0;  // in force when it was first asked for
-    std::string shield;      // its address
+    uint64_t purges = 0;          // in force when it was first asked for
+    std::string shield;           // its address
     std::set<std::string> tried;  // names
     bool isWrite = false, isShared = false, wasSent = false, isHedged = false;
     uint32_t refusal = kNoShield;  // why the last shield did not take it
@@ -168,7 +177,8 @@
     double load = 0;
   };
   auto rule(const std::string& policy, const Request& request) -> std::optional<policy::Ruling>;
-  auto measure(const std::string& rollout, bool isNext, int64_t tookMs, int status, bool isFetched, double load) -> void;
+  auto measure(const std::string& rollout, bool isNext, int64_t tookMs, int status, bool isFetched, double load)
+      -> void;
   auto ask(uint64_t id, bool isExtra, int64_t nowMs) -> void;
   auto giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void;
   auto finish(uint64_t id, const Answer& answer, const policy::Copy* copy, int64_t nowMs) -> void;
@@ -180,13 +190,13 @@
   Props props_;
   HeldFrame held_;
   Paths paths_{held_.frame};  // of the configuration in force
-  struct Fetcher {  // a member that fetches
+  struct Fetcher {            // a member that fetches
     std::string name, address;
     bool isNear = false;
   };
   std::vector<Fetcher> fetchers_;
   std::vector<uint64_t> fetcherHashes_;
-  std::optional<size_t> self_;  // among them
+  std::optional<size_t> self_;                          // among them
   std::map<std::string, policy::Dispatch> dispatches_;  // of pools
   std::map<std::string, int64_t> awayUntilMs_;          // fetchers that said that they are about to stop, by address
   policy::Slab<Waiting> waiting_;
--- a/lib/caller/face.cpp
+++ b/lib/caller/face.cpp
@@ -25,10 +25,10 @@
 namespace {
 constexpr auto kStreamData = "dykestage";
 constexpr int64_t kSweepMs = 1000, kDrainSweepMs = 100;
-constexpr int64_t kLingerMs = 1000;       // after our half ended, for the caller to end its own or to go on sending
+constexpr int64_t kLingerMs = 1000;  // after our half ended, for the caller to end its own or to go on sending
 constexpr int64_t kMostLingerMs = 10000;
 constexpr size_t kPieceBytes = 64u << 10;
-constexpr size_t kHeldBytes = 1u << 20;   // written bytes that a waiting answer may still hold
+constexpr size_t kHeldBytes = 1u << 20;  // written bytes that a waiting answer may still hold
 constexpr size_t kChunkLineBytes = 256;
 
 auto isSame(std::string_view a, std::string_view b) -> bool {
@@ -37,11 +37,16 @@
 
 auto reasonOf(int status) -> const char* {
   switch (status) {
-    case 200: return "OK";
-    case 204: return "No Content";
-    case 206: return "Partial Content";
-    case 304: return "Not Modified";
-    default: return status < 400 ? "OK" : "Error";
+    case 200:
+      return "OK";
+    case 204:
+      return "No Content";
+    case 206:
+      return "Partial Content";
+    case 304:
+      return "Not Modified";
+    default:
+      return status < 400 ? "OK" : "Error";
   }
 }
 
@@ -60,7 +65,8 @@
   auto line = head.substr(0, end);
   auto first = line.find(' '), last = line.rfind(' ');
   if (first == std::string_view::npos || last <= first + 1) return false;
-  auto method = line.substr(0, first), target = line.substr(first + 1, last - first - 1), version = line.substr(last + 1);
+  auto method = line.substr(0, first), target = line.substr(first + 1, last - first - 1),
+       version = line.substr(last + 1);
   isOld = version == "HTTP/1.0";
   if (!isMethod(method) || (!isOld && version != "HTTP/1.1")) return false;
   if (std::any_of(target.begin(), target.end(), [](unsigned char c) { return c <= ' ' || c == 127; })) return false;
@@ -77,8 +83,10 @@
     auto name = line.substr(0, colon);
     if (std::any_of(name.begin(), name.end(), [](unsigned char c) { return c <= ' ' || c >= 127; })) return false;
     auto from = line.find_first_not_of(" \t", colon + 1);
-    auto value = from == std::string_view::npos ? std::string_view() : line.substr(from, line.find_last_not_of(" \t") - from + 1);
-    if (std::any_of(value.begin(), value.end(), [](unsigned char c) { return (c < ' ' && c != '\t') || c == 127; })) return false;
+    auto value = from == std::string_view::npos ? std::string_view()
+                                                : line.substr(from, line.find_last_not_of(" \t") - from + 1);
+    if (std::any_of(value.begin(), value.end(), [](unsigned char c) { return (c < ' ' && c != '\t') || c == 127; }))
+      return false;
     request.headers.emplace_back(name, value);
   }
   return true;
@@ -167,11 +175,13 @@
 }
 
 auto endToEnd(const Headers& headers) -> Headers {
-  std::vector<std::string> dropped = {"connection",       "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
-                                      "transfer-encoding", "upgrade",    "proxy-connection",   "content-length",      "expect"};
+  std::vector<std::string> dropped = {
+      "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization", "te",    "trailer",
+      "transfer-encoding", "upgrade",    "proxy-connection",   "content-length",      "expect"};
   for (const auto& [name, value] : headers)
     if (isSame(name, "connection"))
-      for (auto& one : listOf(value)) dropped.push_back(one);
+      for (auto& one : listOf(value))
+        dropped.push_back(one);
   Headers kept;
   for (const auto& one : headers)
     if (std::find(dropped.begin(), dropped.end(), lower(one.first)) == dropped.end()) kept.push_back(one);
@@ -184,11 +194,17 @@
   (void)!::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
 }
 
-auto Stream::cut() -> void { ::shutdown(fd_.get(), SHUT_RDWR); }
+auto Stream::cut() -> void {
+  ::shutdown(fd_.get(), SHUT_RDWR);
+}
 
-auto Stream::answer(const Answer& answer, const std::string& method, bool keep) -> void { write(answer, nullptr, method, keep); }
+auto Stream::answer(const Answer& answer, const std::string& method, bool keep) -> void {
+  write(answer, nullptr, method, keep);
+}
 
-auto Stream::answer(Answer&& answer, const std::string& method, bool keep) -> void { write(answer, &answer.body, method, keep); }
+auto Stream::answer(Answer&& answer, const std::string& method, bool keep) -> void {
+  write(answer, &answer.body, method, keep);
+}
 
 // `movable`: the answer's body, if it may be taken.
 auto Stream::write(const Answer& answer, std::string* movable, const std::string& method, bool keep) -> void {
@@ -200,7 +216,11 @@
   auto hasBody = !isBare && !isHead;
   std::string head;
   head.reserve(512);
-  head.append("HTTP/1.1 ").append(std::to_string(answer.status)).append(" ").append(reasonOf(answer.status)).append("\r\n");
+  head.append("HTTP/1.1 ")
+      .append(std::to_string(answer.status))
+      .append(" ")
+      .append(reasonOf(answer.status))
+      .append("\r\n");
   auto hasLength = false;
   for (const auto& [name, value] : answer.headers) {
     auto isLength = isSame(name, "content-length");
@@ -224,7 +244,8 @@
     message.msg_iov = pieces;
     message.msg_iovlen = hasBody && !answer.body.empty() ? 2 : 1;
     ssize_t n = 0;
-    do n = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+    do
+      n = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
     while (n < 0 && errno == EINTR);
     sent = n > 0 ? static_cast<size_t>(n) : 0;  // what is wrong with the stream shows in send()
   }
@@ -301,7 +322,8 @@
   std::vector<int> timers;        // of all threads, set before they run
   auto sweepNow() -> void {
     itimerspec soon{{0, 0}, {0, 1}};
-    for (auto timer : timers) ::timerfd_settime(timer, 0, &soon, nullptr);
+    for (auto timer : timers)
+      ::timerfd_settime(timer, 0, &soon, nullptr);
   }
 };
 
@@ -385,7 +407,8 @@
     std::string_view size;
     for (const auto& [name, value] : request.headers) {
       if (isSame(name, "content-length")) {
-        isBad = isBad || hasLength || value.empty() || value.size() > 18 || value.find_first_not_of("0123456789") != std::string::npos;
+        isBad = isBad || hasLength || value.empty() || value.size() > 18 ||
+                value.find_first_not_of("0123456789") != std::string::npos;
         hasLength = true;
         size = value;
       } else if (isSame(name, "transfer-encoding")) {
@@ -418,9 +441,11 @@
   auto readBody(Reading& reading, std::string_view bytes, int fd, size_t readBytes) -> void {
     auto& body = reading.request.body;
     if (reading.part == Reading::Part::kChunks) {
-      auto state = reading.chunks.take(bytes, body, shared_->limits->bodyBytes.load(), shared_->limits->headerBytes.load());
+      auto state =
+          reading.chunks.take(bytes, body, shared_->limits->bodyBytes.load(), shared_->limits->headerBytes.load());
       if (state == Chunks::State::kMore) return;
-      if (state != Chunks::State::kDone) return refuse(reading, state == Chunks::State::kBad ? kBadRequest : kRequestTooLarge);
+      if (state != Chunks::State::kDone)
+        return refuse(reading, state == Chunks::State::kBad ? kBadRequest : kRequestTooLarge);
     } else {
       auto piece = bytes.substr(0, reading.left);
       body.append(piece);
@@ -458,7 +483,8 @@
         handler_(handler),
         timer_(::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)) {}
   ~Transport() override {
-    for (const auto& [fd, peer] : peers) ::close(fd);
+    for (const auto& [fd, peer] : peers)
+      ::close(fd);
   }
 
   auto clone() const -> std::shared_ptr<Pistache::Aio::Handler> override {
@@ -468,7 +494,8 @@
   void registerPoller(Pistache::Polling::Epoll& poller) override {
     Pistache::Tcp::Transport::registerPoller(poller);
     for (auto fd : {shared_->listening.get(), timer_.get()})
-      poller.addFd(fd, Pistache::Flags<Pistache::Polling::NotifyOn>(Pistache::Polling::NotifyOn::Read), tagOf(fd), Pistache::Polling::Mode::Level);
+      poller.addFd(fd, Pistache::Flags<Pistache::Polling::NotifyOn>(Pistache::Polling::NotifyOn::Read), tagOf(fd),
+                   Pistache::Polling::Mode::Level);
     shared_->timers.push_back(timer_.get());
     ++shared_->accepting;
   }
@@ -511,7 +538,8 @@
     for (auto i = 0; i < 64; ++i) {  // then others' turn
       sockaddr_in from{};
       socklen_t size = sizeof from;
-      auto fd = ::accept4(shared_->listening.get(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      auto fd =
+          ::accept4(shared_->listening.get(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (fd < 0 && (errno == EMFILE || errno == ENFILE)) ::usleep(1000);  // it stays ready: no spinning
       if (fd < 0) return;
       handleNewPeer(Pistache::Tcp::Peer::Create(fd, Pistache::Address::fromUnix(&from)));
@@ -541,7 +569,8 @@
       auto reading = std::static_pointer_cast<Reading>(peer->getData(kStreamData));
       auto& stream = *reading->stream;
       if (auto closedMs = stream.closedMs(); closedMs >= 0) {
-        if (nowMs >= std::max(closedMs, reading->lastMs) + kLingerMs || nowMs >= closedMs + kMostLingerMs) ended.push_back(peer);
+        if (nowMs >= std::max(closedMs, reading->lastMs) + kLingerMs || nowMs >= closedMs + kMostLingerMs)
+          ended.push_back(peer);
         nextMs = 0;
         continue;
       }
@@ -581,7 +610,8 @@
   std::shared_ptr<Pistache::Aio::Reactor> reactor = Pistache::Aio::Reactor::create();
 };
 
-Face::Face(Props props, std::function<void(Request)> take, TakeGone takeGone) : shared_(std::make_shared<Shared>()), reactor_(std::make_unique<Reactor>()) {
+Face::Face(Props props, std::function<void(Request)> take, TakeGone takeGone)
+    : shared_(std::make_shared<Shared>()), reactor_(std::make_unique<Reactor>()) {
   shared_->take = std::move(take);
   shared_->takeGone = std::move(takeGone);
   shared_->limits->bodyBytes.store(props.bodyBytes);
@@ -594,18 +624,24 @@
   at.sin_family = AF_INET;
   at.sin_port = htons(props.port);
   socklen_t size = sizeof at;
-  if (::inet_pton(AF_INET, props.ip.c_str(), &at.sin_addr) != 1 || ::bind(listening, reinterpret_cast<sockaddr*>(&at), size) != 0 ||
-      ::listen(listening, 1024) != 0 || ::getsockname(listening, reinterpret_cast<sockaddr*>(&at), &size) != 0)
-    throw std::system_error(errno, std::generic_category(), "can't listen at " + props.ip + ":" + std::to_string(props.port));
+  if (::inet_pton(AF_INET, props.ip.c_str(), &at.sin_addr) != 1 ||
+      ::bind(listening, reinterpret_cast<sockaddr*>(&at), size) != 0 || ::listen(listening, 1024) != 0 ||
+      ::getsockname(listening, reinterpret_cast<sockaddr*>(&at), &size) != 0)
+    throw std::system_error(errno, std::generic_category(),
+                            "can't listen at " + props.ip + ":" + std::to_string(props.port));
   shared_->port = ntohs(at.sin_port);
   reactor_->reactor->init(Pistache::Aio::AsyncContext(static_cast<size_t>(props.threads)));
   reactor_->reactor->addHandler(std::make_shared<Transport>(shared_, std::make_shared<Handler>(shared_)));
   reactor_->reactor->run();
 }
 
-Face::~Face() { reactor_->reactor->shutdown(); }
+Face::~Face() {
+  reactor_->reactor->shutdown();
+}
 
-auto Face::port() const -> uint16_t { return shared_->port; }
+auto Face::port() const -> uint16_t {
+  return shared_->port;
+}
 
 auto Face::limit(size_t headerBytes, size_t bodyBytes, int64_t headerMs, int64_t idleMs) -> void {
   auto& limits = *shared_->limits;
@@ -622,7 +658,9 @@
   shared_->sweepNow();
 }
 
-auto Face::streams() const -> size_t { return shared_->streams.load(); }
+auto Face::streams() const -> size_t {
+  return shared_->streams.load();
+}
 
 auto pageAnswer(const std::string& target, uint32_t refusal, const std::function<std::string()>& status) -> Answer {
   if (target == "/ready") return refusal == kOk ? Answer{200, {}, "ready\n"} : codeAnswerMs(refusal, 1000);
--- a/lib/caller/face.hpp
+++ b/lib/caller/face.hpp
@@ -91,7 +91,7 @@
   std::shared_ptr<const Limits> limits_;
   std::mutex writes_;  // guards what follows
   std::string waiting_;
-  size_t sent_ = 0;    // of waiting_
+  size_t sent_ = 0;  // of waiting_
   bool closesAfter_ = false;
   std::atomic<size_t> pending_{0};
   std::atomic<int64_t> closedMs_{-1}, answeredMs_{-1};
--- a/lib/caller/record.cpp
+++ b/lib/caller/record.cpp
@@ -46,7 +46,8 @@
     if (!f.integer("atMs", 0, 1LL << 50, one.atMs)) f.fault("atMs", "is missing");
     f.text("method", one.method, true);
     f.text("host", one.host, true);
-    if (f.text("target", one.target, true) && !one.target.empty() && one.target[0] != '/') f.fault("target", "must start with /");
+    if (f.text("target", one.target, true) && !one.target.empty() && one.target[0] != '/')
+      f.fault("target", "must start with /");
     f.integer("bodyBytes", 0, 64 << 20, one.bodyBytes);
     f.flag("hasKey", one.hasKey);
     f.close();
--- a/lib/core/gathering.cpp
+++ b/lib/core/gathering.cpp
@@ -5,7 +5,10 @@
 namespace dykestage::core {
 
 Gathering::Gathering(Props props, int64_t nowMs)
-    : props_(std::move(props)), known_(props_.seeds.begin(), props_.seeds.end()), changedMs_(nowMs), sentMs_(nowMs - props_.boundMs) {
+    : props_(std::move(props)),
+      known_(props_.seeds.begin(), props_.seeds.end()),
+      changedMs_(nowMs),
+      sentMs_(nowMs - props_.boundMs) {
   known_.insert(props_.address);
   heard_[props_.address] = props_.life;
 }
@@ -22,7 +25,8 @@
   }
   auto before = known_.size();
   known_.insert(from);
-  for (const auto& [address, life] : letter.heard) known_.insert(address);
+  for (const auto& [address, life] : letter.heard)
+    known_.insert(address);
   if (std::exchange(heard_[from], letter.life) != letter.life || known_.size() != before) changedMs_ = nowMs;
   letters_[from] = std::move(letter);
 }
@@ -30,10 +34,10 @@
 // Everybody known was heard and told the very same, and all seeds are as blank as this one.
 auto Gathering::agree() const -> bool {
   if (known_.size() < kLeast || heard_.size() != known_.size()) return false;
-  auto isSame = std::all_of(letters_.begin(), letters_.end(), [&](const auto& one) { return one.second.heard == heard_; });
-  return isSame && std::all_of(props_.seeds.begin(), props_.seeds.end(), [&](const auto& seed) {
-           return seed == props_.address || letters_.at(seed).mayForm;
-         });
+  auto isSame =
+      std::all_of(letters_.begin(), letters_.end(), [&](const auto& one) { return one.second.heard == heard_; });
+  return isSame && std::all_of(props_.seeds.begin(), props_.seeds.end(),
+                               [&](const auto& seed) { return seed == props_.address || letters_.at(seed).mayForm; });
 }
 
 auto Gathering::tick(int64_t nowMs) -> void {
--- a/lib/core/gathering.hpp
+++ b/lib/core/gathering.hpp
@@ -22,7 +22,7 @@
   struct Props {
     std::string address;  // own, as others reach it
     std::vector<std::string> seeds;
-    uint64_t life = 0;    // of this process, not 0
+    uint64_t life = 0;  // of this process, not 0
     int64_t boundMs = 2000;
     bool mayForm = true;  // else it only takes a list that others have
   };
@@ -44,7 +44,8 @@
   auto dueMs() const -> int64_t { return sentMs_ + props_.boundMs / 40; }
   /// Hands over the letters to send. Example: `for (auto& sent : gathering.output()) ...`
   auto output() -> std::vector<Sent> { return std::exchange(out_, {}); }
-  /// The list, sorted, once it is settled; the own address is in it. Example: `if (auto list = gathering.addresses()) ...`
+  /// The list, sorted, once it is settled; the own address is in it. Example: `if (auto list = gathering.addresses())
+  /// ...`
   auto addresses() const -> const std::optional<std::vector<std::string>>& { return settled_; }
   /// True once a list without the own address was settled elsewhere: there is no seat.
   /// Example: `if (gathering.isLeftOut()) LOG(WARNING) << ...`
@@ -55,8 +56,8 @@
 
   Props props_;
   std::set<std::string> known_;
-  std::map<std::string, uint64_t> heard_;               // in which life, itself included
-  std::map<std::string, neighbour::Gather> letters_;    // the latest of each other
+  std::map<std::string, uint64_t> heard_;             // in which life, itself included
+  std::map<std::string, neighbour::Gather> letters_;  // the latest of each other
   std::optional<std::vector<std::string>> settled_;
   bool isLeftOut_ = false;
   int64_t changedMs_, sentMs_;
--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -34,8 +34,12 @@
   return {200, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, body + "\n"};
 }
 
-auto revisionDetail(const OpResult& result) -> std::string { return ",\"revision\":" + std::to_string(result.revision.configuration); }
-auto rolloutDetail(const OpResult& result) -> std::string { return ",\"rollout\":\"" + result.rollout + "\""; }
+auto revisionDetail(const OpResult& result) -> std::string {
+  return ",\"revision\":" + std::to_string(result.revision.configuration);
+}
+auto rolloutDetail(const OpResult& result) -> std::string {
+  return ",\"rollout\":\"" + result.rollout + "\"";
+}
 
 auto diskFrame(const std::string& bytes, uint64_t fresh) -> DiskFrame {
   auto frame = DiskFrame::from(bytes);
@@ -43,12 +47,20 @@
   return frame;
 }
 
-auto versionDetail(uint64_t version) -> std::string { return ",\"version\":" + std::to_string(version); }
-auto unknownAnswer(const std::string& detail = "") -> Answer { return codeAnswer(kChangeUnknown, 0, detail); }
-auto faultsAnswer(const std::vector<op::Fault>& faults) -> Answer { return codeAnswer(kInvalid, 0, ",\"faults\":" + op::writeFaults(faults)); }
+auto versionDetail(uint64_t version) -> std::string {
+  return ",\"version\":" + std::to_string(version);
+}
+auto unknownAnswer(const std::string& detail = "") -> Answer {
+  return codeAnswer(kChangeUnknown, 0, detail);
+}
+auto faultsAnswer(const std::vector<op::Fault>& faults) -> Answer {
+  return codeAnswer(kInvalid, 0, ",\"faults\":" + op::writeFaults(faults));
+}
 }  // namespace
 
-auto DiskFrame::from(const std::string& bytes) -> DiskFrame { return bytes.empty() ? DiskFrame{} : Reader(bytes).get<DiskFrame>(); }
+auto DiskFrame::from(const std::string& bytes) -> DiskFrame {
+  return bytes.empty() ? DiskFrame{} : Reader(bytes).get<DiskFrame>();
+}
 
 auto DiskFrame::refusal(const std::string& bytes) -> std::string {
   if (bytes.empty()) return "";
@@ -57,23 +69,28 @@
   return "the records are of version " + std::to_string(version) + ", this release reads " + std::to_string(kVersion);
 }
 
-Registry::Registry(Props props, const std::string& frame, const std::vector<std::string>& writes, uint64_t freshIncarnation)
+Registry::Registry(Props props, const std::string& frame, const std::vector<std::string>& writes,
+                   uint64_t freshIncarnation)
     : props_(std::move(props)),
       disk_(diskFrame(frame, freshIncarnation)),
       node_(props_.core, props_.slot, disk_.incarnation, state_),
       giver_(props_.holdMs),
       life_(freshIncarnation) {
   if (!disk_.node.empty()) node_.load(disk_.node);
-  for (const auto& write : writes) node_.replay(write);
+  for (const auto& write : writes)
+    node_.replay(write);
   node_.replayed();
   taken_ = published_ = std::make_shared<Frame>(state_.frame());
   disk_.slot = props_.slot;
   disk_.addresses = props_.addresses;
   if (frame.empty()) saveFrame(true);
-  LOG(INFO) << "core: Slot " << props_.slot << ", life " << disk_.incarnation << (frame.empty() ? ", blank disk." : ", disk read.");
+  LOG(INFO) << "core: Slot " << props_.slot << ", life " << disk_.incarnation
+            << (frame.empty() ? ", blank disk." : ", disk read.");
 }
 
-auto Registry::isReady(int64_t nowMs) const -> bool { return node_.isMember() && ageMs(nowMs) < props_.staleMs; }
+auto Registry::isReady(int64_t nowMs) const -> bool {
+  return node_.isMember() && ageMs(nowMs) < props_.staleMs;
+}
 
 // ---- steps and the disk -------------------------------------------------------------------------------
 
@@ -106,7 +123,8 @@
       step.letters.push_back({it->second, neighbour::kTempo, Writer().put(bundle).take()});
   step.answers = std::move(made.answers);
   if (ran_.empty() || state_.frame().revision != ran_.back().first) ran_.emplace_back(state_.frame().revision, nowMs);
-  while (ran_.size() > 1 && nowMs - ran_[1].second > 2 * ackMs()) ran_.pop_front();
+  while (ran_.size() > 1 && nowMs - ran_[1].second > 2 * ackMs())
+    ran_.pop_front();
   if (state_.frame().revision != taken_->revision) taken_ = step.published = std::make_shared<Frame>(state_.frame());
   if (!step.letters.empty() || !step.answers.empty() || step.published) steps_.push_back(std::move(step));
   if (wantsFrame_ && node_.isMember() && nowMs - frameTriedMs_ > props_.boundMs / 2) {
@@ -133,8 +151,10 @@
     auto step = std::move(steps_.front());
     steps_.pop_front();
     if (step.published) published_ = step.published;
-    for (auto& letter : step.letters) out_.letters.push_back(std::move(letter));
-    for (auto& [reply, answer] : step.pages) reply(answer);
+    for (auto& letter : step.letters)
+      out_.letters.push_back(std::move(letter));
+    for (auto& [reply, answer] : step.pages)
+      reply(answer);
     for (auto& answer : step.answers) {
       auto it = running_.find(answer.id);
       if (it == running_.end()) continue;
@@ -143,11 +163,13 @@
       keep(commitsMs_, nowMs - runningSinceMs_.at(answer.id));
       runningSinceMs_.erase(answer.id);
       if (answer.isVoid) {  // surely did not run: it is submitted again in the new epoch
-        for (auto& one : pending) submit(std::move(one.op), std::move(one.done));
+        for (auto& one : pending)
+          submit(std::move(one.op), std::move(one.done));
         continue;
       }
       auto results = Reader(answer.result).get<std::vector<OpResult>>();
-      for (size_t i = 0; i < pending.size(); ++i) pending[i].done(i < results.size() ? &results[i] : nullptr, nowMs);
+      for (size_t i = 0; i < pending.size(); ++i)
+        pending[i].done(i < results.size() ? &results[i] : nullptr, nowMs);
     }
     if (step.published) feed(nowMs);
   }
@@ -164,17 +186,21 @@
   if (batch_.empty() || nowMs - batchSinceMs_ < props_.batchMs || !node_.isMember()) return;
   // Operations that touch the same partitions travel as one command.
   std::map<uint8_t, std::vector<Pending>> groups;
-  for (auto& one : std::exchange(batch_, {})) groups[one.op.parts()].push_back(std::move(one));
+  for (auto& one : std::exchange(batch_, {}))
+    groups[one.op.parts()].push_back(std::move(one));
   for (auto& [parts, group] : groups) {
     std::vector<Op> ops;
-    for (auto& one : group) ops.push_back(one.op);
+    for (auto& one : group)
+      ops.push_back(one.op);
     auto id = node_.submit(parts, Writer().put(ops).take(), nowMs);
     running_[id] = std::move(group);
     runningSinceMs_[id] = nowMs;
   }
 }
 
-auto Registry::answer(const Who& who, const Answer& answer) -> void { out_.answers.push_back({who.stream, who.method, who.keep, answer, who.token}); }
+auto Registry::answer(const Who& who, const Answer& answer) -> void {
+  out_.answers.push_back({who.stream, who.method, who.keep, answer, who.token});
+}
 
 auto Registry::to(const Who& who) -> Reply {
   return [this, who](const Answer& a) { answer(who, a); };
@@ -198,7 +224,8 @@
   return [this, key](const Answer& a) {
     auto node = underWay_.extract(key);
     if (node)
-      for (auto& reply : node.mapped()) reply(a);
+      for (auto& reply : node.mapped())
+        reply(a);
   };
 }
 
@@ -210,9 +237,13 @@
   steps_.push_back(std::move(step));
 }
 
-auto Registry::json(const Who& who, const std::string& body) -> void { answer(who, jsonAnswer(body)); }
+auto Registry::json(const Who& who, const std::string& body) -> void {
+  answer(who, jsonAnswer(body));
+}
 
-auto Registry::invalid(const Who& who, const std::vector<op::Fault>& faults) -> void { answer(who, faultsAnswer(faults)); }
+auto Registry::invalid(const Who& who, const std::vector<op::Fault>& faults) -> void {
+  answer(who, faultsAnswer(faults));
+}
 
 // An operator's change: submitted, and answered once it is acknowledged. `detail` goes with every answer; `again`, if
 // there is one, is tried when another change won; `told` adds what the result tells.
@@ -230,7 +261,8 @@
       if (again) return again();
       return reply(codeAnswer(kConflict, 0, detail + revisionDetail(*known)));
     }
-    acknowledge(known->revision, nowMs, [reply, detail, text = told(*known)] { reply(jsonAnswer("{\"code\":0" + detail + text + "}")); });
+    acknowledge(known->revision, nowMs,
+                [reply, detail, text = told(*known)] { reply(jsonAnswer("{\"code\":0" + detail + text + "}")); });
   });
 }
 
@@ -252,7 +284,9 @@
   std::vector<op::Fault> faults;
   auto op = op::readTemplate(body, faults);
   if (!op) return invalid(who, faults);
-  change(std::move(*op), body, to(who), "", {}, [](const OpResult& result) { return revisionDetail(result) + (result.rollout.empty() ? "" : rolloutDetail(result)); });
+  change(std::move(*op), body, to(who), "", {}, [](const OpResult& result) {
+    return revisionDetail(result) + (result.rollout.empty() ? "" : rolloutDetail(result));
+  });
 }
 
 auto Registry::setTenants(const std::string& body, Who who, int tries) -> void {
@@ -273,7 +307,8 @@
   if (!op) return invalid(who, faults);
   op->print = neighbour::hash(Writer().put(*op).take());
   auto version = op->routing.version;
-  auto reply = joined("routing " + std::to_string(version) + " " + std::to_string(op->print), who, versionDetail(version));
+  auto reply =
+      joined("routing " + std::to_string(version) + " " + std::to_string(op->print), who, versionDetail(version));
   if (reply) orderRouting(std::move(*op), reply, false);
 }
 
@@ -304,7 +339,8 @@
       ++conflicts_;
       return reply(codeAnswer(kConflict, 0, versionDetail(result->version)));
     }
-    acknowledge(result->revision, nowMs, [reply, version] { reply(jsonAnswer("{\"code\":0" + versionDetail(version) + "}")); });
+    acknowledge(result->revision, nowMs,
+                [reply, version] { reply(jsonAnswer("{\"code\":0" + versionDetail(version) + "}")); });
   });
 }
 
@@ -312,7 +348,8 @@
 auto Registry::showRouting(Who who) -> void {
   Op read;
   read.kind = OpKind::kRead;
-  submit(std::move(read), [this, reply = within(props_.boundMs * 9 / 20, who, codeAnswer(kNotCurrent, 1))](const OpResult* result, int64_t) {
+  submit(std::move(read), [this, reply = within(props_.boundMs * 9 / 20, who, codeAnswer(kNotCurrent, 1))](
+                              const OpResult* result, int64_t) {
     if (result) page(reply, jsonAnswer(op::writeRouting(state_.frame().routing, state_.sources())));
   });
 }
@@ -322,9 +359,12 @@
   std::vector<op::Fault> faults;
   auto op = op::readPurge(body, faults);
   if (!op) return invalid(who, faults);
-  auto reply = op->changeId.empty() ? to(who) : joined("purge " + std::to_string(neighbour::hash(body)) + " " + op->changeId, who, "");
+  auto reply = op->changeId.empty()
+                   ? to(who)
+                   : joined("purge " + std::to_string(neighbour::hash(body)) + " " + op->changeId, who, "");
   if (!reply) return;
-  change(std::move(*op), body, reply, "", {}, [](const OpResult& result) { return ",\"purge\":" + std::to_string(result.revision.purges); });
+  change(std::move(*op), body, reply, "", {},
+         [](const OpResult& result) { return ",\"purge\":" + std::to_string(result.revision.purges); });
 }
 
 auto Registry::announce(const std::string& body, Who who) -> void {
@@ -346,7 +386,8 @@
     known.coldMs = op->upstream.coldMs;
     known.number = number;
     known.revision = op->upstream.revision;
-    if (Writer().put(known).take() == Writer().put(op->upstream).take()) return json(who, stands(it->second.isHeld ? "held" : "known"));
+    if (Writer().put(known).take() == Writer().put(op->upstream).take())
+      return json(who, stands(it->second.isHeld ? "held" : "known"));
   }
   if (isKnown) op->base = it->second.revision;
   // An upstream waits no longer than a second.
@@ -388,7 +429,8 @@
   if (isGet && path.rfind("/changes/", 0) == 0) {
     auto result = state_.changed(path.substr(9));
     if (!result) return answer(who, codeAnswer(kNoSuchChange, 0));
-    return page(to(who), jsonAnswer("{\"code\":0" + revisionDetail(*result) + ",\"purge\":" + std::to_string(result->revision.purges) + "}"));
+    return page(to(who), jsonAnswer("{\"code\":0" + revisionDetail(*result) +
+                                    ",\"purge\":" + std::to_string(result->revision.purges) + "}"));
   }
   if (running_.size() + batch_.size() + acks_.size() > props_.waiting) return answer(who, codeAnswer(kEdgeFull, 1));
   if (isGet && path == "/routing") return showRouting(who);
@@ -406,7 +448,8 @@
 auto Registry::everyoneHas(const Revision& revision) const -> bool {
   return std::all_of(published_->members.begin(), published_->members.end(), [&](const auto& one) {
     auto it = heard_.find(one.first);
-    return it != heard_.end() && it->second.incarnation == one.second.incarnation && it->second.revision.covers(revision);
+    return it != heard_.end() && it->second.incarnation == one.second.incarnation &&
+           it->second.revision.covers(revision);
   });
 }
 
@@ -461,7 +504,8 @@
 }
 
 auto Registry::feed(int64_t nowMs) -> void {
-  for (auto& [to, feed] : giver_.give(*published_, asOfMs_, nowMs)) out_.letters.push_back({to, neighbour::kFeed, Writer().put(feed).take()});
+  for (auto& [to, feed] : giver_.give(*published_, asOfMs_, nowMs))
+    out_.letters.push_back({to, neighbour::kFeed, Writer().put(feed).take()});
 }
 
 // ---- letters ------------------------------------------------------------------------------------------
@@ -472,7 +516,8 @@
   if (kind == neighbour::kTempo) {
     auto bundle = r.get<Bundle>();
     if (!r.done()) return;
-    for (const auto& message : bundle.messages) node_.receive(bundle.slot, message, nowMs);
+    for (const auto& message : bundle.messages)
+      node_.receive(bundle.slot, message, nowMs);
     collect(nowMs);
   } else if (kind == neighbour::kHello) {
     auto hello = r.get<Hello>();
@@ -492,10 +537,14 @@
         heard = {told.first, revision, heardMs, heard.probes, heard.samples, false, {}};
       }
     }
-    for (const auto& [name, age] : have.beats) beats_[name] = std::max(beats_[name], nowMs - age);
-    for (const auto& [name, told] : have.probes) heard_[name].probes = told;
-    for (const auto& [name, told] : have.samples) heard_[name].samples = told;
-    for (const auto& [name, told] : have.silent) heard_[name].silent = told;
+    for (const auto& [name, age] : have.beats)
+      beats_[name] = std::max(beats_[name], nowMs - age);
+    for (const auto& [name, told] : have.probes)
+      heard_[name].probes = told;
+    for (const auto& [name, told] : have.samples)
+      heard_[name].samples = told;
+    for (const auto& [name, told] : have.silent)
+      heard_[name].silent = told;
     checkAcks(nowMs);
   } else if (kind == neighbour::kClaims) {
     auto claims = r.get<neighbour::Claims>();
@@ -506,7 +555,8 @@
     if (!r.done() || gather.isDone) return;
     neighbour::Gather list;
     list.isDone = true;
-    for (const auto& [slot, address] : props_.addresses) list.addresses.push_back(address);
+    for (const auto& [slot, address] : props_.addresses)
+      list.addresses.push_back(address);
     out_.letters.push_back({from, neighbour::kGather, Writer().put(list).take()});
   } else if (kind == neighbour::kPoll) {
     auto poll = r.get<Poll>();
@@ -523,7 +573,9 @@
   op.incarnation = claims.life;
   op.keys = std::move(claims.keys);
   submit(std::move(op), [this, from, nonce = claims.nonce, life = claims.life](const OpResult* result, int64_t) {
-    if (result) out_.letters.push_back({from, neighbour::kClaimed, Writer().put(neighbour::Claimed{nonce, life, result->keys}).take()});
+    if (result)
+      out_.letters.push_back(
+          {from, neighbour::kClaimed, Writer().put(neighbour::Claimed{nonce, life, result->keys}).take()});
   });
 }
 
@@ -579,7 +631,8 @@
     tempo::Message ask;
     ask.kind = tempo::Kind::kFrameAsk;
     ask.from = disk_.incarnation;
-    out_.letters.push_back({props_.addresses.at(hello.slot), neighbour::kTempo, Writer().put(Bundle{props_.slot, {ask}}).take()});
+    out_.letters.push_back(
+        {props_.addresses.at(hello.slot), neighbour::kTempo, Writer().put(Bundle{props_.slot, {ask}}).take()});
     return;
   }
   if (!props_.mayForm) return;
@@ -657,7 +710,8 @@
     }
     auto isFailing = shields > 0 && failing * 2 > shields;
     if (silentMs > props_.beatMissMs || (isFailing && silentMs > props_.beatMissMs / 2)) {
-      LOG(INFO) << "core: Signing off upstream " << name << ", silent for " << silentMs << " ms" << (isFailing ? ", probes fail." : ".");
+      LOG(INFO) << "core: Signing off upstream " << name << ", silent for " << silentMs << " ms"
+                << (isFailing ? ", probes fail." : ".");
       ++signOffs_;
       decide(OpKind::kSignOff, name, 0);
     }
@@ -673,14 +727,17 @@
   for (const auto& [name, member] : published_->members) {
     auto it = heard_.find(name);
     // Whoever is heard under a new life is about to join in place of the old one; that is no silence.
-    auto silentMs = silent("member " + name + " " + std::to_string(member.incarnation), it == heard_.end() ? 0 : it->second.heardMs);
+    auto silentMs = silent("member " + name + " " + std::to_string(member.incarnation),
+                           it == heard_.end() ? 0 : it->second.heardMs);
     // Two watchers who find it silent as well are half the proof.
     auto watchers = std::count_if(heard_.begin(), heard_.end(), [&](const auto& one) {
       const auto& silent = one.second.silent;
-      return nowMs - one.second.heardMs < props_.boundMs && std::find(silent.begin(), silent.end(), name) != silent.end();
+      return nowMs - one.second.heardMs < props_.boundMs &&
+             std::find(silent.begin(), silent.end(), name) != silent.end();
     });
     if (silentMs > props_.memberMissMs || (watchers >= 2 && silentMs > props_.memberMissMs / 2)) {
-      LOG(INFO) << "core: Signing off " << member.kind << " " << name << ", silent for " << silentMs << " ms, watched in vain by " << watchers << ".";
+      LOG(INFO) << "core: Signing off " << member.kind << " " << name << ", silent for " << silentMs
+                << " ms, watched in vain by " << watchers << ".";
       decide(OpKind::kLeave, name, member.incarnation);
     }
   }
@@ -702,7 +759,8 @@
   if (isNew || watched.step != rollout.step) {
     watched = Watched{rollout.step, nowMs, {}, false};
     for (const auto& [name, heard] : heard_)
-      if (auto seen = heard.samples.find(id); seen != heard.samples.end()) watched.before[name] = {heard.incarnation, seen->second};
+      if (auto seen = heard.samples.find(id); seen != heard.samples.end())
+        watched.before[name] = {heard.incarnation, seen->second};
     return;
   }
   if (watched.isDeciding) return;
@@ -720,8 +778,10 @@
   int64_t keepMs = 0;
   for (const auto& [name, service] : state_.frame().services) {
     if (service.rollout != id) continue;
-    for (const auto& path : service.paths) keepMs = std::max(keepMs, path.keepMs);
-    for (const auto& path : service.next.front().paths) keepMs = std::max(keepMs, path.keepMs);
+    for (const auto& path : service.paths)
+      keepMs = std::max(keepMs, path.keepMs);
+    for (const auto& path : service.next.front().paths)
+      keepMs = std::max(keepMs, path.keepMs);
   }
   auto judged = policy::judge(old, next, points, nowMs - watched.sinceMs, isLast, keepMs);
   if (judged.verdict == policy::Verdict::kHold) return;
@@ -790,7 +850,8 @@
     auto pending = std::move(running_.at(it->first));
     running_.erase(it->first);
     it = runningSinceMs_.erase(it);
-    for (auto& one : pending) one.done(nullptr, nowMs);
+    for (auto& one : pending)
+      one.done(nullptr, nowMs);
   }
   std::erase_if(waiters_, [&](const auto& waiter) {
     if (!waiter->isAnswered && nowMs >= waiter->untilMs) {
@@ -811,9 +872,12 @@
     by(haveMs_ + haveEveryMs());
     if (!batch_.empty()) by(batchSinceMs_ + props_.batchMs);
   }
-  for (const auto& ack : acks_) by(ack.sinceMs + ackMs() + 1);
-  for (const auto& waiter : waiters_) by(waiter->untilMs);
-  for (const auto& [id, sinceMs] : runningSinceMs_) by(sinceMs + props_.answerMs);
+  for (const auto& ack : acks_)
+    by(ack.sinceMs + ackMs() + 1);
+  for (const auto& waiter : waiters_)
+    by(waiter->untilMs);
+  for (const auto& [id, sinceMs] : runningSinceMs_)
+    by(sinceMs + props_.answerMs);
   return due;
 }
 
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -39,7 +39,8 @@
   std::map<tempo::Slot, std::string> addresses;  // of all registries: what the settings say later does not change them
   std::string node;
   DYKESTAGE_FIELDS(version, incarnation, proposed, isFormed, slot, addresses, node)
-  /// Why a disk's frame can't be read by this release; empty: it can. Example: `if (auto why = DiskFrame::refusal(frame); !why.empty()) exit(3);`
+  /// Why a disk's frame can't be read by this release; empty: it can. Example: `if (auto why =
+  /// DiskFrame::refusal(frame); !why.empty()) exit(3);`
   static auto refusal(const std::string& bytes) -> std::string;
   /// Reads a disk's frame; a blank disk's has no addresses. Example: `auto saved = DiskFrame::from(found.frame);`
   static auto from(const std::string& bytes) -> DiskFrame;
@@ -51,17 +52,17 @@
     tempo::Props core;
     tempo::Slot slot = 1;
     std::map<tempo::Slot, std::string> addresses;  // of all registries
-    int64_t boundMs = 2000;        // the freshness bound
-    int64_t staleMs = 1500;        // 3/4 of it
-    int64_t tickMs = 250;          // 1/8 of it
-    bool servesStale = false;      // data nodes go on with what they know: who lacks a change is not waited for as long
-    int64_t holdMs = 200;          // 1/10: how long a question for news is held
+    int64_t boundMs = 2000;                        // the freshness bound
+    int64_t staleMs = 1500;                        // 3/4 of it
+    int64_t tickMs = 250;                          // 1/8 of it
+    bool servesStale = false;  // data nodes go on with what they know: who lacks a change is not waited for as long
+    int64_t holdMs = 200;      // 1/10: how long a question for news is held
     int64_t batchMs = 2;
-    int64_t beatMissMs = 3000;     // silence after which an upstream is signed off
-    int64_t memberMissMs = 5000;   // silence after which a data node is signed off
-    int64_t answerMs = 5000;       // after it a submission's outcome is called unknown
-    size_t waiting = 4000;         // submissions under way
-    bool mayForm = true;           // else a blank disk waits to be seated in a core that there is
+    int64_t beatMissMs = 3000;    // silence after which an upstream is signed off
+    int64_t memberMissMs = 5000;  // silence after which a data node is signed off
+    int64_t answerMs = 5000;      // after it a submission's outcome is called unknown
+    size_t waiting = 4000;        // submissions under way
+    bool mayForm = true;          // else a blank disk waits to be seated in a core that there is
   };
   struct Output {
     struct Sent {
@@ -92,7 +93,8 @@
   /// A disk job has been synced. Example: `registry.synced(job.number, ring.fill(), tookUs, nowMs);`
   auto synced(uint64_t number, double fill, int64_t tookUs, int64_t nowMs) -> void;
   auto tick(int64_t nowMs) -> void;
-  /// When time has to pass here at the latest, if nothing comes in before. Example: `poll(fds, registry.dueMs() - nowMs)`
+  /// When time has to pass here at the latest, if nothing comes in before. Example: `poll(fds, registry.dueMs() -
+  /// nowMs)`
   auto dueMs() const -> int64_t;
   auto output() -> Output { return std::exchange(out_, {}); }
   /// Ready to serve operators, upstreams and agents. Example: `registry.isReady(nowMs)`
@@ -106,7 +108,7 @@
     Done done;
   };
   using Reply = std::function<void(const caller::Answer&)>;  // answers a request, or all that wait for the same
-  struct Step {  // what may leave once a disk job is synced
+  struct Step {                                              // what may leave once a disk job is synced
     uint64_t job = 0;
     std::vector<Output::Sent> letters;
     std::vector<tempo::Answer> answers;
@@ -119,13 +121,14 @@
     int64_t heardMs = 0;
     std::map<std::string, bool> probes;
     neighbour::Samples samples;
-    bool isOwn = false;  // it asks this registry
+    bool isOwn = false;               // it asks this registry
     std::vector<std::string> silent;  // the neighbours that it watches in vain
   };
   struct Watched {  // a running rollout's step, as this holder of the duty saw it begin
     uint32_t step = 0;
     int64_t sinceMs = 0;
-    std::map<std::string, std::pair<uint64_t, std::pair<policy::Sample, policy::Sample>>> before;  // by edge, with its life
+    std::map<std::string, std::pair<uint64_t, std::pair<policy::Sample, policy::Sample>>>
+        before;  // by edge, with its life
     bool isDeciding = false;
   };
   struct Ack {
@@ -174,7 +177,9 @@
   auto within(int64_t forMs, const Who& who, caller::Answer late) -> Reply;
   auto joined(const std::string& key, const Who& who, const std::string& detail) -> Reply;
   auto ranMs(const Revision& revision) const -> int64_t;
-  auto heldMs() const -> int64_t { return props_.staleMs + props_.tickMs / 4; }  // whoever lacks it by then has stopped acting
+  auto heldMs() const -> int64_t {
+    return props_.staleMs + props_.tickMs / 4;
+  }  // whoever lacks it by then has stopped acting
   auto ackMs() const -> int64_t { return props_.servesStale ? props_.boundMs / 4 : heldMs(); }
   auto helloEveryMs() const -> int64_t { return node_.isMember() ? props_.boundMs / 4 : props_.boundMs / 10; }
   auto haveEveryMs() const -> int64_t { return hasNewsOfMembers_ ? props_.batchMs : props_.boundMs / 10; }
@@ -208,22 +213,22 @@
   std::map<tempo::Id, int64_t> runningSinceMs_;
   int64_t tickedMs_ = -1'000'000;
   std::map<std::string, Heard> heard_;
-  std::map<std::string, int64_t> beats_;  // instance → when last heard
+  std::map<std::string, int64_t> beats_;     // instance → when last heard
   std::map<std::string, int64_t> listedMs_;  // upstreams and members in the frame → since when, here
   std::map<std::string, Watched> watched_;
   std::map<std::string, int64_t> heldSinceMs_;
   std::map<std::string, int64_t> joinTriedMs_;
   std::vector<Ack> acks_;
   std::vector<std::shared_ptr<Waiter>> waiters_;
-  std::map<std::string, std::vector<Reply>> underWay_;      // submissions that whoever repeats them joins
-  std::deque<std::pair<Revision, int64_t>> ran_;            // when each revision ran here, back to ackMs() ago
-  int64_t nowMs_ = 0;                                       // of the input under way
+  std::map<std::string, std::vector<Reply>> underWay_;  // submissions that whoever repeats them joins
+  std::deque<std::pair<Revision, int64_t>> ran_;        // when each revision ran here, back to ackMs() ago
+  int64_t nowMs_ = 0;                                   // of the input under way
   agent::Giver giver_;
   std::map<uint32_t, neighbour::Hello> hellos_;
   std::map<uint32_t, int64_t> strangers_;  // slot → since when an unseated life says hello
   int64_t helloMs_ = 0, haveMs_ = 0, seatMs_ = 0, claimMs_ = 0, watchSinceMs_ = -1, watchedMs_ = 0;
   bool hasNewsOfMembers_ = false;
-  uint64_t life_, changeNumber_ = 0;  // of this process, not of its disk: ids given here are never given again
+  uint64_t life_, changeNumber_ = 0;         // of this process, not of its disk: ids given here are never given again
   std::deque<int64_t> commitsMs_, syncsUs_;  // the last few, for the status page
   uint64_t syncs_ = 0;
   uint64_t signOffs_ = 0, conflicts_ = 0, acked_ = 0;
--- a/lib/core/state.cpp
+++ b/lib/core/state.cpp
@@ -12,7 +12,9 @@
 constexpr size_t kRemovalsKept = 1000;
 constexpr size_t kTakenKept = 1000;
 constexpr size_t kGoneKept = 10000;
-constexpr auto bitOf(uint8_t part) -> uint8_t { return static_cast<uint8_t>(1u << part); }
+constexpr auto bitOf(uint8_t part) -> uint8_t {
+  return static_cast<uint8_t>(1u << part);
+}
 }  // namespace
 
 auto addressesOf(const Frame& frame, const std::string& kind, const std::string& except) -> std::vector<std::string> {
@@ -23,7 +25,8 @@
 }
 
 auto countOf(const Frame& frame, const std::string& kind) -> int64_t {
-  return std::count_if(frame.members.begin(), frame.members.end(), [&](const auto& one) { return one.second.kind == kind; });
+  return std::count_if(frame.members.begin(), frame.members.end(),
+                       [&](const auto& one) { return one.second.kind == kind; });
 }
 
 auto ConfigurationLog::add(Removal removal) -> void {
@@ -71,14 +74,16 @@
     routes.erase(removal.route);
     if (removal.revision > had) log.add(removal);
   }
-  for (const auto& [name, route] : news.routes) routes[name] = route;
+  for (const auto& [name, route] : news.routes)
+    routes[name] = route;
   version = news.version;
 }
 }  // namespace
 
 auto newsSince(const Frame& frame, const Revision& since) -> News {
   News news{frame.revision, {}, {}, frame.purgeFloor, {}, {}};
-  if (frame.revision.configuration > since.configuration) news.configuration = configurationSince(frame, since.configuration);
+  if (frame.revision.configuration > since.configuration)
+    news.configuration = configurationSince(frame, since.configuration);
   if (frame.revision.upstreams > since.upstreams) news.upstreams = frame.upstreams;
   if (frame.revision.members > since.members) news.members = frame.members;
   for (const auto& purge : frame.purges)
@@ -111,11 +116,13 @@
     case OpKind::kConfigure: {
       auto parts = bitOf(tempo::kConfiguration);
       auto retires = isWhole;
-      for (const auto& [service, props] : services) retires = retires || !props;
+      for (const auto& [service, props] : services)
+        retires = retires || !props;
       return retires ? parts | bitOf(tempo::kUpstreams) : parts;  // a retired service takes its upstreams along
     }
     case OpKind::kRouting: {
-      auto retires = isWhole || std::any_of(routing.pools.begin(), routing.pools.end(), [](const auto& p) { return !p.second; });
+      auto retires =
+          isWhole || std::any_of(routing.pools.begin(), routing.pools.end(), [](const auto& p) { return !p.second; });
       return bitOf(tempo::kConfiguration) | (retires ? bitOf(tempo::kUpstreams) : uint8_t{0});
     }
     case OpKind::kPurge:
@@ -144,11 +151,14 @@
   return tempo::kAllParts;
 }
 
-auto readOps(const std::string& payload) -> std::vector<Op> { return Reader(payload).get<std::vector<Op>>(); }
+auto readOps(const std::string& payload) -> std::vector<Op> {
+  return Reader(payload).get<std::vector<Op>>();
+}
 
 auto State::apply(const tempo::Command& command, tempo::Stamp) -> std::string {
   std::vector<OpResult> results;
-  for (const auto& op : readOps(command.payload)) results.push_back(applyOp(op));
+  for (const auto& op : readOps(command.payload))
+    results.push_back(applyOp(op));
   return Writer().put(results).take();
 }
 
@@ -299,7 +309,8 @@
   // A whole change retires what it does not name.
   std::set<std::string> goneRoutes, gonePools;
   for (const auto& [name, route] : routing.routes)
-    if (auto it = change.routes.find(name); it == change.routes.end() ? op.isWhole : !it->second) goneRoutes.insert(name);
+    if (auto it = change.routes.find(name); it == change.routes.end() ? op.isWhole : !it->second)
+      goneRoutes.insert(name);
   for (const auto& [name, pool] : routing.pools)
     if (auto it = change.pools.find(name); it == change.pools.end() ? op.isWhole : !it->second) gonePools.insert(name);
   for (const auto& name : goneRoutes) {
@@ -360,7 +371,8 @@
 }
 
 auto State::taken(uint64_t version, uint64_t print) const -> std::optional<OpResult> {
-  auto it = std::find_if(taken_.rbegin(), taken_.rend(), [&](const OpResult& r) { return r.version == version && r.print == print; });
+  auto it = std::find_if(taken_.rbegin(), taken_.rend(),
+                         [&](const OpResult& r) { return r.version == version && r.print == print; });
   return it == taken_.rend() ? std::nullopt : std::optional(*it);
 }
 
@@ -371,11 +383,13 @@
     if (parameter == shape.parameters.end()) return value.number;
     auto filled = tenant.values.find(value.parameter);
     // A revision may narrow a parameter's bounds: what tenants filled in before is brought within them.
-    return filled == tenant.values.end() ? parameter->second.standard : std::clamp(filled->second, parameter->second.low, parameter->second.high);
+    return filled == tenant.values.end() ? parameter->second.standard
+                                         : std::clamp(filled->second, parameter->second.low, parameter->second.high);
   };
   Service service;
   service.hosts = tenant.hosts;
-  for (const auto& path : shape.paths) service.paths.push_back({path.prefix, path.kind, number(path.keepMs), path.policy});
+  for (const auto& path : shape.paths)
+    service.paths.push_back({path.prefix, path.kind, number(path.keepMs), path.policy});
   service.deadlineMs = number(shape.deadlineMs);
   service.originRate = number(shape.originRate);
   service.triesPercent = number(shape.triesPercent);
@@ -464,7 +478,8 @@
 // Carries out a decision, if the rollout still stands where the decider saw it.
 auto State::decide(const Op& op) -> OpResult {
   auto it = rollouts_.find(op.name);
-  if (it == rollouts_.end() || it->second.state != policy::Verdict::kHold || it->second.step != op.decision.step) return {Outcome::kNoChange, {}, {}};
+  if (it == rollouts_.end() || it->second.state != policy::Verdict::kHold || it->second.step != op.decision.step)
+    return {Outcome::kNoChange, {}, {}};
   auto& rollout = it->second;
   rollout.decisions.push_back(op.decision);
   auto isLast = rollout.step + 1 >= rollout.next.points.stepsPermille.size();
@@ -505,7 +520,8 @@
     goneOrder_.emplace_back(op.name, op.upstream.number);
     if (goneOrder_.size() > kGoneKept) {
       for (size_t i = 0; i < kGoneKept / 2; ++i)
-        if (auto it = gone_.find(goneOrder_[i].first); it != gone_.end() && it->second == goneOrder_[i].second) gone_.erase(it);
+        if (auto it = gone_.find(goneOrder_[i].first); it != gone_.end() && it->second == goneOrder_[i].second)
+          gone_.erase(it);
       goneOrder_.erase(goneOrder_.begin(), goneOrder_.begin() + kGoneKept / 2);
     }
   }
@@ -539,7 +555,8 @@
   }
   // An address belongs to one instance at a time. One that passes to another service is held until no node
   // can know the old entry any more, even where that entry has long been signed off.
-  std::erase_if(frame_.upstreams, [&](const auto& one) { return one.first != op.name && one.second.address == next.address; });
+  std::erase_if(frame_.upstreams,
+                [&](const auto& one) { return one.first != op.name && one.second.address == next.address; });
   auto [owner, isNew] = owners_.try_emplace(next.address, next.service);
   if (!isNew && owner->second != next.service) next.isHeld = true;
   owner->second = next.service;
@@ -565,7 +582,9 @@
       continue;
     }
     if (it == keys_.end() && keys_.size() < kKeysKept) {
-      it = keys_.emplace(claim.key, KeyHeld{op.incarnation, claim.number, claim.print, op.name, clockMs_ + claim.keepMs}).first;
+      it =
+          keys_.emplace(claim.key, KeyHeld{op.incarnation, claim.number, claim.print, op.name, clockMs_ + claim.keepMs})
+              .first;
       keyEnds_.emplace(it->second.untilMs, claim.key);
     }
     result.keys.push_back(it == keys_.end() ? KeyHeld{} : it->second);
@@ -598,7 +617,8 @@
   changes_[op.changeId] = result;
   changeOrder_.push_back(op.changeId);
   if (changeOrder_.size() <= kChangesKept) return;
-  for (size_t i = 0; i < kChangesKept / 2; ++i) changes_.erase(changeOrder_[i]);
+  for (size_t i = 0; i < kChangesKept / 2; ++i)
+    changes_.erase(changeOrder_[i]);
   changeOrder_.erase(changeOrder_.begin(), changeOrder_.begin() + kChangesKept / 2);
 }
 
@@ -620,8 +640,26 @@
 auto State::save(uint8_t part) const -> std::string {
   const auto& f = frame_;
   if (part == tempo::kConfiguration)
-    return Writer().put(f.revision.configuration).put(f.revision.purges).put(f.services).put(f.routing).put(f.log).put(sources_).put(taken_).put(f.purges).put(f.purgeFloor).put(changes_).put(changeOrder_).put(templates_).put(lastRevisions_).put(tenants_).put(rollouts_).put(rolloutOrder_).take();
-  if (part == tempo::kUpstreams) return Writer().put(f.revision.upstreams).put(f.upstreams).put(owners_).put(gone_).put(goneOrder_).take();
+    return Writer()
+        .put(f.revision.configuration)
+        .put(f.revision.purges)
+        .put(f.services)
+        .put(f.routing)
+        .put(f.log)
+        .put(sources_)
+        .put(taken_)
+        .put(f.purges)
+        .put(f.purgeFloor)
+        .put(changes_)
+        .put(changeOrder_)
+        .put(templates_)
+        .put(lastRevisions_)
+        .put(tenants_)
+        .put(rollouts_)
+        .put(rolloutOrder_)
+        .take();
+  if (part == tempo::kUpstreams)
+    return Writer().put(f.revision.upstreams).put(f.upstreams).put(owners_).put(gone_).put(goneOrder_).take();
   if (part == tempo::kKeys) return Writer().put(keys_).put(clockMs_).put(clockSeenMs_).put(clockLife_).take();
   return Writer().put(f.revision.members).put(f.members).put(duties_).put(ticks_).put(lastTicks_).take();
 }
@@ -631,13 +669,15 @@
   auto readAll = [&](auto&... fields) { (r.read(fields), ...); };
   auto& f = frame_;
   if (part == tempo::kConfiguration)
-    readAll(f.revision.configuration, f.revision.purges, f.services, f.routing, f.log, sources_, taken_, f.purges, f.purgeFloor, changes_, changeOrder_, templates_, lastRevisions_, tenants_, rollouts_, rolloutOrder_);
+    readAll(f.revision.configuration, f.revision.purges, f.services, f.routing, f.log, sources_, taken_, f.purges,
+            f.purgeFloor, changes_, changeOrder_, templates_, lastRevisions_, tenants_, rollouts_, rolloutOrder_);
   else if (part == tempo::kUpstreams)
     readAll(f.revision.upstreams, f.upstreams, owners_, gone_, goneOrder_);
   else if (part == tempo::kKeys) {
     readAll(keys_, clockMs_, clockSeenMs_, clockLife_);
     keyEnds_.clear();
-    for (const auto& [key, held] : keys_) keyEnds_.emplace(held.untilMs, key);
+    for (const auto& [key, held] : keys_)
+      keyEnds_.emplace(held.untilMs, key);
   } else
     readAll(f.revision.members, f.members, duties_, ticks_, lastTicks_);
 }
--- a/lib/core/state.hpp
+++ b/lib/core/state.hpp
@@ -58,9 +58,9 @@
   int64_t targetMs = 0;     // within it an answer earns its full worth
   int64_t rank = 0;         // 0 is highest
   std::vector<Share> shares;
-  int64_t tries = 1;        // upstreams that one request may be sent to at most
-  int64_t keepMs = 0;       // how long a read may be kept
-  uint64_t revision = 0;    // of the configuration that set it
+  int64_t tries = 1;      // upstreams that one request may be sent to at most
+  int64_t keepMs = 0;     // how long a read may be kept
+  uint64_t revision = 0;  // of the configuration that set it
   DYKESTAGE_FIELDS(host, prefix, kind, giveUpMs, targetMs, rank, shares, tries, keepMs, revision)
 };
 
@@ -156,21 +156,23 @@
   int64_t capacity = 1;
   bool isEmptying = false;
   bool isHeld = false;
-  int64_t coldMs = 0;    // how much longer it is slow from its start, as it said when it was announced
-  uint64_t number = 0;   // of its announcement: one with a lower number is late and changes nothing
-  uint64_t revision = 0; // of the upstreams when this was announced
+  int64_t coldMs = 0;     // how much longer it is slow from its start, as it said when it was announced
+  uint64_t number = 0;    // of its announcement: one with a lower number is late and changes nothing
+  uint64_t revision = 0;  // of the upstreams when this was announced
   DYKESTAGE_FIELDS(service, address, site, kind, capacity, isEmptying, isHeld, coldMs, number, revision)
 };
 
 /// A node of the data plane (or its agent), as it joined.
 struct Member {
-  std::string kind, site, address;  // "edge", "shield", or "proxy": an edge that fetches itself; address between own processes
-  std::string agent;                // where its agent listens
+  std::string kind, site,
+      address;        // "edge", "shield", or "proxy": an edge that fetches itself; address between own processes
+  std::string agent;  // where its agent listens
   uint64_t incarnation = 0;
-  uint64_t replaced = 0;            // the earlier life that was listed under its name when it joined; 0: none
+  uint64_t replaced = 0;  // the earlier life that was listed under its name when it joined; 0: none
   /// Who it says that it is; not what was listed before it. Example: `if (listed == asker) ...`
   auto operator==(const Member& o) const -> bool {
-    return std::tie(kind, site, address, agent, incarnation) == std::tie(o.kind, o.site, o.address, o.agent, o.incarnation);
+    return std::tie(kind, site, address, agent, incarnation) ==
+           std::tie(o.kind, o.site, o.address, o.agent, o.incarnation);
   }
   DYKESTAGE_FIELDS(kind, site, address, agent, incarnation, replaced)
 };
@@ -215,19 +217,23 @@
   Revision revision;
   Services services;
   Routing routing;
-  ConfigurationLog log;        // of services and routing
-  std::vector<Purge> purges;   // newest ones, in order
-  uint64_t purgeFloor = 0;     // purges up to here are no longer listed
+  ConfigurationLog log;       // of services and routing
+  std::vector<Purge> purges;  // newest ones, in order
+  uint64_t purgeFloor = 0;    // purges up to here are no longer listed
   std::map<std::string, Upstream> upstreams;
   std::map<std::string, Member> members;
   DYKESTAGE_FIELDS(revision, services, routing, log, purges, purgeFloor, upstreams, members)
 };
 
 /// True for members that fetch from upstreams. Example: `if (fetches(member)) askable.push_back(member.address);`
-inline auto fetches(const Member& member) -> bool { return member.kind != "edge"; }
-
-/// Where the members of a kind are, and how many there are. Example: `for (auto& at : addressesOf(frame, "shield")) ...`
-auto addressesOf(const Frame& frame, const std::string& kind, const std::string& except = "") -> std::vector<std::string>;
+inline auto fetches(const Member& member) -> bool {
+  return member.kind != "edge";
+}
+
+/// Where the members of a kind are, and how many there are. Example: `for (auto& at : addressesOf(frame, "shield"))
+/// ...`
+auto addressesOf(const Frame& frame, const std::string& kind, const std::string& except = "")
+    -> std::vector<std::string>;
 auto countOf(const Frame& frame, const std::string& kind) -> int64_t;
 
 /// What of the configuration changed since a revision; since 0: all that there is.
@@ -262,7 +268,7 @@
 struct KeyClaim {
   std::string key;  // service and key
   uint64_t number = 0;
-  uint64_t print = 0;   // of the request that the key stands for
+  uint64_t print = 0;  // of the request that the key stands for
   int64_t keepMs = 0;
   bool isReturn = false;
   DYKESTAGE_FIELDS(key, number, print, keepMs, isReturn)
@@ -294,33 +300,47 @@
 };
 
 enum class OpKind : uint8_t {
-  kTick, kConfigure, kPurge, kAnnounce, kSignOff, kRelease, kJoin, kLeave, kClaim, kTemplate, kTenants, kDecide, kKeys,
+  kTick,
+  kConfigure,
+  kPurge,
+  kAnnounce,
+  kSignOff,
+  kRelease,
+  kJoin,
+  kLeave,
+  kClaim,
+  kTemplate,
+  kTenants,
+  kDecide,
+  kKeys,
   kDeregister,  // an upstream says that it is gone
   kRouting,
-  kRead         // changes nothing: whoever has run it has run everything acknowledged before it
+  kRead  // changes nothing: whoever has run it has run everything acknowledged before it
 };
 
 /// One operation inside a command. Fields that a kind does not use stay empty.
 struct Op {
   OpKind kind = OpKind::kTick;
-  std::string changeId;                                      // kConfigure, kPurge, kTemplate, kTenants: names the submission
-  uint64_t print = 0;                                        // of its content: an id stands for one content
-  uint64_t base = 0;                                         // kConfigure: revision it builds on; kRouting: version; kAnnounce: revision of the entry it replaces
-  std::map<std::string, std::optional<Service>> services;    // kConfigure: set, or retire
-  bool isWhole = false;                                      // kConfigure, kRouting: what is not named is retired
-  RoutingChange routing;                                     // kRouting
-  Purge purge;                                               // kPurge
-  std::string name;                                          // instance, member or duty
-  Upstream upstream;                                         // kAnnounce; kDeregister: its number
-  Member member;                                             // kJoin
-  uint64_t incarnation = 0;                                  // kLeave; kClaim: the holder
-  uint64_t term = 0;                                         // kSignOff, kLeave, kRelease, kClaim, kDecide
-  Template shape;                                            // kTemplate
-  std::map<std::string, std::optional<Tenant>> tenants;      // kTenants: set, or retire
-  Decision decision;                                         // kDecide
-  int64_t atMs = 0;                                          // kTick: the steady clock of its registry
-  std::vector<KeyClaim> keys;                                // kKeys; name and incarnation tell the shield
-  DYKESTAGE_FIELDS(kind, changeId, print, base, services, isWhole, routing, purge, name, upstream, member, incarnation, term, shape, tenants, decision, atMs, keys)
+  std::string changeId;  // kConfigure, kPurge, kTemplate, kTenants: names the submission
+  uint64_t print = 0;    // of its content: an id stands for one content
+  uint64_t base =
+      0;  // kConfigure: revision it builds on; kRouting: version; kAnnounce: revision of the entry it replaces
+  std::map<std::string, std::optional<Service>> services;  // kConfigure: set, or retire
+  bool isWhole = false;                                    // kConfigure, kRouting: what is not named is retired
+  RoutingChange routing;                                   // kRouting
+  Purge purge;                                             // kPurge
+  std::string name;                                        // instance, member or duty
+  Upstream upstream;                                       // kAnnounce; kDeregister: its number
+  Member member;                                           // kJoin
+  uint64_t incarnation = 0;                                // kLeave; kClaim: the holder
+  uint64_t term = 0;                                       // kSignOff, kLeave, kRelease, kClaim, kDecide
+  Template shape;                                          // kTemplate
+  std::map<std::string, std::optional<Tenant>> tenants;    // kTenants: set, or retire
+  Decision decision;                                       // kDecide
+  int64_t atMs = 0;                                        // kTick: the steady clock of its registry
+  std::vector<KeyClaim> keys;                              // kKeys; name and incarnation tell the shield
+  DYKESTAGE_FIELDS(kind, changeId, print, base, services, isWhole, routing, purge, name, upstream, member, incarnation,
+                   term, shape, tenants, decision, atMs, keys)
   /// The partitions it touches, as bits. Example: `node.submit(op.parts(), ...)`
   auto parts() const -> uint8_t;
 };
@@ -329,8 +349,8 @@
 
 struct OpResult {
   Outcome outcome = Outcome::kDone;
-  Revision revision;    // that everyone must have before it is acknowledged
-  std::string rollout;  // kTemplate: the rollout that it started, if any
+  Revision revision;               // that everyone must have before it is acknowledged
+  std::string rollout;             // kTemplate: the rollout that it started, if any
   std::vector<KeyHeld> keys = {};  // kKeys: who holds each of them now
   uint64_t print = 0;              // of the submission's content
   uint64_t version = 0;            // kRouting: the version in force
@@ -359,7 +379,8 @@
   auto changed(const std::string& changeId) const -> std::optional<OpResult>;
   /// The items of the routing in force as they were written. Example: `state.sources().routes.at("r-1")`
   auto sources() const -> const Sources& { return sources_; }
-  /// What became of a routing that was taken, by version and content, while remembered. Example: `state.taken(7, print)`
+  /// What became of a routing that was taken, by version and content, while remembered. Example: `state.taken(7,
+  /// print)`
   auto taken(uint64_t version, uint64_t print) const -> std::optional<OpResult>;
   /// Who holds a duty. Example: `state.duty(kWatchDuty).holder == me`
   auto duty(const std::string& name) const -> Duty;
@@ -400,7 +421,7 @@
   std::map<std::string, uint64_t> gone_;       // upstreams that said so → number of that announcement
   std::vector<std::pair<std::string, uint64_t>> goneOrder_;
   Sources sources_;
-  std::vector<OpResult> taken_;                // of routings, the newest ones
+  std::vector<OpResult> taken_;  // of routings, the newest ones
   std::map<std::string, OpResult> changes_;
   std::vector<std::string> changeOrder_;
   std::map<std::string, Duty> duties_;
--- a/lib/disk/ring.cpp
+++ b/lib/disk/ring.cpp
@@ -90,7 +90,8 @@
     files_.push_back(std::move(file));
   }
   if (!syncFolder(props_.folder)) return fail("cannot sync the data folder");
-  for (uint32_t i = 0; i < props_.files; ++i) loadFile(i);
+  for (uint32_t i = 0; i < props_.files; ++i)
+    loadFile(i);
 
   // The records from the frame on must follow one another without a gap. A gap is a torn tail only when
   // nothing after it was written in the knowledge that the missing record had been synced.
@@ -117,7 +118,8 @@
   }
   // A torn piece is wiped, so that it can never stand beside a later record of the same number.
   for (const auto& piece : pieces_)
-    if (piece.sequence >= expected && !writeAll(files_[piece.file].fd.get(), std::string(kPieceHead, '\0'), piece.offset))
+    if (piece.sequence >= expected &&
+        !writeAll(files_[piece.file].fd.get(), std::string(kPieceHead, '\0'), piece.offset))
       return fail("cannot wipe the torn tail");
   for (const auto& file : files_)
     if (::fdatasync(file.fd.get()) != 0) return fail("cannot sync the ring");
@@ -181,7 +183,8 @@
     auto check = r.get<uint32_t>();
     auto sequence = r.get<uint64_t>();
     auto syncedBefore = r.get<uint64_t>();
-    auto isPlausible = sequence >= first && sequence <= first + props_.fileBytes && size <= bytes.size() - at - kPieceHead && sequence != 0;
+    auto isPlausible = sequence >= first && sequence <= first + props_.fileBytes &&
+                       size <= bytes.size() - at - kPieceHead && sequence != 0;
     if (isPlausible) {
       auto body = bytes.substr(at + kPieceHead, size);
       if (check == crc(Writer().put(sequence).put(syncedBefore).take() + body)) {
@@ -265,7 +268,8 @@
     Fd fd(::open((name + ".new").c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
     if (!fd || !writeAll(fd.get(), bytes, 0) || ::fsync(fd.get()) != 0) return fail("cannot write a frame");
   }
-  if (::rename((name + ".new").c_str(), name.c_str()) != 0 || !syncFolder(props_.folder)) return fail("cannot place a frame");
+  if (::rename((name + ".new").c_str(), name.c_str()) != 0 || !syncFolder(props_.folder))
+    return fail("cannot place a frame");
   frames_ = number;
   frameNext_ = next_;
   synced_ = next_ - 1;
--- a/lib/disk/ring.hpp
+++ b/lib/disk/ring.hpp
@@ -91,11 +91,11 @@
   Props props_;
   std::vector<File> files_;
   std::vector<Piece> pieces_;
-  uint32_t at_ = 0;          // file being written
-  uint64_t offset_ = 0;      // in it
-  uint64_t next_ = 1;        // next sequence
-  uint64_t synced_ = 0;      // all up to here are synced
-  uint64_t frameNext_ = 1;   // first sequence that the newest frame doesn't cover
+  uint32_t at_ = 0;         // file being written
+  uint64_t offset_ = 0;     // in it
+  uint64_t next_ = 1;       // next sequence
+  uint64_t synced_ = 0;     // all up to here are synced
+  uint64_t frameNext_ = 1;  // first sequence that the newest frame doesn't cover
   uint64_t frames_ = 0;
   bool isBroken_ = false;
   Found found_;
--- a/lib/neighbour/messages.hpp
+++ b/lib/neighbour/messages.hpp
@@ -9,7 +9,22 @@
 
 namespace dykestage::neighbour {
 
-enum LetterKind : uint8_t { kTempo = 1, kHello = 2, kHave = 3, kPoll = 4, kFeed = 5, kAsk = 6, kReply = 7, kClaims = 8, kClaimed = 9, kKeyAsk = 10, kKeyTold = 11, kPing = 12, kPong = 13, kGather = 14 };
+enum LetterKind : uint8_t {
+  kTempo = 1,
+  kHello = 2,
+  kHave = 3,
+  kPoll = 4,
+  kFeed = 5,
+  kAsk = 6,
+  kReply = 7,
+  kClaims = 8,
+  kClaimed = 9,
+  kKeyAsk = 10,
+  kKeyTold = 11,
+  kPing = 12,
+  kPong = 13,
+  kGather = 14
+};
 
 /// What an edge saw of the old and the new revision's traffic, by rollout, since it started.
 using Samples = std::map<std::string, std::pair<policy::Sample, policy::Sample>>;
@@ -40,17 +55,18 @@
   std::map<std::string, uint64_t> heard;  // address → life
   bool mayForm = false;
   bool isDone = false;
-  std::vector<std::string> addresses;     // by slot, once it is done
+  std::vector<std::string> addresses;  // by slot, once it is done
   DYKESTAGE_FIELDS(life, heard, mayForm, isDone, addresses)
 };
 
 /// Registry to registry: what its pollers have, and the beats it heard, as ages.
 struct Have {
-  std::map<std::string, std::pair<uint64_t, std::pair<core::Revision, int64_t>>> members;  // name → incarnation, revision, age
-  std::map<std::string, int64_t> beats;                                                    // instance → age
-  std::map<std::string, std::map<std::string, bool>> probes;                               // instance → shield → answers
-  std::map<std::string, Samples> samples;                                                  // by edge
-  std::map<std::string, std::vector<std::string>> silent;                                  // by watcher
+  std::map<std::string, std::pair<uint64_t, std::pair<core::Revision, int64_t>>>
+      members;                                                // name → incarnation, revision, age
+  std::map<std::string, int64_t> beats;                       // instance → age
+  std::map<std::string, std::map<std::string, bool>> probes;  // instance → shield → answers
+  std::map<std::string, Samples> samples;                     // by edge
+  std::map<std::string, std::vector<std::string>> silent;     // by watcher
   DYKESTAGE_FIELDS(members, beats, probes, samples, silent)
 };
 
@@ -59,8 +75,8 @@
   uint64_t nonce = 0;
   std::string name;
   core::Member member;
-  core::Revision revision;  // in force at the data node
-  core::Revision has;       // held by the asker, for which only news is wanted
+  core::Revision revision;             // in force at the data node
+  core::Revision has;                  // held by the asker, for which only news is wanted
   std::map<std::string, bool> probes;  // shields: instance → answers
   Samples samples;                     // edges
   std::vector<std::string> silent;     // watched neighbours that do not answer
@@ -81,7 +97,7 @@
 /// A caller's request on its way from edge to shield. Times are what remains, never wall clocks.
 struct Ask {
   uint64_t id = 0;
-  uint64_t life = 0;     // of the edge: a later life at the same address uses the same ids
+  uint64_t life = 0;  // of the edge: a later life at the same address uses the same ids
   std::string service;
   core::UpstreamKind kind = core::UpstreamKind::kApplication;
   std::string method, target;
@@ -89,35 +105,37 @@
   std::string body;
   int64_t remainingMs = 0;
   int64_t keepMs = 0;
-  uint64_t purges = 0;   // purge number in force at the edge when it asked
-  bool isShared = false; // may be answered from the shared cache
-  bool isExtra = false;  // an extra try
-  bool isWrite = false;  // runs once at most
-  std::string key;       // Idempotency-Key
-  std::string pool;      // of upstreams; the service itself, where no route names one
-  int64_t tries = 3;     // upstreams that it may be sent to at most
-  int64_t rank = 0;      // 0 is highest
-  std::string tryId;     // the caller's name for this try; upstreams answer with it
-  bool mayWait = false;  // for its turn within a pool's rate: no other node is asked after this one
-  DYKESTAGE_FIELDS(id, life, service, kind, method, target, headers, body, remainingMs, keepMs, purges, isShared, isExtra, isWrite, key, pool, tries, rank, tryId, mayWait)
+  uint64_t purges = 0;    // purge number in force at the edge when it asked
+  bool isShared = false;  // may be answered from the shared cache
+  bool isExtra = false;   // an extra try
+  bool isWrite = false;   // runs once at most
+  std::string key;        // Idempotency-Key
+  std::string pool;       // of upstreams; the service itself, where no route names one
+  int64_t tries = 3;      // upstreams that it may be sent to at most
+  int64_t rank = 0;       // 0 is highest
+  std::string tryId;      // the caller's name for this try; upstreams answer with it
+  bool mayWait = false;   // for its turn within a pool's rate: no other node is asked after this one
+  DYKESTAGE_FIELDS(id, life, service, kind, method, target, headers, body, remainingMs, keepMs, purges, isShared,
+                   isExtra, isWrite, key, pool, tries, rank, tryId, mayWait)
 };
 
 /// A shield's answer to an Ask.
 struct Reply {
   uint64_t id = 0;
   uint64_t life = 0;
-  uint32_t code = 0;      // result code; 0: an upstream's whole answer
-  bool isUntouched = true; // no byte of the request went to an upstream
+  uint32_t code = 0;        // result code; 0: an upstream's whole answer
+  bool isUntouched = true;  // no byte of the request went to an upstream
   uint32_t status = 0;
   Headers headers;
   std::string body;
-  int64_t ageMs = 0;      // since the request to the upstream
+  int64_t ageMs = 0;  // since the request to the upstream
   int64_t heldMs = 0;
-  int64_t keepMs = 0;     // 0: not to be kept
-  uint64_t purges = 0;    // purge number when the fill began
-  bool isFetched = false; // an upstream was asked for it
-  int64_t retryMs = 0;    // turned away: when to come back; 0: not known
-  DYKESTAGE_FIELDS(id, life, code, isUntouched, status, headers, body, ageMs, heldMs, keepMs, purges, isFetched, retryMs)
+  int64_t keepMs = 0;      // 0: not to be kept
+  uint64_t purges = 0;     // purge number when the fill began
+  bool isFetched = false;  // an upstream was asked for it
+  int64_t retryMs = 0;     // turned away: when to come back; 0: not known
+  DYKESTAGE_FIELDS(id, life, code, isUntouched, status, headers, body, ageMs, heldMs, keepMs, purges, isFetched,
+                   retryMs)
 };
 
 /// Shield to registry, by way of its agent: claims of Idempotency-Keys before writes leave, and keys given back.
@@ -141,7 +159,7 @@
 /// Shield to shield: what became of a key that the other holds.
 struct KeyAsk {
   uint64_t nonce = 0;
-  uint64_t life = 0;    // of the asker
+  uint64_t life = 0;  // of the asker
   std::string key;
   uint64_t number = 0;  // of the claim by which it is held
   DYKESTAGE_FIELDS(nonce, life, key, number)
--- a/lib/neighbour/post.cpp
+++ b/lib/neighbour/post.cpp
@@ -13,7 +13,7 @@
 namespace {
 constexpr int64_t kIdleMs = 60000;
 constexpr int64_t kRedialMs = 100, kMostRedialMs = 800;
-}
+}  // namespace
 
 auto Post::open(Props props, std::function<void(Letter)> take, std::string& reason) -> std::unique_ptr<Post> {
   std::unique_ptr<Post> post(new Post(std::move(props)));
@@ -26,12 +26,15 @@
   nng_socket_set_size(post->pull_, NNG_OPT_RECVMAXSZ, post->props_.maxBytes);
   nng_socket_set_int(post->pull_, NNG_OPT_RECVBUF, 1024);
   nng_listener listener;
-  if (auto code = nng_listen(post->pull_, ("tcp://" + post->props_.address).c_str(), &listener, 0)) return fail("cannot listen on", code);
+  if (auto code = nng_listen(post->pull_, ("tcp://" + post->props_.address).c_str(), &listener, 0))
+    return fail("cannot listen on", code);
   if (post->props_.address.ends_with(":0")) {
     nng_sockaddr at;
-    if (auto code = nng_listener_get_addr(listener, NNG_OPT_LOCADDR, &at)) return fail("cannot learn the port of", code);
+    if (auto code = nng_listener_get_addr(listener, NNG_OPT_LOCADDR, &at))
+      return fail("cannot learn the port of", code);
     auto port = at.s_in.sa_port;  // network order
-    post->props_.address = post->props_.address.substr(0, post->props_.address.size() - 1) + std::to_string((port >> 8 | port << 8) & 0xffff);
+    post->props_.address = post->props_.address.substr(0, post->props_.address.size() - 1) +
+                           std::to_string((port >> 8 | port << 8) & 0xffff);
   }
   if (post->props_.advertise.empty()) post->props_.advertise = post->props_.address;
   auto* self = post.get();
@@ -44,7 +47,8 @@
       auto version = r.get<uint16_t>();
       if (version != kWireVersion) {
         if (self->strangers_.insert(version).second)
-          LOG(WARNING) << "post: Letters of wire version " << version << " are turned away; this process speaks " << kWireVersion << ".";
+          LOG(WARNING) << "post: Letters of wire version " << version << " are turned away; this process speaks "
+                       << kWireVersion << ".";
         continue;
       }
       auto letter = r.get<Letter>();
@@ -111,11 +115,14 @@
 }
 
 auto Post::prune(int64_t nowMs) -> void {
-  std::erase_if(lines_, [&](const auto& one) { return !one.second || (one.second->pipes <= 0 && nowMs - one.second->usedMs > kIdleMs); });
+  std::erase_if(lines_, [&](const auto& one) {
+    return !one.second || (one.second->pipes <= 0 && nowMs - one.second->usedMs > kIdleMs);
+  });
 }
 
 auto steadyMs() -> int64_t {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
 }
 
 namespace {
@@ -127,7 +134,8 @@
 
 auto hash(const std::string& text) -> uint64_t {
   uint64_t h = 14695981039346656037ull;
-  for (unsigned char c : text) h = (h ^ c) * 1099511628211ull;
+  for (unsigned char c : text)
+    h = (h ^ c) * 1099511628211ull;
   return mix(h);  // since the plain sum keeps near names near
 }
 
@@ -140,7 +148,8 @@
     best.insert(std::upper_bound(best.begin(), best.end(), one), one);
   }
   std::vector<size_t> places;
-  for (auto it = best.rbegin(); it != best.rend(); ++it) places.push_back(it->second);
+  for (auto it = best.rbegin(); it != best.rend(); ++it)
+    places.push_back(it->second);
   return places;
 }
 
--- a/lib/neighbour/post.hpp
+++ b/lib/neighbour/post.hpp
@@ -34,10 +34,10 @@
 class Post {
  public:
   struct Props {
-    std::string address;           // where it listens, ip:port; port 0 takes a free one
-    std::string advertise;         // what others are told; empty: the address itself
-    size_t maxBytes = 24u << 20;   // of one letter
-    int queued = 4096;             // letters that may wait on one line
+    std::string address;          // where it listens, ip:port; port 0 takes a free one
+    std::string advertise;        // what others are told; empty: the address itself
+    size_t maxBytes = 24u << 20;  // of one letter
+    int queued = 4096;            // letters that may wait on one line
   };
   /// Opens the listening side; letters go to `take` on a thread of the post's own.
   /// Example: `auto post = Post::open({"127.0.0.1:0"}, [&](Letter l) { inbox.push(std::move(l)); }, reason);`
@@ -51,8 +51,8 @@
   /// Passes a letter; false when it surely did not leave. Only one thread may call this.
   /// Example: `if (!post->send(to, kAsk, body)) tryNext();`
   auto send(const std::string& to, uint8_t kind, const std::string& body) -> bool;
-  /// Opens a line ahead of its first letter; one that does not come up is dialled anew, since what was sent to a machine
-  /// without power is not sent again for a second. Example: `post->warm(shield.address);`
+  /// Opens a line ahead of its first letter; one that does not come up is dialled anew, since what was sent to a
+  /// machine without power is not sent again for a second. Example: `post->warm(shield.address);`
   auto warm(const std::string& to) -> void { line(to); }
   /// True while a line is connected. Example: `if (!post->isUp(address)) ...`
   auto isUp(const std::string& to) -> bool;
@@ -84,8 +84,8 @@
 /// Orders names by their weight for a key, heaviest first (rendezvous hashing).
 /// Example: `auto owner = rendezvous("shop/cover/7", shields).front();`
 auto rendezvous(const std::string& key, std::vector<std::string> names) -> std::vector<std::string>;
-/// The places of the `count` heaviest of the names for a key, heaviest first, from hashes made before: one look at each.
-/// Example: `for (auto at : heaviest(hash("shop/cover/7"), nameHashes, 3)) ask(members[at]);`
+/// The places of the `count` heaviest of the names for a key, heaviest first, from hashes made before: one look at
+/// each. Example: `for (auto at : heaviest(hash("shop/cover/7"), nameHashes, 3)) ask(members[at]);`
 auto heaviest(uint64_t key, const std::vector<uint64_t>& names, size_t count) -> std::vector<size_t>;
 /// A stable 64-bit hash. Example: `hash("tenant-7") % 100`
 auto hash(const std::string& text) -> uint64_t;
--- a/lib/operator/configuration.cpp
+++ b/lib/operator/configuration.cpp
@@ -121,7 +121,9 @@
   in_addr address{};
   if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &address) != 1) return false;
   auto port = text.substr(colon + 1);
-  if (port.empty() || port.size() > 5 || !std::all_of(port.begin(), port.end(), [](char c) { return c >= '0' && c <= '9'; })) return false;
+  if (port.empty() || port.size() > 5 ||
+      !std::all_of(port.begin(), port.end(), [](char c) { return c >= '0' && c <= '9'; }))
+    return false;
   auto number = std::stoi(port);
   return number >= 1 && number <= 65535;
 }
@@ -140,7 +142,8 @@
 }
 
 // What a path of a service and one of a template's shape have in common. Returns the kind as written.
-auto readPathHead(Fields& p, std::string& prefix, core::UpstreamKind& into, std::set<std::string>& prefixes) -> std::string {
+auto readPathHead(Fields& p, std::string& prefix, core::UpstreamKind& into, std::set<std::string>& prefixes)
+    -> std::string {
   std::string kind;
   if (p.text("prefix", prefix, true) && !prefix.empty() && prefix[0] != '/') p.fault("prefix", "must start with /");
   if (!prefixes.insert(prefix).second) p.fault("prefix", "stands twice in this service");
@@ -153,7 +156,8 @@
 // A path's policy is compiled when it is configured; what does not compile is a fault.
 auto readPolicy(Fields& f, std::string& policy) -> void {
   std::string reason;
-  if (f.text("policy", policy) && !policy.empty() && !policy::Script::compile(policy, reason)) f.fault("policy", reason);
+  if (f.text("policy", policy) && !policy.empty() && !policy::Script::compile(policy, reason))
+    f.fault("policy", reason);
 }
 
 auto readService(const cJSON* json, const std::string& place, std::vector<Fault>& faults) -> Service {
@@ -251,7 +255,8 @@
   if (const auto* source = f.raw("source")) into = print(source);
 }
 
-auto readRoute(const cJSON* json, const std::string& place, std::vector<Fault>& faults, std::string& source) -> core::Route {
+auto readRoute(const cJSON* json, const std::string& place, std::vector<Fault>& faults, std::string& source)
+    -> core::Route {
   core::Route route;
   std::string kind;
   Fields f(json, place, faults);
@@ -290,7 +295,8 @@
   return route;
 }
 
-auto readPool(const cJSON* json, const std::string& place, std::vector<Fault>& faults, std::string& source) -> core::Pool {
+auto readPool(const cJSON* json, const std::string& place, std::vector<Fault>& faults, std::string& source)
+    -> core::Pool {
   core::Pool pool;
   Fields f(json, place, faults);
   if (f.text("probe", pool.probe) && !pool.probe.starts_with('/')) f.fault("probe", "must start with /");
@@ -302,7 +308,8 @@
 }
 
 // Named items: set by an object, retired by null.
-auto readItems(Fields& f, const std::string& key, std::vector<Fault>& faults, auto& items, auto& sources, auto read) -> void {
+auto readItems(Fields& f, const std::string& key, std::vector<Fault>& faults, auto& items, auto& sources, auto read)
+    -> void {
   const auto* list = f.raw(key);
   if (!list) return;
   if (!cJSON_IsObject(list)) return f.fault(key, "must be an object");
@@ -367,13 +374,16 @@
   merge(merged.pools, op.routing.pools);
   for (const auto& [name, route] : merged.routes)
     for (const auto& share : route.shares)
-      if (!merged.pools.count(share.pool)) faults.push_back({"routes." + name + ".shares", "no pool is named " + share.pool});
+      if (!merged.pools.count(share.pool))
+        faults.push_back({"routes." + name + ".shares", "no pool is named " + share.pool});
   return faults.empty();
 }
 
 auto writeRouting(const core::Routing& routing, const core::Sources& sources) -> std::string {
   Json json(cJSON_CreateObject(), cJSON_Delete);
-  auto number = [](cJSON* to, const char* key, auto value) { cJSON_AddNumberToObject(to, key, static_cast<double>(value)); };
+  auto number = [](cJSON* to, const char* key, auto value) {
+    cJSON_AddNumberToObject(to, key, static_cast<double>(value));
+  };
   auto source = [](cJSON* to, const std::string& text) {
     if (!text.empty()) cJSON_AddRawToObject(to, "source", text.c_str());
   };
@@ -388,9 +398,10 @@
     auto* r = cJSON_AddObjectToObject(routes, name.c_str());
     cJSON_AddStringToObject(r, "host", route.host.c_str());
     cJSON_AddStringToObject(r, "prefix", route.prefix.c_str());
-    cJSON_AddStringToObject(r, "kind", route.kind == core::RouteKind::kWriting    ? "writing"
-                                       : route.kind == core::RouteKind::kReadOnly ? "readOnly"
-                                                                                  : "cacheable");
+    cJSON_AddStringToObject(r, "kind",
+                            route.kind == core::RouteKind::kWriting    ? "writing"
+                            : route.kind == core::RouteKind::kReadOnly ? "readOnly"
+                                                                       : "cacheable");
     number(r, "giveUpMs", route.giveUpMs);
     number(r, "targetMs", route.targetMs);
     number(r, "rank", route.rank);
@@ -437,8 +448,10 @@
   f.close();
   if (!host.empty() && !op.purge.service.empty()) faults.push_back({"host", "either a service or a host may be given"});
   if (op.purge.service.empty()) op.purge.service = host;
-  if (op.purge.service.empty() && op.purge.label.empty()) faults.push_back({"service", "is missing; a label alone needs none"});
-  if (op.purge.path.empty() == op.purge.label.empty()) faults.push_back({"path", "either a path or a label must be given"});
+  if (op.purge.service.empty() && op.purge.label.empty())
+    faults.push_back({"service", "is missing; a label alone needs none"});
+  if (op.purge.path.empty() == op.purge.label.empty())
+    faults.push_back({"path", "either a path or a label must be given"});
   if (!faults.empty()) return std::nullopt;
   return op;
 }
@@ -468,8 +481,11 @@
   if (!kind.empty() && kind != "store" && kind != "application") f.fault("kind", "must be store or application");
   if (!u.address.empty() && !isAddress(u.address)) f.fault("address", "must be an IP number and a port");
   if (!op.name.empty() && !isName(op.name)) f.fault("instance", "a name has letters, digits, - _ . only, at most 64");
-  if (!state.empty() && state != "working" && state != "emptying" && state != "gone") f.fault("state", "must be working, emptying or gone");
-  u.kind = kind.empty() ? core::UpstreamKind::kAny : kind == "store" ? core::UpstreamKind::kStore : core::UpstreamKind::kApplication;
+  if (!state.empty() && state != "working" && state != "emptying" && state != "gone")
+    f.fault("state", "must be working, emptying or gone");
+  u.kind = kind.empty()      ? core::UpstreamKind::kAny
+           : kind == "store" ? core::UpstreamKind::kStore
+                             : core::UpstreamKind::kApplication;
   u.isEmptying = state == "emptying";
   if (isGone) op.kind = core::OpKind::kDeregister;
   if (!faults.empty()) return std::nullopt;
@@ -478,8 +494,8 @@
 
 namespace {
 // A number, or {"parameter": name}.
-auto readValue(Fields& f, const std::string& key, const std::string& place, int64_t low, int64_t high, const core::Template& shape,
-               std::vector<Fault>& faults, core::Value& value) -> void {
+auto readValue(Fields& f, const std::string& key, const std::string& place, int64_t low, int64_t high,
+               const core::Template& shape, std::vector<Fault>& faults, core::Value& value) -> void {
   const auto* item = f.raw(key);
   if (!item) return;
   if (!cJSON_IsObject(item)) {
@@ -496,7 +512,9 @@
     p.fault("parameter", "its bounds must lie within " + std::to_string(low) + " to " + std::to_string(high));
 }
 
-auto isWithin(int64_t value, int64_t low, int64_t high) -> bool { return value >= low && value <= high; }
+auto isWithin(int64_t value, int64_t low, int64_t high) -> bool {
+  return value >= low && value <= high;
+}
 }  // namespace
 
 auto readTemplate(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op> {
@@ -506,7 +524,8 @@
   op.kind = core::OpKind::kTemplate;
   Fields top(json.get(), "", faults);
   top.text("change", op.changeId);
-  if (top.text("name", op.name, true) && !isName(op.name)) top.fault("name", "a name has letters, digits, - _ . only, at most 64");
+  if (top.text("name", op.name, true) && !isName(op.name))
+    top.fault("name", "a name has letters, digits, - _ . only, at most 64");
   auto& shape = op.shape;
   Fields t(top.raw("template"), "template", faults);
   if (const auto* list = t.raw("parameters")) {
@@ -540,7 +559,8 @@
     Fields p(item, at, faults);
     auto kind = readPathHead(p, path.prefix, path.kind, prefixes);
     readValue(p, "keepMs", at, 0, 86400000, shape, faults, path.keepMs);
-    if (kind == "application" && (path.keepMs.number > 0 || !path.keepMs.parameter.empty())) p.fault("keepMs", "only what comes from a store may be kept");
+    if (kind == "application" && (path.keepMs.number > 0 || !path.keepMs.parameter.empty()))
+      p.fault("keepMs", "only what comes from a store may be kept");
     readPolicy(p, path.policy);
     p.close();
     shape.paths.push_back(path);
@@ -555,7 +575,8 @@
         points.stepsPermille.push_back(cJSON_IsNumber(item) ? static_cast<int64_t>(item->valuedouble) : -1);
       auto isRising = !points.stepsPermille.empty() && points.stepsPermille.size() <= 20;
       for (size_t i = 0; i < points.stepsPermille.size(); ++i)
-        isRising = isRising && isWithin(points.stepsPermille[i], 1, 900) && (i == 0 || points.stepsPermille[i] > points.stepsPermille[i - 1]);
+        isRising = isRising && isWithin(points.stepsPermille[i], 1, 900) &&
+                   (i == 0 || points.stepsPermille[i] > points.stepsPermille[i - 1]);
       if (!isRising) r.fault("stepsPermille", "must be rising numbers from 1 to 900, 20 at most");
     }
     r.integer("leastSample", 1, 1000000, points.leastSample);
@@ -575,7 +596,8 @@
   return op;
 }
 
-auto readTenants(const std::string& body, const core::State& state, std::vector<Fault>& faults) -> std::optional<core::Op> {
+auto readTenants(const std::string& body, const core::State& state, std::vector<Fault>& faults)
+    -> std::optional<core::Op> {
   auto json = parseWhole(body, faults);
   if (!json) return std::nullopt;
   core::Op op;
@@ -589,12 +611,14 @@
   if (!cJSON_IsObject(list) || !list->child) top.fault("tenants", "must be an object with at least one tenant");
   std::map<std::string, std::string> owners;
   for (const auto& [name, service] : state.frame().services)
-    for (const auto& host : service.hosts) owners[host] = name;
+    for (const auto& host : service.hosts)
+      owners[host] = name;
   for (const auto* item = cJSON_IsObject(list) ? list->child : nullptr; item; item = item->next) {
     std::string name = item->string;
     auto place = "tenants." + name;
     if (!isName(name)) faults.push_back({place, "a name has letters, digits, - _ . only, at most 64"});
-    if (state.frame().services.count(name) && !state.tenants().count(name)) faults.push_back({place, "is a service of the configuration"});
+    if (state.frame().services.count(name) && !state.tenants().count(name))
+      faults.push_back({place, "is a service of the configuration"});
     std::erase_if(owners, [&](const auto& one) { return one.second == name; });
     if (cJSON_IsNull(item)) {
       if (!state.tenants().count(name)) faults.push_back({place, "is no tenant, so that it can't be retired"});
@@ -621,7 +645,8 @@
           f.fault(at, "is not among the template's parameters");
         else if (!cJSON_IsNumber(value) || std::floor(value->valuedouble) != value->valuedouble ||
                  !isWithin(static_cast<int64_t>(value->valuedouble), parameter->second.low, parameter->second.high))
-          f.fault(at, "must be a whole number from " + std::to_string(parameter->second.low) + " to " + std::to_string(parameter->second.high));
+          f.fault(at, "must be a whole number from " + std::to_string(parameter->second.low) + " to " +
+                          std::to_string(parameter->second.high));
         else
           tenant.values[value->string] = static_cast<int64_t>(value->valuedouble);
       }
@@ -649,10 +674,14 @@
 namespace {
 auto verdictName(policy::Verdict verdict, bool isState) -> const char* {
   switch (verdict) {
-    case policy::Verdict::kHold: return isState ? "running" : "hold";
-    case policy::Verdict::kWiden: return "widen";
-    case policy::Verdict::kFallBack: return isState ? "fallen back" : "fall back";
-    case policy::Verdict::kFinish: return isState ? "finished" : "finish";
+    case policy::Verdict::kHold:
+      return isState ? "running" : "hold";
+    case policy::Verdict::kWiden:
+      return "widen";
+    case policy::Verdict::kFallBack:
+      return isState ? "fallen back" : "fall back";
+    case policy::Verdict::kFinish:
+      return isState ? "finished" : "finish";
   }
   return "";
 }
@@ -731,9 +760,11 @@
     auto* t = cJSON_AddObjectToObject(tenants, name.c_str());
     cJSON_AddStringToObject(t, "template", tenant.shape.c_str());
     auto* hosts = cJSON_AddArrayToObject(t, "hosts");
-    for (const auto& host : tenant.hosts) cJSON_AddItemToArray(hosts, cJSON_CreateString(host.c_str()));
+    for (const auto& host : tenant.hosts)
+      cJSON_AddItemToArray(hosts, cJSON_CreateString(host.c_str()));
     auto* values = cJSON_AddObjectToObject(t, "values");
-    for (const auto& [key, value] : tenant.values) cJSON_AddNumberToObject(values, key.c_str(), static_cast<double>(value));
+    for (const auto& [key, value] : tenant.values)
+      cJSON_AddNumberToObject(values, key.c_str(), static_cast<double>(value));
   }
   return print(json.get());
 }
@@ -746,7 +777,8 @@
   for (const auto& [name, service] : frame.services) {
     auto* s = cJSON_AddObjectToObject(services, name.c_str());
     auto* hosts = cJSON_AddArrayToObject(s, "hosts");
-    for (const auto& host : service.hosts) cJSON_AddItemToArray(hosts, cJSON_CreateString(host.c_str()));
+    for (const auto& host : service.hosts)
+      cJSON_AddItemToArray(hosts, cJSON_CreateString(host.c_str()));
     auto* paths = cJSON_AddArrayToObject(s, "paths");
     for (const auto& path : service.paths) {
       auto* p = cJSON_CreateObject();
@@ -764,10 +796,18 @@
   return print(json.get());
 }
 
-StatusPage::StatusPage(const std::string& program) : json_(cJSON_CreateObject(), cJSON_Delete) { text("program", program); }
-auto StatusPage::text(const char* key, const std::string& value) -> void { cJSON_AddStringToObject(json_.get(), key, value.c_str()); }
-auto StatusPage::flag(const char* key, bool value) -> void { cJSON_AddBoolToObject(json_.get(), key, value); }
-auto StatusPage::number(const char* key, double value) -> void { cJSON_AddNumberToObject(json_.get(), key, value); }
+StatusPage::StatusPage(const std::string& program) : json_(cJSON_CreateObject(), cJSON_Delete) {
+  text("program", program);
+}
+auto StatusPage::text(const char* key, const std::string& value) -> void {
+  cJSON_AddStringToObject(json_.get(), key, value.c_str());
+}
+auto StatusPage::flag(const char* key, bool value) -> void {
+  cJSON_AddBoolToObject(json_.get(), key, value);
+}
+auto StatusPage::number(const char* key, double value) -> void {
+  cJSON_AddNumberToObject(json_.get(), key, value);
+}
 auto StatusPage::revision(const core::Revision& revision) -> void {
   number("configuration", static_cast<double>(revision.configuration));
   number("purges", static_cast<double>(revision.purges));
@@ -783,7 +823,10 @@
   for (const auto& [name, u] : frame.upstreams) {
     auto* o = cJSON_AddObjectToObject(upstreams, name.c_str());
     cJSON_AddStringToObject(o, "service", u.service.c_str());
-    cJSON_AddStringToObject(o, "kind", u.kind == core::UpstreamKind::kStore ? "store" : u.kind == core::UpstreamKind::kAny ? "any" : "application");
+    cJSON_AddStringToObject(o, "kind",
+                            u.kind == core::UpstreamKind::kStore ? "store"
+                            : u.kind == core::UpstreamKind::kAny ? "any"
+                                                                 : "application");
     cJSON_AddStringToObject(o, "address", u.address.c_str());
     cJSON_AddStringToObject(o, "site", u.site.c_str());
     cJSON_AddNumberToObject(o, "capacity", static_cast<double>(u.capacity));
--- a/lib/operator/configuration.hpp
+++ b/lib/operator/configuration.hpp
@@ -54,8 +54,9 @@
 
 /// Takes a submitted configuration, whole or partial. Every fault is reported; with any fault nothing is kept.
 /// Example: `auto op = readConfiguration(body, frame.services, faults); if (!op) return turnAway(faults);`
-auto readConfiguration(const std::string& body, const std::map<std::string, core::Service>& now, std::vector<Fault>& faults,
-                       const std::map<std::string, core::Tenant>& tenants = {}) -> std::optional<core::Op>;
+auto readConfiguration(const std::string& body, const std::map<std::string, core::Service>& now,
+                       std::vector<Fault>& faults, const std::map<std::string, core::Tenant>& tenants = {})
+    -> std::optional<core::Op>;
 /// True when the submission named the revision it builds on itself. Example: `namesBase(body)`
 auto namesBase(const std::string& body) -> bool;
 /// Takes a template: {"change": id, "name": n, "template": {"parameters", "service", "rollout"}}.
@@ -63,7 +64,8 @@
 auto readTemplate(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op>;
 /// Takes tenants: {"change": id, "base": r, "tenants": {name: {"template", "hosts", "values"} or null}}.
 /// Example: `auto op = readTenants(body, state, faults);`
-auto readTenants(const std::string& body, const core::State& state, std::vector<Fault>& faults) -> std::optional<core::Op>;
+auto readTenants(const std::string& body, const core::State& state, std::vector<Fault>& faults)
+    -> std::optional<core::Op>;
 /// Templates and tenants as JSON. Example: `writeTemplates(state)`
 auto writeTemplates(const core::State& state) -> std::string;
 /// A rollout with the figures of each decision. Example: `writeRollout("retail-2", rollout)`
@@ -89,7 +91,8 @@
 auto writeRoster(const core::Frame& frame) -> std::string;
 
 /// What a program tells of itself at /status, in the order in which it is added.
-/// Example: `StatusPage page("edge"); page.flag("ready", isReady); page.number("open", edge.open()); return page.take();`
+/// Example: `StatusPage page("edge"); page.flag("ready", isReady); page.number("open", edge.open()); return
+/// page.take();`
 class StatusPage {
  public:
   explicit StatusPage(const std::string& program);
--- a/lib/operator/program.cpp
+++ b/lib/operator/program.cpp
@@ -17,7 +17,8 @@
 #include <sstream>
 
 ABSL_FLAG(std::string, settings, "", "file with the settings, as one JSON object");
-ABSL_FLAG(std::vector<std::string>, set, {}, "settings given one by one, key=value,key=value; they go before the file's");
+ABSL_FLAG(std::vector<std::string>, set, {},
+          "settings given one by one, key=value,key=value; they go before the file's");
 ABSL_FLAG(bool, check, false, "check the settings and stop");
 
 namespace dykestage::op {
@@ -33,7 +34,9 @@
   (void)!::write(stopEvent, &one, sizeof one);
 }
 
-auto onHangup(int) -> void { mustReread.store(true); }
+auto onHangup(int) -> void {
+  mustReread.store(true);
+}
 
 auto where() -> std::string {
   auto path = absl::GetFlag(FLAGS_settings);
@@ -62,11 +65,14 @@
   absl::FlagsUsageConfig config;
   config.version_string = [] { return std::string("dykestage ") + kVersion + "\n"; };
   // --help shows the program's own flags, whichever file they stand in.
-  config.contains_help_flags = [](absl::string_view file) { return file.find("program.cpp") != absl::string_view::npos; };
+  config.contains_help_flags = [](absl::string_view file) {
+    return file.find("program.cpp") != absl::string_view::npos;
+  };
   config.contains_helpshort_flags = config.contains_help_flags;
   absl::SetFlagsUsageConfig(config);
   auto left = absl::ParseCommandLine(argc, argv);
-  for (size_t i = 1; i < left.size(); ++i) program.words_.emplace_back(left[i]);
+  for (size_t i = 1; i < left.size(); ++i)
+    program.words_.emplace_back(left[i]);
   program.source_ = std::move(source);
   auto text = program.source_();
   if (!text) refuse("cannot read " + where());
@@ -109,7 +115,8 @@
 }
 
 auto Program::isWell() const -> bool {
-  for (const auto& fault : *faults_) LOG(ERROR) << "settings: " << fault.place << " " << fault.what << "; the earlier ones hold.";
+  for (const auto& fault : *faults_)
+    LOG(ERROR) << "settings: " << fault.place << " " << fault.what << "; the earlier ones hold.";
   return faults_->empty();
 }
 
@@ -134,7 +141,8 @@
 auto Program::ready() -> void {
   fields_->close();
   if (!faults_->empty()) {
-    for (const auto& fault : *faults_) std::cerr << "settings: " << fault.place << " " << fault.what << "\n";
+    for (const auto& fault : *faults_)
+      std::cerr << "settings: " << fault.place << " " << fault.what << "\n";
     std::exit(2);
   }
   if (absl::GetFlag(FLAGS_check)) {
@@ -153,8 +161,12 @@
   ::signal(SIGPIPE, SIG_IGN);
 }
 
-auto Program::isStopping() -> bool { return stopping.load(); }
-auto Program::stopFd() -> int { return stopEvent; }
+auto Program::isStopping() -> bool {
+  return stopping.load();
+}
+auto Program::stopFd() -> int {
+  return stopEvent;
+}
 
 auto splitAddress(const std::string& address) -> std::pair<std::string, uint16_t> {
   auto colon = address.rfind(':');
--- a/lib/operator/program.hpp
+++ b/lib/operator/program.hpp
@@ -37,9 +37,9 @@
   auto addresses(const std::string& key, std::vector<std::string>& into, size_t least) -> void;
   /// Ends the checking: exits with 2 on any fault, with 0 after --check; then logs and signals are set up.
   auto ready() -> void;
-  /// Looks for other settings about every second, and at once after SIGHUP; true when there are some: settings() is then
-  /// to be asked again, and isWell() tells whether what was asked has no fault; faults are logged.
-  /// Example: `if (program.reread(nowMs)) { program.addresses("seeds", fresh, 1); if (program.isWell()) seeds = fresh; }`
+  /// Looks for other settings about every second, and at once after SIGHUP; true when there are some: settings() is
+  /// then to be asked again, and isWell() tells whether what was asked has no fault; faults are logged. Example: `if
+  /// (program.reread(nowMs)) { program.addresses("seeds", fresh, 1); if (program.isWell()) seeds = fresh; }`
   auto reread(int64_t nowMs) -> bool;
   auto isWell() const -> bool;
   /// True once SIGTERM or SIGINT came; a second one changes nothing. Example: `while (!Program::isStopping()) ...`
--- a/lib/policy/cache.cpp
+++ b/lib/policy/cache.cpp
@@ -13,13 +13,18 @@
 using caller::lower;
 
 namespace {
-auto baseOf(const std::string& service, const std::string& target) -> std::string { return service + "\n" + target; }
+auto baseOf(const std::string& service, const std::string& target) -> std::string {
+  return service + "\n" + target;
+}
 
-auto keyOf(const std::string& base, const std::string& pool) -> std::string { return pool.empty() ? base : base + "\n@" + pool; }
+auto keyOf(const std::string& base, const std::string& pool) -> std::string {
+  return pool.empty() ? base : base + "\n@" + pool;
+}
 
 // A purge of a path means that path with every query.
 auto isAt(const std::string& target, const std::string& path) -> bool {
-  return target == path || (target.size() > path.size() && target.compare(0, path.size(), path) == 0 && target[path.size()] == '?');
+  return target == path ||
+         (target.size() > path.size() && target.compare(0, path.size(), path) == 0 && target[path.size()] == '?');
 }
 }  // namespace
 
@@ -36,7 +41,8 @@
   for (const auto& name : {"if-none-match", "if-modified-since", "if-match", "if-unmodified-since", "if-range"})
     if (has(headers, name)) return false;
   auto wishes = listOf(header(headers, "cache-control"));
-  return std::none_of(wishes.begin(), wishes.end(), [](const auto& w) { return w == "no-store" || w == "no-cache" || w == "max-age=0"; });
+  return std::none_of(wishes.begin(), wishes.end(),
+                      [](const auto& w) { return w == "no-store" || w == "no-cache" || w == "max-age=0"; });
 }
 
 auto termsOf(int status, const Headers& headers, int64_t pathKeepMs, const std::string& labelsName) -> Terms {
@@ -49,11 +55,13 @@
   for (const auto& [name, value] : headers) {
     auto n = lower(name);
     if (n == "vary")
-      for (auto& one : listOf(value)) terms.vary.push_back(one);
+      for (auto& one : listOf(value))
+        terms.vary.push_back(one);
     if (n == labels) {
       auto list = value;
       std::replace(list.begin(), list.end(), ' ', ',');
-      for (auto& one : listOf(list)) terms.labels.push_back(one);
+      for (auto& one : listOf(list))
+        terms.labels.push_back(one);
     }
     if (n != "cache-control") continue;
     for (const auto& wish : listOf(value)) {
@@ -61,7 +69,8 @@
       auto isOwn = wish.rfind("s-maxage=", 0) == 0;
       if (!isOwn && (wish.rfind("max-age=", 0) != 0 || isShared)) continue;
       auto digits = wish.substr(wish.find('=') + 1);
-      if (digits.empty() || digits.size() > 9 || !std::all_of(digits.begin(), digits.end(), [](char c) { return c >= '0' && c <= '9'; }))
+      if (digits.empty() || digits.size() > 9 ||
+          !std::all_of(digits.begin(), digits.end(), [](char c) { return c >= '0' && c <= '9'; }))
         keepMs = 0;
       else
         keepMs = std::min<int64_t>(keepMs, std::stoll(digits) * 1000);
@@ -74,7 +83,8 @@
   return terms;
 }
 
-auto Cache::get(const std::string& service, const std::string& target, const Headers& request, int64_t nowMs, const std::string& pool) -> std::shared_ptr<const Copy> {
+auto Cache::get(const std::string& service, const std::string& target, const Headers& request, int64_t nowMs,
+                const std::string& pool) -> std::shared_ptr<const Copy> {
   auto base = baseOf(service, target);
   auto vary = vary_.find(base);
   auto& byKey = items_.get<ByKey>();
@@ -102,8 +112,9 @@
   if (items_.get<ByBase>().count(base) == 0) vary_.erase(base);
 }
 
-auto Cache::put(const std::string& service, const std::string& target, const Headers& request, std::shared_ptr<const Copy> kept, const std::vector<std::string>& labels,
-                const std::string& pool) -> bool {
+auto Cache::put(const std::string& service, const std::string& target, const Headers& request,
+                std::shared_ptr<const Copy> kept, const std::vector<std::string>& labels, const std::string& pool)
+    -> bool {
   const auto& copy = *kept;
   if (copy.keepMs <= 0 || isPurgedSince(copy.purges, service, target, labels)) return false;
   auto base = baseOf(service, target);
@@ -120,25 +131,30 @@
   item.base = base;
   item.key = keyOf(base, pool) + variantOf(copy.vary, request);
   item.bytes = 512 + copy.body.size() + 2 * item.key.size();
-  for (const auto& [name, value] : copy.headers) item.bytes += name.size() + value.size();
+  for (const auto& [name, value] : copy.headers)
+    item.bytes += name.size() + value.size();
   if (item.bytes > boundBytes_ / 4) return false;
-  for (const auto& label : labels) item.labels.push_back(label);
+  for (const auto& label : labels)
+    item.labels.push_back(label);
   if (auto old = items_.get<ByKey>().find(item.key); old != items_.get<ByKey>().end()) {
     if (old->copy->bornMs > copy.bornMs) return false;  // what is here is newer
     drop(items_.project<0>(old));
   }
   vary_[base] = copy.vary;
-  for (const auto& label : item.labels) labelled_[label].insert(item.key);
+  for (const auto& label : item.labels)
+    labelled_[label].insert(item.key);
   bytes_ += item.bytes;
   item.copy = std::move(kept);
   items_.insert(std::move(item));
-  while (bytes_ > boundBytes_) drop(items_.project<0>(items_.get<ByUse>().begin()));
+  while (bytes_ > boundBytes_)
+    drop(items_.project<0>(items_.get<ByUse>().begin()));
   return true;
 }
 
 auto Cache::purge(const std::vector<core::Purge>& purges, uint64_t upTo, uint64_t floor) -> void {
   if (floor > purges_) {  // some purges can no longer be known: nothing kept is sure
-    while (!items_.empty()) drop(items_.begin());
+    while (!items_.empty())
+      drop(items_.begin());
     floor_ = std::max(floor_, floor);
   }
   for (const auto& purge : purges) {
@@ -149,7 +165,8 @@
         auto keys = it->second;
         for (const auto& key : keys) {
           auto item = items_.get<ByKey>().find(key);
-          auto isMeant = item != items_.get<ByKey>().end() && (purge.service.empty() || item->base.rfind(purge.service + "\n", 0) == 0);
+          auto isMeant = item != items_.get<ByKey>().end() &&
+                         (purge.service.empty() || item->base.rfind(purge.service + "\n", 0) == 0);
           if (isMeant) drop(items_.project<0>(item));
         }
       }
@@ -172,7 +189,8 @@
   }
 }
 
-auto Cache::isPurged(uint64_t since, const std::string& service, const std::function<bool(const core::Purge&)>& concerns) const -> bool {
+auto Cache::isPurged(uint64_t since, const std::string& service,
+                     const std::function<bool(const core::Purge&)>& concerns) const -> bool {
   if (since >= purges_) return false;
   if (since < floor_) return true;
   for (auto it = log_.rbegin(); it != log_.rend() && it->number > since; ++it)
@@ -180,10 +198,11 @@
   return false;
 }
 
-auto Cache::isPurgedSince(uint64_t since, const std::string& service, const std::string& target, const std::vector<std::string>& labels) const
-    -> bool {
+auto Cache::isPurgedSince(uint64_t since, const std::string& service, const std::string& target,
+                          const std::vector<std::string>& labels) const -> bool {
   return isPurged(since, service, [&](const auto& purge) {
-    return purge.label.empty() ? isAt(target, purge.path) : std::find(labels.begin(), labels.end(), lower(purge.label)) != labels.end();
+    return purge.label.empty() ? isAt(target, purge.path)
+                               : std::find(labels.begin(), labels.end(), lower(purge.label)) != labels.end();
   });
 }
 
@@ -198,7 +217,9 @@
 auto TryBudgets::of(const core::Frame& frame, const std::string& service, double partOfAllowance) -> TryBudget& {
   auto& budget = budgets_.try_emplace(service, 0.0, 0.0, bounds_.windowMs).first->second;
   auto it = frame.services.find(service);
-  auto bounds = it == frame.services.end() ? bounds_ : TryBounds{static_cast<double>(it->second.triesPercent) / 100, static_cast<double>(it->second.triesAllowance)};
+  auto bounds = it == frame.services.end() ? bounds_
+                                           : TryBounds{static_cast<double>(it->second.triesPercent) / 100,
+                                                       static_cast<double>(it->second.triesAllowance)};
   budget.set(bounds.share * part_, bounds.allowance * part_ * partOfAllowance);
   return budget;
 }
@@ -237,7 +258,8 @@
   // Whoever took over an earlier life's part can't know who has left of late and may still act: it leaves room for a
   // quarter of all, one at least.
   if (wasListed_ && nowMs - sinceMs_ < leaseMs_) most += std::max<size_t>(1, most / 4);
-  for (const auto& [untilMs, count] : seen_) most = std::max(most, count);
+  for (const auto& [untilMs, count] : seen_)
+    most = std::max(most, count);
   return most;
 }
 
--- a/lib/policy/cache.hpp
+++ b/lib/policy/cache.hpp
@@ -1,11 +1,11 @@
 // Policy: what may be kept, for how long; how much may be asked of an origin; which upstream to place on.
 #pragma once
+#include <algorithm>
 #include <boost/multi_index/hashed_index.hpp>
 #include <boost/multi_index/member.hpp>
 #include <boost/multi_index/ordered_index.hpp>
 #include <boost/multi_index/sequenced_index.hpp>
 #include <boost/multi_index_container.hpp>
-#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -26,9 +26,9 @@
   int status = 200;
   Headers headers;
   std::string body;
-  int64_t bornMs = 0;    // when the request to the origin left, on this node's steady clock
+  int64_t bornMs = 0;  // when the request to the origin left, on this node's steady clock
   int64_t keepMs = 0;
-  uint64_t purges = 0;   // purge number when the fill began
+  uint64_t purges = 0;            // purge number when the fill began
   std::vector<std::string> vary;  // names of the request headers that it depends on
 };
 
@@ -40,7 +40,8 @@
 };
 /// Reads an answer's terms, within the path's own keep time.
 /// Example: `auto terms = termsOf(200, headers, path.keepMs); if (terms.keepMs > 0) cache.put(...);`
-auto termsOf(int status, const Headers& headers, int64_t pathKeepMs, const std::string& labelsName = "Dykestage-Labels") -> Terms;
+auto termsOf(int status, const Headers& headers, int64_t pathKeepMs, const std::string& labelsName = "Dykestage-Labels")
+    -> Terms;
 /// True when a request may be answered from a shared copy. Example: `isShareable("GET", headers)`
 auto isShareable(const std::string& method, const Headers& headers) -> bool;
 
@@ -58,18 +59,22 @@
   explicit Cache(size_t boundBytes) : boundBytes_(boundBytes) {}
   /// The copy that fits a request and is still within its keep time; null otherwise. Where a route's traffic is
   /// split, a copy belongs to the pool that it came from.
-  auto get(const std::string& service, const std::string& target, const Headers& request, int64_t nowMs, const std::string& pool = "") -> std::shared_ptr<const Copy>;
+  auto get(const std::string& service, const std::string& target, const Headers& request, int64_t nowMs,
+           const std::string& pool = "") -> std::shared_ptr<const Copy>;
   /// Keeps a copy unless a purge that it missed has been in force since its fill began; false then.
-  auto put(const std::string& service, const std::string& target, const Headers& request, std::shared_ptr<const Copy> copy, const std::vector<std::string>& labels,
-           const std::string& pool = "") -> bool;
-  auto put(const std::string& service, const std::string& target, const Headers& request, Copy copy, const std::vector<std::string>& labels) -> bool {
+  auto put(const std::string& service, const std::string& target, const Headers& request,
+           std::shared_ptr<const Copy> copy, const std::vector<std::string>& labels, const std::string& pool = "")
+      -> bool;
+  auto put(const std::string& service, const std::string& target, const Headers& request, Copy copy,
+           const std::vector<std::string>& labels) -> bool {
     return put(service, target, request, std::make_shared<const Copy>(std::move(copy)), labels);
   }
   /// Brings purges in force, in order; a gap in their numbers empties the cache.
   /// Example: `cache.purge(frame.purges, frame.revision.purges, frame.purgeFloor);`
   auto purge(const std::vector<core::Purge>& purges, uint64_t upTo, uint64_t floor) -> void;
   /// True when a fill begun at `since` may have read what a purge meant to remove.
-  auto isPurgedSince(uint64_t since, const std::string& service, const std::string& target, const std::vector<std::string>& labels) const -> bool;
+  auto isPurgedSince(uint64_t since, const std::string& service, const std::string& target,
+                     const std::vector<std::string>& labels) const -> bool;
   /// The same before the answer is there: its labels are not known, so that any label of the service counts.
   /// Example: `if (cache.mayBePurgedSince(leader.purges, service, target)) fetchAnew();`
   auto mayBePurgedSince(uint64_t since, const std::string& service, const std::string& target) const -> bool;
@@ -89,18 +94,21 @@
   struct ByUse {};
   using Items = boost::multi_index_container<
       Item, boost::multi_index::indexed_by<
-                boost::multi_index::hashed_unique<boost::multi_index::tag<ByKey>, boost::multi_index::member<Item, std::string, &Item::key>>,
-                boost::multi_index::ordered_non_unique<boost::multi_index::tag<ByBase>, boost::multi_index::member<Item, std::string, &Item::base>>,
+                boost::multi_index::hashed_unique<boost::multi_index::tag<ByKey>,
+                                                  boost::multi_index::member<Item, std::string, &Item::key>>,
+                boost::multi_index::ordered_non_unique<boost::multi_index::tag<ByBase>,
+                                                       boost::multi_index::member<Item, std::string, &Item::base>>,
                 boost::multi_index::sequenced<boost::multi_index::tag<ByUse>>>>;
   auto drop(Items::iterator it) -> void;
-  auto isPurged(uint64_t since, const std::string& service, const std::function<bool(const core::Purge&)>& concerns) const -> bool;
+  auto isPurged(uint64_t since, const std::string& service,
+                const std::function<bool(const core::Purge&)>& concerns) const -> bool;
 
   size_t boundBytes_;
   size_t bytes_ = 0;
   Items items_;
-  std::map<std::string, std::vector<std::string>> vary_;             // base → names
-  std::map<std::string, std::set<std::string>> labelled_;           // label → keys
-  std::vector<core::Purge> log_;                                     // purges still known by number
+  std::map<std::string, std::vector<std::string>> vary_;   // base → names
+  std::map<std::string, std::set<std::string>> labelled_;  // label → keys
+  std::vector<core::Purge> log_;                           // purges still known by number
   uint64_t purges_ = 0, floor_ = 0;
 };
 
@@ -108,7 +116,8 @@
 /// Example: `if (budget.mayTry(nowMs)) { budget.tried(nowMs); askAgain(); }`
 class TryBudget {
  public:
-  explicit TryBudget(double share, double allowance, int64_t windowMs = 10000) : share_(share), allowance_(allowance), sliceMs_(std::max<int64_t>(1, windowMs / 100)) {}
+  explicit TryBudget(double share, double allowance, int64_t windowMs = 10000)
+      : share_(share), allowance_(allowance), sliceMs_(std::max<int64_t>(1, windowMs / 100)) {}
   auto asked(int64_t nowMs) -> void { at(nowMs).asked += 1; }
   auto tried(int64_t nowMs) -> void { at(nowMs).tried += 1; }
   auto mayTry(int64_t nowMs) -> bool;
@@ -128,13 +137,13 @@
 
 /// What all nodes together may try beyond the first time, of a pool that says nothing of its own.
 struct TryBounds {
-  double share = 0.2;      // of the requests for it
-  double allowance = 10;   // and so many more
+  double share = 0.2;     // of the requests for it
+  double allowance = 10;  // and so many more
   int64_t windowMs = 10000;
 };
 
-/// The budgets of all services and pools at one node: its part of what may be tried, shared among the nodes of its kind.
-/// Example: `TryBudgets budgets("edge", 0.25, {}); if (budgets.of(frame, "shop").mayTry(nowMs)) ...`
+/// The budgets of all services and pools at one node: its part of what may be tried, shared among the nodes of its
+/// kind. Example: `TryBudgets budgets("edge", 0.25, {}); if (budgets.of(frame, "shop").mayTry(nowMs)) ...`
 class TryBudgets {
  public:
   TryBudgets(std::string kind, double part, TryBounds bounds) : kind_(std::move(kind)), part_(part), bounds_(bounds) {}
@@ -176,8 +185,8 @@
 /// How an origin's agreed rate is judged: over any window, with so much above it.
 struct RateBounds {
   double windowS = 5;
-  double over = 1.0;    // times the rate
-  double slack = 0;     // and so many requests
+  double over = 1.0;  // times the rate
+  double slack = 0;   // and so many requests
   /// What one of `nodes` may use of a rate, a second, so that all together stay within the bounds: each may gather a
   /// fifth of a second of its share, one request at least. Example: `bounds.share(540, 8)`
   auto share(double ratePerS, size_t nodes) const -> double;
--- a/lib/policy/placement.cpp
+++ b/lib/policy/placement.cpp
@@ -11,8 +11,8 @@
 constexpr double kUnknownMs = 50;  // where nothing is known of a whole pool
 constexpr double kColdFactor = 2;
 constexpr double kSmooth = 0.15;
-constexpr int64_t kSlotsPerNode = 8;    // with as many a node, told load is enough to go by
-constexpr int64_t kSlotsPerKeeper = 48; // that one node keeps, about
+constexpr int64_t kSlotsPerNode = 8;     // with as many a node, told load is enough to go by
+constexpr int64_t kSlotsPerKeeper = 48;  // that one node keeps, about
 }  // namespace
 
 auto Health::left(uint64_t id, int64_t nowMs) -> void {
@@ -37,7 +37,8 @@
   if (nowMs < h.coldUntilMs) baseMs *= kColdFactor;
   // A request that takes far too long has lost its answer, more likely than it still holds a slot.
   auto lostMs = static_cast<int64_t>(3 * baseMs);
-  auto own = static_cast<int>(std::count_if(h.since.begin(), h.since.end(), [&](const auto& one) { return nowMs - one.first <= lostMs; }));
+  auto own = static_cast<int>(
+      std::count_if(h.since.begin(), h.since.end(), [&](const auto& one) { return nowMs - one.first <= lostMs; }));
   // What has not been answered for long tells of trouble before any answer does.
   if (!h.since.empty()) {
     auto oldestMs = static_cast<double>(nowMs - h.since.begin()->first);
@@ -46,8 +47,11 @@
   // Between two tellings, what others send is taken for what it was; without any, for nothing. Where no others send,
   // what it tells shows which of this node's own requests are over there, though their answers are lost.
   auto isTold = h.toldMs >= 0 && nowMs - h.toldMs < props.loadMs;
-  auto newer = static_cast<int>(std::count_if(h.since.begin(), h.since.end(), [&](const auto& one) { return one.first >= h.toldMs; }));
-  auto busy = !isTold ? own : props.isKept ? std::min(own, h.told + newer) : std::max(own, h.told + h.open - h.openWhenTold);
+  auto newer = static_cast<int>(
+      std::count_if(h.since.begin(), h.since.end(), [&](const auto& one) { return one.first >= h.toldMs; }));
+  auto busy = !isTold        ? own
+              : props.isKept ? std::min(own, h.told + newer)
+                             : std::max(own, h.told + h.open - h.openWhenTold);
   Placement p;
   p.waitMs = std::max(0.0, busy + 1 - slots) * baseMs / slots;
   auto share = std::min(1.0, busy / slots);
@@ -64,14 +68,15 @@
   return count ? sum / count : 0;
 }
 
-auto choose(const std::vector<Candidate>& candidates, const std::set<std::string>& tried, const PlacementProps& props, uint64_t dice, int64_t nowMs)
-    -> std::optional<Placement> {
+auto choose(const std::vector<Candidate>& candidates, const std::set<std::string>& tried, const PlacementProps& props,
+            uint64_t dice, int64_t nowMs) -> std::optional<Placement> {
   std::vector<std::pair<Placement, double>> weighted;
   auto sum = 0.0;
   auto poolMs = poolMean(candidates);
   auto isShunned = [&](const Candidate& one) { return one.health->shunUntilMs > nowMs; };
   // Where every one is shunned, shunning helps nobody: one that answers now and then is better than none.
-  auto isPanic = std::all_of(candidates.begin(), candidates.end(), [&](const auto& one) { return tried.count(*one.name) || isShunned(one); });
+  auto isPanic = std::all_of(candidates.begin(), candidates.end(),
+                             [&](const auto& one) { return tried.count(*one.name) || isShunned(one); });
   for (size_t i = 0; i < candidates.size(); ++i) {
     const auto& one = candidates[i];
     if (tried.count(*one.name) || (isShunned(one) && !isPanic)) continue;
@@ -97,12 +102,14 @@
   int64_t slots = 0;
   for (const auto& [name, upstream] : frame.upstreams)
     if (upstream.service == pool && !upstream.isEmptying && !upstream.isHeld) slots += upstream.capacity;
-  if (slots == 0 || fetchers.size() < 2 || slots >= kSlotsPerNode * static_cast<int64_t>(fetchers.size())) return dispatch;
+  if (slots == 0 || fetchers.size() < 2 || slots >= kSlotsPerNode * static_cast<int64_t>(fetchers.size()))
+    return dispatch;
   auto count = static_cast<size_t>((slots + kSlotsPerKeeper - 1) / kSlotsPerKeeper);
   dispatch.nodes = neighbour::heaviest(neighbour::hash("pool\n" + pool), fetchers, count);
   dispatch.slots.resize(dispatch.nodes.size());
   std::vector<uint64_t> names;
-  for (auto at : dispatch.nodes) names.push_back(fetchers[at]);
+  for (auto at : dispatch.nodes)
+    names.push_back(fetchers[at]);
   for (const auto& [name, upstream] : frame.upstreams) {
     if (upstream.service != pool || upstream.isEmptying || upstream.isHeld) continue;
     auto keeper = neighbour::heaviest(neighbour::hash(name), names, 1).front();
--- a/lib/policy/script.cpp
+++ b/lib/policy/script.cpp
@@ -31,13 +31,16 @@
   return made;
 }
 
-auto onCount(lua_State* lua, lua_Debug*) -> void { luaL_error(lua, "runs too long"); }
+auto onCount(lua_State* lua, lua_Debug*) -> void {
+  luaL_error(lua, "runs too long");
+}
 
 auto hasPart(lua_State* lua) -> int {
   size_t textSize = 0, partSize = 0;
   const auto* text = luaL_checklstring(lua, 1, &textSize);
   const auto* part = luaL_checklstring(lua, 2, &partSize);
-  lua_pushboolean(lua, std::string_view(text, textSize).find(std::string_view(part, partSize)) != std::string_view::npos);
+  lua_pushboolean(lua,
+                  std::string_view(text, textSize).find(std::string_view(part, partSize)) != std::string_view::npos);
   return 1;
 }
 
@@ -96,7 +99,8 @@
   if (lua_pcall(lua, 0, 0, 0) != LUA_OK) return fail(lua, reason);
   lua_sethook(lua, onCount, LUA_MASKCOUNT, kInstructions);
   // Text only: compiled chunks could break the machine itself.
-  if (luaL_loadbufferx(lua, text.data(), text.size(), "policy", "t") != LUA_OK || lua_pcall(lua, 0, 0, 0) != LUA_OK) return fail(lua, reason);
+  if (luaL_loadbufferx(lua, text.data(), text.size(), "policy", "t") != LUA_OK || lua_pcall(lua, 0, 0, 0) != LUA_OK)
+    return fail(lua, reason);
   if (lua_getglobal(lua, "decide") != LUA_TFUNCTION) {
     reason = "does not define decide(request)";
     return std::nullopt;
@@ -105,7 +109,8 @@
   return script;
 }
 
-auto Script::run(const std::string& method, const std::string& host, const std::string& target, std::string& reason) -> std::optional<Ruling> {
+auto Script::run(const std::string& method, const std::string& host, const std::string& target, std::string& reason)
+    -> std::optional<Ruling> {
   auto* lua = state_->lua;
   struct Call {
     const std::string *method, *host, *target;
@@ -134,7 +139,8 @@
     lua_pushliteral(lua, "keepMs");
     lua_rawget(lua, -2);
     if (lua_isnil(lua, -1)) return 0;
-    if (!lua_isinteger(lua, -1) || lua_tointeger(lua, -1) < 0) return luaL_error(lua, "keepMs must be a whole number from 0");
+    if (!lua_isinteger(lua, -1) || lua_tointeger(lua, -1) < 0)
+      return luaL_error(lua, "keepMs must be a whole number from 0");
     call.ruling.keepMs = lua_tointeger(lua, -1);
     return 0;
   };
--- a/lib/policy/script.hpp
+++ b/lib/policy/script.hpp
@@ -30,7 +30,8 @@
   /// Nothing when the text is no script that defines decide, with the reason.
   static auto compile(const std::string& text, std::string& reason) -> std::optional<Script>;
   /// Nothing when the script fails, runs too long or wants too much memory; the caller goes on without it.
-  auto run(const std::string& method, const std::string& host, const std::string& target, std::string& reason) -> std::optional<Ruling>;
+  auto run(const std::string& method, const std::string& host, const std::string& target, std::string& reason)
+      -> std::optional<Ruling>;
 
  private:
   struct State;
--- a/lib/program/agent.cpp
+++ b/lib/program/agent.cpp
@@ -17,14 +17,16 @@
 constexpr size_t kNeighbours = 3;
 
 // The few agents that this one knows: it watches them, and asks them when no registry answers. Names, addresses.
-auto neighboursOf(const core::Frame& frame, const std::string& name) -> std::vector<std::pair<std::string, std::string>> {
+auto neighboursOf(const core::Frame& frame, const std::string& name)
+    -> std::vector<std::pair<std::string, std::string>> {
   std::vector<std::string> names;
   for (const auto& [other, member] : frame.members)
     if (other != name && !member.agent.empty()) names.push_back(other);
   auto order = neighbour::rendezvous(name, names);
   if (order.size() > kNeighbours) order.resize(kNeighbours);
   std::vector<std::pair<std::string, std::string>> list;
-  for (const auto& other : order) list.emplace_back(other, frame.members.at(other).agent);
+  for (const auto& other : order)
+    list.emplace_back(other, frame.members.at(other).agent);
   return list;
 }
 auto statusPage(const caller::HeldFrame& held, const std::string& target, int64_t nowMs, bool isReady) -> std::string {
@@ -82,7 +84,8 @@
   for (;;) {
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}, {pages.fd(), POLLIN, 0}};
     if (stopAtMs < 0) fds.push_back({op::Program::stopFd(), POLLIN, 0});
-    for (auto& stream : writing) fds.push_back({stream->fd(), POLLOUT, 0});
+    for (auto& stream : writing)
+      fds.push_back({stream->fd(), POLLOUT, 0});
     ::poll(fds.data(), fds.size(), static_cast<int>(boundMs / 40));
     auto nowMs = neighbour::steadyMs();
     // A proxy that empties at the same time is fed until it is gone.
@@ -136,12 +139,15 @@
       }
     }
     const auto& held = follower.held();
-    for (auto& [to, feed] : toProxy.give(*held.frame, held.asOfMs, nowMs)) inner->send(to, neighbour::kFeed, Writer().put(feed).take());
-    for (auto& [to, feed] : toNeighbours.give(*held.frame, held.asOfMs, nowMs)) outer->send(to, neighbour::kFeed, Writer().put(feed).take());
+    for (auto& [to, feed] : toProxy.give(*held.frame, held.asOfMs, nowMs))
+      inner->send(to, neighbour::kFeed, Writer().put(feed).take());
+    for (auto& [to, feed] : toNeighbours.give(*held.frame, held.asOfMs, nowMs))
+      outer->send(to, neighbour::kFeed, Writer().put(feed).take());
     if (proxyMs >= 0 && nowMs - proxyMs < boundMs) {
       auto targets = order;
       auto neighbours = neighboursOf(*held.frame, name);
-      for (auto& [other, at] : neighbours) targets.push_back(at);
+      for (auto& [other, at] : neighbours)
+        targets.push_back(at);
       if (nowMs - pingedMs >= boundMs / 4) {
         pingedMs = nowMs;
         std::map<std::string, int64_t> watched;
@@ -163,7 +169,8 @@
       } else if (follower.isAsking() && !outer->isUp(follower.target())) {
         follower.lost(nowMs);
       }
-      for (const auto& at : targets) outer->warm(at);
+      for (const auto& at : targets)
+        outer->warm(at);
     }
     outer->prune(nowMs);
     inner->prune(nowMs);
--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -85,9 +85,15 @@
   s.integer("graceMs", 100, 600000, graceMs);
   if (auto h = program.part("headers")) {
     auto& names = props.names;
-    for (auto [key, name] : std::initializer_list<std::pair<const char*, std::string*>>{
-             {"try", &names.tryId}, {"timeLeft", &names.timeLeft}, {"instance", &names.instance}, {"service", &names.service}, {"extra", &names.extra},
-             {"load", &names.load}, {"labels", &names.labels}, {"notRun", &names.notRun}, {"seal", &names.seal}})
+    for (auto [key, name] : std::initializer_list<std::pair<const char*, std::string*>>{{"try", &names.tryId},
+                                                                                        {"timeLeft", &names.timeLeft},
+                                                                                        {"instance", &names.instance},
+                                                                                        {"service", &names.service},
+                                                                                        {"extra", &names.extra},
+                                                                                        {"load", &names.load},
+                                                                                        {"labels", &names.labels},
+                                                                                        {"notRun", &names.notRun},
+                                                                                        {"seal", &names.seal}})
       h->text(key, *name);
     h->close();
   }
@@ -123,7 +129,8 @@
   std::string reason;
   neighbour::Post::Props postProps{listen.empty() ? address : listen, address};
   postProps.maxBytes = static_cast<size_t>(bodyBytes) * 2 + (1 << 20);
-  auto post = neighbour::Post::open(postProps, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
+  auto post = neighbour::Post::open(
+      postProps, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
   if (!post) {
     LOG(ERROR) << "edge: " << reason;
     return 3;
@@ -156,19 +163,24 @@
     own.life = props.life;
     shield.emplace(own, cache);
   }
-  agent::Link link({props.name, {fetches ? "proxy" : "edge", props.site, post->address(), "", props.life}, agentAt, boundMs},
-                   [&](caller::HeldFrame f) { inbox.push(std::move(f)); }, [&](neighbour::Letter l) { inbox.push(std::move(l)); });
+  agent::Link link(
+      {props.name, {fetches ? "proxy" : "edge", props.site, post->address(), "", props.life}, agentAt, boundMs},
+      [&](caller::HeldFrame f) { inbox.push(std::move(f)); }, [&](neighbour::Letter l) { inbox.push(std::move(l)); });
   std::optional<upstream::Desk> desk;
-  if (shield) desk.emplace(*shield, fetcher, *post, link, upstream::Desk::Props{post->address(), boundMs, [&](const neighbour::Reply& r) {
-    edge.takeReply(post->address(), r, neighbour::steadyMs());
-  }});
+  if (shield)
+    desk.emplace(*shield, fetcher, *post, link,
+                 upstream::Desk::Props{post->address(), boundMs, [&](const neighbour::Reply& r) {
+                                         edge.takeReply(post->address(), r, neighbour::steadyMs());
+                                       }});
   auto open = [&](const std::string& at, int count, auto wrap) {
     auto [ip, port] = op::splitAddress(at);
-    return std::make_unique<caller::Face>(caller::Face::Props{ip, port, count, static_cast<size_t>(bodyBytes)}, [&inbox, wrap](caller::Request r) {
-      auto stream = r.stream;
-      auto method = r.method;
-      if (!inbox.push(wrap(std::move(r)))) stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
-    });
+    return std::make_unique<caller::Face>(caller::Face::Props{ip, port, count, static_cast<size_t>(bodyBytes)},
+                                          [&inbox, wrap](caller::Request r) {
+                                            auto stream = r.stream;
+                                            auto method = r.method;
+                                            if (!inbox.push(wrap(std::move(r))))
+                                              stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
+                                          });
   };
   auto face = open(http, static_cast<int>(threads), [](caller::Request r) { return Input(std::move(r)); });
   auto pages = open(status, 1, [](caller::Request r) { return Input(Page{std::move(r)}); });
@@ -180,7 +192,8 @@
   int64_t warmedMs = 0, toldMs = 0;
   for (;;) {
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
-    for (auto& stream : writing) fds.push_back({stream->fd(), POLLOUT, 0});
+    for (auto& stream : writing)
+      fds.push_back({stream->fd(), POLLOUT, 0});
     // Deadlines are looked at every few ms while anything waits.
     auto isIdle = edge.open() == 0 && (!desk || desk->isIdle());
     auto waitMs = isIdle ? boundMs / 40 : boundMs / 200;
@@ -190,12 +203,15 @@
     else
       ::poll(fds.data(), fds.size(), static_cast<int>(waitMs));
     auto nowMs = neighbour::steadyMs();
-    for (auto& fetched : ended) shield->takeFetched(fetched, nowMs);
+    for (auto& fetched : ended)
+      shield->takeFetched(fetched, nowMs);
     auto isReady = edge.isCurrent(nowMs) && stopAtMs < 0;
     for (auto& input : inbox.take()) {
       if (auto* request = std::get_if<caller::Request>(&input)) {
-        if (recorder && !recorder->add({nowMs - recordSinceMs, request->method, caller::header(request->headers, "host"), request->target,
-                                        static_cast<int64_t>(request->body.size()), caller::has(request->headers, "idempotency-key")})) {
+        if (recorder &&
+            !recorder->add({nowMs - recordSinceMs, request->method, caller::header(request->headers, "host"),
+                            request->target, static_cast<int64_t>(request->body.size()),
+                            caller::has(request->headers, "idempotency-key")})) {
           LOG(INFO) << "edge: The record ends here.";
           recorder.reset();
         }
@@ -211,18 +227,21 @@
         }
       }
       if (auto* held = std::get_if<caller::HeldFrame>(&input)) {
-        if (held->frame->revision.configuration != edge.revision().configuration) LOG(INFO) << "edge: Configuration " << held->frame->revision.configuration << " is in force.";
+        if (held->frame->revision.configuration != edge.revision().configuration)
+          LOG(INFO) << "edge: Configuration " << held->frame->revision.configuration << " is in force.";
         edge.takeFrame(*held, nowMs);
         if (shield) shield->takeFrame(*held, nowMs);
         const auto& limits = edge.limits();
-        face->limit(static_cast<size_t>(limits.headerBytes), static_cast<size_t>(std::min(limits.bodyBytes, bodyBytes)), limits.headerMs, limits.idleMs);
+        face->limit(static_cast<size_t>(limits.headerBytes), static_cast<size_t>(std::min(limits.bodyBytes, bodyBytes)),
+                    limits.headerMs, limits.idleMs);
         link.tell({edge.revision(), {}, edge.samples()});
       }
       if (auto* page = std::get_if<Page>(&input)) {
         auto& r = page->request;
         auto refusal = isReady ? caller::kOk : stopAtMs >= 0 ? caller::kEmptying : caller::kNotCurrent;
         auto target = r.target == readyPath ? "/ready" : r.target;
-        auto answer = caller::pageAnswer(target, refusal, [&] { return statusPage(edge, shield ? &*shield : nullptr, isReady, nowMs); });
+        auto answer = caller::pageAnswer(target, refusal,
+                                         [&] { return statusPage(edge, shield ? &*shield : nullptr, isReady, nowMs); });
         r.stream->answer(answer, r.method, r.keep);
         writing.push_back(r.stream);
       }
@@ -258,15 +277,19 @@
     if (nowMs - toldMs > boundMs / 2) {
       toldMs = nowMs;
       std::string list;
-      for (auto [code, count] : edge.refusals()) list += (list.empty() ? "" : ", ") + std::to_string(code) + " " + std::to_string(count) + " times";
+      for (auto [code, count] : edge.refusals())
+        list += (list.empty() ? "" : ", ") + std::to_string(code) + " " + std::to_string(count) + " times";
       if (!list.empty()) LOG(INFO) << "edge: Own answers: " << list << ".";
     }
     std::erase_if(writing, [](auto& stream) { return stream->flush(); });
     // What callers read slowly is held in memory, up to a quarter of it; then the largest goes.
     size_t pending = 0;
-    for (auto& stream : writing) pending += stream->pending();
+    for (auto& stream : writing)
+      pending += stream->pending();
     if (pending > static_cast<size_t>(memoryBytes) / 4)
-      (*std::max_element(writing.begin(), writing.end(), [](auto& a, auto& b) { return a->pending() < b->pending(); }))->cut();
+      (*std::max_element(writing.begin(), writing.end(), [](auto& a, auto& b) {
+        return a->pending() < b->pending();
+      }))->cut();
     if (program.reread(nowMs)) LOG(INFO) << "edge: Settings have changed; they take effect at the next start.";
     if (op::Program::isStopping() && stopAtMs < 0) {
       // Not ready from now on; whoever still comes is served while the platform looks elsewhere.
--- a/lib/program/registry.cpp
+++ b/lib/program/registry.cpp
@@ -28,7 +28,8 @@
 using Input = std::variant<neighbour::Letter, caller::Request, Synced>;
 
 auto steadyUs() -> int64_t {
-  return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+  return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
 }
 }  // namespace
 
@@ -38,7 +39,8 @@
   disk::Props diskProps;
   std::string http, name, listen, address;
   std::vector<std::string> registries;
-  int64_t slot = 0, beatMs = 0, faults = 0, boundMs = 2000, ringFiles = 4, ringBytes = 8 << 20, bodyBytes = 8 << 20, threads = 2;
+  int64_t slot = 0, beatMs = 0, faults = 0, boundMs = 2000, ringFiles = 4, ringBytes = 8 << 20, bodyBytes = 8 << 20,
+          threads = 2;
   s.text("name", name);
   auto hasSlot = s.integer("slot", 1, 30, slot);
   program.address("http", http);
@@ -77,12 +79,14 @@
       slot = own - registries.begin() + 1;
   }
   auto count = static_cast<int64_t>(registries.size());
-  if (hasSlot && (slot < 1 || slot > count)) s.fault("slot", "must be the place of this registry in registries, from 1");
+  if (hasSlot && (slot < 1 || slot > count))
+    s.fault("slot", "must be the place of this registry in registries, from 1");
   auto hasFaults = s.integer("faults", 1, gathers ? 14 : std::max<int64_t>(1, (count - 1) / 2), faults);
   program.ready();
 
   auto seat = [&props](const std::vector<std::string>& list) {
-    for (size_t i = 0; i < list.size(); ++i) props.addresses[static_cast<tempo::Slot>(i + 1)] = list[i];
+    for (size_t i = 0; i < list.size(); ++i)
+      props.addresses[static_cast<tempo::Slot>(i + 1)] = list[i];
   };
   if (!gathers) seat(registries);
   props.slot = static_cast<tempo::Slot>(slot);
@@ -107,7 +111,8 @@
   }
   if (auto saved = core::DiskFrame::from(found.frame); !saved.addresses.empty()) {
     // The core is what it was formed as: a later list that is shorter, or sorted otherwise, seats nobody elsewhere.
-    if (!gathers && (saved.addresses != props.addresses || saved.slot != props.slot)) LOG(WARNING) << "registry: The disk's list of registries holds, not the settings'.";
+    if (!gathers && (saved.addresses != props.addresses || saved.slot != props.slot))
+      LOG(WARNING) << "registry: The disk's list of registries holds, not the settings'.";
     props.addresses = saved.addresses;
     props.slot = saved.slot;
   }
@@ -116,29 +121,33 @@
   const auto own = props.addresses.empty() ? address : props.addresses.at(props.slot);
   neighbour::Inbox<Input> inbox(16000);
   neighbour::Inbox<core::DiskJob> jobs(16000);
-  auto post = neighbour::Post::open({listen.empty() ? own : listen, own}, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
+  auto post = neighbour::Post::open(
+      {listen.empty() ? own : listen, own}, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
   if (!post) {
     LOG(ERROR) << "post: " << reason;
     return 3;
   }
   auto [ip, port] = op::splitAddress(http);
-  auto face = std::make_unique<caller::Face>(caller::Face::Props{ip, port, static_cast<int>(threads), static_cast<size_t>(bodyBytes)},
-                                             [&](caller::Request r) {
-                                               auto stream = r.stream;
-                                               auto method = r.method;
-                                               if (!inbox.push(std::move(r))) stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
-                                             });
+  auto face = std::make_unique<caller::Face>(
+      caller::Face::Props{ip, port, static_cast<int>(threads), static_cast<size_t>(bodyBytes)}, [&](caller::Request r) {
+        auto stream = r.stream;
+        auto method = r.method;
+        if (!inbox.push(std::move(r))) stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
+      });
 
   // Until there is a list of all registries, operators and upstreams are turned away.
   std::vector<std::shared_ptr<caller::Stream>> writing;
   if (props.addresses.empty()) {
     LOG(INFO) << "registry: Gathering from " << registries.size() << " seeds.";
-    core::Gathering gathering({own, registries, agent::freshIncarnation(), boundMs, props.mayForm}, neighbour::steadyMs());
+    core::Gathering gathering({own, registries, agent::freshIncarnation(), boundMs, props.mayForm},
+                              neighbour::steadyMs());
     auto isTold = false;
     while (!gathering.addresses()) {
       std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}, {op::Program::stopFd(), POLLIN, 0}};
-      for (auto& stream : writing) fds.push_back({stream->fd(), POLLOUT, 0});
-      ::poll(fds.data(), fds.size(), static_cast<int>(std::clamp<int64_t>(gathering.dueMs() - neighbour::steadyMs(), 0, boundMs / 8)));
+      for (auto& stream : writing)
+        fds.push_back({stream->fd(), POLLOUT, 0});
+      ::poll(fds.data(), fds.size(),
+             static_cast<int>(std::clamp<int64_t>(gathering.dueMs() - neighbour::steadyMs(), 0, boundMs / 8)));
       if (op::Program::isStopping()) {
         LOG(INFO) << "registry: Stopped.";
         std::_Exit(0);
@@ -156,16 +165,19 @@
           auto keep = request->keep;
           auto entered = door.enter(std::move(*request));
           auto* asked = std::get_if<caller::Request>(&entered);
-          auto answer = asked ? door.leave(asked->token, caller::codeAnswer(caller::kNotMember, 1)) : std::get<caller::Answer>(entered);
+          auto answer = asked ? door.leave(asked->token, caller::codeAnswer(caller::kNotMember, 1))
+                              : std::get<caller::Answer>(entered);
           stream->answer(answer, method, keep);
           writing.push_back(stream);
         }
       }
       gathering.tick(nowMs);
-      for (auto& sent : gathering.output()) post->send(sent.to, neighbour::kGather, Writer().put(sent.letter).take());
+      for (auto& sent : gathering.output())
+        post->send(sent.to, neighbour::kGather, Writer().put(sent.letter).take());
       std::erase_if(writing, [](auto& stream) { return stream->flush(); });
       post->prune(nowMs);
-      if (gathering.isLeftOut() && !std::exchange(isTold, true)) LOG(WARNING) << "registry: The core was formed without " << own << ": there is no seat.";
+      if (gathering.isLeftOut() && !std::exchange(isTold, true))
+        LOG(WARNING) << "registry: The core was formed without " << own << ": there is no seat.";
     }
     const auto& list = *gathering.addresses();
     seat(list);
@@ -220,9 +232,11 @@
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
     // Once it is stopping, the signal's descriptor stays readable and tells nothing more.
     if (stopAtMs < 0) fds.push_back({op::Program::stopFd(), POLLIN, 0});
-    for (auto& stream : writing) fds.push_back({stream->fd(), POLLOUT, 0});
+    for (auto& stream : writing)
+      fds.push_back({stream->fd(), POLLOUT, 0});
     auto dueMs = std::min(registry.dueMs(), stopAtMs < 0 ? std::numeric_limits<int64_t>::max() : stopAtMs);
-    ::poll(fds.data(), fds.size(), static_cast<int>(std::clamp<int64_t>(dueMs - neighbour::steadyMs(), 0, boundMs / 8)));
+    ::poll(fds.data(), fds.size(),
+           static_cast<int>(std::clamp<int64_t>(dueMs - neighbour::steadyMs(), 0, boundMs / 8)));
     auto nowMs = neighbour::steadyMs();
     for (auto& input : inbox.take()) {
       if (auto* letter = std::get_if<neighbour::Letter>(&input)) {
@@ -240,13 +254,15 @@
           writing.push_back(stream);
         }
       }
-      if (auto* synced = std::get_if<Synced>(&input)) registry.synced(synced->number, synced->fill, synced->tookUs, nowMs);
+      if (auto* synced = std::get_if<Synced>(&input))
+        registry.synced(synced->number, synced->fill, synced->tookUs, nowMs);
     }
     registry.tick(nowMs);
     auto out = registry.output();
     for (auto& job : out.jobs)
       if (!jobs.push(std::move(job))) isBroken = true;
-    for (auto& letter : out.letters) post->send(letter.to, letter.kind, letter.body);
+    for (auto& letter : out.letters)
+      post->send(letter.to, letter.kind, letter.body);
     for (auto& a : out.answers) {
       a.stream->answer(door.leave(a.token, std::move(a.answer)), a.method, a.keep);
       writing.push_back(a.stream);
--- a/lib/tempo/bytes.hpp
+++ b/lib/tempo/bytes.hpp
@@ -19,15 +19,14 @@
  public:
   template <std::integral T>
   auto put(T value) -> Writer& {
-    for (size_t i = 0; i < sizeof(T); ++i) out_.push_back(static_cast<char>(static_cast<uint64_t>(value) >> (8 * i)));
+    for (size_t i = 0; i < sizeof(T); ++i)
+      out_.push_back(static_cast<char>(static_cast<uint64_t>(value) >> (8 * i)));
     return *this;
   }
   auto put(double value) -> Writer& { return put(std::bit_cast<uint64_t>(value)); }
   template <typename T>
-    requires std::is_enum_v<T>
-  auto put(T value) -> Writer& {
-    return put(static_cast<std::underlying_type_t<T>>(value));
-  }
+  requires std::is_enum_v<T>
+  auto put(T value) -> Writer& { return put(static_cast<std::underlying_type_t<T>>(value)); }
   template <typename T>
   auto put(const std::optional<T>& maybe) -> Writer& {
     put(maybe.has_value());
@@ -41,13 +40,15 @@
   template <typename T>
   auto put(const std::vector<T>& list) -> Writer& {
     put(static_cast<uint32_t>(list.size()));
-    for (const auto& one : list) put(one);
+    for (const auto& one : list)
+      put(one);
     return *this;
   }
   template <typename K, typename V>
   auto put(const std::map<K, V>& map) -> Writer& {
     put(static_cast<uint32_t>(map.size()));
-    for (const auto& [key, value] : map) put(key).put(value);
+    for (const auto& [key, value] : map)
+      put(key).put(value);
     return *this;
   }
   template <typename A, typename B>
@@ -55,7 +56,7 @@
     return put(pair.first).put(pair.second);
   }
   template <typename T>
-    requires requires(const T& t, Writer& w) { t.write(w); }
+  requires requires(const T& t, Writer& w) { t.write(w); }
   auto put(const T& value) -> Writer& {
     value.write(*this);
     return *this;
@@ -84,16 +85,15 @@
   auto read(T& value) -> void {
     uint64_t sum = 0;
     if (!has(sizeof(T))) return;
-    for (size_t i = 0; i < sizeof(T); ++i) sum |= static_cast<uint64_t>(static_cast<uint8_t>(in_[at_ + i])) << (8 * i);
+    for (size_t i = 0; i < sizeof(T); ++i)
+      sum |= static_cast<uint64_t>(static_cast<uint8_t>(in_[at_ + i])) << (8 * i);
     at_ += sizeof(T);
     value = static_cast<T>(sum);
   }
   auto read(double& value) -> void { value = std::bit_cast<double>(get<uint64_t>()); }
   template <typename T>
-    requires std::is_enum_v<T>
-  auto read(T& value) -> void {
-    value = static_cast<T>(get<std::underlying_type_t<T>>());
-  }
+  requires std::is_enum_v<T>
+  auto read(T& value) -> void { value = static_cast<T>(get<std::underlying_type_t<T>>()); }
   template <typename T>
   auto read(std::optional<T>& maybe) -> void {
     maybe.reset();
@@ -131,10 +131,8 @@
     read(pair.second);
   }
   template <typename T>
-    requires requires(T& t, Reader& r) { t.read(r); }
-  auto read(T& value) -> void {
-    value.read(*this);
-  }
+  requires requires(T& t, Reader& r) { t.read(r); }
+  auto read(T& value) -> void { value.read(*this); }
   /// True while everything asked for was there. Example: `if (!r.ok()) return turnAway();`
   auto ok() const -> bool { return ok_; }
   /// True when all bytes are used up. Example: `CHECK(r.done());`
@@ -152,8 +150,12 @@
 
 /// Declares `write` and `read` for a struct by listing its fields once.
 /// Example: `struct Pair { int a, b; DYKESTAGE_FIELDS(a, b) };`
-#define DYKESTAGE_FIELDS(...)                                                                                   \
-  auto write(::dykestage::Writer& w) const -> void { [&](const auto&... f) { (w.put(f), ...); }(__VA_ARGS__); } \
-  auto read(::dykestage::Reader& r) -> void { [&](auto&... f) { (r.read(f), ...); }(__VA_ARGS__); }
+#define DYKESTAGE_FIELDS(...)                                \
+  auto write(::dykestage::Writer& w) const->void {           \
+    [&](const auto&... f) { (w.put(f), ...); }(__VA_ARGS__); \
+  }                                                          \
+  auto read(::dykestage::Reader& r)->void {                  \
+    [&](auto&... f) { (r.read(f), ...); }(__VA_ARGS__);      \
+  }
 
 }  // namespace dykestage
--- a/lib/tempo/tempo.cpp
+++ b/lib/tempo/tempo.cpp
@@ -29,7 +29,8 @@
 }
 
 auto Ranges::join(const Ranges& other) -> void {
-  for (const auto& [first, last] : other.ranges_) add(first, last);
+  for (const auto& [first, last] : other.ranges_)
+    add(first, last);
 }
 
 auto Ranges::has(uint64_t n) const -> bool {
@@ -40,7 +41,9 @@
 Node::Node(Props props, Slot slot, Incarnation incarnation, Machine& machine)
     : props_(props), slot_(slot), incarnation_(incarnation), machine_(machine) {}
 
-auto Node::form(const std::map<Slot, Incarnation>& members) -> void { members_ = members; }
+auto Node::form(const std::map<Slot, Incarnation>& members) -> void {
+  members_ = members;
+}
 
 auto Node::isMember() const -> bool {
   auto it = members_.find(slot_);
@@ -108,7 +111,9 @@
   return command.id;
 }
 
-auto Node::seat(Slot slot, Incarnation incarnation) -> std::string { return Writer().put(slot).put(incarnation).take(); }
+auto Node::seat(Slot slot, Incarnation incarnation) -> std::string {
+  return Writer().put(slot).put(incarnation).take();
+}
 
 auto Node::entry(const Id& id, int64_t nowMs) -> Entry& {
   auto [it, isNew] = entries_.try_emplace(id);
@@ -419,7 +424,8 @@
     if (from != slot_ && m.kind != Kind::kPromises) send(from, make(Kind::kPromises, {}, 0));
     return;
   }
-  auto needsCommand = m.kind == Kind::kPropose || m.kind == Kind::kPayload || m.kind == Kind::kConsensus || m.kind == Kind::kRec;
+  auto needsCommand =
+      m.kind == Kind::kPropose || m.kind == Kind::kPayload || m.kind == Kind::kConsensus || m.kind == Kind::kRec;
   if (needsCommand && (!m.command || m.command->id != m.id || m.command->epoch != epoch_)) return;
   switch (m.kind) {
     case Kind::kPropose:
@@ -430,18 +436,21 @@
         learn(*m.command, nowMs);
       break;
     case Kind::kProposeAck: {
-      for (const auto& p : m.promises) takePromise(p);
+      for (const auto& p : m.promises)
+        takePromise(p);
       auto it = entries_.find(m.id);
       if (it == entries_.end() || !it->second.isOwn) break;
       it->second.shares[m.part].acks[from] = m.stamp;
-      for (const auto& p : m.promises) it->second.shares[m.part].promises.push_back(p);
+      for (const auto& p : m.promises)
+        it->second.shares[m.part].promises.push_back(p);
       decide(m.id, it->second, m.part, nowMs);
       break;
     }
     case Kind::kCommit: {
       auto before = parts_[m.part].clock;
       commit(m.id, m.part, m.stamp, nowMs);
-      for (const auto& p : m.promises) takePromise(p);
+      for (const auto& p : m.promises)
+        takePromise(p);
       // Whoever told the commit waits for it to be stable: a clock that it moved is told at once, not a period later.
       if (parts_[m.part].clock > before) {
         auto told = make(Kind::kPromises, {}, 0);
@@ -488,7 +497,8 @@
   if (it == entries_.end()) {
     if (isDone(id)) {  // forgotten here: the promise's floor tells the asker to take a frame
       auto m = make(Kind::kPromises, {}, 0);
-      for (uint8_t part = 0; part < kParts; ++part) m.promises.push_back(promise(part, parts_[part].clock));
+      for (uint8_t part = 0; part < kParts; ++part)
+        m.promises.push_back(promise(part, parts_[part].clock));
       send(from, std::move(m));
     }
     return;
@@ -506,7 +516,8 @@
 }
 
 auto Node::onPromises(Slot from, const Message& m, int64_t nowMs) -> void {
-  for (uint8_t part = 0; part < kParts && part < m.have.size(); ++part) parts_[part].acked[from] = m.have[part];
+  for (uint8_t part = 0; part < kParts && part < m.have.size(); ++part)
+    parts_[part].acked[from] = m.have[part];
   auto isBehind = false;
   for (const auto& p : m.promises) {
     if (p.part < kParts && !parts_[p.part].ran(p.floor)) isBehind = true;
@@ -534,7 +545,8 @@
 auto Node::promise(uint8_t part, Stamp from) const -> Promise {
   const auto& p = parts_[part];
   Promise made{part, slot_, incarnation_, std::min(from, p.clock), p.clock, p.executed, p.floor, {}};
-  for (auto it = p.own.upper_bound(made.from); it != p.own.end(); ++it) made.attached.push_back(*it);
+  for (auto it = p.own.upper_bound(made.from); it != p.own.end(); ++it)
+    made.attached.push_back(*it);
   return made;
 }
 
@@ -578,7 +590,8 @@
   std::set<Id> missing;
   for (auto& part : parts_)
     for (auto& [slot, known] : part.known)
-      for (const auto& [stamp, id] : known.attached) missing.insert(id);
+      for (const auto& [stamp, id] : known.attached)
+        missing.insert(id);
   for (const auto& id : missing) {
     auto& e = entry(id, nowMs);
     if (nowMs - e.sinceMs < props_.askMs || nowMs - e.askedMs < props_.askMs) continue;
@@ -613,7 +626,8 @@
   return std::any_of(parts_.begin(), parts_.end(), [&](const PartState& part) {
     auto acked = part.acked.find(slot);
     auto known = part.known.find(slot);
-    return (acked == part.acked.end() ? 0 : acked->second) < part.clock || (known != part.known.end() && known->second.upTo != known->second.told);
+    return (acked == part.acked.end() ? 0 : acked->second) < part.clock ||
+           (known != part.known.end() && known->second.upTo != known->second.told);
   });
 }
 
@@ -641,8 +655,9 @@
     if (it == p.known.end())
       highest.push_back(0);
     else
-      highest.push_back(it->second.attached.empty() ? it->second.upTo
-                                                    : std::min(it->second.upTo, it->second.attached.begin()->first - 1));
+      highest.push_back(it->second.attached.empty()
+                            ? it->second.upTo
+                            : std::min(it->second.upTo, it->second.attached.begin()->first - 1));
   }
   if (highest.size() < props_.replicas) return 0;
   std::sort(highest.begin(), highest.end());
@@ -655,7 +670,8 @@
   while (isMoving) {
     isMoving = false;
     std::array<Stamp, kParts> stableUpTo{};
-    for (uint8_t part = 0; part < kParts; ++part) stableUpTo[part] = stable(part);
+    for (uint8_t part = 0; part < kParts; ++part)
+      stableUpTo[part] = stable(part);
     auto isRunnable = [&](const std::pair<Stamp, Id>& head) {
       auto ready = true;
       eachPart(entries_.at(head.second).command->parts, [&](uint8_t part) {
@@ -698,7 +714,9 @@
   }
 }
 
-auto Node::executedUpTo(uint8_t part) const -> Stamp { return parts_[part].executed; }
+auto Node::executedUpTo(uint8_t part) const -> Stamp {
+  return parts_[part].executed;
+}
 
 auto Node::executedStamp(const Id& id) const -> std::optional<Stamp> {
   auto it = doneStamps_.find(id);
@@ -734,7 +752,8 @@
       ++it;
       continue;
     }
-    for (auto& p : parts_) p.queue.erase({e.final, it->first});
+    for (auto& p : parts_)
+      p.queue.erase({e.final, it->first});
     if (e.isOwn && !isDone(it->first)) {
       ++figures_.voided;
       out_.answers.push_back({it->first, true, {}});
@@ -763,7 +782,8 @@
   Stamp least[kParts];
   for (uint8_t part = 0; part < kParts; ++part) {
     least[part] = parts_[part].executed;
-    for (auto slot : others()) least[part] = std::min(least[part], parts_[part].known[slot].executed);
+    for (auto slot : others())
+      least[part] = std::min(least[part], parts_[part].known[slot].executed);
   }
   auto drop = [&](auto it) {
     eachPart(it->second.command->parts, [&](uint8_t part) {
@@ -784,7 +804,8 @@
   }
   if (doneStamps_.size() <= props_.keepCommands) return;
   std::vector<std::pair<Stamp, Id>> oldest;
-  for (const auto& [id, stamp] : doneStamps_) oldest.push_back({stamp, id});
+  for (const auto& [id, stamp] : doneStamps_)
+    oldest.push_back({stamp, id});
   std::sort(oldest.begin(), oldest.end());
   oldest.resize(oldest.size() / 2);
   for (const auto& [stamp, id] : oldest)
@@ -866,8 +887,10 @@
 auto Node::save() const -> std::string {
   Writer w;
   w.put(epoch_).put(boundary_).put(members_).put(done_).put(incarnation_).put(nextNumber_);
-  for (const auto& p : parts_) w.put(p.clock).put(p.executed).put(p.last).put(p.own);
-  for (uint8_t part = 0; part < kParts; ++part) w.put(machine_.save(part));
+  for (const auto& p : parts_)
+    w.put(p.clock).put(p.executed).put(p.last).put(p.own);
+  for (uint8_t part = 0; part < kParts; ++part)
+    w.put(machine_.save(part));
   // What is not executed yet goes along, so that the log behind the frame can be dropped.
   uint32_t count = 0;
   Writer rest;
@@ -881,7 +904,9 @@
   return w.put(count).take() + rest.take();
 }
 
-auto Node::load(const std::string& frame) -> bool { return readFrame(frame, true); }
+auto Node::load(const std::string& frame) -> bool {
+  return readFrame(frame, true);
+}
 
 auto Node::readFrame(const std::string& frame, bool own) -> bool {
   Reader r(frame);
@@ -899,7 +924,8 @@
     r.read(p.own);
   }
   std::array<std::string, kParts> states;
-  for (auto& state : states) r.read(state);
+  for (auto& state : states)
+    r.read(state);
   auto count = r.get<uint32_t>();
   if (!r.ok() || (own && source != incarnation_) || (!own && epoch < epoch_)) return false;
   auto isNewEpoch = epoch != epoch_;
@@ -907,12 +933,14 @@
   // in several partitions runs in all of them at once, so that whoever has run it is ahead in all of them.
   std::array<bool, kParts> isTaken{};
   for (uint8_t part = 0; part < kParts; ++part)
-    isTaken[part] = own || isNewEpoch || parts[part].executed > parts_[part].executed || parts[part].last > parts_[part].last;
+    isTaken[part] =
+        own || isNewEpoch || parts[part].executed > parts_[part].executed || parts[part].last > parts_[part].last;
   if (std::none_of(isTaken.begin(), isTaken.end(), [](bool taken) { return taken; })) return false;
   epoch_ = epoch;
   boundary_ = boundary;
   members_ = std::move(members);
-  for (const auto& [origin, numbers] : done) done_[origin].join(numbers);
+  for (const auto& [origin, numbers] : done)
+    done_[origin].join(numbers);
   for (uint8_t part = 0; part < kParts; ++part) {
     auto& mine = parts_[part];
     if (own) {
@@ -962,7 +990,8 @@
     }
     // Executed elsewhere: the result is not known here, and the submitter asks by its change id.
     if (!e.executed && e.isOwn) out_.answers.push_back({it->first, false, {}});
-    for (auto& p : parts_) p.queue.erase({e.final, it->first});
+    for (auto& p : parts_)
+      p.queue.erase({e.final, it->first});
     it = entries_.erase(it);
   }
   if (isNewEpoch) dropVoid();
@@ -991,22 +1020,27 @@
 }
 
 auto Node::sendAll(const Message& message) -> void {
-  for (auto slot : others()) send(slot, message);
+  for (auto slot : others())
+    send(slot, message);
 }
 
-auto Node::take() -> Output { return std::exchange(out_, {}); }
+auto Node::take() -> Output {
+  return std::exchange(out_, {});
+}
 
 auto Node::explain() const -> std::string {
   auto text = "epoch " + std::to_string(epoch_) + " boundary " + std::to_string(boundary_);
   for (uint8_t part = 0; part < kParts; ++part) {
     const auto& p = parts_[part];
-    text += "; part " + std::to_string(part) + " clock " + std::to_string(p.clock) + " stable " + std::to_string(stable(part)) +
-            " executed " + std::to_string(p.executed) + " floor " + std::to_string(p.floor.first) + " queued " + std::to_string(p.queue.size());
+    text += "; part " + std::to_string(part) + " clock " + std::to_string(p.clock) + " stable " +
+            std::to_string(stable(part)) + " executed " + std::to_string(p.executed) + " floor " +
+            std::to_string(p.floor.first) + " queued " + std::to_string(p.queue.size());
     for (const auto& [slot, known] : p.known) {
       text += " " + std::to_string(slot) + "≤" + std::to_string(known.upTo);
       if (!known.attached.empty()) {
         const auto& [stamp, id] = *known.attached.begin();
-        text += "(waits " + std::to_string(stamp) + " for " + std::to_string(id.origin) + "." + std::to_string(id.number) + ")";
+        text += "(waits " + std::to_string(stamp) + " for " + std::to_string(id.origin) + "." +
+                std::to_string(id.number) + ")";
       }
     }
   }
@@ -1015,7 +1049,8 @@
     text += "; pending " + std::to_string(id.origin) + "." + std::to_string(id.number) + (e.command ? "" : " unknown") +
             " final " + std::to_string(e.final);
     for (const auto& s : e.shares)
-      text += " [" + std::to_string(static_cast<int>(s.phase)) + " ballot " + std::to_string(s.ballot) + " stamp " + std::to_string(s.stamp) + " committed " + std::to_string(s.committed) + "]";
+      text += " [" + std::to_string(static_cast<int>(s.phase)) + " ballot " + std::to_string(s.ballot) + " stamp " +
+              std::to_string(s.stamp) + " committed " + std::to_string(s.committed) + "]";
     break;
   }
   return text;
