--- a/lib/tempo/tempo.hpp
+++ b/lib/tempo/tempo.hpp
@@ -39,10 +39,10 @@
 /// A command: the partitions that it touches, the fast quorum named at submission, and its payload.
 struct Command {
   Id id;
-  uint32_t epoch = 0;    // number of replica changes its coordinator had executed
-  uint8_t parts = 0;     // bit per partition
-  uint32_t quorum = 0;   // bit per slot, the same for each partition as replicas share machines
-  uint8_t kind = 0;      // kPlain or kReplaceReplica
+  uint32_t epoch = 0;   // number of replica changes its coordinator had executed
+  uint8_t parts = 0;    // bit per partition
+  uint32_t quorum = 0;  // bit per slot, the same for each partition as replicas share machines
+  uint8_t kind = 0;     // kPlain or kReplaceReplica
   std::string payload;
   DYKESTAGE_FIELDS(id, epoch, parts, quorum, kind, payload)
 };
@@ -59,15 +59,26 @@
   Incarnation incarnation = 0;
   Stamp from = 0;
   Stamp upTo = 0;
-  Stamp executed = 0;  // every command stamped up to here has been executed there
+  Stamp executed = 0;          // every command stamped up to here has been executed there
   std::pair<Stamp, Id> floor;  // commands up to this place in the order may be forgotten there
   std::vector<std::pair<Stamp, Id>> attached;
   DYKESTAGE_FIELDS(part, slot, incarnation, from, upTo, executed, floor, attached)
 };
 
 enum class Kind : uint8_t {
-  kPropose, kPayload, kProposeAck, kCommit, kConsensus, kConsensusAck, kRec, kRecAck, kRecNack,
-  kCommitAsk, kPromises, kFrameAsk, kFrame
+  kPropose,
+  kPayload,
+  kProposeAck,
+  kCommit,
+  kConsensus,
+  kConsensusAck,
+  kRec,
+  kRecAck,
+  kRecNack,
+  kCommitAsk,
+  kPromises,
+  kFrameAsk,
+  kFrame
 };
 
 /// One message of the protocol. Fields that a kind does not use stay empty.
@@ -132,8 +143,8 @@
   int64_t suspectMs = 250;   // silence after which a replica is believed dead
   size_t keepCommands = 4096;
   // Rule breakers for the proof that the checker bites; all off in any real run.
-  int breakSlowQuorum = 0;     // replies too few in a slow quorum
-  bool breakStability = false; // executes at commit instead of at stability
+  int breakSlowQuorum = 0;      // replies too few in a slow quorum
+  bool breakStability = false;  // executes at commit instead of at stability
 };
 
 /// A set of numbers kept as ranges. Example: `Ranges r; r.add(3); r.has(3) == true;`
@@ -247,11 +258,11 @@
   };
   struct PartState {
     Stamp clock = 0;
-    Stamp executed = 0;           // everything up to here has run
-    std::pair<Stamp, Id> last;    // the last that ran; others of its stamp may still have to
-    std::pair<Stamp, Id> floor;   // what is forgotten lies at or before this place
-    std::map<Stamp, Id> own;  // attached promises given here and not forgotten
-    std::map<Stamp, Id> open; // those whose command is not committed here yet
+    Stamp executed = 0;          // everything up to here has run
+    std::pair<Stamp, Id> last;   // the last that ran; others of its stamp may still have to
+    std::pair<Stamp, Id> floor;  // what is forgotten lies at or before this place
+    std::map<Stamp, Id> own;     // attached promises given here and not forgotten
+    std::map<Stamp, Id> open;    // those whose command is not committed here yet
     std::map<Slot, Known> known;
     std::map<Slot, Stamp> acked;  // own promises known at others
     std::set<std::pair<Stamp, Id>> queue;
--- a/lib/upstream/desk.cpp
+++ b/lib/upstream/desk.cpp
@@ -39,9 +39,12 @@
 
 auto Desk::flush(int64_t nowMs) -> bool {
   auto out = shield_.outputAfter([&](const auto& l) { return post_.send(l.to, l.kind, l.body); }, nowMs);
-  for (auto& claims : out.claims) link_.pass({neighbour::kClaims, "", Writer().put(claims).take()});
-  for (auto& address : out.drops) fetcher_.drop(address);
-  for (auto& fetch : out.fetches) fetcher_.start(std::move(fetch));
+  for (auto& claims : out.claims)
+    link_.pass({neighbour::kClaims, "", Writer().put(claims).take()});
+  for (auto& address : out.drops)
+    fetcher_.drop(address);
+  for (auto& fetch : out.fetches)
+    fetcher_.start(std::move(fetch));
   for (auto& r : out.replies) {
     if (!props_.self.empty() && r.to == props_.self)
       props_.reply(r.reply);
@@ -49,13 +52,16 @@
       replies_.push_back({r.to, Writer().put(r.reply).take(), nowMs + props_.boundMs / 4});
   }
   // A line that is just coming up is waited for; an edge that has gone is not.
-  std::erase_if(replies_, [&](const Waiting& w) { return post_.send(w.to, neighbour::kReply, w.body) || nowMs >= w.untilMs; });
+  std::erase_if(replies_,
+                [&](const Waiting& w) { return post_.send(w.to, neighbour::kReply, w.body) || nowMs >= w.untilMs; });
   return !out.claims.empty() || !out.fetches.empty() || !out.replies.empty();
 }
 
 auto Desk::warm() -> void {
-  for (const auto& at : shield_.edges()) post_.warm(at);
-  for (const auto& at : shield_.shields()) post_.warm(at);
+  for (const auto& at : shield_.edges())
+    post_.warm(at);
+  for (const auto& at : shield_.shields())
+    post_.warm(at);
 }
 
 }  // namespace dykestage::upstream
--- a/lib/upstream/desk.hpp
+++ b/lib/upstream/desk.hpp
@@ -18,7 +18,7 @@
 class Desk {
  public:
   struct Props {
-    std::string self;        // address whose replies stay in this process; empty: none
+    std::string self;  // address whose replies stay in this process; empty: none
     int64_t boundMs = 2000;
     std::function<void(const neighbour::Reply&)> reply;  // takes those
   };
--- a/lib/upstream/fetcher.cpp
+++ b/lib/upstream/fetcher.cpp
@@ -31,7 +31,8 @@
   for (const auto& one : caller::listOf(caller::header(headers, "keep-alive"))) {
     if (one.rfind("timeout=", 0) != 0) continue;
     auto digits = one.substr(8, 9);
-    if (!digits.empty() && digits.find_first_not_of("0123456789") == std::string::npos) return std::stoll(digits) * 1000;
+    if (!digits.empty() && digits.find_first_not_of("0123456789") == std::string::npos)
+      return std::stoll(digits) * 1000;
   }
   return -1;
 }
@@ -46,7 +47,8 @@
   }
   if (result.status < 200 || result.status > 299) return true;
   auto encoding = caller::lower(caller::header(result.headers, "content-encoding"));
-  if (!encoding.empty() && encoding != "identity" && caller::header(fetch.headers, "accept-encoding").empty()) return false;
+  if (!encoding.empty() && encoding != "identity" && caller::header(fetch.headers, "accept-encoding").empty())
+    return false;
   return fetch.sealHeader.empty() || caller::has(result.headers, fetch.sealHeader);
 }
 }  // namespace
@@ -92,7 +94,8 @@
 }
 
 Fetcher::~Fetcher() {
-  for (auto& [easy, call] : calls_) curl_multi_remove_handle(multi_, easy);
+  for (auto& [easy, call] : calls_)
+    curl_multi_remove_handle(multi_, easy);
   calls_.clear();
   curl_multi_cleanup(multi_);
 }
@@ -168,7 +171,8 @@
   curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
   curl_easy_setopt(easy, CURLOPT_HTTP_CONTENT_DECODING, 0L);
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<int64_t>(1, f.timeoutMs)));
-  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::max<int64_t>(1, std::min(f.connectMs, f.timeoutMs))));
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(std::max<int64_t>(1, std::min(f.connectMs, f.timeoutMs))));
   curl_easy_setopt(easy, CURLOPT_PRIVATE, call.get());
   auto told = keepMs_.find(f.address);
   auto idleMs = told == keepMs_.end() ? idleMs_ : told->second * 4 / 5;
@@ -237,7 +241,8 @@
       call.isProvisional = space != std::string_view::npos && line.substr(space + 1, 1) == "1";
       return size * count;
     }
-    while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) line.remove_suffix(1);
+    while (!line.empty() && (line.back() == '\n' || line.back() == '\r'))
+      line.remove_suffix(1);
     if (line.empty()) {
       if (call.isProvisional) return size * count;
       call.hasHead = true;
@@ -251,7 +256,8 @@
       return 0;
     }
     auto from = line.find_first_not_of(" \t", colon + 1);
-    call.result.headers.emplace_back(line.substr(0, colon), from == std::string_view::npos ? std::string_view() : line.substr(from));
+    call.result.headers.emplace_back(line.substr(0, colon),
+                                     from == std::string_view::npos ? std::string_view() : line.substr(from));
     return size * count;
   };
   auto onBody = +[](char* data, size_t size, size_t count, void* at) -> size_t {
@@ -310,7 +316,8 @@
 
 auto Fetcher::cancel(uint64_t id) -> void {
   auto& places = waiting_.get<ByPlace>();
-  for (auto at = places.begin(); at != places.end();) at = at->id == id ? places.erase(at) : std::next(at);
+  for (auto at = places.begin(); at != places.end();)
+    at = at->id == id ? places.erase(at) : std::next(at);
   std::vector<std::pair<CURL*, std::string>> found;
   for (const auto& [easy, call] : calls_)
     if (call->fetch.id == id) found.emplace_back(easy, call->fetch.address);
@@ -350,7 +357,8 @@
     result.fault = Fault::kNotSent;
   else if (code == CURLE_OPERATION_TIMEDOUT)
     result.fault = Fault::kTimeout;
-  else if (code == CURLE_PARTIAL_FILE || code == CURLE_WEIRD_SERVER_REPLY || code == CURLE_UNSUPPORTED_PROTOCOL || status != 0)
+  else if (code == CURLE_PARTIAL_FILE || code == CURLE_WEIRD_SERVER_REPLY || code == CURLE_UNSUPPORTED_PROTOCOL ||
+           status != 0)
     result.fault = Fault::kNotWhole;
   else
     result.fault = Fault::kLost;
@@ -403,12 +411,14 @@
     late.tookMs = nowMs - at->startMs;
     list.push_back(std::move(late));
   }
-  for (const auto& address : freed) admit(address, nowMs);
+  for (const auto& address : freed)
+    admit(address, nowMs);
   return list;
 }
 
 auto Fetcher::run(std::vector<pollfd>& extra, int64_t waitMs) -> std::vector<Fetched> {
-  for (auto& one : extra) one.revents = 0;
+  for (auto& one : extra)
+    one.revents = 0;
   if (dueMs_ >= 0 && neighbour::steadyMs() >= dueMs_) act(CURL_SOCKET_TIMEOUT, 0);
   auto list = ended();
   if (!list.empty()) return list;
@@ -423,7 +433,8 @@
   fds.assign(extra.begin(), extra.end());
   fds.push_back({events_.get(), POLLIN, 0});
   ::poll(fds.data(), fds.size(), static_cast<int>(waitMs));
-  for (size_t i = 0; i < extra.size(); ++i) extra[i].revents = fds[i].revents;
+  for (size_t i = 0; i < extra.size(); ++i)
+    extra[i].revents = fds[i].revents;
   if (fds.back().revents & POLLIN) {
     epoll_event events[64];
     auto count = ::epoll_wait(events_.get(), events, 64, 0);
@@ -446,7 +457,8 @@
     busy.push_back(active);
   }
   for (const auto& [socket, one] : sockets_)
-    if (one.address == address && std::find(busy.begin(), busy.end(), socket) == busy.end()) ::shutdown(socket, SHUT_RDWR);
+    if (one.address == address && std::find(busy.begin(), busy.end(), socket) == busy.end())
+      ::shutdown(socket, SHUT_RDWR);
 }
 
 auto fetchOnce(Fetch fetch) -> Fetched {
--- a/lib/upstream/fetcher.hpp
+++ b/lib/upstream/fetcher.hpp
@@ -28,11 +28,12 @@
   std::string body;
   int64_t timeoutMs = 1000;
   int64_t connectMs = 250;
-  bool isWrite = false;       // goes out once on a fresh stream, or not at all
+  bool isWrite = false;  // goes out once on a fresh stream, or not at all
   size_t answerBytes = 8u << 20;
-  int64_t actUntilMs = 0;     // looked at again when the first byte is about to leave; 0: no limit
-  std::string tryHeader, tryId;  // a header and its value that each answer to this request carries; empty: any answer will do
-  std::string sealHeader;        // a header without which a 2xx is not whole; empty: none
+  int64_t actUntilMs = 0;  // looked at again when the first byte is about to leave; 0: no limit
+  std::string tryHeader,
+      tryId;               // a header and its value that each answer to this request carries; empty: any answer will do
+  std::string sealHeader;  // a header without which a 2xx is not whole; empty: none
 };
 
 enum class Fault : uint8_t {
@@ -103,13 +104,17 @@
   struct ByAddress {};
   struct ByEnd {};
   using WaitingList = boost::multi_index_container<
-      Waiting, boost::multi_index::indexed_by<
-                   boost::multi_index::ordered_unique<boost::multi_index::tag<ByPlace>, boost::multi_index::member<Waiting, uint64_t, &Waiting::place>>,
-                   boost::multi_index::ordered_unique<
-                       boost::multi_index::tag<ByAddress>,
-                       boost::multi_index::composite_key<Waiting, boost::multi_index::member<Waiting, std::string, &Waiting::address>,
-                                                         boost::multi_index::member<Waiting, uint64_t, &Waiting::place>>>,
-                   boost::multi_index::ordered_non_unique<boost::multi_index::tag<ByEnd>, boost::multi_index::member<Waiting, int64_t, &Waiting::untilMs>>>>;
+      Waiting,
+      boost::multi_index::indexed_by<
+          boost::multi_index::ordered_unique<boost::multi_index::tag<ByPlace>,
+                                             boost::multi_index::member<Waiting, uint64_t, &Waiting::place>>,
+          boost::multi_index::ordered_unique<
+              boost::multi_index::tag<ByAddress>,
+              boost::multi_index::composite_key<Waiting,
+                                                boost::multi_index::member<Waiting, std::string, &Waiting::address>,
+                                                boost::multi_index::member<Waiting, uint64_t, &Waiting::place>>>,
+          boost::multi_index::ordered_non_unique<boost::multi_index::tag<ByEnd>,
+                                                 boost::multi_index::member<Waiting, int64_t, &Waiting::untilMs>>>>;
   auto send(Fetch fetch, int64_t startMs, bool isFresh) -> void;
   auto hasRoom(const std::string& address) const -> bool;
   auto admit(const std::string& address, int64_t nowMs) -> void;
@@ -127,7 +132,8 @@
   std::unordered_map<std::string, size_t> busy_;     // fetches that have their turn, by address
   std::unordered_map<std::string, int64_t> keepMs_;  // what upstreams told, by address
   std::map<curl_socket_t, Socket> sockets_;          // open ones
-  std::map<std::pair<std::string, int>, curl_socket_t> kept_;  // by address and own port: what libcurl tells of a stream
+  std::map<std::pair<std::string, int>, curl_socket_t>
+      kept_;  // by address and own port: what libcurl tells of a stream
   std::unordered_map<CURL*, std::unique_ptr<Call>> calls_;
   std::vector<Easy> spare_;
 };
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -19,12 +19,18 @@
 constexpr int64_t kLeastMs = 20;  // less time than this is not worth a try
 
 // A route's copies belong to the pool that they came from; a service's need no such mark.
-auto poolKey(const Ask& ask) -> std::string { return ask.kind == core::UpstreamKind::kAny ? ask.pool : ""; }
+auto poolKey(const Ask& ask) -> std::string {
+  return ask.kind == core::UpstreamKind::kAny ? ask.pool : "";
+}
 }  // namespace
 
-auto Shield::edges() const -> std::vector<std::string> { return core::addressesOf(*held_.frame, "edge"); }
+auto Shield::edges() const -> std::vector<std::string> {
+  return core::addressesOf(*held_.frame, "edge");
+}
 
-auto Shield::shields() const -> std::vector<std::string> { return core::addressesOf(*held_.frame, props_.kind, props_.name); }
+auto Shield::shields() const -> std::vector<std::string> {
+  return core::addressesOf(*held_.frame, props_.kind, props_.name);
+}
 
 auto Shield::give(const std::string& from, const Ask& ask, Reply reply) -> void {
   reply.id = ask.id;
@@ -157,7 +163,9 @@
 
 auto Shield::takeClaimed(const neighbour::Claimed& claimed, int64_t nowMs) -> void {
   auto found = unanswered_.find(claimed.nonce);
-  if (claimed.life != props_.life || found == unanswered_.end() || found->second.letter.keys.size() != claimed.keys.size()) return;
+  if (claimed.life != props_.life || found == unanswered_.end() ||
+      found->second.letter.keys.size() != claimed.keys.size())
+    return;
   auto asked = std::move(found->second.letter.keys);
   unanswered_.erase(found);
   for (size_t i = 0; i < asked.size(); ++i) {
@@ -186,13 +194,15 @@
       giveUp(id, kNoClaim, nowMs);
     } else {
       auto holder = held_.frame->members.find(held.shield);
-      auto isThere = held.life != props_.life && holder != held_.frame->members.end() && holder->second.incarnation == held.life;
+      auto isThere =
+          held.life != props_.life && holder != held_.frame->members.end() && holder->second.incarnation == held.life;
       if (!isThere) {
         giveUp(id, kUnknown, nowMs);
         continue;
       }
       w.asksKeyOf = holder->second.address;
-      out_.letters.push_back({w.asksKeyOf, neighbour::kKeyAsk, Writer().put(neighbour::KeyAsk{id, props_.life, w.memoryKey, held.number}).take()});
+      out_.letters.push_back({w.asksKeyOf, neighbour::kKeyAsk,
+                              Writer().put(neighbour::KeyAsk{id, props_.life, w.memoryKey, held.number}).take()});
     }
   }
 }
@@ -334,7 +344,8 @@
     if (isNoneFree && w->tried.empty() && !mustGo && static_cast<double>(left) > 2 * poolMs) continue;
     auto props = placementOf(*view, nowMs);
     dice_ = dice_ * 6364136223846793005ull + 1442695040888963407ull;
-    auto find = [&](const std::vector<policy::Candidate>& list, bool isFreeOnly) -> std::optional<std::pair<policy::Candidate, policy::Placement>> {
+    auto find = [&](const std::vector<policy::Candidate>& list,
+                    bool isFreeOnly) -> std::optional<std::pair<policy::Candidate, policy::Placement>> {
       props.isFreeOnly = isFreeOnly;
       auto at = policy::choose(list, w->tried, props, dice_ >> 33, nowMs);
       return at ? std::optional(std::pair{list[at->index], *at}) : std::nullopt;
@@ -396,7 +407,8 @@
   send(id, list[chosen->index], *chosen, isExtra, nowMs);
 }
 
-auto Shield::send(uint64_t id, const policy::Candidate& candidate, const policy::Placement& placement, bool isExtra, int64_t nowMs) -> void {
+auto Shield::send(uint64_t id, const policy::Candidate& candidate, const policy::Placement& placement, bool isExtra,
+                  int64_t nowMs) -> void {
   auto& w = *waiting_.get(id);
   auto left = w.untilMs - nowMs;
   auto fetchId = ++nextFetch_;
@@ -444,7 +456,8 @@
 }
 
 auto Shield::isNotRun(const Fetched& f) const -> bool {
-  return f.fault == Fault::kNone && (f.status == 421 || (!props_.names.notRun.empty() && f.status >= 400 && has(f.headers, props_.names.notRun)));
+  return f.fault == Fault::kNone &&
+         (f.status == 421 || (!props_.names.notRun.empty() && f.status >= 400 && has(f.headers, props_.names.notRun)));
 }
 
 auto Shield::judge(const Fetching& fetching, const Fetched& f, bool isNotRun, int64_t nowMs) -> void {
@@ -468,11 +481,13 @@
   if (isWell) return;
   if (isNotRun && f.status != 421) {
     // It is full: others come first for as long as one of its slots takes to be free again, about.
-    h.shunUntilMs = std::max(h.shunUntilMs, nowMs + std::min<int64_t>(props_.boundMs / 10, static_cast<int64_t>(h.tookMs) / 2 + 10));
+    h.shunUntilMs = std::max(h.shunUntilMs,
+                             nowMs + std::min<int64_t>(props_.boundMs / 10, static_cast<int64_t>(h.tookMs) / 2 + 10));
     return;
   }
   ++h.failures;
-  if (h.failures >= 2 || f.isUntouched || isNotRun) h.shunUntilMs = nowMs + std::min<int64_t>(props_.boundMs, 250LL << std::min(h.failures, 4));
+  if (h.failures >= 2 || f.isUntouched || isNotRun)
+    h.shunUntilMs = nowMs + std::min<int64_t>(props_.boundMs, 250LL << std::min(h.failures, 4));
 }
 
 auto Shield::takeFetched(const Fetched& f, int64_t nowMs) -> void {
@@ -512,14 +527,21 @@
     if (++w->unsent < 4) return dispatch(id, false, nowMs);
     return giveUp(id, kNoUpstream, nowMs);
   }
-  if (f.fault == Fault::kNone && notRun && (isRoute || f.status == 421)) return retryOr(id, f.status == 421 ? kMisdirected : kNoUpstream, nowMs);
+  if (f.fault == Fault::kNone && notRun && (isRoute || f.status == 421))
+    return retryOr(id, f.status == 421 ? kMisdirected : kNoUpstream, nowMs);
   // Statuses that promise to callers that nothing ran are passed on only when the upstream promises it.
   auto isPromise = f.status == 408 || f.status == 421 || f.status == 429 || f.status == 503;
-  if (f.fault == Fault::kNone && isRoute && w->isWrite && isPromise && !props_.names.notRun.empty()) return giveUp(id, kUnknown, nowMs);
-  auto mayAgain = f.fault == Fault::kNone && !w->isWrite && (isRoute ? f.status >= 500 && f.status != 504 : f.status == 503);
-  if (mayAgain && w->tries < std::min<int64_t>(w->ask.tries, 2) && budgetOf(w->ask).mayTry(nowMs)) return dispatch(id, true, nowMs);
+  if (f.fault == Fault::kNone && isRoute && w->isWrite && isPromise && !props_.names.notRun.empty())
+    return giveUp(id, kUnknown, nowMs);
+  auto mayAgain =
+      f.fault == Fault::kNone && !w->isWrite && (isRoute ? f.status >= 500 && f.status != 504 : f.status == 503);
+  if (mayAgain && w->tries < std::min<int64_t>(w->ask.tries, 2) && budgetOf(w->ask).mayTry(nowMs))
+    return dispatch(id, true, nowMs);
   if (f.fault != Fault::kNone) {
-    auto code = f.fault == Fault::kTooLarge ? kAnswerTooLarge : f.fault == Fault::kNotWhole || f.fault == Fault::kMixed ? kNotWhole : f.fault == Fault::kTimeout ? kDeadline : kUpstreamLost;
+    auto code = f.fault == Fault::kTooLarge                               ? kAnswerTooLarge
+                : f.fault == Fault::kNotWhole || f.fault == Fault::kMixed ? kNotWhole
+                : f.fault == Fault::kTimeout                              ? kDeadline
+                                                                          : kUpstreamLost;
     return retryOr(id, code, nowMs);
   }
   Reply reply;
@@ -535,9 +557,11 @@
   reply.purges = fetching.purges;
   auto terms = policy::termsOf(f.status, f.headers, w->ask.keepMs, props_.names.labels);
   // A pool's refusals and errors are not kept.
-  if (!w->ask.isShared || terms.keepMs <= 0 || (isRoute && f.status != 200)) return finish(id, std::move(reply), nullptr, nowMs);
+  if (!w->ask.isShared || terms.keepMs <= 0 || (isRoute && f.status != 200))
+    return finish(id, std::move(reply), nullptr, nowMs);
   reply.keepMs = terms.keepMs;
-  auto copy = std::make_shared<const policy::Copy>(policy::Copy{f.status, reply.headers, f.body, fetching.leftMs, terms.keepMs, fetching.purges, terms.vary});
+  auto copy = std::make_shared<const policy::Copy>(
+      policy::Copy{f.status, reply.headers, f.body, fetching.leftMs, terms.keepMs, fetching.purges, terms.vary});
   cache_->put(w->ask.service, w->ask.target, w->ask.headers, copy, terms.labels, poolKey(w->ask));
   finish(id, std::move(reply), copy.get(), nowMs);
 }
@@ -546,14 +570,16 @@
   auto& w = *waiting_.get(id);
   // A write may go on only while it surely ran nowhere.
   auto mayRun = !w.isWrite || (w.ask.kind == core::UpstreamKind::kAny && !w.wasTouched);
-  auto mayTry = mayRun && w.tries < std::min<int64_t>(w.ask.tries, 3) && code != kAnswerTooLarge && w.untilMs - nowMs > kLeastMs && budgetOf(w.ask).mayTry(nowMs);
+  auto mayTry = mayRun && w.tries < std::min<int64_t>(w.ask.tries, 3) && code != kAnswerTooLarge &&
+                w.untilMs - nowMs > kLeastMs && budgetOf(w.ask).mayTry(nowMs);
   if (mayTry) return dispatch(id, true, nowMs);
   giveUp(id, code, nowMs);
 }
 
 auto Shield::giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void {
   auto& w = *waiting_.get(id);
-  if (w.isWrite && w.wasTouched && code != kNotWhole && code != kAnswerTooLarge && code != kMisdirected) code = kUnknown;
+  if (w.isWrite && w.wasTouched && code != kNotWhole && code != kAnswerTooLarge && code != kMisdirected)
+    code = kUnknown;
   if (code == kUnknown)
     ++figures_.unknown;
   else
@@ -578,7 +604,8 @@
     auto it = memory_.find(w->memoryKey);
     if (it != memory_.end() && it->second.running == id) {
       for (const auto& [from, nonce, life] : std::exchange(it->second.asking, {}))
-        out_.letters.push_back({from, neighbour::kKeyTold, Writer().put(neighbour::KeyTold{nonce, life, reply}).take()});
+        out_.letters.push_back(
+            {from, neighbour::kKeyTold, Writer().put(neighbour::KeyTold{nonce, life, reply}).take()});
       // What surely did not run is free again; what another shield ran is remembered only if it went well.
       if (isUnrun || (w->claim == 0 && reply.code != kOk)) {
         memory_.erase(it);
@@ -595,7 +622,8 @@
   for (auto follower : w->followers) {
     auto* f = waiting_.get(follower);
     if (!f) continue;
-    if (isKeyed || reply.code != kOk || (copy && policy::variantOf(copy->vary, f->ask.headers) == own && nowMs - copy->bornMs < copy->keepMs)) {
+    if (isKeyed || reply.code != kOk ||
+        (copy && policy::variantOf(copy->vary, f->ask.headers) == own && nowMs - copy->bornMs < copy->keepMs)) {
       auto taken = waiting_.take(follower);
       auto shared = reply;
       shared.isFetched = false;  // one fetch, however many joined it
@@ -623,7 +651,8 @@
   // Streams to an address that no longer is what it was are ended while idle.
   for (const auto& [name, upstream] : before->upstreams) {
     auto it = held_.frame->upstreams.find(name);
-    if (it == held_.frame->upstreams.end() || it->second.address != upstream.address || it->second.service != upstream.service) {
+    if (it == held_.frame->upstreams.end() || it->second.address != upstream.address ||
+        it->second.service != upstream.service) {
       out_.drops.push_back(upstream.address);
       health_.erase(name);
       probes_.erase(name);
@@ -635,13 +664,16 @@
     auto rate = service.originRate;
     for (const auto& next : service.next)
       if (next.originRate > 0) rate = rate > 0 ? std::min(rate, next.originRate) : next.originRate;
-    for (auto kind : {core::UpstreamKind::kStore, core::UpstreamKind::kApplication}) views_[{name, kind}].ratePerS = static_cast<double>(rate);
+    for (auto kind : {core::UpstreamKind::kStore, core::UpstreamKind::kApplication})
+      views_[{name, kind}].ratePerS = static_cast<double>(rate);
   }
-  for (const auto& [name, pool] : held_.frame->routing.pools) views_[{name, core::UpstreamKind::kAny}] = {{}, {}, 0, pool.connections, pool.ratePerS};
+  for (const auto& [name, pool] : held_.frame->routing.pools)
+    views_[{name, core::UpstreamKind::kAny}] = {{}, {}, 0, pool.connections, pool.ratePerS};
   for (const auto& [name, upstream] : held_.frame->upstreams) {
     auto [health, isNew] = health_.try_emplace(name);
     if (isNew && upstream.coldMs > 0) health->second.coldUntilMs = nowMs + upstream.coldMs;
-    if (isNew && upstream.coldMs == 0 && upstream.kind != core::UpstreamKind::kAny && before->revision.upstreams > 0) health->second.coldUntilMs = nowMs + props_.easeMs;
+    if (isNew && upstream.coldMs == 0 && upstream.kind != core::UpstreamKind::kAny && before->revision.upstreams > 0)
+      health->second.coldUntilMs = nowMs + props_.easeMs;
     if (upstream.isEmptying || upstream.isHeld) continue;
     for (auto kind : {upstream.kind, core::UpstreamKind::kAny})
       if (auto view = views_.find({upstream.service, kind}); view != views_.end()) {
@@ -664,7 +696,8 @@
     auto place = std::find(dispatch.nodes.begin(), dispatch.nodes.end(), self.value_or(hashes.size()));
     if (!self || place == dispatch.nodes.end()) continue;
     for (const auto& candidate : view.candidates)
-      if (dispatch.keepers.at(*candidate.name) == static_cast<size_t>(place - dispatch.nodes.begin())) view.kept.push_back(candidate);
+      if (dispatch.keepers.at(*candidate.name) == static_cast<size_t>(place - dispatch.nodes.begin()))
+        view.kept.push_back(candidate);
   }
 }
 
@@ -694,7 +727,8 @@
   // A claim that is not answered goes to another registry; one that nobody waits for any more goes nowhere.
   for (auto it = unanswered_.begin(); it != unanswered_.end();) {
     auto& [letter, firstMs, sentMs] = it->second;
-    auto isWanted = std::any_of(letter.keys.begin(), letter.keys.end(), [&](const auto& k) { return k.isReturn || claiming_.count(k.number); });
+    auto isWanted = std::any_of(letter.keys.begin(), letter.keys.end(),
+                                [&](const auto& k) { return k.isReturn || claiming_.count(k.number); });
     if (!isWanted || nowMs - firstMs >= props_.boundMs) {
       it = unanswered_.erase(it);
       continue;
@@ -724,8 +758,11 @@
       continue;
     }
     // A read that takes far longer than it should goes to another upstream beside the first.
-    auto mayHedge = w && w->ask.kind == core::UpstreamKind::kAny && !w->isWrite && !w->isHedged && w->open == 1 && w->tries < w->ask.tries;
-    if (!mayHedge || static_cast<double>(nowMs - w->fetchedMs) < std::max(2.5 * w->expectedMs, static_cast<double>(props_.connectMs) / 2)) continue;
+    auto mayHedge = w && w->ask.kind == core::UpstreamKind::kAny && !w->isWrite && !w->isHedged && w->open == 1 &&
+                    w->tries < w->ask.tries;
+    if (!mayHedge || static_cast<double>(nowMs - w->fetchedMs) <
+                         std::max(2.5 * w->expectedMs, static_cast<double>(props_.connectMs) / 2))
+      continue;
     if (static_cast<double>(w->untilMs - nowMs) < w->expectedMs || !budgetOf(w->ask).mayTry(nowMs)) continue;
     w->isHedged = true;
     hedge(id, nowMs);
--- a/lib/upstream/shield.hpp
+++ b/lib/upstream/shield.hpp
@@ -21,24 +21,24 @@
  public:
   struct Props {
     std::string name, site;
-    std::string address;             // its own, towards other processes
-    int64_t boundMs = 2000;          // the freshness bound; everything below follows from it
-    int64_t staleMs = 1500;          // 3/4 of it
+    std::string address;     // its own, towards other processes
+    int64_t boundMs = 2000;  // the freshness bound; everything below follows from it
+    int64_t staleMs = 1500;  // 3/4 of it
     size_t requests = 4000;
     size_t cacheBytes = 256u << 20;
     size_t answerBytes = 8u << 20;
-    double triesPart = 0.75;         // part of a service's extra tries that the shields may use
-    int64_t probeMs = 1000;          // 0: no probes
-    int64_t easeMs = 5000;           // a new upstream of a service is taken for cold so long
-    uint64_t life = 1;               // of this process, as its member entry has it
-    int64_t keyMs = 600000;          // how long a key is held, and an outcome remembered under it
-    size_t keys = 100000;            // outcomes remembered, and their bytes; the oldest go first
+    double triesPart = 0.75;  // part of a service's extra tries that the shields may use
+    int64_t probeMs = 1000;   // 0: no probes
+    int64_t easeMs = 5000;    // a new upstream of a service is taken for cold so long
+    uint64_t life = 1;        // of this process, as its member entry has it
+    int64_t keyMs = 600000;   // how long a key is held, and an outcome remembered under it
+    size_t keys = 100000;     // outcomes remembered, and their bytes; the oldest go first
     size_t keyBytes = 64u << 20;
-    bool servesStale = false;        // out of touch with the core it goes on with what it knows
-    std::string kind = "shield";     // of its member entry
+    bool servesStale = false;     // out of touch with the core it goes on with what it knows
+    std::string kind = "shield";  // of its member entry
     caller::HeaderNames names;
-    policy::TryBounds tries;         // of pools
-    int64_t connectMs = 100;         // a connection that is not up by then goes to another upstream; 1/20 of the bound
+    policy::TryBounds tries;  // of pools
+    int64_t connectMs = 100;  // a connection that is not up by then goes to another upstream; 1/20 of the bound
     policy::RateBounds rate;
   };
   struct Output {
@@ -54,15 +54,19 @@
       uint8_t kind;
       std::string body;
     };
-    std::vector<Told> letters;       // to other shields
+    std::vector<Told> letters;              // to other shields
     std::vector<neighbour::Claims> claims;  // to a registry, by way of the agent
   };
   struct Figures {
-    uint64_t asks = 0, hits = 0, joins = 0, fetches = 0, extras = 0, turnedAway = 0, unknown = 0, rateTurnedAway = 0, queued = 0;
+    uint64_t asks = 0, hits = 0, joins = 0, fetches = 0, extras = 0, turnedAway = 0, unknown = 0, rateTurnedAway = 0,
+             queued = 0;
   };
 
   explicit Shield(Props props, std::shared_ptr<policy::Cache> cache = nullptr)
-      : props_(std::move(props)), waiting_(props_.requests), cache_(cache ? std::move(cache) : std::make_shared<policy::Cache>(props_.cacheBytes)), split_(props_.boundMs) {}
+      : props_(std::move(props)),
+        waiting_(props_.requests),
+        cache_(cache ? std::move(cache) : std::make_shared<policy::Cache>(props_.cacheBytes)),
+        split_(props_.boundMs) {}
 
   /// Takes an ask; `from` is where the reply goes. Example: `shield.take(letter.from, ask, nowMs);`
   auto take(const std::string& from, neighbour::Ask ask, int64_t nowMs) -> void;
@@ -93,7 +97,8 @@
   auto isReady(int64_t nowMs) const -> bool { return !isEmptying_ && mayAct(nowMs) && split_.isSettled(nowMs); }
   /// True while it may act on what it knows. Example: `if (!shield.mayAct(nowMs)) turnAway(kNotCurrent);`
   auto mayAct(int64_t nowMs) const -> bool {
-    return props_.servesStale ? held_.asOfMs >= 0 && held_.frame->revision.configuration > 0 : held_.isCurrent(nowMs, props_.staleMs);
+    return props_.servesStale ? held_.asOfMs >= 0 && held_.frame->revision.configuration > 0
+                              : held_.isCurrent(nowMs, props_.staleMs);
   }
   auto revision() const -> core::Revision { return held_.frame->revision; }
   /// Which upstreams answered their last probe. Example: `poll.probes = shield.probes();`
@@ -111,15 +116,15 @@
     uint64_t purges = 0;
     std::set<std::string> tried;
     bool isWrite = false, wasTouched = false, isQueued = false, isNextExtra = false;
-    int open = 0;            // fetches under way
+    int open = 0;  // fetches under way
     int tries = 0, unsent = 0;
-    int64_t retryMs = 0;     // when to come back, if it is turned away
+    int64_t retryMs = 0;  // when to come back, if it is turned away
     bool isHedged = false;
-    double expectedMs = 0;   // of the fetch that left last
+    double expectedMs = 0;  // of the fetch that left last
     std::string joinKey, memoryKey;
-    uint64_t claim = 0;      // number of its claim of the key, under way or won
-    int64_t claimMs = -1;    // since when the answer is waited for
-    std::string asksKeyOf;   // address of the shield that holds the key and is asked
+    uint64_t claim = 0;     // number of its claim of the key, under way or won
+    int64_t claimMs = -1;   // since when the answer is waited for
+    std::string asksKeyOf;  // address of the shield that holds the key and is asked
     std::vector<uint64_t> followers;
   };
   struct Memory {  // of one Idempotency-Key
@@ -150,7 +155,7 @@
   struct PoolView {  // of the frame in force
     std::vector<policy::Candidate> candidates;
     std::vector<policy::Candidate> kept;  // of them, those that this node keeps to itself; none: it chooses among all
-    size_t keepers = 0;      // nodes that keep the pool's upstreams; 0: every node for itself
+    size_t keepers = 0;                   // nodes that keep the pool's upstreams; 0: every node for itself
     int64_t connections = 0;
     double ratePerS = 0;
   };
@@ -158,7 +163,8 @@
   auto budgetOf(const neighbour::Ask& ask) -> policy::TryBudget&;
   auto hedge(uint64_t id, int64_t nowMs) -> void;
   auto dispatch(uint64_t id, bool isExtra, int64_t nowMs) -> void;
-  auto send(uint64_t id, const policy::Candidate& candidate, const policy::Placement& placement, bool isExtra, int64_t nowMs) -> void;
+  auto send(uint64_t id, const policy::Candidate& candidate, const policy::Placement& placement, bool isExtra,
+            int64_t nowMs) -> void;
   auto queue(uint64_t id, bool isExtra, int64_t nowMs) -> void;
   auto drain(const std::string& pool, int64_t nowMs) -> void;
   auto placementOf(const PoolView& view, int64_t nowMs) -> policy::PlacementProps;
@@ -191,11 +197,11 @@
   std::deque<std::pair<int64_t, std::string>> memoryOrder_;
   size_t memoryBytes_ = 0;
   uint64_t nextClaim_ = 0, nextNonce_ = 0;
-  std::vector<core::KeyClaim> gathered_;        // for the next letter
+  std::vector<core::KeyClaim> gathered_;  // for the next letter
   int64_t gatheredMs_ = 0;
-  std::map<uint64_t, Unanswered> unanswered_;   // by nonce
-  std::map<uint64_t, uint64_t> claiming_;       // number of a claim → the request that waits for it
-  std::set<uint64_t> unrun_;                    // own claims under which surely nothing ran, perhaps still held
+  std::map<uint64_t, Unanswered> unanswered_;  // by nonce
+  std::map<uint64_t, uint64_t> claiming_;      // number of a claim → the request that waits for it
+  std::set<uint64_t> unrun_;                   // own claims under which surely nothing ran, perhaps still held
   std::map<std::string, bool> probes_;
   std::map<uint64_t, std::string> probing_;
   uint64_t nextProbe_ = 0;
--- a/programs/console.cpp
+++ b/programs/console.cpp
@@ -46,9 +46,11 @@
     fetch.method = "POST", fetch.body = *body;
     fetch.target = words[0] == "submit" ? "/configuration" : words[0] == "template" ? "/templates" : "/tenants";
   } else if (is("purge", 2)) {
-    fetch.method = "POST", fetch.target = "/purge", fetch.body = "{\"service\":" + text(words[1]) + ",\"path\":" + text(words[2]) + "}";
+    fetch.method = "POST", fetch.target = "/purge",
+    fetch.body = "{\"service\":" + text(words[1]) + ",\"path\":" + text(words[2]) + "}";
   } else if (is("purge-label", 2)) {
-    fetch.method = "POST", fetch.target = "/purge", fetch.body = "{\"service\":" + text(words[1]) + ",\"label\":" + text(words[2]) + "}";
+    fetch.method = "POST", fetch.target = "/purge",
+    fetch.body = "{\"service\":" + text(words[1]) + ",\"label\":" + text(words[2]) + "}";
   } else if (is("change", 1)) {
     fetch.target = "/changes/" + words[1];
   } else if (is("rollout", 1)) {
@@ -75,7 +77,8 @@
       std::cerr << "console: " << address << " gave no answer; the outcome is unknown\n";
       return 1;
     }
-    std::cerr << "console: " << address << (answer.fault == upstream::Fault::kNone ? " turned it away" : " can't be reached") << "\n";
+    std::cerr << "console: " << address
+              << (answer.fault == upstream::Fault::kNone ? " turned it away" : " can't be reached") << "\n";
   }
   return 1;
 }
--- a/programs/replay.cpp
+++ b/programs/replay.cpp
@@ -36,13 +36,16 @@
 
 auto print(const std::vector<Line>& lines) -> void {
   std::map<std::string, std::vector<int64_t>> byStatus;
-  for (const auto& l : lines) byStatus[l.status].push_back(l.tookMs);
+  for (const auto& l : lines)
+    byStatus[l.status].push_back(l.tookMs);
   std::cout << "status     count      p50      p95      p99      max\n";
   for (auto& [status, took] : byStatus) {
     std::sort(took.begin(), took.end());
-    auto at = [&](double q) { return took[std::min(took.size() - 1, static_cast<size_t>(q * static_cast<double>(took.size())))]; };
-    std::cout << std::left << std::setw(8) << status << std::right << std::setw(8) << took.size() << std::setw(9) << at(0.5) << std::setw(9)
-              << at(0.95) << std::setw(9) << at(0.99) << std::setw(9) << took.back() << "\n";
+    auto at = [&](double q) {
+      return took[std::min(took.size() - 1, static_cast<size_t>(q * static_cast<double>(took.size())))];
+    };
+    std::cout << std::left << std::setw(8) << status << std::right << std::setw(8) << took.size() << std::setw(9)
+              << at(0.5) << std::setw(9) << at(0.95) << std::setw(9) << at(0.99) << std::setw(9) << took.back() << "\n";
   }
 }
 
@@ -57,7 +60,9 @@
     }
     if (a[i].status != b[i].status) {
       ++status;
-      if (shown++ < 10) std::cout << "request " << i + 1 << " " << a[i].request << ": " << a[i].status << " and " << b[i].status << "\n";
+      if (shown++ < 10)
+        std::cout << "request " << i + 1 << " " << a[i].request << ": " << a[i].status << " and " << b[i].status
+                  << "\n";
     } else if (a[i].bodyHash != b[i].bodyHash) {
       ++body;
     }
@@ -66,7 +71,8 @@
   std::sort(ratios.begin(), ratios.end());
   std::cout << "answers with another status: " << status << ", with another body: " << body << "\n";
   if (!ratios.empty())
-    std::cout << "time taken, second by first: median " << ratios[ratios.size() / 2] << ", 95% within " << ratios[ratios.size() * 95 / 100] << "\n";
+    std::cout << "time taken, second by first: median " << ratios[ratios.size() / 2] << ", 95% within "
+              << ratios[ratios.size() * 95 / 100] << "\n";
   return status == 0 ? 0 : 1;
 }
 }  // namespace
@@ -140,15 +146,16 @@
     for (auto& f : fetcher.run(none, 2)) {
       auto code = caller::header(f.headers, "dykestage-code");
       auto& line = lines[f.id];
-      line.status = f.fault != upstream::Fault::kNone ? "lost" : std::to_string(f.status) + (code.empty() ? "" : "/" + code);
+      line.status =
+          f.fault != upstream::Fault::kNone ? "lost" : std::to_string(f.status) + (code.empty() ? "" : "/" + code);
       line.tookMs = neighbour::steadyMs() - sinceMs[f.id];
       line.bodyHash = neighbour::hash(f.body);
     }
   }
   std::ofstream out(words[2]);
   for (size_t i = 0; i < lines.size(); ++i)
-    out << lines[i].status << " " << lines[i].tookMs << " " << lines[i].bodyHash << " " << (*day)[i].method << " " << (*day)[i].host << " "
-        << (*day)[i].target << "\n";
+    out << lines[i].status << " " << lines[i].tookMs << " " << lines[i].bodyHash << " " << (*day)[i].method << " "
+        << (*day)[i].host << " " << (*day)[i].target << "\n";
   if (!out) {
     std::cerr << "replay: cannot write " << words[2] << "\n";
     return 2;
--- a/programs/shield.cpp
+++ b/programs/shield.cpp
@@ -40,7 +40,8 @@
   auto& s = program.settings();
   upstream::Shield::Props props;
   std::string status, address, listen, agentAt;
-  int64_t boundMs = 2000, requests = 4000, cacheBytes = 256 << 20, answerBytes = 8 << 20, keyMs = 600000, keys = 100000, keyBytes = 64 << 20;
+  int64_t boundMs = 2000, requests = 4000, cacheBytes = 256 << 20, answerBytes = 8 << 20, keyMs = 600000, keys = 100000,
+          keyBytes = 64 << 20;
   s.text("name", props.name, true);
   s.text("site", props.site, true);
   program.address("status", status);
@@ -70,7 +71,8 @@
   std::string reason;
   neighbour::Post::Props postProps{listen.empty() ? address : listen, address};
   postProps.maxBytes = static_cast<size_t>(answerBytes) * 2 + (1 << 20);
-  auto post = neighbour::Post::open(postProps, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
+  auto post = neighbour::Post::open(
+      postProps, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
   if (!post) {
     LOG(ERROR) << "shield: " << reason;
     return 3;
@@ -79,10 +81,12 @@
   props.life = agent::freshIncarnation();
   upstream::Shield shield(props);
   upstream::Fetcher fetcher;
-  agent::Link link({props.name, {"shield", props.site, post->address(), "", props.life}, agentAt, boundMs},
-                   [&](caller::HeldFrame f) { inbox.push(std::move(f)); }, [&](neighbour::Letter l) { inbox.push(std::move(l)); });
+  agent::Link link(
+      {props.name, {"shield", props.site, post->address(), "", props.life}, agentAt, boundMs},
+      [&](caller::HeldFrame f) { inbox.push(std::move(f)); }, [&](neighbour::Letter l) { inbox.push(std::move(l)); });
   auto [ip, port] = op::splitAddress(status);
-  auto pages = std::make_unique<caller::Face>(caller::Face::Props{ip, port, 1, 1 << 16}, [&](caller::Request r) { inbox.push(std::move(r)); });
+  auto pages = std::make_unique<caller::Face>(caller::Face::Props{ip, port, 1, 1 << 16},
+                                              [&](caller::Request r) { inbox.push(std::move(r)); });
   LOG(INFO) << "shield: " << props.name << " at " << post->address() << ", status at port " << pages->port() << ".";
 
   upstream::Desk desk(shield, fetcher, *post, link, {"", boundMs, {}});
@@ -91,10 +95,12 @@
   int64_t warmedMs = 0;
   for (;;) {
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
-    for (auto& stream : writing) fds.push_back({stream->fd(), POLLOUT, 0});
+    for (auto& stream : writing)
+      fds.push_back({stream->fd(), POLLOUT, 0});
     auto ended = fetcher.run(fds, 5);
     auto nowMs = neighbour::steadyMs();
-    for (auto& fetched : ended) shield.takeFetched(fetched, nowMs);
+    for (auto& fetched : ended)
+      shield.takeFetched(fetched, nowMs);
     for (auto& input : inbox.take()) {
       if (auto* letter = std::get_if<neighbour::Letter>(&input)) desk.take(*letter, nowMs);
       if (auto* held = std::get_if<caller::HeldFrame>(&input)) {
--- a/tests/disk_test.cpp
+++ b/tests/disk_test.cpp
@@ -1,7 +1,7 @@
 // The ring: what was synced comes back, what was torn is dropped, what is damaged is told.
-#include <catch2/catch.hpp>
 #include <fcntl.h>
 #include <unistd.h>
+#include <catch2/catch.hpp>
 
 #include <filesystem>
 #include <fstream>
@@ -87,7 +87,8 @@
   size_t kept = 0;
   {
     auto ring = open(folder);
-    while (ring.append({std::string(1000, 'y')}) && ring.sync()) ++kept;
+    while (ring.append({std::string(1000, 'y')}) && ring.sync())
+      ++kept;
     CHECK(ring.reason() == "the ring is full");
     CHECK(kept > 150);
   }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,7 +1,7 @@
 // Real processes, small: failures under load, callers' and origins' accounts compared. The long runs over many
 // seeds are the same rehearsals: `rehearse`.
-#include <catch2/catch.hpp>
 #include <unistd.h>
+#include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <filesystem>
@@ -22,7 +22,8 @@
   auto verdict = Rehearsal::run(name, props);
   std::cout << name << ":\n" << verdict.report.text();
   std::string text;
-  for (auto& fault : verdict.faults) text += fault + "\n";
+  for (auto& fault : verdict.faults)
+    text += fault + "\n";
   INFO(text);
   if (!dropsSync) CHECK(verdict.faults.empty());
   if (verdict.faults.empty()) std::filesystem::remove_all(props.folder);
@@ -42,7 +43,8 @@
 
 TEST_CASE("The same run bites when disks say that they have synced and have not") {
   auto v = rehearse("powerLoss", true);
-  CHECK(std::any_of(v.faults.begin(), v.faults.end(), [](const auto& fault) { return fault.find("lost at") != std::string::npos; }));
+  CHECK(std::any_of(v.faults.begin(), v.faults.end(),
+                    [](const auto& fault) { return fault.find("lost at") != std::string::npos; }));
 }
 
 TEST_CASE("Disks stall for seconds, and a registry on one of them still ends within its grace") {
--- a/tests/gathering_test.cpp
+++ b/tests/gathering_test.cpp
@@ -18,10 +18,13 @@
 namespace {
 constexpr int64_t kBoundMs = 2000, kEveryMs = kBoundMs / 40;
 
-auto named(size_t i) -> std::string { return "10.0.0." + std::to_string(i + 1) + ":9000"; }
+auto named(size_t i) -> std::string {
+  return "10.0.0." + std::to_string(i + 1) + ":9000";
+}
 auto names(size_t count) -> List {
   List list;
-  for (size_t i = 0; i < count; ++i) list.push_back(named(i));
+  for (size_t i = 0; i < count; ++i)
+    list.push_back(named(i));
   return list;
 }
 
@@ -38,7 +41,8 @@
   int64_t delayMs = 1;
 
   auto start(const std::string& name, bool mayForm = true) -> void {
-    processes_[name] = {std::make_unique<Gathering>(Gathering::Props{name, seeds_, ++lives_, kBoundMs, mayForm}, nowMs_), {}, false};
+    processes_[name] = {
+        std::make_unique<Gathering>(Gathering::Props{name, seeds_, ++lives_, kBoundMs, mayForm}, nowMs_), {}, false};
   }
   auto has(const std::string& name, List list) -> void { processes_[name].list = std::move(list); }
   auto stop(const std::string& name) -> void { processes_[name] = {}; }
@@ -56,7 +60,8 @@
       for (auto& [name, process] : processes_) {
         if (!process.gathering) continue;
         process.gathering->tick(nowMs_);
-        for (auto& sent : process.gathering->output()) send(name, sent.to, sent.letter);
+        for (auto& sent : process.gathering->output())
+          send(name, sent.to, sent.letter);
         look(process);
       }
     }
@@ -102,7 +107,8 @@
   std::vector<std::pair<size_t, size_t>> order = {{0, 1}, {0, 2}, {1, 0}, {1, 2}, {2, 0}, {2, 1}};
   do {
     std::vector<Gathering> all;
-    for (size_t i = 0; i < 3; ++i) all.emplace_back(Gathering::Props{named(i), names(3), i + 1, kBoundMs, true}, 0);
+    for (size_t i = 0; i < 3; ++i)
+      all.emplace_back(Gathering::Props{named(i), names(3), i + 1, kBoundMs, true}, 0);
     for (int64_t nowMs = 0; nowMs <= kBoundMs; nowMs += kEveryMs) {
       std::map<std::pair<size_t, size_t>, Gather> letters;
       for (size_t i = 0; i < 3; ++i) {
@@ -114,10 +120,12 @@
       for (const auto& way : order)
         if (letters.count(way)) all[way.second].take(named(way.first), letters[way], nowMs);
       if (nowMs < kBoundMs / 2) {
-        for (const auto& one : all) REQUIRE_FALSE(one.addresses());
+        for (const auto& one : all)
+          REQUIRE_FALSE(one.addresses());
       }
     }
-    for (const auto& one : all) REQUIRE(one.addresses() == names(3));
+    for (const auto& one : all)
+      REQUIRE(one.addresses() == names(3));
   } while (std::next_permutation(order.begin(), order.end()));
 }
 
@@ -127,16 +135,19 @@
     Room room(names(3), seed);
     room.lossPercent = 20;
     room.delayMs = 100;
-    for (const auto& name : names(5)) room.start(name);
+    for (const auto& name : names(5))
+      room.start(name);
     room.run(60000);
     CHECK(room.lists == std::set<List>{names(5)});
-    for (const auto& name : names(5)) CHECK(room.at(name).list == names(5));
+    for (const auto& name : names(5))
+      CHECK(room.at(name).list == names(5));
   }
 }
 
 TEST_CASE("whoever comes after the list is settled has no seat, and goes on") {
   Room room(names(3), 1);
-  for (const auto& name : names(3)) room.start(name);
+  for (const auto& name : names(3))
+    room.start(name);
   room.run(3000);
   CHECK(room.at(named(0)).list == names(3));
   room.start(named(3));
@@ -148,7 +159,8 @@
 
 TEST_CASE("a fourth that comes before the list is settled is in it") {
   Room room(names(3), 1);
-  for (const auto& name : names(3)) room.start(name);
+  for (const auto& name : names(3))
+    room.start(name);
   room.run(800);
   room.start(named(3));
   room.run(3000);
@@ -166,7 +178,8 @@
 
 TEST_CASE("wiped ones alone never settle a list, nor does a new one with wiped seeds") {
   Room room(names(3), 1);
-  for (const auto& name : names(3)) room.start(name, false);
+  for (const auto& name : names(3))
+    room.start(name, false);
   room.start(named(3), true);
   room.run(60000);
   CHECK(room.lists.empty());
@@ -174,11 +187,13 @@
 
 TEST_CASE("two alone settle no list, nor do those who miss a seed") {
   Room two(names(2), 1);
-  for (const auto& name : names(2)) two.start(name);
+  for (const auto& name : names(2))
+    two.start(name);
   two.run(20000);
   CHECK(two.lists.empty());
   Room missing(names(3), 1);
-  for (size_t i : {0, 1, 3, 4}) missing.start(named(i));
+  for (size_t i : {0, 1, 3, 4})
+    missing.start(named(i));
   missing.run(20000);
   CHECK(missing.lists.empty());
 }
@@ -192,11 +207,13 @@
     room.delayMs = 1 + room.roll(1500);
     auto count = static_cast<size_t>(3 + room.roll(4));
     std::vector<int64_t> startMs;
-    for (size_t i = 0; i < count; ++i) startMs.push_back(100 * room.roll(60));
+    for (size_t i = 0; i < count; ++i)
+      startMs.push_back(100 * room.roll(60));
     for (int64_t nowMs = 0; nowMs < 30000; nowMs += 100) {
       for (size_t i = 0; i < count; ++i) {
         if (startMs[i] == nowMs) room.start(named(i));
-        if (startMs[i] < nowMs && nowMs < 15000 && room.roll(300) == 0 && room.at(named(i)).gathering) room.start(named(i));
+        if (startMs[i] < nowMs && nowMs < 15000 && room.roll(300) == 0 && room.at(named(i)).gathering)
+          room.start(named(i));
       }
       room.run(100);
     }
@@ -215,7 +232,8 @@
 
 TEST_CASE("a registry tells its list to whoever gathers, and to nobody who has one") {
   core::Registry::Props props;
-  for (size_t i = 0; i < 3; ++i) props.addresses[static_cast<tempo::Slot>(i + 1)] = named(i);
+  for (size_t i = 0; i < 3; ++i)
+    props.addresses[static_cast<tempo::Slot>(i + 1)] = named(i);
   core::Registry registry(props, "", {}, 7);
   registry.output();
   Gather asked;
--- a/tests/hollow_test.cpp
+++ b/tests/hollow_test.cpp
@@ -53,7 +53,8 @@
 }
 
 TEST_CASE("Cut regions stop being current, the others go on") {
-  auto f = Hollow({.nodes = 22, .regions = 11, .zones = 11, .settleMs = 1000, .spanMs = 10000, .cutsRegions = true}).run();
+  auto f =
+      Hollow({.nodes = 22, .regions = 11, .zones = 11, .settleMs = 1000, .spanMs = 10000, .cutsRegions = true}).run();
   CHECK(f.current == 18);
   CHECK(f.lettersLost > 0);
 }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,12 +1,12 @@
 // The HTTP face and the fetcher over real sockets: what passes whole, what is refused, what is not an answer.
 #include <arpa/inet.h>
-#include <catch2/catch.hpp>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/push.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <catch2/catch.hpp>
 
 #include <mutex>
 #include <thread>
@@ -30,7 +30,8 @@
       std::vector<std::shared_ptr<Stream>> writing;
       while (!isOver) {
         std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
-        for (auto& s : writing) fds.push_back({s->fd(), POLLOUT, 0});
+        for (auto& s : writing)
+          fds.push_back({s->fd(), POLLOUT, 0});
         ::poll(fds.data(), fds.size(), 20);
         for (auto& r : inbox.take()) {
           r.stream->answer(handle(r), r.method, r.keep);
@@ -51,8 +52,8 @@
   std::thread loop;
 };
 
-auto fetch(const std::string& at, const std::string& method, const std::string& target, upstream::Headers headers = {}, const std::string& body = "",
-           size_t answerBytes = 16u << 20) -> upstream::Fetched {
+auto fetch(const std::string& at, const std::string& method, const std::string& target, upstream::Headers headers = {},
+           const std::string& body = "", size_t answerBytes = 16u << 20) -> upstream::Fetched {
   upstream::Fetch f;
   f.address = at;
   f.method = method;
@@ -83,7 +84,8 @@
   REQUIRE(::send(fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
   std::string all;
   char buffer[4096];
-  for (ssize_t n = 0; (n = ::recv(fd.get(), buffer, sizeof buffer, 0)) > 0;) all.append(buffer, static_cast<size_t>(n));
+  for (ssize_t n = 0; (n = ::recv(fd.get(), buffer, sizeof buffer, 0)) > 0;)
+    all.append(buffer, static_cast<size_t>(n));
   return all;
 }
 
@@ -131,12 +133,17 @@
     seen.stream.reset();
     if (r.target == "/none") return Answer{204, {{"X-A", "1"}}, ""};
     if (r.target == "/same") return Answer{304, {{"ETag", "\"e\""}, {"Content-Length", "77"}}, ""};
-    return Answer{200, {{"X-A", "1"}, {"X-A", "2"}, {"Set-Cookie", "a=1"}, {"Set-Cookie", "b=2"}, {"sTrAnGe", "kept"}}, "to " + r.target + ": " + r.body};
+    return Answer{200,
+                  {{"X-A", "1"}, {"X-A", "2"}, {"Set-Cookie", "a=1"}, {"Set-Cookie", "b=2"}, {"sTrAnGe", "kept"}},
+                  "to " + r.target + ": " + r.body};
   });
-  auto answer = fetch(server.at(), "POST", "/a%2Fb/../c?x=1&y=%20&x=2", {{"X-Twice", "one"}, {"X-Twice", "two"}, {"cOoKiE", "k=v; l"}, {"X-Empty", ""}}, "body");
+  auto answer = fetch(server.at(), "POST", "/a%2Fb/../c?x=1&y=%20&x=2",
+                      {{"X-Twice", "one"}, {"X-Twice", "two"}, {"cOoKiE", "k=v; l"}, {"X-Empty", ""}}, "body");
   CHECK(answer.fault == upstream::Fault::kNone);
   CHECK(answer.body == "to /a%2Fb/../c?x=1&y=%20&x=2: body");
-  auto count = [](const Headers& headers, const std::string& name, const std::string& value) { return std::count(headers.begin(), headers.end(), std::pair{name, value}); };
+  auto count = [](const Headers& headers, const std::string& name, const std::string& value) {
+    return std::count(headers.begin(), headers.end(), std::pair{name, value});
+  };
   CHECK(count(seen.headers, "X-Twice", "one") == 1);
   CHECK(count(seen.headers, "X-Twice", "two") == 1);
   CHECK(count(seen.headers, "cOoKiE", "k=v; l") == 1);
@@ -184,12 +191,14 @@
 
 TEST_CASE("Chunked requests are read; what readers could understand differently is refused") {
   Server server([](const Request& r) { return Answer{200, {}, "[" + r.body + "]"}; });
-  auto chunked = raw(server.at(), "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n");
+  auto chunked = raw(server.at(),
+                     "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nConnection: "
+                     "close\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n");
   CHECK(chunked.find("[abcdefg]") != std::string::npos);
   for (auto bad : {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
                    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-                   "GET / HTTP/1.1\r\nHost : a\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\n X: folded\r\n\r\n", "GARBAGE\r\n\r\n",
-                   "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n"}) {
+                   "GET / HTTP/1.1\r\nHost : a\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\n X: folded\r\n\r\n",
+                   "GARBAGE\r\n\r\n", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n"}) {
     auto answer = raw(server.at(), bad);
     INFO(bad);
     CHECK(answer.rfind("HTTP/1.1 400 ", 0) == 0);
@@ -198,7 +207,9 @@
   auto ahead = raw(server.at(), "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
   CHECK(ahead.find("Connection: close") != std::string::npos);
   CHECK(ahead.find("HTTP/1.1 200", 5) == std::string::npos);
-  auto waits = raw(server.at(), "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
+  auto waits =
+      raw(server.at(),
+          "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
   CHECK(waits.find("[ok]") != std::string::npos);
 }
 
@@ -246,7 +257,8 @@
     fetcher.start(f);
     auto untilMs = neighbour::steadyMs() + 20000;
     std::vector<upstream::Fetched> ended;
-    while (ended.empty() && neighbour::steadyMs() < untilMs) ended = fetcher.run(none, 20);
+    while (ended.empty() && neighbour::steadyMs() < untilMs)
+      ended = fetcher.run(none, 20);
     REQUIRE(ended.size() == 1);
     CHECK(ended[0].status == 200);
   }
@@ -265,8 +277,10 @@
 TEST_CASE("Letters go over lines that are up, and are refused by lines that are not") {
   std::string reason;
   neighbour::Inbox<neighbour::Letter> inbox(16);
-  auto a = neighbour::Post::open({"127.0.0.1:0"}, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
-  auto b = neighbour::Post::open({"127.0.0.1:0"}, [](neighbour::Letter) {}, reason);
+  auto a = neighbour::Post::open(
+      {"127.0.0.1:0"}, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
+  auto b = neighbour::Post::open(
+      {"127.0.0.1:0"}, [](neighbour::Letter) {}, reason);
   REQUIRE(a);
   REQUIRE(b);
   CHECK_FALSE(b->send("127.0.0.1:1", 1, "x"));
@@ -312,7 +326,8 @@
       }  // the process is stalled with the fetch begun
       std::vector<pollfd> none;
       std::vector<upstream::Fetched> ended;
-      while (ended.empty()) ended = fetcher.run(none, 50);
+      while (ended.empty())
+        ended = fetcher.run(none, 50);
       CHECK(ended[0].fault == (isLate ? upstream::Fault::kNotSent : upstream::Fault::kNone));
       CHECK(ended[0].isUntouched == isLate);
       CHECK(seen.load() - before == (isLate ? 0 : 1));
@@ -322,13 +337,17 @@
 TEST_CASE("Letters and records of another version are turned away, and nothing of them is read") {
   neighbour::Inbox<neighbour::Letter> inbox(16);
   std::string reason;
-  auto post = neighbour::Post::open({"127.0.0.1:0"}, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
+  auto post = neighbour::Post::open(
+      {"127.0.0.1:0"}, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
   REQUIRE(post);
   nng_socket line;
   REQUIRE(nng_push0_open(&line) == 0);
   REQUIRE(nng_dial(line, ("tcp://" + post->address()).c_str(), nullptr, 0) == 0);
   for (auto version : {neighbour::kWireVersion - 1, neighbour::kWireVersion + 1, int{neighbour::kWireVersion}}) {
-    auto bytes = Writer().put(static_cast<uint16_t>(version)).put(neighbour::Letter{neighbour::kAsk, "x", "of version " + std::to_string(version)}).take();
+    auto bytes = Writer()
+                     .put(static_cast<uint16_t>(version))
+                     .put(neighbour::Letter{neighbour::kAsk, "x", "of version " + std::to_string(version)})
+                     .take();
     REQUIRE(nng_send(line, bytes.data(), bytes.size(), 0) == 0);
   }
   std::vector<neighbour::Letter> got;
@@ -354,7 +373,8 @@
 // An upstream that answers each request on each connection as a function says; the bytes go out as they are.
 struct Upstream {
   using Handle = std::function<std::string(int connection, int request, const std::string& head)>;
-  explicit Upstream(Handle handle) : handle(std::move(handle)), listening(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  explicit Upstream(Handle handle)
+      : handle(std::move(handle)), listening(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     sockaddr_in at{};
     at.sin_family = AF_INET;
     ::inet_pton(AF_INET, "127.0.0.1", &at.sin_addr);
@@ -375,7 +395,8 @@
     isOver = true;
     ::shutdown(listening.get(), SHUT_RDWR);
     loop.join();
-    for (auto& one : serving) one.join();
+    for (auto& one : serving)
+      one.join();
   }
   auto at() const -> std::string { return "127.0.0.1:" + std::to_string(port); }
   auto serve(int number, int connection) -> void {
@@ -419,7 +440,8 @@
 }
 
 auto sealed(const std::string& id, const std::string& body) -> std::string {
-  return "HTTP/1.1 200 OK\r\nX-Try: " + id + "\r\nX-Seal: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  return "HTTP/1.1 200 OK\r\nX-Try: " + id + "\r\nX-Seal: s\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
 }
 
 auto askFor(const Upstream& upstream, const std::string& id) -> upstream::Fetch {
@@ -438,23 +460,28 @@
   std::vector<upstream::Fetched> all;
   std::vector<pollfd> none;
   for (auto untilMs = neighbour::steadyMs() + 30000; all.size() < count && neighbour::steadyMs() < untilMs;)
-    for (auto& one : fetcher.run(none, 1000)) all.push_back(std::move(one));
+    for (auto& one : fetcher.run(none, 1000))
+      all.push_back(std::move(one));
   REQUIRE(all.size() == count);
   return all;
 }
 
-auto sleepMs(int64_t ms) -> void { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
+auto sleepMs(int64_t ms) -> void {
+  std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
 
 auto waitUntil(const std::function<bool()>& isSo) -> bool {
   auto untilMs = neighbour::steadyMs() + 20000;
-  while (!isSo() && neighbour::steadyMs() < untilMs) sleepMs(5);
+  while (!isSo() && neighbour::steadyMs() < untilMs)
+    sleepMs(5);
   return isSo();
 }
 
 auto readSome(const disk::Fd& fd, size_t least = 1) -> std::string {
   std::string all;
   char buffer[4096];
-  for (ssize_t n = 0; all.size() < least && (n = ::recv(fd.get(), buffer, sizeof buffer, 0)) > 0;) all.append(buffer, static_cast<size_t>(n));
+  for (ssize_t n = 0; all.size() < least && (n = ::recv(fd.get(), buffer, sizeof buffer, 0)) > 0;)
+    all.append(buffer, static_cast<size_t>(n));
   return all;
 }
 
@@ -504,7 +531,8 @@
     CHECK(upstream.connections == 2);
   }
   SECTION("without the id, whatever its status") {
-    for (auto bytes : {"HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"}) {
+    for (auto bytes : {"HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nok",
+                       "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"}) {
       Upstream upstream([&](int, int, const std::string&) { return std::string(bytes); });
       upstream::Fetcher fetcher;
       fetcher.start(askFor(upstream, "1"));
@@ -513,7 +541,8 @@
   }
   SECTION("a provisional answer needs no id") {
     Upstream upstream([&](int, int, const std::string& head) {
-      return "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + sealed(valueOf(head, "X-Try"), "ok");
+      return "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" +
+             sealed(valueOf(head, "X-Try"), "ok");
     });
     upstream::Fetcher fetcher;
     fetcher.start(askFor(upstream, "1"));
@@ -526,12 +555,13 @@
 
 TEST_CASE("Bytes after a whole answer never reach the next request") {
   using upstream::Fault;
-  std::vector<std::string> firsts = {"HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nok",
-                                     "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n",
-                                     "HTTP/1.1 204 No Content\r\nX-Try: 1\r\nX-Seal: s\r\n\r\n",
-                                     "HTTP/1.1 304 Not Modified\r\nX-Try: 1\r\n\r\n",
-                                     "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"};
-  std::vector<std::string> extras = {"garbage", "\r\n\r\n", std::string(40000, 'g'), sealed("2", "forged early"), "HTTP/1.1 2"};
+  std::vector<std::string> firsts = {
+      "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nok",
+      "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 204 No Content\r\nX-Try: 1\r\nX-Seal: s\r\n\r\n", "HTTP/1.1 304 Not Modified\r\nX-Try: 1\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"};
+  std::vector<std::string> extras = {"garbage", "\r\n\r\n", std::string(40000, 'g'), sealed("2", "forged early"),
+                                     "HTTP/1.1 2"};
   for (const auto& first : firsts)
     for (const auto& extra : extras) {
       Upstream upstream([&](int connection, int, const std::string& head) {
@@ -585,7 +615,9 @@
       {"200 OK\r\nX-Seal: s\r\nContent-Length: 2\r\nContent-Length: 3", Fault::kNotWhole, 200},
   };
   for (const auto& row : rows) {
-    Upstream upstream([&](int, int, const std::string&) { return "HTTP/1.1 " + row.head + "\r\nX-Try: 1\r\nConnection: close\r\n\r\nok"; });
+    Upstream upstream([&](int, int, const std::string&) {
+      return "HTTP/1.1 " + row.head + "\r\nX-Try: 1\r\nConnection: close\r\n\r\nok";
+    });
     upstream::Fetcher fetcher;
     auto f = askFor(upstream, "1");
     f.timeoutMs = 1000;  // one of them leaves open what is still to come
@@ -593,12 +625,14 @@
     auto answer = finish(fetcher)[0];
     INFO(row.head);
     CHECK(answer.status == row.status);
-    if (row.head.find("Length: 3") == std::string::npos) CHECK(static_cast<int>(answer.fault) == static_cast<int>(row.fault));
+    if (row.head.find("Length: 3") == std::string::npos)
+      CHECK(static_cast<int>(answer.fault) == static_cast<int>(row.fault));
     CHECK((answer.fault == Fault::kNone) == (row.fault == Fault::kNone));
     if (answer.fault == Fault::kNone) CHECK(answer.body == "ok");
   }
   Upstream gzip([](int, int, const std::string&) {
-    return std::string("HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 3\r\n\r\n\x1f\x8bx");
+    return std::string(
+        "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 3\r\n\r\n\x1f\x8bx");
   });
   upstream::Fetcher fetcher;
   auto f = askFor(gzip, "1");
@@ -617,7 +651,8 @@
     return sealed("1", "ok");
   });
   upstream::Fetcher fetcher;
-  for (std::string target : {"/", "/a?", "/a?x=1&&y=%zz", "/a#b", "//a/../b/./c", "/%2f%2F", "/a;b?c?d", "/\xc3\xa4", "/@x:1/", "*"}) {
+  for (std::string target :
+       {"/", "/a?", "/a?x=1&&y=%zz", "/a#b", "//a/../b/./c", "/%2f%2F", "/a;b?c?d", "/\xc3\xa4", "/@x:1/", "*"}) {
     auto f = askFor(upstream, "1");
     f.target = target;
     fetcher.start(f);
@@ -634,7 +669,8 @@
   Upstream upstream([&](int, int, const std::string& head) {
     ++seen;
     most = std::max(most.load(), ++running);
-    while (isHeld) sleepMs(5);
+    while (isHeld)
+      sleepMs(5);
     --running;
     return sealed(valueOf(head, "X-Try"), "ok");
   });
@@ -672,7 +708,8 @@
     f.isWrite = true;
     fetcher.start(f);
   }
-  for (const auto& one : finish(fetcher, 4)) CHECK(one.fault == Fault::kNone);
+  for (const auto& one : finish(fetcher, 4))
+    CHECK(one.fault == Fault::kNone);
   CHECK(most <= 2);
   CHECK(upstream.connections - upstream.closed <= 2);
 
@@ -680,8 +717,10 @@
   Upstream other([](int, int, const std::string& head) { return sealed(valueOf(head, "X-Try"), "ok"); });
   upstream::Fetcher few;
   few.limit(0, 1);
-  for (auto i = 0; i < 6; ++i) few.start(askFor(i % 2 ? upstream : other, std::to_string(i)));
-  for (const auto& one : finish(few, 6)) CHECK(one.fault == Fault::kNone);
+  for (auto i = 0; i < 6; ++i)
+    few.start(askFor(i % 2 ? upstream : other, std::to_string(i)));
+  for (const auto& one : finish(few, 6))
+    CHECK(one.fault == Fault::kNone);
 }
 
 TEST_CASE("A fetch that is cancelled closes its stream, and others take its turn") {
@@ -690,7 +729,8 @@
   Upstream upstream([&](int, int, const std::string& head) {
     auto id = valueOf(head, "X-Try");
     ++seen;
-    while (id == "1" && isHeld) sleepMs(5);
+    while (id == "1" && isHeld)
+      sleepMs(5);
     return sealed(id, "ok");
   });
   upstream::Fetcher fetcher;
@@ -701,7 +741,8 @@
     fetcher.start(f);
   }
   std::vector<pollfd> none;
-  while (seen == 0) CHECK(fetcher.run(none, 10).empty());
+  while (seen == 0)
+    CHECK(fetcher.run(none, 10).empty());
   fetcher.cancel(1);
   auto ended = finish(fetcher);
   isHeld = false;
@@ -751,7 +792,8 @@
 TEST_CASE("A fetcher sleeps until its next time limit, however long it may wait") {
   std::atomic<bool> isHeld{true};
   Upstream upstream([&](int, int, const std::string&) {
-    while (isHeld) sleepMs(5);
+    while (isHeld)
+      sleepMs(5);
     return std::string("close");
   });
   upstream::Fetcher fetcher;
@@ -762,7 +804,8 @@
   auto startMs = neighbour::steadyMs();
   auto rounds = 0;
   std::vector<upstream::Fetched> ended;
-  for (; ended.empty() && rounds < 100; ++rounds) ended = fetcher.run(none, 15000);
+  for (; ended.empty() && rounds < 100; ++rounds)
+    ended = fetcher.run(none, 15000);
   isHeld = false;
   REQUIRE(ended.size() == 1);
   CHECK(ended[0].fault == upstream::Fault::kTimeout);
@@ -772,7 +815,9 @@
 
 TEST_CASE("Chunked requests arrive to the byte, however the reads cut them") {
   Server server([](const Request& r) { return Answer{200, {}, "[" + r.body + "]"}; }, 1u << 16);
-  std::string bytes = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n3;x=\"y\"\r\na\r\n\r\n0004 \r\ndefg\r\n0\r\nX-T: 1\r\n\r\n";
+  std::string bytes =
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n3;x=\"y\"\r\na\r\n\r\n0004 "
+      "\r\ndefg\r\n0\r\nX-T: 1\r\n\r\n";
   for (size_t cut = 0; cut < bytes.size(); cut += 1) {
     auto fd = connectTo(server.at());
     auto on = 1;
@@ -785,13 +830,15 @@
     CHECK(answer.find("[a\r\ndefg]") != std::string::npos);
   }
   auto head = std::string("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
-  for (std::string bad : {"-1\r\n", "+3\r\nabc\r\n", " 3\r\nabc\r\n", "0x3\r\nabc\r\n", "3\nabc\r\n", "3\r\nabcd\r\n", "\r\n", "3 3\r\nabc\r\n",
-                          "1000000000000000\r\n", "3\rX\nabc", "g\r\n"}) {
+  for (std::string bad : {"-1\r\n", "+3\r\nabc\r\n", " 3\r\nabc\r\n", "0x3\r\nabc\r\n", "3\nabc\r\n", "3\r\nabcd\r\n",
+                          "\r\n", "3 3\r\nabc\r\n", "1000000000000000\r\n", "3\rX\nabc", "g\r\n"}) {
     INFO(bad);
     CHECK(raw(server.at(), head + bad).rfind("HTTP/1.1 400 ", 0) == 0);
   }
   CHECK(raw(server.at(), head + "10001\r\n").rfind("HTTP/1.1 413 ", 0) == 0);
-  CHECK(raw(server.at(), "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n").rfind("HTTP/1.1 400 ", 0) == 0);
+  CHECK(raw(server.at(),
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n")
+            .rfind("HTTP/1.1 400 ", 0) == 0);
   CHECK(raw(server.at(), "GET /a b HTTP/1.1\r\nHost: a\r\n\r\n").rfind("HTTP/1.1 400 ", 0) == 0);
 }
 
@@ -799,8 +846,8 @@
   Server server([](const Request& r) { return Answer{200, {}, std::to_string(r.body.size())}; });
   auto status = [&](const std::string& bytes) { return raw(server.at(), bytes).substr(9, 3); };
   auto request = [](size_t headerBytes, size_t bodyBytes) {
-    return "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nX-Fill: " + std::string(headerBytes, 'x') + "\r\nContent-Length: " + std::to_string(bodyBytes) +
-           "\r\n\r\n" + std::string(bodyBytes, 'b');
+    return "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nX-Fill: " + std::string(headerBytes, 'x') +
+           "\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'b');
   };
   CHECK(status(request(9000, 9000)) == "200");
   server.face.limit(8000, 16000, 3000, 15000);
@@ -814,7 +861,8 @@
 TEST_CASE("A face ends streams that are idle or stall, and no others") {
   std::atomic<bool> isHeld{false};
   Server server([&](const Request& r) {
-    while (isHeld) sleepMs(5);
+    while (isHeld)
+      sleepMs(5);
     return Answer{200, {}, "[" + r.body + "]"};
   });
   server.face.limit(64 << 10, 8 << 20, 1000, 3000);
@@ -860,16 +908,17 @@
     std::lock_guard lock(both);
     return list.size();
   };
-  Face face({"127.0.0.1", 0, 1, 1 << 16},
-            [&](Request r) {
-              if (r.target == "/now") return r.stream->answer({200, {}, "ok"}, r.method, r.keep);
-              std::lock_guard lock(both);
-              held.push_back(r.stream);
-            },
-            [&](std::shared_ptr<Stream> s) {
-              std::lock_guard lock(both);
-              gone.push_back(std::move(s));
-            });
+  Face face(
+      {"127.0.0.1", 0, 1, 1 << 16},
+      [&](Request r) {
+        if (r.target == "/now") return r.stream->answer({200, {}, "ok"}, r.method, r.keep);
+        std::lock_guard lock(both);
+        held.push_back(r.stream);
+      },
+      [&](std::shared_ptr<Stream> s) {
+        std::lock_guard lock(both);
+        gone.push_back(std::move(s));
+      });
   auto at = "127.0.0.1:" + std::to_string(face.port());
   {
     auto answered = connectTo(at);
@@ -891,7 +940,8 @@
 TEST_CASE("A face that drains answers what runs, ends what is idle, and accepts nobody") {
   std::atomic<bool> isHeld{true};
   Server server([&](const Request& r) {
-    while (r.target == "/held" && isHeld) sleepMs(5);
+    while (r.target == "/held" && isHeld)
+      sleepMs(5);
     return Answer{200, {}, "ok"};
   });
   auto idle = connectTo(server.at());
@@ -932,7 +982,8 @@
 
 TEST_CASE("What a slow reader leaves is counted, and is whole in the end") {
   std::string body(24u << 20, 'x');
-  for (size_t i = 0; i < body.size(); i += 997) body[i] = static_cast<char>('a' + i % 26);
+  for (size_t i = 0; i < body.size(); i += 997)
+    body[i] = static_cast<char>('a' + i % 26);
   std::shared_ptr<Stream> stream;
   std::atomic<bool> isAnswered{false};
   Face face({"127.0.0.1", 0, 1, 1 << 16}, [&](Request r) {
--- a/tests/mishap/mishap.cpp
+++ b/tests/mishap/mishap.cpp
@@ -157,7 +157,8 @@
     if (::syscall(SYS_pwrite64, fd, bytes.data(), bytes.size(), offset) != static_cast<long>(bytes.size())) return -1;
   // A folder's sync makes its renames last.
   for (auto& [from, to] : renames())
-    if (to.substr(0, to.rfind('/')) == files()[fd].path) real<int (*)(const char*, const char*)>("rename")(from.c_str(), to.c_str()), to.clear();
+    if (to.substr(0, to.rfind('/')) == files()[fd].path)
+      real<int (*)(const char*, const char*)>("rename")(from.c_str(), to.c_str()), to.clear();
   std::erase_if(renames(), [](const auto& one) { return one.second.empty(); });
   return call(fd);
 }
@@ -183,10 +184,18 @@
   va_end(list);
   return openAs("open64", path, flags, mode);
 }
-ssize_t pwrite(int fd, const void* data, size_t size, off_t offset) { return writeAs("pwrite", fd, data, size, offset); }
-ssize_t pwrite64(int fd, const void* data, size_t size, off64_t offset) { return writeAs("pwrite64", fd, data, size, offset); }
-int fsync(int fd) { return syncAs("fsync", fd); }
-int fdatasync(int fd) { return syncAs("fdatasync", fd); }
+ssize_t pwrite(int fd, const void* data, size_t size, off_t offset) {
+  return writeAs("pwrite", fd, data, size, offset);
+}
+ssize_t pwrite64(int fd, const void* data, size_t size, off64_t offset) {
+  return writeAs("pwrite64", fd, data, size, offset);
+}
+int fsync(int fd) {
+  return syncAs("fsync", fd);
+}
+int fdatasync(int fd) {
+  return syncAs("fdatasync", fd);
+}
 int close(int fd) {
   {
     std::lock_guard guard(lock);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,6 +1,6 @@
 // The users' platform: its settings and calls in the product's words, and back.
-#include <catch2/catch.hpp>
 #include <unistd.h>
+#include <catch2/catch.hpp>
 
 #include <cstdlib>
 #include <filesystem>
@@ -19,13 +19,18 @@
 namespace {
 const std::string kEdgeFile =
     "nodeName=edge-1\nzone=east\nip=10.1.0.35\nlistenOn.front=10.1.0.35:8144\nlistenOn.readyCheck=10.1.0.35:8140\n"
-    "internalPorts=7660,7675\nseedNodes=10.2.0.39:8146,10.1.0.32:8146, 10.3.0.23:8146\nfirstBoot=true\nlimits.ramMb=256\n"
-    "limits.openFiles=4100\nlimits.bandwidthMbps=1000.0\nlimits.cpuFraction=0.2\nbeatEveryMs=1500\nbounds.applyWithinMs=2000\nbounds.purgeWithinMs=1800\n"
-    "bounds.drainWithinMs=2500\nbounds.gracePeriodS=6\nbounds.retryRatio=0.2\nbounds.retryPeriodS=10\nbounds.retryExtra=56\n"
+    "internalPorts=7660,7675\nseedNodes=10.2.0.39:8146,10.1.0.32:8146, "
+    "10.3.0.23:8146\nfirstBoot=true\nlimits.ramMb=256\n"
+    "limits.openFiles=4100\nlimits.bandwidthMbps=1000.0\nlimits.cpuFraction=0.2\nbeatEveryMs=1500\nbounds."
+    "applyWithinMs=2000\nbounds.purgeWithinMs=1800\n"
+    "bounds.drainWithinMs=2500\nbounds.gracePeriodS=6\nbounds.retryRatio=0.2\nbounds.retryPeriodS=10\nbounds."
+    "retryExtra=56\n"
     "bounds.ceilingPeriodS=5\nbounds.ceilingOvershoot=1.1\nnot.known.to=anyone\nno line at all\n";
 const std::string kRegistryFile =
-    "nodeName=core-1\r\nip=10.1.0.32\r\nlistenOn.control=10.1.0.32:8146\r\ninternalPorts=7660,7675\r\ndataFolder=/data/x\r\n"
-    "seedNodes=10.2.0.39:8146,10.1.0.32:8146,10.3.0.23:8146\r\nfirstBoot=false\r\nlimits.diskSpaceMb=256\r\nbeatEveryMs=1500\r\n"
+    "nodeName=core-1\r\nip=10.1.0.32\r\nlistenOn.control=10.1.0.32:8146\r\ninternalPorts=7660,7675\r\ndataFolder=/data/"
+    "x\r\n"
+    "seedNodes=10.2.0.39:8146,10.1.0.32:8146,10.3.0.23:8146\r\nfirstBoot=false\r\nlimits.diskSpaceMb="
+    "256\r\nbeatEveryMs=1500\r\n"
     "bounds.applyWithinMs=2000\r\n";
 
 const std::string kPut =
@@ -42,7 +47,8 @@
   return left && right && cJSON_Compare(left.get(), right.get(), true);
 }
 
-auto entered(const std::string& method, const std::string& target, const std::string& body, const std::string& ifMatch = "") -> caller::Request {
+auto entered(const std::string& method, const std::string& target, const std::string& body,
+             const std::string& ifMatch = "") -> caller::Request {
   caller::Request request;
   request.method = method;
   request.target = target;
@@ -73,7 +79,9 @@
   std::vector<op::Fault> faults;
   auto op = *op::readRouting(request.body, faults);
   auto payload = Writer().put(std::vector<core::Op>{op}).take();
-  return Reader(state.apply({{1, 1}, 0, op.parts(), 0, tempo::kPlain, payload}, 1)).get<std::vector<core::OpResult>>().at(0);
+  return Reader(state.apply({{1, 1}, 0, op.parts(), 0, tempo::kPlain, payload}, 1))
+      .get<std::vector<core::OpResult>>()
+      .at(0);
 }
 
 auto readBack(const core::State& state) -> std::string {
@@ -88,13 +96,15 @@
 
 TEST_CASE("The settings file becomes the settings of an edge, an agent and a registry") {
   auto edge = readLines(kEdgeFile);
-  CHECK(same(render("edge", edge), R"({"name":"edge-1","boundMs":1800,"site":"east","http":"10.1.0.35:8144","status":"10.1.0.35:8140",
+  CHECK(same(render("edge", edge),
+             R"({"name":"edge-1","boundMs":1800,"site":"east","http":"10.1.0.35:8144","status":"10.1.0.35:8140",
     "readyPath":"/readiness","address":"10.1.0.35:7660","agent":"127.0.0.1:7662","fetches":true,"servesStale":true,"threads":1,
     "cacheBytes":67108864,"bodyBytes":33554432,"memoryBytes":268435456,"openFiles":4100,"requests":1025,"linkMbps":1000,"graceMs":6000,
     "budget":{"share":0.2,"allowance":56,"windowMs":10000},"ceiling":{"windowMs":5000,"over":1.1,"slack":5},
     "headers":{"try":"Try-Id","timeLeft":"Time-Left","instance":"Intended-Server","load":"Server-Load","labels":"Object-Labels",
                "notRun":"Not-Run","seal":"Server-Seal"}})"));
-  CHECK(same(render("agent", edge), R"({"name":"edge-1","boundMs":1800,"address":"10.1.0.35:7661","loopback":"127.0.0.1:7662",
+  CHECK(same(render("agent", edge),
+             R"({"name":"edge-1","boundMs":1800,"address":"10.1.0.35:7661","loopback":"127.0.0.1:7662",
     "status":"10.1.0.35:7663","seeds":["10.1.0.32:7660","10.2.0.39:7660","10.3.0.23:7660"],"graceMs":6000})"));
   CHECK(same(render("registry", readLines(kRegistryFile)), R"({"name":"core-1","boundMs":2000,"http":"10.1.0.32:8146",
     "registries":["10.1.0.32:7660","10.2.0.39:7660","10.3.0.23:7660"],"address":"10.1.0.32:7660","data":"/data/x","mayForm":false,"servesStale":true,
@@ -103,7 +113,8 @@
 
 TEST_CASE("What the settings file lacks is left out, so that the program names it") {
   CHECK(same(render("agent", readLines("ip=10.1.0.35\n")), R"({"seeds":[]})"));
-  CHECK(same(render("registry", {}), R"({"registries":[],"mayForm":false,"servesStale":true,"threads":1,"bodyBytes":8388608})"));
+  CHECK(same(render("registry", {}),
+             R"({"registries":[],"mayForm":false,"servesStale":true,"threads":1,"bodyBytes":8388608})"));
 }
 
 TEST_CASE("The settings file is read again each time, and its fields are what the environment's file says then") {
@@ -159,31 +170,41 @@
 
 TEST_CASE("A configuration read back is the one that was sent, and named items change alone") {
   core::State state;
-  CHECK(same(readBack(state), R"({"configVersion":"00000000","routeList":[],"services":[],"limits":)" +
-                                  std::string(R"({"maxHeaderBytes":65536,"maxBodyBytes":8388608,"headerWaitMs":10000,"idleCloseMs":60000}})")));
+  CHECK(same(
+      readBack(state),
+      R"({"configVersion":"00000000","routeList":[],"services":[],"limits":)" +
+          std::string(R"({"maxHeaderBytes":65536,"maxBodyBytes":8388608,"headerWaitMs":10000,"idleCloseMs":60000}})")));
   CHECK(apply(state, entered("PUT", "/config", kPut, "0")).outcome == core::Outcome::kDone);
   CHECK(same(readBack(state), kPut));
 
-  auto patch = entered("PATCH", "/config",
-                       R"({"configVersion":"00000f0c","addOrReplace":{"routeList":[{"name":"r-2","site":"c.example","pathStart":"/pu/",)"
-                       R"("kind":"read_only","giveUpMs":1,"targetMs":1,"rank":1,"service":"neu","tries":1}],"services":[{"name":"neu","healthPath":"/h"}]},)"
-                       R"("remove":{"routeList":["r-3"],"services":["wuno-not-there"]}})",
-                       "\"0000000a\"");
+  auto patch = entered(
+      "PATCH", "/config",
+      R"({"configVersion":"00000f0c","addOrReplace":{"routeList":[{"name":"r-2","site":"c.example","pathStart":"/pu/",)"
+      R"("kind":"read_only","giveUpMs":1,"targetMs":1,"rank":1,"service":"neu","tries":1}],"services":[{"name":"neu","healthPath":"/h"}]},)"
+      R"("remove":{"routeList":["r-3"],"services":["wuno-not-there"]}})",
+      "\"0000000a\"");
   CHECK(patch.method == "POST");
   CHECK(patch.target == "/routing");
   CHECK(apply(state, patch).outcome == core::Outcome::kDone);
   auto expected = changed(kPut, "0000000a", "00000f0c");
-  expected = changed(expected, R"({"name":"r-2","site":"a.example","pathStart":"/pu/","kind":"read_only","giveUpMs":700,"targetMs":150,"rank":1,"service":"huvo","tries":1},)",
-                     R"({"name":"r-2","site":"c.example","pathStart":"/pu/","kind":"read_only","giveUpMs":1,"targetMs":1,"rank":1,"service":"neu","tries":1})");
-  expected = changed(expected, R"({"name":"r-3","site":"b.example","pathStart":"/","kind":"writing","giveUpMs":900,"targetMs":400,"rank":0,"service":"wuno","tries":1})", "");
-  expected = changed(expected, R"({"name":"wuno","healthPath")", R"({"name":"neu","healthPath":"/h"},{"name":"wuno","healthPath")");
+  expected = changed(
+      expected,
+      R"({"name":"r-2","site":"a.example","pathStart":"/pu/","kind":"read_only","giveUpMs":700,"targetMs":150,"rank":1,"service":"huvo","tries":1},)",
+      R"({"name":"r-2","site":"c.example","pathStart":"/pu/","kind":"read_only","giveUpMs":1,"targetMs":1,"rank":1,"service":"neu","tries":1})");
+  expected = changed(
+      expected,
+      R"({"name":"r-3","site":"b.example","pathStart":"/","kind":"writing","giveUpMs":900,"targetMs":400,"rank":0,"service":"wuno","tries":1})",
+      "");
+  expected = changed(expected, R"({"name":"wuno","healthPath")",
+                     R"({"name":"neu","healthPath":"/h"},{"name":"wuno","healthPath")");
   CHECK(same(readBack(state), expected));
 }
 
 TEST_CASE("A routing set in the product's words is read back in the platform's") {
   core::State state;
   caller::Request own;
-  own.body = R"({"version": 3, "whole": true, "routes": {"a": {"host": "h.test", "prefix": "/a/", "kind": "readOnly", "giveUpMs": 800, "keepMs": 2500,
+  own.body =
+      R"({"version": 3, "whole": true, "routes": {"a": {"host": "h.test", "prefix": "/a/", "kind": "readOnly", "giveUpMs": 800, "keepMs": 2500,
     "shares": [{"pool": "p", "weight": 9}]}}, "pools": {"p": {"probe": "/up", "connections": 11}}})";
   apply(state, own);
   auto back = readBack(state);
@@ -204,7 +225,8 @@
   REQUIRE(faultsOf(entered("PUT", "/config", kPut, "5")).empty());
   refused(changed(kPut, R"("service":"wuno","tries")", R"("service":"nobody","tries")"));
   refused(changed(kPut, R"({"service":"wuno","shareWeight":10})", R"({"service":"nobody","shareWeight":10})"));
-  refused(changed(changed(kPut, R"("shareWeight":90)", R"("shareWeight":0)"), R"("shareWeight":10)", R"("shareWeight":0)"));
+  refused(
+      changed(changed(kPut, R"("shareWeight":90)", R"("shareWeight":0)"), R"("shareWeight":10)", R"("shareWeight":0)"));
   refused(changed(kPut, R"("shareWeight":90)", R"("shareWeight":-90)"));
   refused(changed(kPut, R"({"service":"huvo","shareWeight":90},{"service":"wuno","shareWeight":10})", ""));
   refused(changed(kPut, R"([{"service":"huvo","shareWeight":90},{"service":"wuno","shareWeight":10}])", "7"));
@@ -228,13 +250,16 @@
   refused(changed(kPut, R"("services":[{)", R"("else":[{)"));
   refused(changed(kPut, R"("limits")", R"("else")"));
   refused(changed(kPut, R"("maxHeaderBytes":16384)", R"("maxHeaderBytes":"much")"));
-  refused(changed(kPut, R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerWaitMs":3000,"idleCloseMs":15000})", R"("limits":4)"));
+  refused(changed(
+      kPut, R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerWaitMs":3000,"idleCloseMs":15000})",
+      R"("limits":4)"));
   refused(kPut, "whatever");
   refused("[" + kPut + "]");
   refused("");
   refused("{");
   refused("{}");
-  for (size_t size : {kPut.size() - 1, kPut.size() / 2, size_t{1}}) refused(kPut.substr(0, size));
+  for (size_t size : {kPut.size() - 1, kPut.size() / 2, size_t{1}})
+    refused(kPut.substr(0, size));
 
   core::State state;
   REQUIRE(apply(state, entered("PUT", "/config", kPut, "0")).outcome == core::Outcome::kDone);
@@ -267,8 +292,9 @@
 }
 
 TEST_CASE("Beats, leaving and clearing become announcements and purges") {
-  auto beat = entered("PUT", "/servers/i-7f3a91c2",
-                      R"({"service":"huvo","address":"10.128.0.9:8080","zone":"east","configVersion":"v1","capacity":32,"state":"accepting","coldLeftMs":250.4,"callCount":0})");
+  auto beat = entered(
+      "PUT", "/servers/i-7f3a91c2",
+      R"({"service":"huvo","address":"10.128.0.9:8080","zone":"east","configVersion":"v1","capacity":32,"state":"accepting","coldLeftMs":250.4,"callCount":0})");
   CHECK(beat.method == "POST");
   CHECK(beat.target == "/announce");
   std::vector<op::Fault> faults;
@@ -284,7 +310,10 @@
   CHECK(op->upstream.number == 1);
   CHECK(!op->upstream.isEmptying);
   auto emptying = op::readAnnouncement(
-      entered("PUT", "/servers/i-1", R"({"service":"s","address":"10.0.0.9:80","zone":"z","capacity":1,"state":"emptying","callCount":41})").body, faults);
+      entered("PUT", "/servers/i-1",
+              R"({"service":"s","address":"10.0.0.9:80","zone":"z","capacity":1,"state":"emptying","callCount":41})")
+          .body,
+      faults);
   REQUIRE(emptying);
   CHECK(emptying->upstream.isEmptying);
   CHECK(emptying->upstream.number == 42);
@@ -293,7 +322,9 @@
   CHECK(gone->name == "i-1");
   CHECK(gone->kind == core::OpKind::kDeregister);
   CHECK(faults.empty());
-  CHECK(!op::readAnnouncement(entered("PUT", "/servers/i-1", R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"asleep"})").body, faults));
+  CHECK(!op::readAnnouncement(
+      entered("PUT", "/servers/i-1", R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"asleep"})").body,
+      faults));
   CHECK(!op::readAnnouncement(entered("PUT", "/servers/i-1", "no JSON").body, faults));
 
   faults.clear();
@@ -312,7 +343,11 @@
 }
 
 TEST_CASE("The product's own calls pass as they are") {
-  for (auto [method, target] : {std::pair{"POST", "/routing"}, {"GET", "/status"}, {"GET", "/configuration"}, {"POST", "/announce"}, {"POST", "/config"}}) {
+  for (auto [method, target] : {std::pair{"POST", "/routing"},
+                                {"GET", "/status"},
+                                {"GET", "/configuration"},
+                                {"POST", "/announce"},
+                                {"POST", "/config"}}) {
     auto request = entered(method, target, R"({"a": 1})");
     CHECK(request.method == method);
     CHECK(request.target == target);
--- a/tests/programs/fleet.cpp
+++ b/tests/programs/fleet.cpp
@@ -18,7 +18,8 @@
   fleet.startAll();
   auto list = [](const std::vector<std::string>& values) {
     std::string joined;
-    for (const auto& v : values) joined += (joined.empty() ? "\"" : ",\"") + v + "\"";
+    for (const auto& v : values)
+      joined += (joined.empty() ? "\"" : ",\"") + v + "\"";
     return "[" + joined + "]";
   };
   // What console and caller need, ready to be given as their settings.
@@ -27,7 +28,8 @@
   for (const auto& name : fleet.names("origin"))
     accounts += (accounts.empty() ? "\"" : ",\"") + name + "\":\"" + fleet.account(name) + "\"";
   for (const auto& name : fleet.names("edge"))
-    edges += (edges.empty() ? "" : ",") + std::string("{\"address\":\"") + fleet.http(name) + "\",\"site\":\"" + fleet.site(name) + "\",\"status\":\"" + fleet.status(name) + "\"}";
+    edges += (edges.empty() ? "" : ",") + std::string("{\"address\":\"") + fleet.http(name) + "\",\"site\":\"" +
+             fleet.site(name) + "\",\"status\":\"" + fleet.status(name) + "\"}";
   std::ofstream(props.folder + "/targets.json") << "{\"edges\":[" << edges << "],\"accounts\":{" << accounts << "}}\n";
   if (!fleet.awaitReady(30000)) {
     LOG(ERROR) << "fleet: Not every process became ready; see the logs in " << props.folder << ".";
--- a/tests/programs/history.cpp
+++ b/tests/programs/history.cpp
@@ -75,17 +75,23 @@
       }
     };
     std::vector<std::thread> list;
-    for (int64_t i = 0; i < threads; ++i) list.emplace_back(work);
-    for (auto& thread : list) thread.join();
-    std::cout << name << ": " << failed << " of " << seeds << " seeds failed, " << 100 * well / std::max<uint64_t>(1, asked) << "% served well";
-    if (!isCore) std::cout << ", back in " << backMs << " ms at most, looked at " << looks << " times, " << denied << " denied";
+    for (int64_t i = 0; i < threads; ++i)
+      list.emplace_back(work);
+    for (auto& thread : list)
+      thread.join();
+    std::cout << name << ": " << failed << " of " << seeds << " seeds failed, "
+              << 100 * well / std::max<uint64_t>(1, asked) << "% served well";
+    if (!isCore)
+      std::cout << ", back in " << backMs << " ms at most, looked at " << looks << " times, " << denied << " denied";
     std::cout << "\n";
-    for (const auto& fault : faults) std::cout << "  " << fault << "\n";
+    for (const auto& fault : faults)
+      std::cout << "  " << fault << "\n";
     if (tells && !isCore && !faults.empty()) {
       auto props = sim::SystemSim::mixes().at(name);
       props.seed = std::stoull(faults.front().substr(5));
       props.keepHistory = true;
-      for (const auto& line : sim::runSystem(props).history) std::cout << "    " << line << "\n";
+      for (const auto& line : sim::runSystem(props).history)
+        std::cout << "    " << line << "\n";
     }
     std::cout << std::flush;
     isWell = isWell && failed == 0;
--- a/tests/programs/hollow.cpp
+++ b/tests/programs/hollow.cpp
@@ -46,11 +46,16 @@
 
 auto kindName(uint8_t kind) -> std::string {
   switch (kind) {
-    case neighbour::kTempo: return "tempo";
-    case neighbour::kHello: return "hello";
-    case neighbour::kHave: return "have";
-    case neighbour::kFeed: return "feed";
-    default: return "other";
+    case neighbour::kTempo:
+      return "tempo";
+    case neighbour::kHello:
+      return "hello";
+    case neighbour::kHave:
+      return "have";
+    case neighbour::kFeed:
+      return "feed";
+    default:
+      return "other";
   }
 }
 
@@ -60,12 +65,20 @@
   auto per = [&](auto value) { return static_cast<double>(value) / s; };
   Line line;
   line.put("what", what).put("nodes", static_cast<double>(props.nodes)).put("seed", static_cast<double>(props.seed));
-  line.put("registries", static_cast<double>(props.registries)).put("regions", static_cast<double>(props.regions)).put("boundMs", static_cast<double>(props.boundMs));
-  line.put("upstreams", static_cast<double>(props.upstreams)).put("routes", static_cast<double>(props.routes)).put("spanMs", static_cast<double>(f.spanMs));
-  line.put("purgesPerS", props.purgesPerS).put("changesPerS", props.changesPerS).put("restartsPerS", props.restartsPerS);
+  line.put("registries", static_cast<double>(props.registries))
+      .put("regions", static_cast<double>(props.regions))
+      .put("boundMs", static_cast<double>(props.boundMs));
+  line.put("upstreams", static_cast<double>(props.upstreams))
+      .put("routes", static_cast<double>(props.routes))
+      .put("spanMs", static_cast<double>(f.spanMs));
+  line.put("purgesPerS", props.purgesPerS)
+      .put("changesPerS", props.changesPerS)
+      .put("restartsPerS", props.restartsPerS);
   line.put("formMs", static_cast<double>(f.formMs));
-  line.put("formAgentBytesIn", static_cast<double>(f.formAgent.bytesIn)).put("formAgentCpuMs", static_cast<double>(f.formAgent.cpuNs) / 1e6);
-  line.put("formRegistryBytesOut", static_cast<double>(f.formRegistry.bytesOut)).put("formRegistryCpuMs", static_cast<double>(f.formRegistry.cpuNs) / 1e6);
+  line.put("formAgentBytesIn", static_cast<double>(f.formAgent.bytesIn))
+      .put("formAgentCpuMs", static_cast<double>(f.formAgent.cpuNs) / 1e6);
+  line.put("formRegistryBytesOut", static_cast<double>(f.formRegistry.bytesOut))
+      .put("formRegistryCpuMs", static_cast<double>(f.formRegistry.cpuNs) / 1e6);
   auto tally = [&](const std::string& role, const sim::Tally& t) {
     line.put(role + "LettersOutPerS", per(t.lettersOut)).put(role + "LettersInPerS", per(t.lettersIn));
     line.put(role + "BytesOutPerS", per(t.bytesOut)).put(role + "BytesInPerS", per(t.bytesIn));
@@ -76,21 +89,30 @@
   tally("proxy", f.proxyMean);
   tally("registry", f.registryMean);
   tally("registryMost", f.registryMost);
-  line.put("agentWithNeighboursCpuPercent", per(f.agentMean.cpuNs) / 1e7 + per(f.agentMean.loops) * f.neighboursUs / 1e4);
+  line.put("agentWithNeighboursCpuPercent",
+           per(f.agentMean.cpuNs) / 1e7 + per(f.agentMean.loops) * f.neighboursUs / 1e4);
   std::map<std::string, double> bytes;
-  for (const auto& [kind, sum] : f.registryOut) bytes[kindName(kind)] += per(sum.second) / static_cast<double>(props.registries);
-  for (const auto& [name, value] : bytes) line.put("registry" + name + "BytesPerS", value);
+  for (const auto& [kind, sum] : f.registryOut)
+    bytes[kindName(kind)] += per(sum.second) / static_cast<double>(props.registries);
+  for (const auto& [name, value] : bytes)
+    line.put("registry" + name + "BytesPerS", value);
   line.put("syncsPerS", f.syncsPerS).put("diskBytesPerS", f.diskBytesPerS).put("neighboursUs", f.neighboursUs);
   auto reach = [&](const std::string& name, const sim::Reach& r) {
     if (r.sent == 0) return;
-    line.put(name + "Sent", static_cast<double>(r.sent)).put(name + "Acknowledged", static_cast<double>(r.acknowledged));
-    line.put(name + "LastP50Ms", static_cast<double>(r.lastP50Ms)).put(name + "LastMaxMs", static_cast<double>(r.lastMaxMs));
-    line.put(name + "AckP50Ms", static_cast<double>(r.ackP50Ms)).put(name + "AckMaxMs", static_cast<double>(r.ackMaxMs));
+    line.put(name + "Sent", static_cast<double>(r.sent))
+        .put(name + "Acknowledged", static_cast<double>(r.acknowledged));
+    line.put(name + "LastP50Ms", static_cast<double>(r.lastP50Ms))
+        .put(name + "LastMaxMs", static_cast<double>(r.lastMaxMs));
+    line.put(name + "AckP50Ms", static_cast<double>(r.ackP50Ms))
+        .put(name + "AckMaxMs", static_cast<double>(r.ackMaxMs));
   };
   reach("purges", f.purges);
   reach("changes", f.changes);
-  line.put("membersSeenMs", static_cast<double>(f.membersSeenMs)).put("notCurrent", static_cast<double>(f.notCurrent)).put("current", static_cast<double>(f.current));
-  line.put("followNeighbours", static_cast<double>(f.followNeighbours)).put("lettersLost", static_cast<double>(f.lettersLost));
+  line.put("membersSeenMs", static_cast<double>(f.membersSeenMs))
+      .put("notCurrent", static_cast<double>(f.notCurrent))
+      .put("current", static_cast<double>(f.current));
+  line.put("followNeighbours", static_cast<double>(f.followNeighbours))
+      .put("lettersLost", static_cast<double>(f.lettersLost));
   line.print();
 }
 
@@ -98,12 +120,14 @@
 
 auto timedUs(int64_t times, const auto& what) -> double {
   auto sinceNs = sim::threadNs();
-  for (int64_t i = 0; i < times; ++i) what();
+  for (int64_t i = 0; i < times; ++i)
+    what();
   return static_cast<double>(sim::threadNs() - sinceNs) / 1000 / static_cast<double>(times);
 }
 
 // Bytes, copies and letters of one frame: what a process holds once, and copies at each change.
-auto frameOnce(const std::string& axis, int64_t run, int64_t members, int64_t upstreams, int64_t routes, int64_t purges) -> void {
+auto frameOnce(const std::string& axis, int64_t run, int64_t members, int64_t upstreams, int64_t routes, int64_t purges)
+    -> void {
   auto frame = sim::hollowFrame(members, upstreams, routes, purges);
   std::vector<std::shared_ptr<core::Frame>> copies;
   copies.reserve(16);
@@ -129,10 +153,12 @@
     core::join(*next, onePurge);
   });
   std::vector<std::string> names;
-  for (const auto& [name, member] : frame.members) names.push_back(name);
+  for (const auto& [name, member] : frame.members)
+    names.push_back(name);
   auto neighboursUs = timedUs(4, [&] { neighbour::rendezvous("edge-0001", names); });
   std::vector<uint64_t> hashes;
-  for (const auto& name : names) hashes.push_back(neighbour::hash(name));
+  for (const auto& name : names)
+    hashes.push_back(neighbour::hash(name));
   auto heaviestUs = timedUs(200, [&] { neighbour::heaviest(neighbour::hash("/objects/1/cover-7"), hashes, 3); });
   // What an edge that fetches itself does with a frame in which only purges are new.
   auto cache = std::make_shared<policy::Cache>(16 << 20);
@@ -146,7 +172,8 @@
   for (uint64_t i = 0; i < 9; ++i) {
     frames.push_back(std::make_shared<core::Frame>(frame));
     frames.back()->revision.purges += i;
-    frames.back()->purges.push_back({frames.back()->revision.purges, "host-1.example", "/objects/1/cover-" + std::to_string(i), ""});
+    frames.back()->purges.push_back(
+        {frames.back()->revision.purges, "host-1.example", "/objects/1/cover-" + std::to_string(i), ""});
   }
   size_t at = 0;
   auto takeFrameUs = timedUs(1, [&] { edge.takeFrame({frames[0], 1}, 1), shield.takeFrame({frames[0], 1}, 1); });
@@ -155,7 +182,10 @@
     edge.takeFrame({frames[at], 1}, 1);
     shield.takeFrame({frames[at], 1}, 1);
   });
-  auto size = axis == "members" || axis == "target" ? members : axis == "upstreams" ? upstreams : axis == "routes" ? routes : purges;
+  auto size = axis == "members" || axis == "target" ? members
+              : axis == "upstreams"                 ? upstreams
+              : axis == "routes"                    ? routes
+                                                    : purges;
   Line line;
   line.put("what", "frame-" + axis).put("nodes", static_cast<double>(size)).put("seed", static_cast<double>(run));
   line.put("frameBytes", static_cast<double>(after.uordblks + after.hblkhd - before.uordblks - before.hblkhd) / 16);
@@ -176,17 +206,20 @@
   auto putUs = timedUs(1, [&] {
     for (int64_t i = 0; i < objects; ++i) {
       policy::Copy copy;
-      copy.headers = {{"Content-Type", "image/webp"}, {"Cache-Control", "max-age=600"}, {"ETag", "\"" + std::to_string(i) + "\""}};
+      copy.headers = {
+          {"Content-Type", "image/webp"}, {"Cache-Control", "max-age=600"}, {"ETag", "\"" + std::to_string(i) + "\""}};
       copy.body = std::string(kBody, 'x');
       copy.keepMs = 600000;
-      cache.put("host-1.example", "/objects/1/cover-" + std::to_string(i), {}, std::move(copy), {"label-" + std::to_string(i % 1000)});
+      cache.put("host-1.example", "/objects/1/cover-" + std::to_string(i), {}, std::move(copy),
+                {"label-" + std::to_string(i % 1000)});
     }
   });
   auto after = ::mallinfo2();
   auto held = static_cast<double>(after.uordblks + after.hblkhd - before.uordblks - before.hblkhd);
   Line line;
   line.put("what", "frame-cache").put("nodes", static_cast<double>(objects)).put("seed", static_cast<double>(run));
-  line.put("overheadBytes", held / static_cast<double>(objects) - kBody).put("putUs", putUs / static_cast<double>(objects));
+  line.put("overheadBytes", held / static_cast<double>(objects) - kBody)
+      .put("putUs", putUs / static_cast<double>(objects));
   line.print();
 }
 
@@ -229,7 +262,8 @@
       one.cpuNs += ns;
     }
     auto& sum = all[name];
-    sum.rssKb += one.rssKb, sum.cpuNs += one.cpuNs, sum.descriptors += one.descriptors, sum.threads += one.threads, ++sum.count;
+    sum.rssKb += one.rssKb, sum.cpuNs += one.cpuNs, sum.descriptors += one.descriptors, sum.threads += one.threads,
+        ++sum.count;
   }
   return all;
 }
@@ -241,7 +275,8 @@
     fetch.address = address;
     fetch.target = "/status";
     auto json = op::parse(upstream::fetchOnce(fetch).body);
-    if (const auto* item = json ? cJSON_GetObjectItemCaseSensitive(json.get(), "syncs") : nullptr) syncs += item->valuedouble;
+    if (const auto* item = json ? cJSON_GetObjectItemCaseSensitive(json.get(), "syncs") : nullptr)
+      syncs += item->valuedouble;
   }
   return syncs;
 }
@@ -277,7 +312,8 @@
   uint64_t sent = 0;
   auto registries = fleet.https("registry");
   for (auto nowMs = sinceMs; nowMs - sinceMs < props.spanMs; nowMs = neighbour::steadyMs()) {
-    if (props.purgesPerS > 0 && static_cast<double>(sent) < static_cast<double>(nowMs - sinceMs) * props.purgesPerS / 1000) {
+    if (props.purgesPerS > 0 &&
+        static_cast<double>(sent) < static_cast<double>(nowMs - sinceMs) * props.purgesPerS / 1000) {
       upstream::Fetch fetch;
       fetch.id = ++sent;
       fetch.address = registries[sent % registries.size()];
@@ -296,11 +332,18 @@
   std::sort(tookMs.begin(), tookMs.end());
   for (const auto& [name, sum] : after) {
     Line line;
-    line.put("what", what + "-" + name).put("nodes", static_cast<double>(props.nodes)).put("seed", static_cast<double>(run));
-    line.put("rssKb", sum.rssKb / sum.count).put("descriptors", sum.descriptors / sum.count).put("threads", sum.threads / sum.count);
+    line.put("what", what + "-" + name)
+        .put("nodes", static_cast<double>(props.nodes))
+        .put("seed", static_cast<double>(run));
+    line.put("rssKb", sum.rssKb / sum.count)
+        .put("descriptors", sum.descriptors / sum.count)
+        .put("threads", sum.threads / sum.count);
     line.put("cpuPercent", (sum.cpuNs - before[name].cpuNs) / sum.count / seconds / 1e7);
     if (name == "registry") line.put("syncsPerSReal", (syncsOf(fleet) - syncs) / sum.count / seconds);
-    if (name == "registry" && !tookMs.empty()) line.put("purgesSent", static_cast<double>(sent)).put("purgesAckP50Ms", static_cast<double>(tookMs[tookMs.size() / 2])).put("purgesAckMaxMs", static_cast<double>(tookMs.back()));
+    if (name == "registry" && !tookMs.empty())
+      line.put("purgesSent", static_cast<double>(sent))
+          .put("purgesAckP50Ms", static_cast<double>(tookMs[tookMs.size() / 2]))
+          .put("purgesAckMaxMs", static_cast<double>(tookMs.back()));
     line.print();
   }
   return true;
@@ -330,7 +373,8 @@
   fit.slope = (n * sxy - sx * sy) / (n * sxx - sx * sx);
   fit.base = (sy - fit.slope * sx) / n;
   for (const auto& [x, p] : series)
-    if (x <= upTo && top > 0) fit.errorPercent = std::max(fit.errorPercent, 100 * std::abs(p.mean - fit.base - fit.slope * x) / top);
+    if (x <= upTo && top > 0)
+      fit.errorPercent = std::max(fit.errorPercent, 100 * std::abs(p.mean - fit.base - fit.slope * x) / top);
   return fit;
 }
 
@@ -353,30 +397,39 @@
 }
 
 // Points with their range, the line that fits them, and a budget if there is one.
-auto plot(const std::string& file, const std::string& title, const std::string& unit, const Series& series, const Fit& fit, double budget) -> void {
+auto plot(const std::string& file, const std::string& title, const std::string& unit, const Series& series,
+          const Fit& fit, double budget) -> void {
   constexpr double width = 420, height = 240, left = 64, bottom = 36, top = 28, right = 12;
   auto mostX = series.rbegin()->first;
   auto mostY = std::max(budget, fit.base + fit.slope * mostX);
-  for (const auto& [x, p] : series) mostY = std::max(mostY, p.most);
+  for (const auto& [x, p] : series)
+    mostY = std::max(mostY, p.most);
   mostY *= 1.05;
   auto atX = [&](double x) { return left + (width - left - right) * x / mostX; };
   auto atY = [&](double y) { return height - bottom - (height - top - bottom) * std::max(0.0, y) / mostY; };
   std::ofstream svg(file);
   svg << std::fixed << std::setprecision(1);
-  svg << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << width << "\" height=\"" << height << "\" font-family=\"sans-serif\" font-size=\"11\">\n"
-      << "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n<text x=\"8\" y=\"16\" font-size=\"12\">" << title << ", " << unit << "</text>\n"
-      << "<path d=\"M" << left << " " << top << "V" << height - bottom << "H" << width - right << "\" fill=\"none\" stroke=\"black\"/>\n";
+  svg << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << width << "\" height=\"" << height
+      << "\" font-family=\"sans-serif\" font-size=\"11\">\n"
+      << "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n<text x=\"8\" y=\"16\" font-size=\"12\">" << title
+      << ", " << unit << "</text>\n"
+      << "<path d=\"M" << left << " " << top << "V" << height - bottom << "H" << width - right
+      << "\" fill=\"none\" stroke=\"black\"/>\n";
   for (int i = 0; i <= 4; ++i)
-    svg << "<text x=\"" << left - 4 << "\" y=\"" << atY(mostY * i / 4) + 4 << "\" text-anchor=\"end\">" << shortly(mostY * i / 4) << "</text>\n";
+    svg << "<text x=\"" << left - 4 << "\" y=\"" << atY(mostY * i / 4) + 4 << "\" text-anchor=\"end\">"
+        << shortly(mostY * i / 4) << "</text>\n";
   for (const auto& [x, p] : series) {
-    svg << "<text x=\"" << atX(x) << "\" y=\"" << height - bottom + 14 << "\" text-anchor=\"middle\">" << shortly(x) << "</text>\n"
+    svg << "<text x=\"" << atX(x) << "\" y=\"" << height - bottom + 14 << "\" text-anchor=\"middle\">" << shortly(x)
+        << "</text>\n"
         << "<path d=\"M" << atX(x) << " " << atY(p.least) << "V" << atY(p.most) << "\" stroke=\"#1f5fa8\"/>\n"
         << "<circle cx=\"" << atX(x) << "\" cy=\"" << atY(p.mean) << "\" r=\"3\" fill=\"#1f5fa8\"/>\n";
   }
-  svg << "<path d=\"M" << atX(0) << " " << atY(fit.base) << "L" << atX(mostX) << " " << atY(fit.base + fit.slope * mostX) << "\" stroke=\"#888\" stroke-dasharray=\"4 3\"/>\n";
+  svg << "<path d=\"M" << atX(0) << " " << atY(fit.base) << "L" << atX(mostX) << " "
+      << atY(fit.base + fit.slope * mostX) << "\" stroke=\"#888\" stroke-dasharray=\"4 3\"/>\n";
   if (budget > 0)
-    svg << "<path d=\"M" << left << " " << atY(budget) << "H" << width - right << "\" stroke=\"#b02020\"/>\n<text x=\"" << width - right << "\" y=\"" << atY(budget) - 3
-        << "\" text-anchor=\"end\" fill=\"#b02020\">budget " << shortly(budget) << "</text>\n";
+    svg << "<path d=\"M" << left << " " << atY(budget) << "H" << width - right << "\" stroke=\"#b02020\"/>\n<text x=\""
+        << width - right << "\" y=\"" << atY(budget) - 3 << "\" text-anchor=\"end\" fill=\"#b02020\">budget "
+        << shortly(budget) << "</text>\n";
   svg << "</svg>\n";
 }
 
@@ -409,23 +462,64 @@
       }
     }
   }
-  const std::vector<Shown> shown = {
-      {"agentLettersOutPerS", "letters/s"}, {"agentBytesOutPerS", "B/s"}, {"agentBytesInPerS", "B/s", 3000}, {"agentCpuPercent", "% of a core"},
-      {"agentWithNeighboursCpuPercent", "% of a core", 3}, {"proxyCpuPercent", "% of a core", 3}, {"agentLoopsPerS", "wake-ups/s"}, {"neighboursUs", "us"},
-      {"registryLettersInPerS", "letters/s"}, {"registryBytesInPerS", "B/s"}, {"registryBytesOutPerS", "B/s"}, {"registryfeedBytesPerS", "B/s"},
-      {"registryhaveBytesPerS", "B/s"}, {"registrytempoBytesPerS", "B/s"}, {"registryCpuPercent", "% of a core", 100}, {"syncsPerS", "syncs/s"},
-      {"diskBytesPerS", "B/s"}, {"purgesLastP50Ms", "ms"}, {"purgesLastMaxMs", "ms", 3900}, {"purgesAckP50Ms", "ms"}, {"purgesAckMaxMs", "ms", 3900},
-      {"changesLastMaxMs", "ms", 11000}, {"changesAckMaxMs", "ms", 11000}, {"membersSeenMs", "ms"}, {"notCurrent", "nodes"}, {"current", "nodes"},
-      {"followNeighbours", "nodes"}, {"formAgentBytesIn", "B"}, {"formAgentCpuMs", "ms"}, {"formRegistryBytesOut", "B"}, {"formRegistryCpuMs", "ms"}, {"frameBytes", "B"}, {"copyUs", "us"}, {"purgeUs", "us"}, {"readUs", "us"}, {"takeFrameUs", "us"}, {"heaviestUs", "us"}, {"overheadBytes", "B"}, {"putUs", "us"}, {"wholeBytes", "B"},
-      {"membersNewsBytes", "B"}, {"upstreamsNewsBytes", "B"}, {"purgeNewsBytes", "B"}, {"rssKb", "KB"}, {"cpuPercent", "% of a core"}, {"descriptors", "open"},
-      {"threads", "threads"}, {"syncsPerSReal", "syncs/s"}};
+  const std::vector<Shown> shown = {{"agentLettersOutPerS", "letters/s"},
+                                    {"agentBytesOutPerS", "B/s"},
+                                    {"agentBytesInPerS", "B/s", 3000},
+                                    {"agentCpuPercent", "% of a core"},
+                                    {"agentWithNeighboursCpuPercent", "% of a core", 3},
+                                    {"proxyCpuPercent", "% of a core", 3},
+                                    {"agentLoopsPerS", "wake-ups/s"},
+                                    {"neighboursUs", "us"},
+                                    {"registryLettersInPerS", "letters/s"},
+                                    {"registryBytesInPerS", "B/s"},
+                                    {"registryBytesOutPerS", "B/s"},
+                                    {"registryfeedBytesPerS", "B/s"},
+                                    {"registryhaveBytesPerS", "B/s"},
+                                    {"registrytempoBytesPerS", "B/s"},
+                                    {"registryCpuPercent", "% of a core", 100},
+                                    {"syncsPerS", "syncs/s"},
+                                    {"diskBytesPerS", "B/s"},
+                                    {"purgesLastP50Ms", "ms"},
+                                    {"purgesLastMaxMs", "ms", 3900},
+                                    {"purgesAckP50Ms", "ms"},
+                                    {"purgesAckMaxMs", "ms", 3900},
+                                    {"changesLastMaxMs", "ms", 11000},
+                                    {"changesAckMaxMs", "ms", 11000},
+                                    {"membersSeenMs", "ms"},
+                                    {"notCurrent", "nodes"},
+                                    {"current", "nodes"},
+                                    {"followNeighbours", "nodes"},
+                                    {"formAgentBytesIn", "B"},
+                                    {"formAgentCpuMs", "ms"},
+                                    {"formRegistryBytesOut", "B"},
+                                    {"formRegistryCpuMs", "ms"},
+                                    {"frameBytes", "B"},
+                                    {"copyUs", "us"},
+                                    {"purgeUs", "us"},
+                                    {"readUs", "us"},
+                                    {"takeFrameUs", "us"},
+                                    {"heaviestUs", "us"},
+                                    {"overheadBytes", "B"},
+                                    {"putUs", "us"},
+                                    {"wholeBytes", "B"},
+                                    {"membersNewsBytes", "B"},
+                                    {"upstreamsNewsBytes", "B"},
+                                    {"purgeNewsBytes", "B"},
+                                    {"rssKb", "KB"},
+                                    {"cpuPercent", "% of a core"},
+                                    {"descriptors", "open"},
+                                    {"threads", "threads"},
+                                    {"syncsPerSReal", "syncs/s"}};
   for (const auto& [what, figures] : all) {
-    std::cout << "\n### " << what << "\n\n| figure | points: size: mean (least to most) | base + slope x size | largest residual | exponent at the end | largest size, foretold from the smaller |\n|---|---|---|---|---|---|\n";
+    std::cout << "\n### " << what
+              << "\n\n| figure | points: size: mean (least to most) | base + slope x size | largest residual | "
+                 "exponent at the end | largest size, foretold from the smaller |\n|---|---|---|---|---|---|\n";
     for (const auto& one : shown) {
       auto it = figures.find(one.key);
       if (it == figures.end()) continue;
       const auto& series = it->second;
-      if (std::all_of(series.begin(), series.end(), [](const auto& p) { return p.second.most < 0; })) continue;  // did not happen
+      if (std::all_of(series.begin(), series.end(), [](const auto& p) { return p.second.most < 0; }))
+        continue;  // did not happen
       auto largest = series.rbegin()->first;
       auto fit = fitOf(series, largest);
       auto foretold = series.size() < 4 ? std::string("-") : shortly([&] {
@@ -434,10 +528,13 @@
       }());
       std::string points;
       for (const auto& [x, p] : series)
-        points += (points.empty() ? "" : "; ") + shortly(x) + ": " + shortly(p.mean) + (p.least == p.most ? "" : " (" + shortly(p.least) + " to " + shortly(p.most) + ")");
-      std::cout << "| " << one.key << ", " << one.unit << " | " << points << " | " << shortly(fit.base) << " + " << shortly(fit.slope) << " n | " << shortly(fit.errorPercent)
-                << "% | " << shortly(exponentOf(series)) << " | " << foretold << " |\n";
-      if (!plots.empty() && series.size() >= 4) plot(plots + "/" + what + "-" + one.key + ".svg", what + ": " + one.key, one.unit, series, fit, one.budget);
+        points += (points.empty() ? "" : "; ") + shortly(x) + ": " + shortly(p.mean) +
+                  (p.least == p.most ? "" : " (" + shortly(p.least) + " to " + shortly(p.most) + ")");
+      std::cout << "| " << one.key << ", " << one.unit << " | " << points << " | " << shortly(fit.base) << " + "
+                << shortly(fit.slope) << " n | " << shortly(fit.errorPercent) << "% | " << shortly(exponentOf(series))
+                << " | " << foretold << " |\n";
+      if (!plots.empty() && series.size() >= 4)
+        plot(plots + "/" + what + "-" + one.key + ".svg", what + ": " + one.key, one.unit, series, fit, one.budget);
     }
   }
   return 0;
@@ -487,17 +584,23 @@
   }
   if (words.size() == 1 && words[0] == "processes") {
     auto isWell = true;
-    for (auto run = first; run < first + runs; ++run) isWell = processesOnce(what, run, props) && isWell;
+    for (auto run = first; run < first + runs; ++run)
+      isWell = processesOnce(what, run, props) && isWell;
     return isWell ? 0 : 1;
   }
   if (words.size() == 1 && words[0] == "frames") {
     for (auto run = first; run < first + runs; ++run) {
-      for (auto n : {20, 80, 320, 1300}) frameOnce("members", run, n, 0, 0, 0);
-      for (auto n : {20, 45, 90, 180}) frameOnce("upstreams", run, 0, n, 0, 0);
-      for (auto n : {50, 200, 800, 3200}) frameOnce("routes", run, 0, 0, n, 0);
-      for (auto n : {125, 500, 1000, 2000}) frameOnce("purges", run, 0, 0, 0, n);
+      for (auto n : {20, 80, 320, 1300})
+        frameOnce("members", run, n, 0, 0, 0);
+      for (auto n : {20, 45, 90, 180})
+        frameOnce("upstreams", run, 0, n, 0, 0);
+      for (auto n : {50, 200, 800, 3200})
+        frameOnce("routes", run, 0, 0, n, 0);
+      for (auto n : {125, 500, 1000, 2000})
+        frameOnce("purges", run, 0, 0, 0, n);
       frameOnce("target", run, 1300, 180, 1000, 2000);
-      for (auto n : {1000, 4000, 16000, 64000}) cacheOnce(run, n);
+      for (auto n : {1000, 4000, 16000, 64000})
+        cacheOnce(run, n);
     }
     return 0;
   }
--- a/tests/programs/measure.cpp
+++ b/tests/programs/measure.cpp
@@ -54,7 +54,8 @@
   s.integer("runs", 1, 100, runs);
   s.integer("faults", 1, 2, faults);
   program.ready();
-  std::cout << "batch ms  depth  run  acked/s  ack p50  ack p99  commit p50  commit p99  sync p50 us  submissions/command  fast share\n";
+  std::cout << "batch ms  depth  run  acked/s  ack p50  ack p99  commit p50  commit p99  sync p50 us  "
+               "submissions/command  fast share\n";
   for (int64_t batchMs : {0, 2, 10})
     for (int64_t depth : {1, 40})
       for (int64_t run = 1; run <= runs; ++run) {
@@ -108,10 +109,13 @@
         if (took.empty()) return 1;
         auto decided = after.fast + after.slow - before.fast - before.slow;
         // Ticks are commands of three partitions, and are among the commands counted here.
-        std::cout << std::fixed << std::setprecision(0) << std::setw(8) << batchMs << std::setw(7) << depth << std::setw(5) << run << std::setw(9)
-                  << 1000.0 * static_cast<double>(took.size()) / static_cast<double>(std::max<int64_t>(1, tookMs)) << std::setw(9) << took[took.size() / 2]
-                  << std::setw(9) << took[took.size() * 99 / 100] << std::setprecision(1) << std::setw(12) << after.commitP50 << std::setw(12) << after.commitP99
-                  << std::setw(13) << after.syncP50 << std::setw(21) << static_cast<double>(took.size()) / (after.executed - before.executed) << std::setprecision(2)
+        std::cout << std::fixed << std::setprecision(0) << std::setw(8) << batchMs << std::setw(7) << depth
+                  << std::setw(5) << run << std::setw(9)
+                  << 1000.0 * static_cast<double>(took.size()) / static_cast<double>(std::max<int64_t>(1, tookMs))
+                  << std::setw(9) << took[took.size() / 2] << std::setw(9) << took[took.size() * 99 / 100]
+                  << std::setprecision(1) << std::setw(12) << after.commitP50 << std::setw(12) << after.commitP99
+                  << std::setw(13) << after.syncP50 << std::setw(21)
+                  << static_cast<double>(took.size()) / (after.executed - before.executed) << std::setprecision(2)
                   << std::setw(12) << (decided > 0 ? (after.fast - before.fast) / decided : 0) << "\n"
                   << std::flush;
       }
--- a/tests/programs/origin.cpp
+++ b/tests/programs/origin.cpp
@@ -30,8 +30,8 @@
   int64_t errorShare = 0;    // answers 500
   bool isSilent = false;     // no beats
   bool isEmptying = false;
-  bool isDeaf = false;       // health fails
-  int64_t edition = 0;       // named in the bodies of reads
+  bool isDeaf = false;  // health fails
+  int64_t edition = 0;  // named in the bodies of reads
   std::string labels;
   std::string cacheControl;
 };
@@ -41,7 +41,7 @@
   caller::Request request;
   std::string id;
   int64_t edition;  // when it came
-  int share;  // 0..99: how it fails, if at all
+  int share;        // 0..99: how it fails, if at all
 };
 }  // namespace
 
@@ -109,7 +109,8 @@
       f.text("service", service);
       f.text("instance", instance);
       f.close();
-      if (!faults.empty()) return caller::codeAnswer(caller::kInvalid, 0, ",\"place\":\"" + faults.front().place + "\"");
+      if (!faults.empty())
+        return caller::codeAnswer(caller::kInvalid, 0, ",\"place\":\"" + faults.front().place + "\"");
       mode = next;
       beatAtMs = nowMs;
       return caller::Answer{200, {}, "done\n"};
@@ -119,7 +120,8 @@
 
   while (!op::Program::isStopping()) {
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
-    for (auto& stream : writing) fds.push_back({stream->fd(), POLLOUT, 0});
+    for (auto& stream : writing)
+      fds.push_back({stream->fd(), POLLOUT, 0});
     for (auto& answer : fetcher.run(fds, due.empty() ? 20 : 1))
       if (answer.fault != upstream::Fault::kNone || answer.status != 200) registry = (registry + 1) % registries.size();
     auto nowMs = neighbour::steadyMs();
@@ -129,7 +131,8 @@
         writing.push_back(r.stream);
         continue;
       }
-      auto forService = caller::header(r.headers, "dykestage-service"), forInstance = caller::header(r.headers, "dykestage-instance");
+      auto forService = caller::header(r.headers, "dykestage-service"),
+           forInstance = caller::header(r.headers, "dykestage-instance");
       if (forService != service || forInstance != instance) {
         ++misdirected;
         r.stream->answer({421, {}, "not the one meant\n"}, r.method, r.keep);
@@ -146,7 +149,8 @@
     for (auto& d : due) {
       if (!isDue(d)) continue;
       auto& stream = *d.request.stream;
-      auto body = sim::provenBody(service, d.request.target, d.id.empty() ? "e" + std::to_string(d.edition) : d.id, static_cast<size_t>(mode.bytes));
+      auto body = sim::provenBody(service, d.request.target, d.id.empty() ? "e" + std::to_string(d.edition) : d.id,
+                                  static_cast<size_t>(mode.bytes));
       auto share = d.share;
       auto falls = [&](int64_t part) {
         auto isHit = share >= 0 && share < part;
@@ -169,7 +173,11 @@
         stream.note(head + body + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil");
         stream.cut();
       } else {
-        caller::Answer answer{falls(mode.errorShare) ? 500 : 200, {{"Content-Type", "text/plain"}, {"Dykestage-Load", std::to_string(static_cast<double>(due.size()) / (16.0 * static_cast<double>(capacity)))}}, body};
+        caller::Answer answer{falls(mode.errorShare) ? 500 : 200,
+                              {{"Content-Type", "text/plain"},
+                               {"Dykestage-Load", std::to_string(static_cast<double>(due.size()) /
+                                                                 (16.0 * static_cast<double>(capacity)))}},
+                              body};
         if (!mode.labels.empty()) answer.headers.emplace_back("Dykestage-Labels", mode.labels);
         if (!mode.cacheControl.empty()) answer.headers.emplace_back("Cache-Control", mode.cacheControl);
         stream.answer(answer, d.request.method, d.request.keep);
@@ -186,8 +194,10 @@
       beat.method = "POST";
       beat.target = "/announce";
       beat.timeoutMs = beatMs * 2;
-      beat.body = "{\"instance\":\"" + instance + "\",\"service\":\"" + service + "\",\"kind\":\"" + kind + "\",\"address\":\"" + address +
-                  "\",\"site\":\"" + site + "\",\"capacity\":" + std::to_string(capacity) + ",\"state\":\"" + (mode.isEmptying ? "emptying" : "working") + "\"}";
+      beat.body = "{\"instance\":\"" + instance + "\",\"service\":\"" + service + "\",\"kind\":\"" + kind +
+                  "\",\"address\":\"" + address + "\",\"site\":\"" + site +
+                  "\",\"capacity\":" + std::to_string(capacity) + ",\"state\":\"" +
+                  (mode.isEmptying ? "emptying" : "working") + "\"}";
       fetcher.start(std::move(beat));
     }
   }
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -1,7 +1,7 @@
 // Routes and pools: which pool a request goes to, what may be tried again, what is shared, and where.
-#include <catch2/catch.hpp>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <catch2/catch.hpp>
 
 #include <memory>
 
@@ -32,18 +32,25 @@
   frame->routing.routes["big"] = routeOf("/covers/big/", core::RouteKind::kCacheable, {{"store", 1}, {"spare", 1}});
   frame->routing.routes["pay"] = routeOf("/pay/", core::RouteKind::kWriting, {{"till", 1}});
   frame->routing.routes["list"] = routeOf("/list/", core::RouteKind::kReadOnly, {{"till", 1}});
-  for (const auto* pool : {"store", "spare", "till"}) frame->routing.pools[pool] = {"/health", 110, 0};
-  for (const auto* name : {"s1", "s2"}) frame->upstreams[name] = {"store", std::string("127.0.0.1:1") + name[1], "north", core::UpstreamKind::kAny, 32, false, false};
+  for (const auto* pool : {"store", "spare", "till"})
+    frame->routing.pools[pool] = {"/health", 110, 0};
+  for (const auto* name : {"s1", "s2"})
+    frame->upstreams[name] = {
+        "store", std::string("127.0.0.1:1") + name[1], "north", core::UpstreamKind::kAny, 32, false, false};
   frame->upstreams["p1"] = {"spare", "127.0.0.1:21", "north", core::UpstreamKind::kAny, 4, false, false};
-  for (const auto* name : {"t1", "t2", "t3"}) frame->upstreams[name] = {"till", std::string("127.0.0.1:3") + name[1], "north", core::UpstreamKind::kAny, 8, false, false};
-  for (const auto* name : {"e1", "e2", "e3"}) frame->members[name] = {"proxy", "north", std::string("at-") + name, "", 1};
+  for (const auto* name : {"t1", "t2", "t3"})
+    frame->upstreams[name] = {"till", std::string("127.0.0.1:3") + name[1], "north", core::UpstreamKind::kAny, 8, false,
+                              false};
+  for (const auto* name : {"e1", "e2", "e3"})
+    frame->members[name] = {"proxy", "north", std::string("at-") + name, "", 1};
   frame->revision = {1, 0, 1, 1};
   return frame;
 }
 
 auto names() -> HeaderNames {
   HeaderNames n;
-  n.tryId = "Try", n.timeLeft = "Left", n.instance = "Meant", n.service = "", n.extra = "", n.load = "Load", n.notRun = "Not-Ran", n.seal = "Seal";
+  n.tryId = "Try", n.timeLeft = "Left", n.instance = "Meant", n.service = "", n.extra = "", n.load = "Load",
+  n.notRun = "Not-Ran", n.seal = "Seal";
   return n;
 }
 
@@ -69,7 +76,8 @@
   }
   static auto shieldProps(const std::string& name) -> upstream::Shield::Props {
     upstream::Shield::Props p;
-    p.name = name, p.site = "north", p.address = "at-" + name, p.kind = "proxy", p.servesStale = true, p.names = names(), p.probeMs = 0;
+    p.name = name, p.site = "north", p.address = "at-" + name, p.kind = "proxy", p.servesStale = true,
+    p.names = names(), p.probeMs = 0;
     p.tries = {0.2, 100};
     return p;
   }
@@ -83,7 +91,8 @@
     Request r;
     r.method = method, r.target = target;
     r.headers = {{"Host", "shop.test"}, {"Try", "id-1"}, {"Left", "800"}};
-    for (auto& h : more) r.headers.push_back(h);
+    for (auto& h : more)
+      r.headers.push_back(h);
     r.stream = std::make_shared<Stream>(fds[0]);
     ::close(fds[0]), ::close(fds[1]);
     edge.take(std::move(r), nowMs);
@@ -94,7 +103,8 @@
     for (auto isMore = true; isMore;) {
       isMore = false;
       auto out = edge.output();
-      for (auto& a : out.answers) answers.push_back(std::move(a)), isMore = true;
+      for (auto& a : out.answers)
+        answers.push_back(std::move(a)), isMore = true;
       for (auto& a : out.asks) {
         isMore = true;
         if (a.isSelf)
@@ -103,12 +113,14 @@
           asked.push_back(std::move(a));
       }
       auto made = shield.output();
-      for (auto& f : made.fetches) fetches.push_back(std::move(f)), isMore = true;
+      for (auto& f : made.fetches)
+        fetches.push_back(std::move(f)), isMore = true;
       for (auto& r : made.replies)
         if (r.to == "at-e1") edge.takeReply(r.to, r.reply, nowMs), isMore = true;
     }
   }
-  auto end(const upstream::Fetch& fetch, int status, Headers headers = {}, const std::string& body = "0123456789", int64_t nowMs = 10050) -> void {
+  auto end(const upstream::Fetch& fetch, int status, Headers headers = {}, const std::string& body = "0123456789",
+           int64_t nowMs = 10050) -> void {
     upstream::Fetched f;
     f.id = fetch.id, f.status = status, f.headers = std::move(headers), f.body = body, f.tookMs = 50;
     f.headers.emplace_back("Seal", "s");
@@ -123,7 +135,9 @@
   }
 };
 
-auto valueOf(const upstream::Fetch& fetch, const std::string& name) -> std::string { return header(fetch.headers, name); }
+auto valueOf(const upstream::Fetch& fetch, const std::string& name) -> std::string {
+  return header(fetch.headers, name);
+}
 }  // namespace
 
 TEST_CASE("The longest prefix of a host's routes wins, and splits are stable") {
@@ -182,7 +196,8 @@
     CHECK(n.answers[0].answer.status == 504);
     CHECK(header(n.answers[0].answer.headers, "Dykestage-Code") == "3009");
   }
-  for (auto fault : {upstream::Fault::kLost, upstream::Fault::kTimeout, upstream::Fault::kNotWhole, upstream::Fault::kMixed}) {
+  for (auto fault :
+       {upstream::Fault::kLost, upstream::Fault::kTimeout, upstream::Fault::kNotWhole, upstream::Fault::kMixed}) {
     Node n;
     n.ask("POST", "/pay/1");
     n.fail(n.fetches[0], fault);
@@ -259,11 +274,13 @@
   CHECK(slice(whole, *rangeOf("bytes=7-")).body == "789");
   CHECK(slice(whole, *rangeOf("bytes=7-99")).body == "789");
   CHECK(slice(whole, *rangeOf("bytes=10-")).status == 416);
-  for (const auto* other : {"bytes=-5", "bytes=1-2,4-5", "items=1-2", "bytes=5-2", "bytes=a-b", ""}) CHECK_FALSE(rangeOf(other));
+  for (const auto* other : {"bytes=-5", "bytes=1-2,4-5", "items=1-2", "bytes=5-2", "bytes=a-b", ""})
+    CHECK_FALSE(rangeOf(other));
 
   Node n;
   auto target = std::string("/covers/0");
-  for (int i = 0; i < 20 && n.fetches.empty(); ++i) n.ask("GET", target = "/covers/" + std::to_string(i), {{"Range", "bytes=2-5"}});
+  for (int i = 0; i < 20 && n.fetches.empty(); ++i)
+    n.ask("GET", target = "/covers/" + std::to_string(i), {{"Range", "bytes=2-5"}});
   REQUIRE(n.fetches.size() == 1);
   CHECK(valueOf(n.fetches[0], "Range").empty());  // the whole is fetched, and kept
   n.end(n.fetches[0], 200);
@@ -280,10 +297,12 @@
 // The same with few slots: one node keeps the pool's upstreams. Returns its name too.
 auto fewSlots() -> std::pair<std::shared_ptr<core::Frame>, std::string> {
   auto frame = frameOf();
-  for (const auto* name : {"t1", "t2", "t3"}) frame->upstreams[name].capacity = 1;
+  for (const auto* name : {"t1", "t2", "t3"})
+    frame->upstreams[name].capacity = 1;
   std::vector<std::string> members;
   std::vector<uint64_t> hashes;
-  for (const auto& [name, member] : frame->members) members.push_back(name), hashes.push_back(neighbour::hash(name));
+  for (const auto& [name, member] : frame->members)
+    members.push_back(name), hashes.push_back(neighbour::hash(name));
   auto dispatch = policy::dispatchOf(*frame, "till", hashes);
   REQUIRE(dispatch.nodes.size() == 1);
   return {frame, members[dispatch.nodes[0]]};
@@ -307,11 +326,14 @@
     CHECK(n.fetches.size() + n.asked.size() == 2);
     n.ask("POST", "/pay/2");
     CHECK(n.fetches.size() + n.asked.size() == 3);
-    for (size_t i = 1; i < n.asked.size(); ++i) CHECK(n.asked[i].to != "at-" + keeper);
+    for (size_t i = 1; i < n.asked.size(); ++i)
+      CHECK(n.asked[i].to != "at-" + keeper);
   }
 }
 
-TEST_CASE("A kept upstream gets no more than it has slots for; the rest waits by rank, and what can't be served in time is refused") {
+TEST_CASE(
+    "A kept upstream gets no more than it has slots for; the rest waits by rank, and what can't be served in time is "
+    "refused") {
   auto [frame, keeper] = fewSlots();
   frame->routing.routes["pay"].rank = 1;
   frame->routing.routes["list"].rank = 2;
@@ -320,11 +342,13 @@
   shield.takeFrame({frame, 10000}, 10000);
   auto ask = [&](uint64_t id, int64_t rank, int64_t remainingMs, int64_t nowMs) {
     neighbour::Ask one;
-    one.id = id, one.service = "shop.test", one.pool = "till", one.kind = core::UpstreamKind::kAny, one.method = "GET", one.target = "/list/1";
+    one.id = id, one.service = "shop.test", one.pool = "till", one.kind = core::UpstreamKind::kAny, one.method = "GET",
+    one.target = "/list/1";
     one.remainingMs = remainingMs, one.tries = 2, one.rank = rank;
     shield.take("at-e9", one, nowMs);
   };
-  for (uint64_t id = 1; id <= 5; ++id) ask(id, 2, 1000, 10000);
+  for (uint64_t id = 1; id <= 5; ++id)
+    ask(id, 2, 1000, 10000);
   ask(6, 1, 1000, 10001);
   auto out = shield.output();
   REQUIRE(out.fetches.size() == 3);
@@ -378,12 +402,14 @@
   std::vector<std::string> upstreams = {"a", "b", "c"};
   std::vector<policy::Health> health(3);
   std::vector<policy::Candidate> list;
-  for (size_t i = 0; i < 3; ++i) list.push_back({&upstreams[i], &up, &health[i]});
+  for (size_t i = 0; i < 3; ++i)
+    list.push_back({&upstreams[i], &up, &health[i]});
   policy::PlacementProps props;
   props.site = "north";
   auto shareOf = [&](size_t which, int64_t nowMs) {
     int hits = 0;
-    for (uint64_t dice = 0; dice < 1000; ++dice) hits += policy::choose(list, {}, props, dice * 1000, nowMs)->index == which;
+    for (uint64_t dice = 0; dice < 1000; ++dice)
+      hits += policy::choose(list, {}, props, dice * 1000, nowMs)->index == which;
     return hits;
   };
   health[0].tookMs = 50, health[1].tookMs = 100, health[2].tookMs = 50;
@@ -398,7 +424,8 @@
     CHECK(shareOf(0, 500) < 20);
   }
   SECTION("one whose answers are lost holds its slots no longer than it takes for sure") {
-    for (auto& h : health) h.left(1, 0), h.left(2, 0);
+    for (auto& h : health)
+      h.left(1, 0), h.left(2, 0);
     props.isFreeOnly = true;
     CHECK_FALSE(policy::choose(list, {}, props, 1, 100));
     CHECK(policy::choose(list, {}, props, 1, 400));
@@ -431,10 +458,12 @@
       for (int64_t nowMs = 0; nowMs < 20000; nowMs += 5)
         for (auto& share : shares) {
           share.set(bounds.share(rate, nodes), nowMs);
-          while (share.take(nowMs)) sent.push_back(nowMs);
+          while (share.take(nowMs))
+            sent.push_back(nowMs);
         }
       for (size_t i = 0, j = 0; j < sent.size(); ++j) {
-        while (sent[j] - sent[i] >= 5000) ++i;
+        while (sent[j] - sent[i] >= 5000)
+          ++i;
         most = std::max(most, static_cast<double>(j - i + 1));
       }
       INFO(rate << " a second, " << nodes << " nodes");
@@ -445,7 +474,8 @@
 
 TEST_CASE("The heaviest names are those of rendezvous hashing: a name that goes moves its own keys only") {
   std::vector<uint64_t> names;
-  for (int i = 0; i < 20; ++i) names.push_back(neighbour::hash("node-" + std::to_string(i)));
+  for (int i = 0; i < 20; ++i)
+    names.push_back(neighbour::hash("node-" + std::to_string(i)));
   auto fewer = names;
   fewer.pop_back();
   int moved = 0;
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -50,15 +50,18 @@
 
 auto announce(const std::string& name, const std::string& pool, const std::string& more = "") -> Op {
   std::vector<op::Fault> faults;
-  auto op = op::readAnnouncement(R"({"instance": ")" + name + R"(", "service": ")" + pool + R"(", "address": "127.0.0.1:)" +
-                                     std::to_string(1000 + name.back()) + R"(", "site": "north")" + more + "}",
-                                 faults);
+  auto op =
+      op::readAnnouncement(R"({"instance": ")" + name + R"(", "service": ")" + pool + R"(", "address": "127.0.0.1:)" +
+                               std::to_string(1000 + name.back()) + R"(", "site": "north")" + more + "}",
+                           faults);
   INFO(op::writeFaults(faults));
   REQUIRE(op);
   return *op;
 }
 
-auto bytes(const auto& value) -> std::string { return Writer().put(value).take(); }
+auto bytes(const auto& value) -> std::string {
+  return Writer().put(value).take();
+}
 }  // namespace
 
 TEST_CASE("Of two changes on one version one wins, and the same change again is done") {
@@ -204,13 +207,17 @@
       std::string routes;
       std::set<int> named;
       // Many routes come and go, so that the list of removals overflows within a history.
-      for (auto i = 0; i < 8; ++i) named.insert(pick(0, 12));
+      for (auto i = 0; i < 8; ++i)
+        named.insert(pick(0, 12));
       for (auto i : named) {
         auto isGone = !isWhole && pick(0, 1) == 0;
         routes += (routes.empty() ? "" : ",") + std::string("\"r") + std::to_string(i) + "\": " +
-                  (isGone ? "null" : R"({"host": "h", "prefix": "/", "kind": "writing", "giveUpMs": )" + std::to_string(pick(1, 999)) + R"(, "shares": [{"pool": "p"}]})");
+                  (isGone ? "null"
+                          : R"({"host": "h", "prefix": "/", "kind": "writing", "giveUpMs": )" +
+                                std::to_string(pick(1, 999)) + R"(, "shares": [{"pool": "p"}]})");
       }
-      text += ", \"routes\": {" + routes + "}, \"pools\": {\"p\": {\"connections\": " + std::to_string(pick(1, 2)) + "}}";
+      text +=
+          ", \"routes\": {" + routes + "}, \"pools\": {\"p\": {\"connections\": " + std::to_string(pick(1, 2)) + "}}";
       if (pick(0, 9) == 0) text += ", \"limits\": {\"idleMs\": " + std::to_string(pick(1, 9999)) + "}";
       REQUIRE(run(state, read(text + "}")).outcome == Outcome::kDone);
       version = next;
@@ -247,7 +254,9 @@
   run(state, read(kFirst));
   Frame follower;
   REQUIRE(join(follower, newsSince(state.frame(), {})));
-  run(state, read(R"({"version": 9, "base": 7, "routes": {"b": null, "c": {"host": "h", "prefix": "/", "kind": "readOnly", "giveUpMs": 1, "shares": [{"pool": "p"}]}}})"));
+  run(state,
+      read(
+          R"({"version": 9, "base": 7, "routes": {"b": null, "c": {"host": "h", "prefix": "/", "kind": "readOnly", "giveUpMs": 1, "shares": [{"pool": "p"}]}}})"));
   auto news = newsSince(state.frame(), follower.revision);
   CHECK(news.configuration->routes.size() == 1);
   CHECK(news.configuration->log.removals.size() == 1);
@@ -269,10 +278,13 @@
   run(state, announce("u1", "p", R"(, "number": 3, "state": "gone")"));
   run(state, read(R"({"version": 9, "base": 7, "routes": {"b": null}})"));
   State loaded;
-  for (uint8_t part = 0; part < tempo::kParts; ++part) loaded.load(part, state.save(part));
-  for (uint8_t part = 0; part < tempo::kParts; ++part) CHECK(loaded.save(part) == state.save(part));
+  for (uint8_t part = 0; part < tempo::kParts; ++part)
+    loaded.load(part, state.save(part));
+  for (uint8_t part = 0; part < tempo::kParts; ++part)
+    CHECK(loaded.save(part) == state.save(part));
   CHECK(bytes(loaded.frame()) == bytes(state.frame()));
-  CHECK(op::writeRouting(loaded.frame().routing, loaded.sources()) == op::writeRouting(state.frame().routing, state.sources()));
+  CHECK(op::writeRouting(loaded.frame().routing, loaded.sources()) ==
+        op::writeRouting(state.frame().routing, state.sources()));
   CHECK(op::writeRouting(loaded.frame().routing, loaded.sources()).find(R"("source":{"x":1.5})") != std::string::npos);
   // What it must not forget: routings that were taken, and upstreams that are gone.
   CHECK(run(loaded, read(kFirst)).outcome == Outcome::kDone);
@@ -284,7 +296,8 @@
 class Core {
  public:
   explicit Core(bool mayForm = true) {
-    for (tempo::Slot slot = 1; slot <= 3; ++slot) start(slot, mayForm);
+    for (tempo::Slot slot = 1; slot <= 3; ++slot)
+      start(slot, mayForm);
   }
   auto start(tempo::Slot slot, bool mayForm) -> void {
     Registry::Props props;
@@ -292,7 +305,8 @@
     props.core.faults = 1;
     props.slot = slot;
     props.mayForm = mayForm;
-    for (tempo::Slot other = 1; other <= 3; ++other) props.addresses[other] = std::to_string(other);
+    for (tempo::Slot other = 1; other <= 3; ++other)
+      props.addresses[other] = std::to_string(other);
     registries[slot] = std::make_unique<Registry>(props, "", std::vector<std::string>{}, nextLife_++);
   }
   auto pass(int64_t ms) -> void {
@@ -313,7 +327,8 @@
       hasInput_.clear();
     }
   }
-  auto http(tempo::Slot slot, const std::string& method, const std::string& target, const std::string& body = "") -> size_t {
+  auto http(tempo::Slot slot, const std::string& method, const std::string& target, const std::string& body = "")
+      -> size_t {
     caller::Request request;
     request.method = method;
     request.target = target;
@@ -327,9 +342,11 @@
     return answers.size() - 1;
   }
   // Asks and waits for the answer.
-  auto ask(tempo::Slot slot, const std::string& method, const std::string& target, const std::string& body = "") -> caller::Answer {
+  auto ask(tempo::Slot slot, const std::string& method, const std::string& target, const std::string& body = "")
+      -> caller::Answer {
     auto which = http(slot, method, target, body);
-    for (auto i = 0; i < 3000 && !answers[which]; ++i) pass(1);
+    for (auto i = 0; i < 3000 && !answers[which]; ++i)
+      pass(1);
     REQUIRE(answers[which]);
     return *answers[which];
   }
@@ -362,14 +379,16 @@
     for (;;) {
       auto out = registries.at(slot)->output();
       for (auto& letter : out.letters)
-        if (letter.to.size() == 1 && std::isdigit(letter.to[0])) lines_.push_back({letter.to, std::to_string(slot), letter.kind, letter.body});
+        if (letter.to.size() == 1 && std::isdigit(letter.to[0]))
+          lines_.push_back({letter.to, std::to_string(slot), letter.kind, letter.body});
       for (auto& a : out.answers) {
         auto at = static_cast<size_t>(std::find(streams_.begin(), streams_.end(), a.stream) - streams_.begin());
         CHECK_FALSE(answers.at(at));  // nobody is answered twice
         answers.at(at) = a.answer;
       }
       if (out.jobs.empty()) return;
-      for (auto& job : out.jobs) registries.at(slot)->synced(job.number, 0.1, 1, nowMs);
+      for (auto& job : out.jobs)
+        registries.at(slot)->synced(job.number, 0.1, 1, nowMs);
     }
   }
   uint64_t nextLife_ = 11;
@@ -398,7 +417,9 @@
   // One is sent on top of another that is still under way: the registry reads first and then judges it.
   auto first = core.http(1, "POST", "/routing", R"({"version": 9, "base": 7, "pools": {"new": {}}})");
   core.pass(3);
-  auto second = core.ask(2, "POST", "/routing", R"({"version": 11, "base": 9, "routes": {"b": {"host": "h", "prefix": "/", "kind": "writing", "giveUpMs": 5, "shares": [{"pool": "new"}]}}})");
+  auto second = core.ask(
+      2, "POST", "/routing",
+      R"({"version": 11, "base": 9, "routes": {"b": {"host": "h", "prefix": "/", "kind": "writing", "giveUpMs": 5, "shares": [{"pool": "new"}]}}})");
   CHECK((second.status == 200 || second.status == 409));
   REQUIRE(core.answers[first]);
   CHECK(core.answers[first]->status == 200);
@@ -433,7 +454,10 @@
   Core core;
   core.pass(2000);
   auto beat = [&](tempo::Slot slot, const std::string& more) {
-    return core.ask(slot, "POST", "/announce", R"({"instance": "u1", "service": "p", "address": "127.0.0.1:9", "site": "n", )" + more + "}").body;
+    return core
+        .ask(slot, "POST", "/announce",
+             R"({"instance": "u1", "service": "p", "address": "127.0.0.1:9", "site": "n", )" + more + "}")
+        .body;
   };
   CHECK(beat(1, R"("number": 1, "coldMs": 3000)").find("taken") != std::string::npos);
   core.pass(50);
@@ -442,7 +466,8 @@
   auto ticks = core.executed(2) - before;
   before = core.executed(2);
   for (auto i = 2; i < 100; ++i) {
-    CHECK(beat(2, "\"number\": " + std::to_string(i) + ", \"coldMs\": " + std::to_string(3000 - i)).find("known") != std::string::npos);
+    CHECK(beat(2, "\"number\": " + std::to_string(i) + ", \"coldMs\": " + std::to_string(3000 - i)).find("known") !=
+          std::string::npos);
     core.pass(10);
   }
   CHECK(core.executed(2) - before < ticks + 10);
@@ -461,7 +486,8 @@
   core.registries[2].reset();
   core.registries[3].reset();
   auto fromMs = core.nowMs;
-  auto a = core.ask(1, "POST", "/announce", R"({"instance": "u1", "service": "p", "address": "127.0.0.1:9", "site": "n"})");
+  auto a =
+      core.ask(1, "POST", "/announce", R"({"instance": "u1", "service": "p", "address": "127.0.0.1:9", "site": "n"})");
   CHECK(a.status == 504);
   CHECK(core.nowMs - fromMs <= 810);
 }
@@ -472,7 +498,8 @@
   core.ticks.clear();
   for (auto i = 0; i < 100; ++i) {
     core.pass(100);
-    for (auto& [slot, registry] : core.registries) CHECK(registry->isReady(core.nowMs));
+    for (auto& [slot, registry] : core.registries)
+      CHECK(registry->isReady(core.nowMs));
   }
   for (const auto& [slot, count] : core.ticks) {
     std::cout << "registry " << slot << " woke up " << count / 10 << " times a second\n";
--- a/tests/sim/core_sim.cpp
+++ b/tests/sim/core_sim.cpp
@@ -32,11 +32,11 @@
   int64_t frozenUntilMs = 0, stalledUntilMs = 0, fullUntilMs = 0;
   std::unique_ptr<TestMachine> machine;
   std::unique_ptr<Node> node;
-  std::string frame;                 // synced
-  std::vector<std::string> writes;   // synced
-  std::map<Id, int> waiting;         // own submissions → tries left
+  std::string frame;                // synced
+  std::vector<std::string> writes;  // synced
+  std::map<Id, int> waiting;        // own submissions → tries left
   int64_t helloMs = 0;
-  int64_t syncedMs = 0;              // when the last started sync ends
+  int64_t syncedMs = 0;  // when the last started sync ends
 };
 
 // Compares what ran with the one true history.
@@ -49,9 +49,10 @@
       auto& canon = canon_[part];
       if (index < canon.size()) {
         if (canon[index] != one.id)
-          fault("replicas execute in different orders: partition " + std::to_string(part) + " place " + std::to_string(index) + " holds " +
-                name(canon[index]) + " at " + std::to_string(stamps_[canon[index]]) + ", node " + std::to_string(slot) + " ran " +
-                name(one.id) + " at " + std::to_string(one.stamp));
+          fault("replicas execute in different orders: partition " + std::to_string(part) + " place " +
+                std::to_string(index) + " holds " + name(canon[index]) + " at " +
+                std::to_string(stamps_[canon[index]]) + ", node " + std::to_string(slot) + " ran " + name(one.id) +
+                " at " + std::to_string(one.stamp));
         continue;
       }
       if (index > canon.size()) fault("a gap in the history");
@@ -129,7 +130,9 @@
 
 auto CoreSim::flush(Host& h) -> void {
   auto out = std::make_shared<Output>(h.node->take());
-  if (out->writes.empty() && out->sends.empty() && out->answers.empty() && !out->frameTaken && h.machine->applied_.empty()) return;
+  if (out->writes.empty() && out->sends.empty() && out->answers.empty() && !out->frameTaken &&
+      h.machine->applied_.empty())
+    return;
   // On a full disk a registry stops at its next write, with nothing of that step told to anybody.
   if (h.fullUntilMs > nowMs_ && (!out->writes.empty() || out->frameTaken)) {
     auto slot = h.slot;
@@ -151,7 +154,8 @@
   auto release = [this, out, slot, life] {
     auto& h = *hosts_.at(slot);
     if (h.life != life) return;
-    for (auto& s : out->sends) deliver(slot, s.to, s.message);
+    for (auto& s : out->sends)
+      deliver(slot, s.to, s.message);
     for (auto& a : out->answers) {
       auto it = h.waiting.find(a.id);
       if (it == h.waiting.end()) continue;
@@ -178,7 +182,8 @@
       h.frame = *frame;
       h.writes.clear();
     } else {
-      for (auto& w : out->writes) h.writes.push_back(w);
+      for (auto& w : out->writes)
+        h.writes.push_back(w);
     }
     compare(slot, *applied);
   };
@@ -224,7 +229,8 @@
     h.helloMs = nowMs_;
     // A blank life says hello; a member that hears it seats it, and sends a frame once it is seated.
     for (auto& [s, other] : hosts_) {
-      if (s == slot || !other->isUp || !other->node->isMember() || cuts_.count({slot, s}) || cuts_.count({s, slot})) continue;
+      if (s == slot || !other->isUp || !other->node->isMember() || cuts_.count({slot, s}) || cuts_.count({s, slot}))
+        continue;
       auto seat = other->node->members().find(slot);
       if (seat->second == h.incarnation) {
         Message ask;
@@ -267,7 +273,8 @@
   auto r = static_cast<int>(props_.core.replicas);
   for (auto i = 0; i < props_.commands; ++i) {
     auto parts = static_cast<uint8_t>(chance(30) ? pick(1, kAllParts) : 1 << pick(0, kParts - 1));
-    at(pick(50, static_cast<int>(props_.faultsMs + 500)), [this, parts, r] { submit(static_cast<Slot>(pick(1, r)), parts, 5); });
+    at(pick(50, static_cast<int>(props_.faultsMs + 500)),
+       [this, parts, r] { submit(static_cast<Slot>(pick(1, r)), parts, 5); });
   }
   // At most f replicas are down, wiped or frozen at a time; splits and cuts come on top of that.
   auto down = [this] {
@@ -370,7 +377,8 @@
   if (outstanding_ != 0) fault(std::to_string(outstanding_) + " submissions are unanswered after the heal");
   std::array<std::map<Id, size_t>, kParts> index;
   for (uint8_t part = 0; part < kParts; ++part)
-    for (size_t i = 0; i < canon_[part].size(); ++i) index[part][canon_[part][i]] = i;
+    for (size_t i = 0; i < canon_[part].size(); ++i)
+      index[part][canon_[part][i]] = i;
   for (uint8_t part = 0; part < kParts; ++part) {
     // Real-time order: whoever was submitted after an answer stands behind it.
     std::vector<std::pair<int64_t, size_t>> ended;
@@ -396,7 +404,8 @@
 
 auto CoreSim::run() -> Verdict {
   std::map<Slot, Incarnation> members;
-  for (Slot slot = 1; slot <= props_.core.replicas; ++slot) members[slot] = slot;
+  for (Slot slot = 1; slot <= props_.core.replicas; ++slot)
+    members[slot] = slot;
   for (auto& [slot, incarnation] : members) {
     auto h = std::make_unique<Host>();
     h->slot = slot;
--- a/tests/sim/core_sim.hpp
+++ b/tests/sim/core_sim.hpp
@@ -15,7 +15,8 @@
 struct Faults {
   int lossPercent = 0;
   int repeatPercent = 0;
-  bool splits = false, oneWayCuts = false, crashes = false, wipes = false, stalls = false, freezes = false, blackouts = false, fullDisks = false;
+  bool splits = false, oneWayCuts = false, crashes = false, wipes = false, stalls = false, freezes = false,
+       blackouts = false, fullDisks = false;
   bool dropSync = false;  // a rule broken on purpose: sends leave before the sync
 };
 
@@ -24,7 +25,8 @@
 
 struct Verdict {
   std::vector<std::string> faults;  // what the checker found
-  uint64_t executed = 0, answered = 0, unanswered = 0, voided = 0, fast = 0, slow = 0, recovered = 0, frames = 0, changes = 0;
+  uint64_t executed = 0, answered = 0, unanswered = 0, voided = 0, fast = 0, slow = 0, recovered = 0, frames = 0,
+           changes = 0;
   std::vector<int64_t> latenciesMs;
   std::vector<std::string> history;
 };
@@ -38,8 +40,8 @@
     Faults faults;
     tempo::Props core;
     int commands = 120;
-    int64_t faultsMs = 3000;   // failures happen in this time
-    int64_t healMs = 6000;     // after it everything is healed and must settle
+    int64_t faultsMs = 3000;  // failures happen in this time
+    int64_t healMs = 6000;    // after it everything is healed and must settle
     bool keepHistory = false;
   };
   explicit CoreSim(Props props);
--- a/tests/sim/fleet.cpp
+++ b/tests/sim/fleet.cpp
@@ -25,7 +25,8 @@
 
 namespace {
 auto nowUs() -> int64_t {
-  return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+  return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
 }
 
 auto socketAt(const std::string& address, sockaddr_in& at) -> int {
@@ -45,7 +46,8 @@
 Links::~Links() {
   isStopping_ = true;
   if (thread_.joinable()) thread_.join();
-  for (auto& l : listeners_) ::close(l.fd);
+  for (auto& l : listeners_)
+    ::close(l.fd);
 }
 
 auto Links::open(const std::string& advertised, const std::string& real) -> void {
@@ -56,7 +58,9 @@
   listeners_.push_back({fd, op::splitAddress(advertised).first, real});
 }
 
-auto Links::delay(const std::string& from, const std::string& to, int64_t us) -> void { delays_[{from, to}] = us; }
+auto Links::delay(const std::string& from, const std::string& to, int64_t us) -> void {
+  delays_[{from, to}] = us;
+}
 auto Links::run() -> void {
   thread_ = std::thread([this] { loop(); });
 }
@@ -89,7 +93,8 @@
       cuts = cuts_;
     }
     std::vector<pollfd> fds;
-    for (auto& l : listeners_) fds.push_back({l.fd, POLLIN, 0});
+    for (auto& l : listeners_)
+      fds.push_back({l.fd, POLLIN, 0});
     auto now = nowUs();
     auto waitUs = int64_t{5000};
     for (auto& s : streams)
@@ -119,7 +124,8 @@
           auto n = ::read(s->fds[i], buffer, sizeof buffer);
           if (n > 0) {
             auto found = delays_.find({s->machines[i], s->machines[1 - i]});
-            way.waiting.emplace_back(now + (found == delays_.end() ? 0 : found->second), std::string(buffer, static_cast<size_t>(n)));
+            way.waiting.emplace_back(now + (found == delays_.end() ? 0 : found->second),
+                                     std::string(buffer, static_cast<size_t>(n)));
             way.bytes += static_cast<size_t>(n);
           } else if (n == 0 || errno != EAGAIN) {
             way.isEnded = true;
@@ -176,7 +182,8 @@
       return true;
     });
   }
-  for (auto& s : streams) ::close(s->fds[0]), ::close(s->fds[1]);
+  for (auto& s : streams)
+    ::close(s->fds[0]), ::close(s->fds[1]);
 }
 
 auto Fleet::take(op::Program& program) -> Props {
@@ -194,7 +201,8 @@
   s.integer("edges", 1, 50, edges);
   s.integer("boundMs", 400, 60000, props.boundMs);
   s.integer("port", 0, 60000, props.port);
-  props.registries = static_cast<int>(registries), props.shields = static_cast<int>(shields), props.edges = static_cast<int>(edges);
+  props.registries = static_cast<int>(registries), props.shields = static_cast<int>(shields),
+  props.edges = static_cast<int>(edges);
   if (const auto* list = s.raw("upstreams"); cJSON_IsArray(list)) {
     for (const auto* item = list->child; item; item = item->next) {
       Upstream u;
@@ -208,7 +216,8 @@
       f.integer("delayMs", 0, 60000, u.delayMs);
       f.integer("bytes", 0, 64 << 20, u.bytes);
       f.close();
-      for (const auto& fault : faults) s.fault(fault.place, fault.what);
+      for (const auto& fault : faults)
+        s.fault(fault.place, fault.what);
       u.count = static_cast<int>(count);
       props.upstreams.push_back(u);
     }
@@ -225,14 +234,16 @@
   auto at = [&](const std::string& ip, int64_t offset) { return ip + ":" + std::to_string(props_.port + offset); };
   auto list = [&](const std::vector<std::string>& values) {
     std::string joined;
-    for (const auto& v : values) joined += (joined.empty() ? "" : ",") + text(v);
+    for (const auto& v : values)
+      joined += (joined.empty() ? "" : ",") + text(v);
     return "[" + joined + "]";
   };
   // Each process has a machine, that is a loopback IP number: 127.kind.site.index. Its real port is one above
   // the advertised one, where a forwarder of the fleet listens.
   auto place = [&](int kind, int index) {
     auto site = index % static_cast<int>(props_.sites.size());
-    return std::pair{props_.sites[static_cast<size_t>(site)], "127." + std::to_string(kind) + "." + std::to_string(site + 1) + "." + std::to_string(index + 1)};
+    return std::pair{props_.sites[static_cast<size_t>(site)],
+                     "127." + std::to_string(kind) + "." + std::to_string(site + 1) + "." + std::to_string(index + 1)};
   };
   std::vector<std::string> registries, https;
   for (auto i = 0; i < props_.registries; ++i) {
@@ -248,8 +259,9 @@
     machines.emplace_back(ip, site);
     links_.open(at(ip, 0), at(ip, 1));
     add({"registry", name, site, ip, at(ip, 2), "", "", -1},
-        "{\"name\":" + text(name) + ",\"slot\":" + std::to_string(i + 1) + ",\"registries\":" + list(registries) + ",\"listen\":" + text(at(ip, 1)) +
-            ",\"http\":" + text(at(ip, 2)) + ",\"data\":" + text(props_.folder + "/" + name) + common + props_.registryExtra + "}");
+        "{\"name\":" + text(name) + ",\"slot\":" + std::to_string(i + 1) + ",\"registries\":" + list(registries) +
+            ",\"listen\":" + text(at(ip, 1)) + ",\"http\":" + text(at(ip, 2)) +
+            ",\"data\":" + text(props_.folder + "/" + name) + common + props_.registryExtra + "}");
   }
   std::vector<std::string> seeds(registries.begin(), registries.begin() + 3);
   auto addProxy = [&](const std::string& kind, int number, int index, const std::string& extra) {
@@ -259,24 +271,29 @@
     links_.open(at(ip, 0), at(ip, 1));
     links_.open(at(ip, 4), at(ip, 5));
     add({"agent", "agent-" + name, site, ip, "", "", "", -1},
-        "{\"name\":" + text(name) + ",\"address\":" + text(at(ip, 4)) + ",\"listen\":" + text(at(ip, 5)) + ",\"loopback\":" +
-            text(at(ip, 6)) + ",\"status\":" + text(at(ip, 7)) + ",\"seeds\":" + list(seeds) + common + "}");
+        "{\"name\":" + text(name) + ",\"address\":" + text(at(ip, 4)) + ",\"listen\":" + text(at(ip, 5)) +
+            ",\"loopback\":" + text(at(ip, 6)) + ",\"status\":" + text(at(ip, 7)) + ",\"seeds\":" + list(seeds) +
+            common + "}");
     add({kind, name, site, ip, kind == "edge" ? at(ip, 2) : "", "", "", -1},
-        "{\"name\":" + text(name) + ",\"site\":" + text(site) + (kind == "edge" ? ",\"http\":" + text(at(ip, 2)) : "") + ",\"status\":" +
-            text(at(ip, 3)) + ",\"address\":" + text(at(ip, 0)) + ",\"listen\":" + text(at(ip, 1)) + ",\"agent\":" + text(at(ip, 6)) + common + extra +
-            "}");
+        "{\"name\":" + text(name) + ",\"site\":" + text(site) + (kind == "edge" ? ",\"http\":" + text(at(ip, 2)) : "") +
+            ",\"status\":" + text(at(ip, 3)) + ",\"address\":" + text(at(ip, 0)) + ",\"listen\":" + text(at(ip, 1)) +
+            ",\"agent\":" + text(at(ip, 6)) + common + extra + "}");
   };
-  for (auto i = 0; i < props_.shields; ++i) addProxy("shield", 20, i, props_.shieldExtra);
-  for (auto i = 0; i < props_.edges; ++i) addProxy("edge", 30, i, props_.edgeExtra);
+  for (auto i = 0; i < props_.shields; ++i)
+    addProxy("shield", 20, i, props_.shieldExtra);
+  for (auto i = 0; i < props_.edges; ++i)
+    addProxy("edge", 30, i, props_.edgeExtra);
   auto number = 0;
   for (const auto& u : props_.upstreams)
     for (auto i = 0; i < u.count; ++i, ++number) {
       auto [site, ip] = place(40, number);
       auto name = "origin-" + u.service + "-" + u.kind + "-" + std::to_string(i + 1);
       add({"origin", name, site, ip, at(ip, 2), u.service, "", -1},
-          "{\"instance\":" + text(name) + ",\"service\":" + text(u.service) + ",\"kind\":" + text(u.kind) + ",\"site\":" + text(site) +
-              ",\"http\":" + text(at(ip, 2)) + ",\"registries\":" + list(https) + ",\"capacity\":" + std::to_string(u.capacity) + ",\"delayMs\":" +
-              std::to_string(u.delayMs) + ",\"bytes\":" + std::to_string(u.bytes) + ",\"seed\":" + std::to_string(number + 1) + ",\"account\":" + text(account(name)) + "}");
+          "{\"instance\":" + text(name) + ",\"service\":" + text(u.service) + ",\"kind\":" + text(u.kind) +
+              ",\"site\":" + text(site) + ",\"http\":" + text(at(ip, 2)) + ",\"registries\":" + list(https) +
+              ",\"capacity\":" + std::to_string(u.capacity) + ",\"delayMs\":" + std::to_string(u.delayMs) +
+              ",\"bytes\":" + std::to_string(u.bytes) + ",\"seed\":" + std::to_string(number + 1) +
+              ",\"account\":" + text(account(name)) + "}");
     }
   for (const auto& [a, siteA] : machines)
     for (const auto& [b, siteB] : machines)
@@ -315,7 +332,8 @@
 }
 
 auto Fleet::startAll() -> void {
-  for (const auto& name : order_) start(name);
+  for (const auto& name : order_)
+    start(name);
 }
 
 auto Fleet::start(const std::string& name) -> void {
@@ -331,11 +349,14 @@
   char* argv[] = {program.data(), settings.data(), nullptr};
   std::vector<std::string> more;
   if (props_.hasMishaps && node.kind != "origin")
-    more = {"LD_PRELOAD=" + props_.programs + "/libmishap.so", "DYKESTAGE_MISHAP=" + props_.folder + "/" + name + ".mishap",
+    more = {"LD_PRELOAD=" + props_.programs + "/libmishap.so",
+            "DYKESTAGE_MISHAP=" + props_.folder + "/" + name + ".mishap",
             "DYKESTAGE_MISHAP_DATA=" + props_.folder + "/" + name};
   std::vector<char*> environment;
-  for (auto** one = environ; *one; ++one) environment.push_back(*one);
-  for (auto& one : more) environment.push_back(one.data());
+  for (auto** one = environ; *one; ++one)
+    environment.push_back(*one);
+  for (auto& one : more)
+    environment.push_back(one.data());
   environment.push_back(nullptr);
   if (::posix_spawn(&node.pid, program.c_str(), &actions, nullptr, argv, environment.data()) != 0) node.pid = -1;
   ::posix_spawn_file_actions_destroy(&actions);
@@ -369,7 +390,9 @@
   std::filesystem::rename(path + ".new", path);
 }
 
-auto Fleet::wipe(const std::string& name) -> void { std::filesystem::remove_all(props_.folder + "/" + name); }
+auto Fleet::wipe(const std::string& name) -> void {
+  std::filesystem::remove_all(props_.folder + "/" + name);
+}
 
 auto Fleet::status(const std::string& name) const -> std::string {
   const auto& node = nodes_.at(name);
@@ -385,11 +408,14 @@
 
 auto Fleet::https(const std::string& kind) const -> std::vector<std::string> {
   std::vector<std::string> list;
-  for (const auto& name : names(kind)) list.push_back(nodes_.at(name).http);
+  for (const auto& name : names(kind))
+    list.push_back(nodes_.at(name).http);
   return list;
 }
 
-auto Fleet::account(const std::string& name) const -> std::string { return props_.folder + "/" + name + ".account"; }
+auto Fleet::account(const std::string& name) const -> std::string {
+  return props_.folder + "/" + name + ".account";
+}
 
 auto Fleet::awaitReady(int64_t mostMs) -> bool {
   auto untilMs = neighbour::steadyMs() + mostMs;
--- a/tests/sim/hollow.cpp
+++ b/tests/sim/hollow.cpp
@@ -12,31 +12,38 @@
 namespace {
 constexpr size_t kNeighbours = 3;  // as the agent has it
 
-auto pack(const auto& value) -> std::string { return Writer().put(value).take(); }
+auto pack(const auto& value) -> std::string {
+  return Writer().put(value).take();
+}
 
 auto nameOf(int64_t place) -> std::string {
   auto number = std::to_string(place);
   return "edge-" + std::string(4 - std::min<size_t>(4, number.size()), '0') + number;
 }
 auto addressOf(int64_t place, int port) -> std::string {
-  return "10." + std::to_string(100 + place / 250 % 100) + "." + std::to_string(place / 250) + "." + std::to_string(place % 250 + 1) + ":" + std::to_string(port);
+  return "10." + std::to_string(100 + place / 250 % 100) + "." + std::to_string(place / 250) + "." +
+         std::to_string(place % 250 + 1) + ":" + std::to_string(port);
+}
+auto siteOf(int64_t zone) -> std::string {
+  return "zone-" + std::to_string(zone);
 }
-auto siteOf(int64_t zone) -> std::string { return "zone-" + std::to_string(zone); }
 
 auto routeJson(int64_t place) -> std::string {
   auto p = std::to_string(place);
   return "\"route-" + p + "\":{\"host\":\"host-" + p + ".example\",\"prefix\":\"/objects/" + p +
-         "/\",\"kind\":\"cacheable\",\"giveUpMs\":4000,\"targetMs\":500,\"rank\":1,\"shares\":[{\"pool\":\"pool-" + std::to_string(place % 20) +
-         "\",\"weight\":1}],\"tries\":2,\"keepMs\":20000,\"source\":{}}";
+         "/\",\"kind\":\"cacheable\",\"giveUpMs\":4000,\"targetMs\":500,\"rank\":1,\"shares\":[{\"pool\":\"pool-" +
+         std::to_string(place % 20) + "\",\"weight\":1}],\"tries\":2,\"keepMs\":20000,\"source\":{}}";
 }
 
 auto announcement(int64_t place, uint64_t number) -> std::string {
-  return "{\"instance\":\"upstream-" + std::to_string(place) + "\",\"service\":\"pool-" + std::to_string(place % 20) + "\",\"address\":\"" + addressOf(10000 + place, 8000) +
-         "\",\"site\":\"" + siteOf(place % 38) + "\",\"capacity\":32,\"state\":\"working\",\"number\":" + std::to_string(number) + "}";
+  return "{\"instance\":\"upstream-" + std::to_string(place) + "\",\"service\":\"pool-" + std::to_string(place % 20) +
+         "\",\"address\":\"" + addressOf(10000 + place, 8000) + "\",\"site\":\"" + siteOf(place % 38) +
+         "\",\"capacity\":32,\"state\":\"working\",\"number\":" + std::to_string(number) + "}";
 }
 
 auto join(Tally& sum, const Tally& one) -> void {
-  sum.lettersOut += one.lettersOut, sum.lettersIn += one.lettersIn, sum.bytesOut += one.bytesOut, sum.bytesIn += one.bytesIn;
+  sum.lettersOut += one.lettersOut, sum.lettersIn += one.lettersIn, sum.bytesOut += one.bytesOut,
+      sum.bytesIn += one.bytesIn;
   sum.loops += one.loops, sum.cpuNs += one.cpuNs;
 }
 auto raise(Tally& most, const Tally& one) -> void {
@@ -46,7 +53,8 @@
 }
 auto share(Tally sum, uint64_t count) -> Tally {
   if (count == 0) return sum;
-  sum.lettersOut /= count, sum.lettersIn /= count, sum.bytesOut /= count, sum.bytesIn /= count, sum.loops /= count, sum.cpuNs /= static_cast<int64_t>(count);
+  sum.lettersOut /= count, sum.lettersIn /= count, sum.bytesOut /= count, sum.bytesIn /= count, sum.loops /= count,
+      sum.cpuNs /= static_cast<int64_t>(count);
   return sum;
 }
 }  // namespace
@@ -57,7 +65,9 @@
   return t.tv_sec * 1'000'000'000 + t.tv_nsec;
 }
 
-auto wireBytes(size_t bytes) -> uint64_t { return bytes + 8 + 52 * ((bytes + 8 + 1399) / 1400); }
+auto wireBytes(size_t bytes) -> uint64_t {
+  return bytes + 8 + 52 * ((bytes + 8 + 1399) / 1400);
+}
 
 auto hollowFrame(int64_t members, int64_t upstreams, int64_t routes, int64_t purges) -> core::Frame {
   core::Frame frame;
@@ -68,14 +78,17 @@
     u.service = "pool-" + std::to_string(i % 20), u.address = addressOf(10000 + i, 8000), u.site = siteOf(i % 38);
     frame.upstreams["upstream-" + std::to_string(i)] = u;
   }
-  for (int64_t i = 0; i < 20 && routes > 0; ++i) frame.routing.pools["pool-" + std::to_string(i)] = {};
+  for (int64_t i = 0; i < 20 && routes > 0; ++i)
+    frame.routing.pools["pool-" + std::to_string(i)] = {};
   for (int64_t i = 0; i < routes; ++i) {
     auto p = std::to_string(i);
     core::Route route;
-    route.host = "host-" + p + ".example", route.prefix = "/objects/" + p + "/", route.shares = {{"pool-" + std::to_string(i % 20), 1}}, route.revision = 1;
+    route.host = "host-" + p + ".example", route.prefix = "/objects/" + p + "/",
+    route.shares = {{"pool-" + std::to_string(i % 20), 1}}, route.revision = 1;
     frame.routing.routes["route-" + p] = route;
   }
-  for (int64_t i = 1; i <= purges; ++i) frame.purges.push_back({static_cast<uint64_t>(i), "host-1.example", "/objects/1/cover-" + std::to_string(i), ""});
+  for (int64_t i = 1; i <= purges; ++i)
+    frame.purges.push_back({static_cast<uint64_t>(i), "host-1.example", "/objects/1/cover-" + std::to_string(i), ""});
   frame.revision = {1, static_cast<uint64_t>(purges), 1, 1};
   return frame;
 }
@@ -120,10 +133,15 @@
 // ---- the wire -----------------------------------------------------------------------------------------
 
 // Regions lie on a line, 5 ms and 8 ms a step apart, one way: 85 ms between the ends of eleven. Assumed, not measured.
-auto Hollow::delayMs(int64_t a, int64_t b) const -> int64_t { return a == b || !isSpread_ ? 1 : 5 + 8 * std::abs(a - b); }
-auto Hollow::isCut(int64_t a, int64_t b) const -> bool { return cutRegions_.count(a) != cutRegions_.count(b); }
+auto Hollow::delayMs(int64_t a, int64_t b) const -> int64_t {
+  return a == b || !isSpread_ ? 1 : 5 + 8 * std::abs(a - b);
+}
+auto Hollow::isCut(int64_t a, int64_t b) const -> bool {
+  return cutRegions_.count(a) != cutRegions_.count(b);
+}
 
-auto Hollow::post(Tally& tally, int64_t region, const std::string& from, const std::string& to, uint8_t kind, std::string body) -> bool {
+auto Hollow::post(Tally& tally, int64_t region, const std::string& from, const std::string& to, uint8_t kind,
+                  std::string body) -> bool {
   auto bytes = wireBytes(Writer().put(neighbour::kWireVersion).put(neighbour::Letter{kind, from, body}).take().size());
   auto name = to.substr(to.find(':') + 1);
   auto core = cores_.find(name);
@@ -139,25 +157,27 @@
   // Nodes that joined together would ask in step for ever; those of a real fleet do not.
   auto shiftMs = int64_t{0};
   if (core != cores_.end() && kind == neighbour::kPoll && isSpread_)
-    if (auto& asker = *nodes_.at(from.substr(from.find(':') + 1)); !std::exchange(asker.isShifted, true)) shiftMs = pick(0, props_.boundMs / 14);
-  at(nowMs_ + shiftMs + delayMs(region, there), [this, region, there, name, life, bytes, input = Input{from, kind, std::move(body)}]() mutable {
-    if (isCut(region, there)) {
-      ++figures_.lettersLost;
-      return;
-    }
-    if (auto core = cores_.find(name); core != cores_.end()) {
-      ++core->second->tally.lettersIn;
-      core->second->tally.bytesIn += bytes;
-      core->second->letters.push_back(std::move(input));
-      return wake(*core->second);
-    }
-    auto& node = *nodes_.at(name);
-    if (!node.isUp || node.life != life) return;
-    ++node.tally.lettersIn;
-    node.tally.bytesIn += bytes;
-    node.letters.push_back(std::move(input));
-    wake(node, false);
-  });
+    if (auto& asker = *nodes_.at(from.substr(from.find(':') + 1)); !std::exchange(asker.isShifted, true))
+      shiftMs = pick(0, props_.boundMs / 14);
+  at(nowMs_ + shiftMs + delayMs(region, there),
+     [this, region, there, name, life, bytes, input = Input{from, kind, std::move(body)}]() mutable {
+       if (isCut(region, there)) {
+         ++figures_.lettersLost;
+         return;
+       }
+       if (auto core = cores_.find(name); core != cores_.end()) {
+         ++core->second->tally.lettersIn;
+         core->second->tally.bytesIn += bytes;
+         core->second->letters.push_back(std::move(input));
+         return wake(*core->second);
+       }
+       auto& node = *nodes_.at(name);
+       if (!node.isUp || node.life != life) return;
+       ++node.tally.lettersIn;
+       node.tally.bytesIn += bytes;
+       node.letters.push_back(std::move(input));
+       wake(node, false);
+     });
   return true;
 }
 
@@ -175,9 +195,12 @@
   auto requests = std::exchange(core.requests, {});
   auto synced = std::exchange(core.synced, {});
   auto sinceNs = threadNs();
-  for (auto& l : letters) core.registry->take(l.from, l.kind, l.body, nowMs_);
-  for (auto& r : requests) core.registry->take(r, nowMs_);
-  for (auto number : synced) core.registry->synced(number, 0.1, 1000, nowMs_);
+  for (auto& l : letters)
+    core.registry->take(l.from, l.kind, l.body, nowMs_);
+  for (auto& r : requests)
+    core.registry->take(r, nowMs_);
+  for (auto number : synced)
+    core.registry->synced(number, 0.1, 1000, nowMs_);
   core.registry->tick(nowMs_);
   auto out = core.registry->output();
   core.tally.cpuNs += threadNs() - sinceNs;
@@ -188,7 +211,8 @@
     if (doneMs != core.syncedMs) ++core.jobs;
     core.syncedMs = doneMs;
     for (auto& job : out.jobs) {
-      for (const auto& w : job.writes) core.diskBytes += w.size();
+      for (const auto& w : job.writes)
+        core.diskBytes += w.size();
       core.diskBytes += job.frame.size();
     }
     at(doneMs, [this, &core, number = out.jobs.back().number] {
@@ -214,15 +238,20 @@
   });
 }
 
-auto Hollow::anyCore() -> Core& { return *coreList_[static_cast<size_t>(pick(0, static_cast<int64_t>(coreList_.size()) - 1))]; }
+auto Hollow::anyCore() -> Core& {
+  return *coreList_[static_cast<size_t>(pick(0, static_cast<int64_t>(coreList_.size()) - 1))];
+}
 
-auto Hollow::http(Core& core, const std::string& target, const std::string& body, std::function<void(const caller::Answer&)> then) -> void {
+auto Hollow::http(Core& core, const std::string& target, const std::string& body,
+                  std::function<void(const caller::Answer&)> then) -> void {
   caller::Request request;
   request.method = "POST";
   request.target = target;
   request.body = body;
   request.stream = std::make_shared<caller::Stream>(-1);
-  pages_[request.stream.get()] = [stream = request.stream, then = std::move(then)](const caller::Answer& a) { then(a); };
+  pages_[request.stream.get()] = [stream = request.stream, then = std::move(then)](const caller::Answer& a) {
+    then(a);
+  };
   core.requests.push_back(std::move(request));
   wake(core);
 }
@@ -242,9 +271,11 @@
   node.toNeighbours = std::make_unique<agent::Giver>(props_.boundMs / 10);
   node.agentTold = node.proxyTold = {};
   node.letters.clear(), node.loopback.clear(), node.neighbours.clear(), node.pongMs.clear();
-  node.neighboursAt = node.version = 0, node.proxyMs = -1, node.pingedMs = -1'000'000, node.knowsAll = false, node.wasOld = false;
+  node.neighboursAt = node.version = 0, node.proxyMs = -1, node.pingedMs = -1'000'000, node.knowsAll = false,
+  node.wasOld = false;
   std::vector<std::string> seeds;
-  for (const auto* core : coreList_) seeds.push_back("core:" + core->name);
+  for (const auto* core : coreList_)
+    seeds.push_back("core:" + core->name);
   node.order = neighbour::rendezvous(node.name, seeds);
   // The loops come round at least each 1/40 of the bound.
   auto again = std::make_shared<std::function<void()>>();
@@ -303,8 +334,10 @@
     }
   }
   const auto& held = node.agentFollows->held();
-  for (auto& [to, feed] : node.toProxy->give(*held.frame, held.asOfMs, nowMs_)) inner.push_back({to, neighbour::kFeed, pack(feed)});
-  for (auto& [to, feed] : node.toNeighbours->give(*held.frame, held.asOfMs, nowMs_)) outer.push_back({to, neighbour::kFeed, pack(feed)});
+  for (auto& [to, feed] : node.toProxy->give(*held.frame, held.asOfMs, nowMs_))
+    inner.push_back({to, neighbour::kFeed, pack(feed)});
+  for (auto& [to, feed] : node.toNeighbours->give(*held.frame, held.asOfMs, nowMs_))
+    outer.push_back({to, neighbour::kFeed, pack(feed)});
   if (node.proxyMs >= 0 && nowMs_ - node.proxyMs < props_.boundMs) {
     if (node.neighboursAt != held.frame->revision.members) {
       // A real agent does this at each wake-up; here it is done, and timed, when it can come out otherwise.
@@ -316,13 +349,15 @@
       auto chosen = neighbour::rendezvous(node.name, names);
       if (chosen.size() > kNeighbours) chosen.resize(kNeighbours);
       node.neighbours.clear();
-      for (const auto& other : chosen) node.neighbours.emplace_back(other, held.frame->members.at(other).agent);
+      for (const auto& other : chosen)
+        node.neighbours.emplace_back(other, held.frame->members.at(other).agent);
       auto tookNs = threadNs() - chooseNs;
       sinceNs += tookNs;
       neighboursNs_ = tookNs;
     }
     auto targets = node.order;
-    for (auto& [other, at] : node.neighbours) targets.push_back(at);
+    for (auto& [other, at] : node.neighbours)
+      targets.push_back(at);
     if (nowMs_ - node.pingedMs >= props_.boundMs / 4) {
       node.pingedMs = nowMs_;
       std::map<std::string, int64_t> watched;
@@ -330,7 +365,8 @@
       for (auto& [other, at] : node.neighbours) {
         auto seen = node.pongMs.find(at);
         watched[at] = seen == node.pongMs.end() ? nowMs_ : seen->second;
-        if (nowMs_ - watched[at] > props_.boundMs && held.isCurrent(nowMs_, props_.boundMs / 2)) node.agentTold.silent.push_back(other);
+        if (nowMs_ - watched[at] > props_.boundMs && held.isCurrent(nowMs_, props_.boundMs / 2))
+          node.agentTold.silent.push_back(other);
         outer.push_back({at, neighbour::kPing, ""});
       }
       node.pongMs = std::move(watched);
@@ -347,7 +383,8 @@
     wake(node, true);
   }
   for (auto& l : outer)
-    if (!post(node.tally, node.region, node.agentAt(), l.to, l.kind, std::move(l.body)) && l.kind == neighbour::kPoll) node.agentFollows->lost(nowMs_);
+    if (!post(node.tally, node.region, node.agentAt(), l.to, l.kind, std::move(l.body)) && l.kind == neighbour::kPoll)
+      node.agentFollows->lost(nowMs_);
   // Who is listed is right once it is as many as live.
   const auto& frame = *node.agentFollows->held().frame;
   if (frame.revision.members != hadMembers || !node.knowsAll) {
@@ -366,7 +403,8 @@
   for (auto& l : letters) {
     Reader r(l.body);
     auto feed = r.get<neighbour::Feed>();
-    if (r.done() && node.proxyFollows->take(feed, nowMs_)) node.proxyTold.revision = node.proxyFollows->held().frame->revision;
+    if (r.done() && node.proxyFollows->take(feed, nowMs_))
+      node.proxyTold.revision = node.proxyFollows->held().frame->revision;
   }
   std::string body;
   if (auto poll = node.proxyFollows->tick({node.agentAt()}, 1, node.proxyTold, nowMs_)) body = pack(poll->second);
@@ -395,7 +433,8 @@
 // ---- what happens -------------------------------------------------------------------------------------
 
 auto Hollow::beat(int64_t place) -> void {
-  http(*coreList_[static_cast<size_t>(place) % coreList_.size()], "/announce", announcement(place, static_cast<uint64_t>(nowMs_) + 1), [](const caller::Answer&) {});
+  http(*coreList_[static_cast<size_t>(place) % coreList_.size()], "/announce",
+       announcement(place, static_cast<uint64_t>(nowMs_) + 1), [](const caller::Answer&) {});
   at(nowMs_ + 500, [this, place] { beat(place); });
 }
 
@@ -404,7 +443,8 @@
   auto sentMs = nowMs_;
   auto number = nextPurge_++;
   auto label = "object-" + std::to_string(random_() % 1'500'000'000ull);
-  auto body = "{\"host\":\"host-" + std::to_string(number % 20) + ".example\",\"path\":\"/objects/" + std::to_string(number % 20) + "/" + label + "\"}";
+  auto body = "{\"host\":\"host-" + std::to_string(number % 20) + ".example\",\"path\":\"/objects/" +
+              std::to_string(number % 20) + "/" + label + "\"}";
   ++figures_.purges.sent;
   http(anyCore(), "/purge", body, [this, sentMs](const caller::Answer& a) {
     auto found = a.body.find("\"purge\":");
@@ -423,7 +463,8 @@
   auto place = static_cast<int64_t>(version) % std::max<int64_t>(1, props_.routes);
   auto route = routeJson(place);
   route.replace(route.find("\"rank\":1"), 8, "\"rank\":" + std::to_string(2 + version % 7));
-  auto body = "{\"version\":" + std::to_string(version) + ",\"base\":" + std::to_string(version - 1) + ",\"whole\":false,\"routes\":{" + route + "}}";
+  auto body = "{\"version\":" + std::to_string(version) + ",\"base\":" + std::to_string(version - 1) +
+              ",\"whole\":false,\"routes\":{" + route + "}}";
   changes_[version].sentMs = nowMs_;
   ++figures_.changes.sent;
   http(anyCore(), "/routing", body, [this, version](const caller::Answer& a) {
@@ -447,8 +488,10 @@
 
 auto Hollow::begin() -> void {
   beginMs_ = nowMs_;
-  for (auto* core : coreList_) core->tally = {}, core->jobs = core->diskBytes = 0;
-  for (auto* node : nodeList_) node->tally = node->proxyTally = {};
+  for (auto* core : coreList_)
+    core->tally = {}, core->jobs = core->diskBytes = 0;
+  for (auto* node : nodeList_)
+    node->tally = node->proxyTally = {};
   figures_.registryOut.clear();
   figures_.lettersLost = 0;
   auto first = [&](double perS) { return nowMs_ + pick(1, std::max<int64_t>(1, static_cast<int64_t>(1000 / perS))); };
@@ -459,7 +502,8 @@
     lossMs_ = nowMs_;
     for (auto* node : nodeList_)
       if (node->zone == 1) stop(*node);
-    for (auto* node : nodeList_) node->knowsAll = false;
+    for (auto* node : nodeList_)
+      node->knowsAll = false;
   }
   // Two regions, one of them with a registry.
   if (props_.cutsRegions) cutRegions_ = {props_.regions - 3, props_.regions - 2};
@@ -530,7 +574,8 @@
   for (int64_t i = 0; i < props_.registries; ++i) {
     core::Registry::Props props;
     props.slot = static_cast<tempo::Slot>(i + 1);
-    for (int64_t j = 0; j < props_.registries; ++j) props.addresses[static_cast<tempo::Slot>(j + 1)] = "core:" + coreList_[static_cast<size_t>(j)]->name;
+    for (int64_t j = 0; j < props_.registries; ++j)
+      props.addresses[static_cast<tempo::Slot>(j + 1)] = "core:" + coreList_[static_cast<size_t>(j)]->name;
     // As the registry's program sets them, from the bound.
     auto boundMs = props_.boundMs;
     props.boundMs = boundMs;
@@ -549,7 +594,8 @@
     }
     props.core.replicas = static_cast<uint32_t>(props_.registries);
     props.core.faults = static_cast<uint32_t>(props_.faults);
-    coreList_[static_cast<size_t>(i)]->registry = std::make_unique<core::Registry>(props, "", std::vector<std::string>{}, nextLife_++);
+    coreList_[static_cast<size_t>(i)]->registry =
+        std::make_unique<core::Registry>(props, "", std::vector<std::string>{}, nextLife_++);
     wake(*coreList_[static_cast<size_t>(i)]);
   }
   for (int64_t i = 0; i < props_.nodes; ++i) {
@@ -562,27 +608,39 @@
     nodes_[node->name] = std::move(node);
   }
   auto always = [] { return true; };
-  auto isFormed = [&] { return std::all_of(coreList_.begin(), coreList_.end(), [&](auto* core) { return core->registry->isReady(nowMs_); }); };
+  auto isFormed = [&] {
+    return std::all_of(coreList_.begin(), coreList_.end(), [&](auto* core) { return core->registry->isReady(nowMs_); });
+  };
   pass(60000, [&] { return !isFormed(); });
   // The first routing, then all nodes at once.
   std::string pools, routes;
-  for (int64_t i = 0; i < 20; ++i) pools += (i ? ",\"pool-" : "\"pool-") + std::to_string(i) + "\":{\"source\":{}}";
-  for (int64_t i = 0; i < props_.routes; ++i) routes += (i ? "," : "") + routeJson(i);
-  at(nowMs_ + 1, [this, body = "{\"version\":1,\"base\":0,\"whole\":true,\"routes\":{" + routes + "},\"pools\":{" + pools + "},\"limits\":{}}"] {
-    http(*coreList_.front(), "/routing", body, [](const caller::Answer&) {});
-  });
-  for (int64_t i = 0; i < props_.upstreams; ++i) at(nowMs_ + 200 + i % 2, [this, i] { beat(i); });
+  for (int64_t i = 0; i < 20; ++i)
+    pools += (i ? ",\"pool-" : "\"pool-") + std::to_string(i) + "\":{\"source\":{}}";
+  for (int64_t i = 0; i < props_.routes; ++i)
+    routes += (i ? "," : "") + routeJson(i);
+  at(nowMs_ + 1,
+     [this, body = "{\"version\":1,\"base\":0,\"whole\":true,\"routes\":{" + routes + "},\"pools\":{" + pools +
+                   "},\"limits\":{}}"] { http(*coreList_.front(), "/routing", body, [](const caller::Answer&) {}); });
+  for (int64_t i = 0; i < props_.upstreams; ++i)
+    at(nowMs_ + 200 + i % 2, [this, i] { beat(i); });
   auto sinceMs = nowMs_ + 500;
   at(sinceMs, [this] {
-    for (auto* node : nodeList_) start(*node);
+    for (auto* node : nodeList_)
+      start(*node);
   });
-  auto knowAll = [&] { return alive_ == props_.nodes && std::all_of(nodeList_.begin(), nodeList_.end(), [](auto* n) { return n->knowsAll; }); };
-  for (auto untilMs = nowMs_ + 100; !knowAll() && untilMs < sinceMs + 60000; untilMs += 100) pass(untilMs, always);
+  auto knowAll = [&] {
+    return alive_ == props_.nodes &&
+           std::all_of(nodeList_.begin(), nodeList_.end(), [](auto* n) { return n->knowsAll; });
+  };
+  for (auto untilMs = nowMs_ + 100; !knowAll() && untilMs < sinceMs + 60000; untilMs += 100)
+    pass(untilMs, always);
   if (!knowAll()) return figures_;
   figures_.formMs = nowMs_ - sinceMs;
-  for (auto* node : nodeList_) join(figures_.formAgent, node->tally);
+  for (auto* node : nodeList_)
+    join(figures_.formAgent, node->tally);
   figures_.formAgent = share(figures_.formAgent, static_cast<uint64_t>(props_.nodes));
-  for (auto* core : coreList_) join(figures_.formRegistry, core->tally);
+  for (auto* core : coreList_)
+    join(figures_.formRegistry, core->tally);
   figures_.formRegistry = share(figures_.formRegistry, static_cast<uint64_t>(props_.registries));
   isSpread_ = true;
   pass(nowMs_ + props_.settleMs, always);
--- a/tests/sim/hollow.hpp
+++ b/tests/sim/hollow.hpp
@@ -1,6 +1,6 @@
-// Sim: a control plane of many hollow data nodes in virtual time. Registries, followers and givers are the real ones and
-// letters are really encoded; what a proxy and its agent do besides (traffic, sockets) is left out. Counts only: what it
-// finds is for docs/CAPACITY.md.
+// Sim: a control plane of many hollow data nodes in virtual time. Registries, followers and givers are the real ones
+// and letters are really encoded; what a proxy and its agent do besides (traffic, sockets) is left out. Counts only:
+// what it finds is for docs/CAPACITY.md.
 #pragma once
 #include <array>
 #include <map>
@@ -18,8 +18,8 @@
 /// What one process sent, took and did in the measured span.
 struct Tally {
   uint64_t lettersOut = 0, lettersIn = 0, bytesOut = 0, bytesIn = 0;  // on the network, not over loopback
-  uint64_t loops = 0;                                                // wake-ups of its thread
-  int64_t cpuNs = 0;                                                 // of its thread inside its own code
+  uint64_t loops = 0;                                                 // wake-ups of its thread
+  int64_t cpuNs = 0;                                                  // of its thread inside its own code
 };
 
 /// How long changes took to reach the last node, and until they were acknowledged, from their submission.
@@ -29,18 +29,19 @@
 };
 
 struct HollowFigures {
-  int64_t nodes = 0, spanMs = 0, formMs = -1;  // formMs: until every node knew every node
+  int64_t nodes = 0, spanMs = 0, formMs = -1;                         // formMs: until every node knew every node
   Tally agentMean, agentMost, proxyMean, registryMean, registryMost;  // of one process
-  Tally formAgent, formRegistry;  // the same while all joined, in all
-  std::map<uint8_t, std::pair<uint64_t, uint64_t>> registryOut;  // by kind of letter: letters and bytes of all registries
+  Tally formAgent, formRegistry;                                      // the same while all joined, in all
+  std::map<uint8_t, std::pair<uint64_t, uint64_t>>
+      registryOut;                          // by kind of letter: letters and bytes of all registries
   double syncsPerS = 0, diskBytesPerS = 0;  // of one registry
   double neighboursUs = 0;                  // one choice of neighbours, which a real agent makes at each wake-up
   Reach purges, changes;
   int64_t membersSeenMs = -1;  // after a loss or the last restart: until all that live had the right list
-  int64_t notCurrent = 0;      // nodes whose frame was over 3/4 of the bound old at some look in the last half of the span
-  int64_t current = 0;         // nodes that were current at the end
+  int64_t notCurrent = 0;  // nodes whose frame was over 3/4 of the bound old at some look in the last half of the span
+  int64_t current = 0;     // nodes that were current at the end
   int64_t followNeighbours = 0;
-  int64_t lettersLost = 0;     // for a line that was down or cut
+  int64_t lettersLost = 0;  // for a line that was down or cut
 };
 
 /// Example: `auto f = Hollow({.nodes = 80, .purgesPerS = 23}).run();`
@@ -74,10 +75,12 @@
   };
   auto delayMs(int64_t regionA, int64_t regionB) const -> int64_t;
   auto isCut(int64_t regionA, int64_t regionB) const -> bool;
-  auto post(Tally& tally, int64_t region, const std::string& from, const std::string& to, uint8_t kind, std::string body) -> bool;
+  auto post(Tally& tally, int64_t region, const std::string& from, const std::string& to, uint8_t kind,
+            std::string body) -> bool;
   auto wake(Core& core) -> void;
   auto loop(Core& core) -> void;
-  auto http(Core& core, const std::string& target, const std::string& body, std::function<void(const caller::Answer&)> then) -> void;
+  auto http(Core& core, const std::string& target, const std::string& body,
+            std::function<void(const caller::Answer&)> then) -> void;
   auto start(Node& node) -> void;
   auto stop(Node& node) -> void;
   auto wake(Node& node, bool isProxy) -> void;
@@ -109,7 +112,8 @@
   int64_t neighboursNs_ = 0;
 };
 
-/// A frame as it would be with so many members, upstreams, routes and listed purges. Example: `hollowFrame(1300, 180, 1000, 2000)`
+/// A frame as it would be with so many members, upstreams, routes and listed purges. Example: `hollowFrame(1300, 180,
+/// 1000, 2000)`
 auto hollowFrame(int64_t members, int64_t upstreams, int64_t routes, int64_t purges) -> core::Frame;
 /// Processor time of the calling thread in ns. Example: `auto tookNs = threadNs() - sinceNs;`
 auto threadNs() -> int64_t;
--- a/tests/sim/load.cpp
+++ b/tests/sim/load.cpp
@@ -59,7 +59,8 @@
     f.integer("weight", 1, 1000000, kind.weight);
     f.flag("hasKey", kind.hasKey);
     f.close();
-    for (const auto& fault : faults) s.fault(fault.place, fault.what);
+    for (const auto& fault : faults)
+      s.fault(fault.place, fault.what);
     props.kinds.push_back(kind);
   }
   return props;
@@ -111,7 +112,8 @@
   Report report;
   std::vector<size_t> wheel;
   for (size_t i = 0; i < props_.kinds.size(); ++i)
-    for (int64_t n = 0; n < props_.kinds[i].weight; ++n) wheel.push_back(i);
+    for (int64_t n = 0; n < props_.kinds[i].weight; ++n)
+      wheel.push_back(i);
   auto startMs = neighbour::steadyMs();
   auto endMs = startMs + props_.seconds * 1000;
   int64_t sent = 0;
@@ -125,8 +127,13 @@
     for (; !isOver && sent < dueCount; ++sent) {
       auto i = wheel[random_() % wheel.size()];
       const auto& kind = props_.kinds[i];
-      Open open{i, kind.prefix + std::to_string(random_() % static_cast<uint64_t>(kind.range)),
-                "w" + std::to_string(props_.seed) + "-" + std::to_string(sent), "", nowMs, nowMs - startMs, 0};
+      Open open{i,
+                kind.prefix + std::to_string(random_() % static_cast<uint64_t>(kind.range)),
+                "w" + std::to_string(props_.seed) + "-" + std::to_string(sent),
+                "",
+                nowMs,
+                nowMs - startMs,
+                0};
       ask(std::move(open));
     }
     askReady(nowMs);
@@ -195,7 +202,8 @@
         if (isRight) ++report.slices[slice].second;
         if (isRight && !isWrite) {
           auto mark = f.body.find("|e");
-          if (mark != std::string::npos) report.reads.push_back({open.atMs, open.target, std::atoll(f.body.c_str() + mark + 2)});
+          if (mark != std::string::npos)
+            report.reads.push_back({open.atMs, open.target, std::atoll(f.body.c_str() + mark + 2)});
         }
         count.tookMs.push_back(nowMs - open.sinceMs);
         end = End::kWell;
@@ -209,7 +217,8 @@
   for (const auto& [id, open] : open_)
     if (props_.kinds[open.kind].method != "GET") writes_[open.id] = End::kUnknown;
   std::vector<std::string> accounts;
-  for (const auto& [origin, file] : props_.accounts) accounts.push_back(op::readFile(file).value_or(""));
+  for (const auto& [origin, file] : props_.accounts)
+    accounts.push_back(op::readFile(file).value_or(""));
   judgeAccounts(report, writes_, accounts, props_.agreedRates);
   return report;
 }
@@ -247,14 +256,16 @@
       std::deque<int64_t> window;
       for (auto at : list) {
         window.push_back(at);
-        while (at - window.front() >= windowMs) window.pop_front();
+        while (at - window.front() >= windowMs)
+          window.pop_front();
         judge(at, window.size());
       }
     };
     auto agreed = agreedRates.find(service);
     if (agreed != agreedRates.end())
       most(times.all, 5000, [&](int64_t, size_t n) {
-        report.worstRate = std::max(report.worstRate, static_cast<double>(n) / (5.0 * static_cast<double>(agreed->second)));
+        report.worstRate =
+            std::max(report.worstRate, static_cast<double>(n) / (5.0 * static_cast<double>(agreed->second)));
       });
     most(times.extra, 10000, [&](int64_t at, size_t n) {
       auto low = std::lower_bound(times.all.begin(), times.all.end(), at - 10000);
@@ -267,14 +278,18 @@
     if (count > 0) report.faults.push_back(std::to_string(count) + " " + what);
   };
   uint64_t wrong = 0, bare = 0;
-  for (const auto& [name, count] : report.kinds) wrong += count.wrong, bare += count.withoutRetryAfter;
+  for (const auto& [name, count] : report.kinds)
+    wrong += count.wrong, bare += count.withoutRetryAfter;
   never(report.ranTwice, "writes ran twice");
   never(report.busyButRan, "writes were called busy and ran");
   never(accounts.empty() ? 0 : report.wellButNotRan, "writes were answered and are in no account");
   never(wrong, "answers were not whole, or somebody else's");
   never(bare, "refusals had no Retry-After");
-  if (report.worstRate > 1.1) report.faults.push_back("an origin got " + std::to_string(report.worstRate) + " of its agreed rate over 5 s");
-  if (report.worstExtraShare > 1) report.faults.push_back("extra tries were " + std::to_string(report.worstExtraShare) + " of what is allowed over 10 s");
+  if (report.worstRate > 1.1)
+    report.faults.push_back("an origin got " + std::to_string(report.worstRate) + " of its agreed rate over 5 s");
+  if (report.worstExtraShare > 1)
+    report.faults.push_back("extra tries were " + std::to_string(report.worstExtraShare) +
+                            " of what is allowed over 10 s");
 }
 
 auto Report::backAfterMs(int64_t fromMs) const -> int64_t {
@@ -288,7 +303,8 @@
 
 auto Report::share(int64_t fromMs, int64_t toMs) const -> double {
   uint64_t asked = 0, well = 0;
-  for (auto i = static_cast<size_t>(std::max<int64_t>(0, fromMs / 100)); i < slices.size() && static_cast<int64_t>(i) * 100 < toMs; ++i)
+  for (auto i = static_cast<size_t>(std::max<int64_t>(0, fromMs / 100));
+       i < slices.size() && static_cast<int64_t>(i) * 100 < toMs; ++i)
     asked += slices[i].first, well += slices[i].second;
   return asked == 0 ? 0 : static_cast<double>(well) / static_cast<double>(asked);
 }
@@ -296,25 +312,34 @@
 auto Report::text() const -> std::string {
   std::ostringstream out;
   out << std::left << std::setw(14) << "kind" << std::right;
-  for (const auto* head : {"asked", "well", "away", "unknown", "broken", "other", "lost", "wrong", "p50", "p99", "max"}) out << std::setw(9) << head;
+  for (const auto* head : {"asked", "well", "away", "unknown", "broken", "other", "lost", "wrong", "p50", "p99", "max"})
+    out << std::setw(9) << head;
   out << "\n";
   for (const auto& [name, c] : kinds) {
     auto took = c.tookMs;
     std::sort(took.begin(), took.end());
-    auto at = [&](double q) { return took.empty() ? 0 : took[std::min(took.size() - 1, static_cast<size_t>(q * static_cast<double>(took.size())))]; };
-    out << std::left << std::setw(14) << name << std::right << std::setw(9) << c.asked << std::setw(9) << c.well << std::setw(9) << c.turnedAway
-        << std::setw(9) << c.unknown << std::setw(9) << c.broken << std::setw(9) << c.other << std::setw(9) << c.unreached << std::setw(9) << c.wrong
-        << std::setw(9) << at(0.5) << std::setw(9) << at(0.99) << std::setw(9) << at(1) << "\n";
+    auto at = [&](double q) {
+      return took.empty() ? 0
+                          : took[std::min(took.size() - 1, static_cast<size_t>(q * static_cast<double>(took.size())))];
+    };
+    out << std::left << std::setw(14) << name << std::right << std::setw(9) << c.asked << std::setw(9) << c.well
+        << std::setw(9) << c.turnedAway << std::setw(9) << c.unknown << std::setw(9) << c.broken << std::setw(9)
+        << c.other << std::setw(9) << c.unreached << std::setw(9) << c.wrong << std::setw(9) << at(0.5) << std::setw(9)
+        << at(0.99) << std::setw(9) << at(1) << "\n";
   }
-  for (const auto& [code, count] : codes) out << "code " << code << " " << caller::textOf(static_cast<uint32_t>(code)) << ": " << count << "\n";
-  out << "writes " << writes << ", ran " << ran << ", ran twice " << ranTwice << ", busy but ran " << busyButRan << ", answered but in no account "
-      << wellButNotRan << "\n";
-  out << "worst origin rate over 5 s: " << worstRate << " of the agreed one; worst extra tries over 10 s: " << worstExtraShare << " of the allowed\n";
+  for (const auto& [code, count] : codes)
+    out << "code " << code << " " << caller::textOf(static_cast<uint32_t>(code)) << ": " << count << "\n";
+  out << "writes " << writes << ", ran " << ran << ", ran twice " << ranTwice << ", busy but ran " << busyButRan
+      << ", answered but in no account " << wellButNotRan << "\n";
+  out << "worst origin rate over 5 s: " << worstRate
+      << " of the agreed one; worst extra tries over 10 s: " << worstExtraShare << " of the allowed\n";
   out << "not well by tenth of a second:";
   for (size_t i = 0; i < slices.size(); ++i)
-    if (slices[i].first != slices[i].second) out << " " << i << ":" << slices[i].first - slices[i].second << "/" << slices[i].first;
+    if (slices[i].first != slices[i].second)
+      out << " " << i << ":" << slices[i].first - slices[i].second << "/" << slices[i].first;
   out << "\n";
-  for (const auto& fault : faults) out << "NEVER: " << fault << "\n";
+  for (const auto& fault : faults)
+    out << "NEVER: " << fault << "\n";
   return out.str();
 }
 
