--- a/tests/sim/load.hpp
+++ b/tests/sim/load.hpp
@@ -14,14 +14,15 @@
 /// One kind of request in a deployment's mix.
 struct Kind {
   std::string name, host, service, method = "GET", prefix;
-  int64_t range = 100;   // targets are prefix + 0..range-1
+  int64_t range = 100;  // targets are prefix + 0..range-1
   int64_t weight = 1;
-  bool hasKey = false;   // sends an Idempotency-Key
+  bool hasKey = false;  // sends an Idempotency-Key
 };
 
 /// What came back for one kind.
 struct Count {
-  uint64_t asked = 0, well = 0, turnedAway = 0, unknown = 0, broken = 0, other = 0, unreached = 0, wrong = 0, withoutRetryAfter = 0;
+  uint64_t asked = 0, well = 0, turnedAway = 0, unknown = 0, broken = 0, other = 0, unreached = 0, wrong = 0,
+           withoutRetryAfter = 0;
   std::vector<int64_t> tookMs;
 };
 
@@ -36,8 +37,8 @@
   };
   std::vector<Read> reads;  // of stores' bodies, with the edition that they name
   uint64_t writes = 0, ranTwice = 0, busyButRan = 0, wellButNotRan = 0, ran = 0;
-  double worstRate = 0;       // most requests at one service in any 5 s, over its agreed rate (when given)
-  double worstExtraShare = 0; // most extra tries in any 10 s, over what is allowed
+  double worstRate = 0;             // most requests at one service in any 5 s, over its agreed rate (when given)
+  double worstExtraShare = 0;       // most extra tries in any 10 s, over what is allowed
   std::vector<std::string> faults;  // what must never happen, and did
   /// How long after `fromMs` the first stretch of a second without a bad answer began; -1: never.
   /// Example: `report.backAfterMs(6000)`
@@ -65,10 +66,10 @@
     std::vector<Edge> edges;
     std::vector<Kind> kinds;
     int64_t perSecond = 400, seconds = 10, seed = 1, timeoutMs = 3000;
-    bool retriesAtOnce = false;                       // callers that ask again at once when turned away
-    bool repeatsKeyed = false;                        // callers that repeat a keyed write whose outcome they don't know
-    std::map<std::string, std::string> accounts;      // origin's name → file that it writes
-    std::map<std::string, int64_t> agreedRates;       // service → requests a second
+    bool retriesAtOnce = false;                   // callers that ask again at once when turned away
+    bool repeatsKeyed = false;                    // callers that repeat a keyed write whose outcome they don't know
+    std::map<std::string, std::string> accounts;  // origin's name → file that it writes
+    std::map<std::string, int64_t> agreedRates;   // service → requests a second
   };
   /// Reads the settings of a load. Example: `auto props = Load::take(program);`
   static auto take(op::Program& program) -> Props;
--- a/tests/sim/proxy_sim.cpp
+++ b/tests/sim/proxy_sim.cpp
@@ -9,16 +9,16 @@
 namespace dykestage::sim {
 
 namespace {
-constexpr int64_t kBoundMs = 2000;     // for routings, purges, and upstreams that leave
+constexpr int64_t kBoundMs = 2000;  // for routings, purges, and upstreams that leave
 constexpr int64_t kTouchMs = 3000, kStretchMs = 5000;
-constexpr int64_t kSyncMs = 4000;      // a registry whose disk was lost counts as lost for so long after its return
-constexpr int64_t kAckMs = 4000;       // within which a settled core acknowledges
-constexpr int64_t kReuseMs = 2000;     // after which an address may pass on
-constexpr int64_t kKeepMs = 3000;      // of kept objects
-constexpr int64_t kSlackMs = 2000;     // beyond that
-constexpr int64_t kMark = 10000;       // idleMs of the limits is this and the mark of the change
+constexpr int64_t kSyncMs = 4000;   // a registry whose disk was lost counts as lost for so long after its return
+constexpr int64_t kAckMs = 4000;    // within which a settled core acknowledges
+constexpr int64_t kReuseMs = 2000;  // after which an address may pass on
+constexpr int64_t kKeepMs = 3000;   // of kept objects
+constexpr int64_t kSlackMs = 2000;  // beyond that
+constexpr int64_t kMark = 10000;    // idleMs of the limits is this and the mark of the change
 constexpr double kTriesShare = 0.2, kTriesAllowance = 10;
-constexpr int64_t kWindowMs = 10000;   // of further tries
+constexpr int64_t kWindowMs = 10000;  // of further tries
 constexpr int kObjects = 10;
 const std::string kHost = "shop.test";
 
@@ -31,7 +31,9 @@
   return names;
 }
 
-auto same(const auto& a, const auto& b) -> bool { return Writer().put(a).take() == Writer().put(b).take(); }
+auto same(const auto& a, const auto& b) -> bool {
+  return Writer().put(a).take() == Writer().put(b).take();
+}
 
 auto kindName(core::RouteKind kind) -> std::string {
   return kind == core::RouteKind::kWriting ? "writing" : kind == core::RouteKind::kReadOnly ? "readOnly" : "cacheable";
@@ -40,25 +42,33 @@
 auto routeBody(const core::Route& r, const std::string& source) -> std::string {
   std::string shares;
   for (const auto& share : r.shares)
-    shares += (shares.empty() ? "" : ",") + std::string(R"({"pool":")") + share.pool + R"(","weight":)" + std::to_string(share.weight) + "}";
-  return R"({"host":")" + r.host + R"(","prefix":")" + r.prefix + R"(","kind":")" + kindName(r.kind) + R"(","giveUpMs":)" + std::to_string(r.giveUpMs) +
-         R"(,"targetMs":)" + std::to_string(r.targetMs) + R"(,"rank":)" + std::to_string(r.rank) + R"(,"shares":[)" + shares + R"(],"tries":)" +
+    shares += (shares.empty() ? "" : ",") + std::string(R"({"pool":")") + share.pool + R"(","weight":)" +
+              std::to_string(share.weight) + "}";
+  return R"({"host":")" + r.host + R"(","prefix":")" + r.prefix + R"(","kind":")" + kindName(r.kind) +
+         R"(","giveUpMs":)" + std::to_string(r.giveUpMs) + R"(,"targetMs":)" + std::to_string(r.targetMs) +
+         R"(,"rank":)" + std::to_string(r.rank) + R"(,"shares":[)" + shares + R"(],"tries":)" +
          std::to_string(r.tries) + R"(,"keepMs":)" + std::to_string(r.keepMs) + R"(,"source":)" + source + "}";
 }
 
 auto poolBody(const core::Pool& p, const std::string& source) -> std::string {
-  return R"({"probe":")" + p.probe + R"(","connections":)" + std::to_string(p.connections) + R"(,"ratePerS":)" + std::to_string(static_cast<int64_t>(p.ratePerS)) +
-         R"(,"source":)" + source + "}";
+  return R"({"probe":")" + p.probe + R"(","connections":)" + std::to_string(p.connections) + R"(,"ratePerS":)" +
+         std::to_string(static_cast<int64_t>(p.ratePerS)) + R"(,"source":)" + source + "}";
 }
 
-auto sourceOf(const std::string& name, uint64_t mark) -> std::string { return R"({"name":")" + name + R"(","mark":)" + std::to_string(mark) + "}"; }
+auto sourceOf(const std::string& name, uint64_t mark) -> std::string {
+  return R"({"name":")" + name + R"(","mark":)" + std::to_string(mark) + "}";
+}
 
 // The path's first part, by which requests belong to routes.
-auto prefixOf(const std::string& target) -> std::string { return target.substr(0, target.find('/', 1) + 1); }
+auto prefixOf(const std::string& target) -> std::string {
+  return target.substr(0, target.find('/', 1) + 1);
+}
 }  // namespace
 
 auto ProxySim::Content::isIn(const core::Routing& routing) const -> bool {
-  if (routing.version != version || routing.routes.size() != routes.size() || !same(routing.pools, pools) || !same(routing.limits, limits)) return false;
+  if (routing.version != version || routing.routes.size() != routes.size() || !same(routing.pools, pools) ||
+      !same(routing.limits, limits))
+    return false;
   return std::all_of(routing.routes.begin(), routing.routes.end(), [&](const auto& one) {
     auto it = routes.find(one.first);
     if (it == routes.end()) return false;
@@ -152,12 +162,14 @@
       break;
     case Broken::kMixUp:
       change([](auto& frame) {
-        for (auto& [name, route] : frame.routing.routes) route.rank = 9;
+        for (auto& [name, route] : frame.routing.routes)
+          route.rank = 9;
       });
       break;
     case Broken::kRate:
       change([](auto& frame) {
-        for (auto& [name, pool] : frame.routing.pools) pool.ratePerS = 0;
+        for (auto& [name, pool] : frame.routing.pools)
+          pool.ratePerS = 0;
       });
       break;
     default:
@@ -197,7 +209,9 @@
   if (!cuts_.empty()) linkTroubleMs_ = nowMs_;
   coreState_ = state;
   auto hasPaths = [&](const std::string& machine) {
-    return std::all_of(cores_.begin(), cores_.end(), [&](const auto& one) { return reaches[one.first] * 2 <= cores_.size() || isJoined(machine, one.first); });
+    return std::all_of(cores_.begin(), cores_.end(), [&](const auto& one) {
+      return reaches[one.first] * 2 <= cores_.size() || isJoined(machine, one.first);
+    });
   };
   for (auto& [name, core] : cores_)
     if (!hasPaths(name)) touch_[name].pathMs = nowMs_;
@@ -206,7 +220,8 @@
     auto isRunning = node->isUp && node->frozenUntilMs <= nowMs_;
     if (!isRunning) touch.ownMs = nowMs_;
     if (!hasPaths(name)) touch.pathMs = nowMs_;
-    auto isLinked = std::none_of(cuts_.begin(), cuts_.end(), [&](const auto& cut) { return cut.first == name || cut.second == name; });
+    auto isLinked = std::none_of(cuts_.begin(), cuts_.end(),
+                                 [&](const auto& cut) { return cut.first == name || cut.second == name; });
     if (node->frozenUntilMs > nowMs_ || !isLinked) touch.linkMs = nowMs_;
     if (isBlocked(name)) touch.upstreamMs = nowMs_;
   }
@@ -220,7 +235,8 @@
 auto ProxySim::boundOf(const std::string& node, int64_t sinceMs) const -> std::optional<int64_t> {
   if (isInTouch(node)) return kBoundMs;
   const auto& touch = touch_.at(node);
-  auto isOuter = nowMs_ - std::max(touch.ownMs, touch.pathMs) > kTouchMs && nowMs_ - noMajorityMs_ > kTouchMs && noMajorityMs_ < sinceMs;
+  auto isOuter = nowMs_ - std::max(touch.ownMs, touch.pathMs) > kTouchMs && nowMs_ - noMajorityMs_ > kTouchMs &&
+                 noMajorityMs_ < sinceMs;
   return isOuter ? std::optional(kBoundMs + kStretchMs) : std::nullopt;
 }
 
@@ -273,20 +289,26 @@
 auto ProxySim::bodyOf(const Content& c, const Content& base, bool isWhole) const -> std::string {
   auto list = [&](const auto& items, const auto& sources, const auto& before, const auto& sourcesBefore, auto body) {
     std::string text;
-    auto add = [&](const std::string& name, const std::string& value) { text += (text.empty() ? "\"" : ",\"") + name + "\":" + value; };
+    auto add = [&](const std::string& name, const std::string& value) {
+      text += (text.empty() ? "\"" : ",\"") + name + "\":" + value;
+    };
     for (const auto& [name, item] : items) {
       auto it = sourcesBefore.find(name);
-      if (isWhole || it == sourcesBefore.end() || it->second != sources.at(name)) add(name, body(item, sources.at(name)));
+      if (isWhole || it == sourcesBefore.end() || it->second != sources.at(name))
+        add(name, body(item, sources.at(name)));
     }
     for (const auto& [name, item] : before)
       if (!isWhole && !items.count(name)) add(name, "null");
     return "{" + text + "}";
   };
   const auto& l = c.limits;
-  return R"({"version":)" + std::to_string(c.version) + R"(,"base":)" + std::to_string(base.version) + R"(,"whole":)" + (isWhole ? "true" : "false") + R"(,"routes":)" +
-         list(c.routes, c.routeSources, base.routes, base.routeSources, routeBody) + R"(,"pools":)" + list(c.pools, c.poolSources, base.pools, base.poolSources, poolBody) +
-         R"(,"limits":{"headerBytes":)" + std::to_string(l.headerBytes) + R"(,"bodyBytes":)" + std::to_string(l.bodyBytes) + R"(,"headerMs":)" + std::to_string(l.headerMs) +
-         R"(,"idleMs":)" + std::to_string(l.idleMs) + R"(,"source":)" + sourceOf("limits", static_cast<uint64_t>(l.idleMs - kMark)) + "}}";
+  return R"({"version":)" + std::to_string(c.version) + R"(,"base":)" + std::to_string(base.version) + R"(,"whole":)" +
+         (isWhole ? "true" : "false") + R"(,"routes":)" +
+         list(c.routes, c.routeSources, base.routes, base.routeSources, routeBody) + R"(,"pools":)" +
+         list(c.pools, c.poolSources, base.pools, base.poolSources, poolBody) + R"(,"limits":{"headerBytes":)" +
+         std::to_string(l.headerBytes) + R"(,"bodyBytes":)" + std::to_string(l.bodyBytes) + R"(,"headerMs":)" +
+         std::to_string(l.headerMs) + R"(,"idleMs":)" + std::to_string(l.idleMs) + R"(,"source":)" +
+         sourceOf("limits", static_cast<uint64_t>(l.idleMs - kMark)) + "}}";
 }
 
 auto ProxySim::changeRouting(uint64_t baseMark, bool isInvalid) -> void {
@@ -300,10 +322,14 @@
     c.routes["buy"] = {kHost, "/buy/", core::RouteKind::kWriting, 1000, 100, 0, {{"till", 1}}, 2, 0, 0};
     c.routes["view"] = {kHost, "/view/", core::RouteKind::kReadOnly, 1000, 100, 1, {{"till", 1}}, 2, 0, 0};
     c.routes["items"] = {kHost, "/items/", core::RouteKind::kCacheable, 1000, 100, 2, {{"shop", 1}}, 2, kKeepMs, 0};
-    for (auto name : {"till", "next"}) c.pools[name] = {"/health", 50, 0};
-    for (auto name : {"shop", "shelf"}) c.pools[name] = {"/health", 50, rate};
-    for (const auto& [name, route] : c.routes) c.routeSources[name] = sourceOf(name, mark);
-    for (const auto& [name, pool] : c.pools) c.poolSources[name] = sourceOf(name, mark);
+    for (auto name : {"till", "next"})
+      c.pools[name] = {"/health", 50, 0};
+    for (auto name : {"shop", "shelf"})
+      c.pools[name] = {"/health", 50, rate};
+    for (const auto& [name, route] : c.routes)
+      c.routeSources[name] = sourceOf(name, mark);
+    for (const auto& [name, pool] : c.pools)
+      c.poolSources[name] = sourceOf(name, mark);
   } else {
     edit(c, mark);
     if (pick(0, 1)) edit(c, mark);
@@ -315,12 +341,23 @@
     c.routeSources["view"] = sourceOf("view", mark);
     auto kind = pick(0, 5);
     switch (kind) {
-      case 0: view.shares = {{"nowhere", 1}}; break;
-      case 1: view.shares = {{"till", 0}, {"next", 0}}; break;
-      case 2: view.giveUpMs = 0; break;
-      case 3: view.targetMs = view.giveUpMs + 60000; break;
-      case 4: c.version = base.version; break;
-      case 5: break;
+      case 0:
+        view.shares = {{"nowhere", 1}};
+        break;
+      case 1:
+        view.shares = {{"till", 0}, {"next", 0}};
+        break;
+      case 2:
+        view.giveUpMs = 0;
+        break;
+      case 3:
+        view.targetMs = view.giveUpMs + 60000;
+        break;
+      case 4:
+        c.version = base.version;
+        break;
+      case 5:
+        break;
     }
     change.isValid = false;
     change.body = bodyOf(c, base, isWhole);
@@ -328,7 +365,8 @@
   } else {
     change.body = bodyOf(c, base, isWhole);
     for (const auto& [name, route] : c.routes)
-      for (const auto& share : route.shares) allowed_[route.prefix].insert(share.pool);
+      for (const auto& share : route.shares)
+        allowed_[route.prefix].insert(share.pool);
   }
   change.content = std::move(c);
   change.base = base.version;
@@ -343,10 +381,11 @@
   auto& change = changes_.at(mark);
   if (change.isOver || ++change.sends > 25) return;
   auto isAnswered = std::make_shared<bool>(false);
-  http("r" + std::to_string(pick(1, 3)), "POST", "/routing", change.body, [this, mark, isAnswered](const caller::Answer& a) {
-    if (props_.broken == Broken::kMute && nowMs_ > props_.faultsMs) return;
-    if (!std::exchange(*isAnswered, true)) takeOutcome(mark, a);
-  });
+  http("r" + std::to_string(pick(1, 3)), "POST", "/routing", change.body,
+       [this, mark, isAnswered](const caller::Answer& a) {
+         if (props_.broken == Broken::kMute && nowMs_ > props_.faultsMs) return;
+         if (!std::exchange(*isAnswered, true)) takeOutcome(mark, a);
+       });
   at(nowMs_ + 1000, [this, mark, isAnswered] {
     if (!std::exchange(*isAnswered, true)) postRouting(mark);
   });
@@ -367,7 +406,8 @@
   change.isOver = true;
   if (status != 200) {
     if (status == 409) ++verdict_.conflicts;
-    if (status == 400 && change.isValid) fault("a valid " + what + " on " + std::to_string(change.base) + " was called invalid: " + a.body);
+    if (status == 400 && change.isValid)
+      fault("a valid " + what + " on " + std::to_string(change.base) + " was called invalid: " + a.body);
     change.isRefused = true;
     if (inForce_.count(mark)) fault(what + " was refused and is in force");
     readBack(false);
@@ -391,7 +431,8 @@
     if (isLast) say("a read is answered " + std::to_string(a.status) + " " + a.body.substr(0, 40));
     if (a.status != 200 || (props_.broken == Broken::kMute && nowMs_ > props_.faultsMs)) return;
     auto json = op::parse(a.body);
-    if (props_.broken == Broken::kMixUp) cJSON_DeleteItemFromObjectCaseSensitive(cJSON_GetObjectItemCaseSensitive(json.get(), "routes"), "view");
+    if (props_.broken == Broken::kMixUp)
+      cJSON_DeleteItemFromObjectCaseSensitive(cJSON_GetObjectItemCaseSensitive(json.get(), "routes"), "view");
     auto number = [&](const cJSON* in, const char* key) {
       const auto* item = cJSON_GetObjectItemCaseSensitive(in, key);
       return cJSON_IsNumber(item) ? static_cast<uint64_t>(item->valuedouble) : 0;
@@ -399,9 +440,11 @@
     auto version = number(json.get(), "version");
     if (version == 0 && needed == 0) return;
     auto mark = number(cJSON_GetObjectItemCaseSensitive(json.get(), "limits"), "idleMs") - static_cast<uint64_t>(kMark);
-    if (version < needed) return fault("a read shows routing " + std::to_string(version) + ", acknowledged was " + std::to_string(needed));
+    if (version < needed)
+      return fault("a read shows routing " + std::to_string(version) + ", acknowledged was " + std::to_string(needed));
     auto it = changes_.find(mark);
-    if (it == changes_.end() || it->second.content.version != version) return fault("a read shows a routing that was never sent");
+    if (it == changes_.end() || it->second.content.version != version)
+      return fault("a read shows a routing that was never sent");
     const auto& c = it->second.content;
     if (!it->second.isValid || it->second.isRefused) fault("a read shows refused routing " + std::to_string(version));
     auto isAs = [&](const char* part, const auto& sources) {
@@ -412,7 +455,8 @@
         return item && op::print(cJSON_GetObjectItemCaseSensitive(item, "source")) == one.second;
       });
     };
-    if (!isAs("routes", c.routeSources) || !isAs("pools", c.poolSources)) faultOnce("read", "a read shows routing " + std::to_string(version) + " otherwise than it was sent");
+    if (!isAs("routes", c.routeSources) || !isAs("pools", c.poolSources))
+      faultOnce("read", "a read shows routing " + std::to_string(version) + " otherwise than it was sent");
     inForce_.insert(mark);
     if (known_ == 0 || version > changes_.at(known_).content.version) known_ = mark;
     if (isLast) lastReadMs_ = nowMs_;
@@ -434,9 +478,11 @@
   auto isLabel = pick(1, 4) == 1;
   for (auto i = 0; i < kObjects; ++i)
     if (isLabel ? i % 3 == number % 3 : i == number) purge.targets.push_back("/items/" + std::to_string(i));
-  for (const auto& target : purge.targets) objects_[target].push_back(nowMs_ - 1);
+  for (const auto& target : purge.targets)
+    objects_[target].push_back(nowMs_ - 1);
   purge.body = R"({"change":"p)" + std::to_string(purges_.size()) + R"(",)" +
-               (isLabel ? R"("label":"l)" + std::to_string(number % 3) + "\"}" : R"("host":")" + kHost + R"(","path":")" + purge.targets[0] + "\"}");
+               (isLabel ? R"("label":"l)" + std::to_string(number % 3) + "\"}"
+                        : R"("host":")" + kHost + R"(","path":")" + purge.targets[0] + "\"}");
   purges_.push_back(std::move(purge));
   auto index = purges_.size() - 1;
   postPurge(index);
@@ -446,16 +492,17 @@
 auto ProxySim::postPurge(size_t index) -> void {
   if (purges_[index].ackMs >= 0 || nowMs_ - purges_[index].sentMs > 4000) return;
   auto isAnswered = std::make_shared<bool>(false);
-  http("r" + std::to_string(pick(1, 3)), "POST", "/purge", purges_[index].body, [this, index, isAnswered](const caller::Answer& a) {
-    if (std::exchange(*isAnswered, true)) return;
-    if (a.status != 200) {
-      at(nowMs_ + pick(50, 200), [this, index] { postPurge(index); });
-      return;
-    }
-    purges_[index].ackMs = nowMs_;
-    ++verdict_.purges;
-    verdict_.ackMs.push_back(nowMs_ - purges_[index].sentMs);
-  });
+  http("r" + std::to_string(pick(1, 3)), "POST", "/purge", purges_[index].body,
+       [this, index, isAnswered](const caller::Answer& a) {
+         if (std::exchange(*isAnswered, true)) return;
+         if (a.status != 200) {
+           at(nowMs_ + pick(50, 200), [this, index] { postPurge(index); });
+           return;
+         }
+         purges_[index].ackMs = nowMs_;
+         ++verdict_.purges;
+         verdict_.ackMs.push_back(nowMs_ - purges_[index].sentMs);
+       });
   at(nowMs_ + 1000, [this, index, isAnswered] {
     if (!std::exchange(*isAnswered, true)) postPurge(index);
   });
@@ -484,21 +531,26 @@
   for (const auto& [ackMs, version] : ackedVersions_) {
     auto bound = boundOf(node.name, ackMs);
     if (bound && nowMs_ > ackMs + *bound && routing.version < version)
-      return faultOnce("old " + node.name, node.name + " acts on routing " + std::to_string(routing.version) + ", " + std::to_string(version) + " was acknowledged " +
-                   std::to_string(nowMs_ - ackMs) + " ms ago");
+      return faultOnce("old " + node.name, node.name + " acts on routing " + std::to_string(routing.version) + ", " +
+                                               std::to_string(version) + " was acknowledged " +
+                                               std::to_string(nowMs_ - ackMs) + " ms ago");
   }
   auto& seen = seenVersions_[node.name + " " + std::to_string(node.life)];
-  if (routing.version < seen) fault(node.name + " went back from routing " + std::to_string(seen) + " to " + std::to_string(routing.version));
+  if (routing.version < seen)
+    fault(node.name + " went back from routing " + std::to_string(seen) + " to " + std::to_string(routing.version));
   seen = std::max(seen, routing.version);
   if (routing.version == 0) return;
   auto mark = static_cast<uint64_t>(routing.limits.idleMs - kMark);
   auto it = changes_.find(mark);
   if (it == changes_.end()) return fault(node.name + " acts on a routing that nobody sent");
   inForce_.insert(mark);
-  auto what = node.name + " acts on routing " + std::to_string(routing.version) + " (change " + std::to_string(mark) + ")";
-  if (!it->second.isValid || it->second.isRefused) return faultOnce("refused " + what, what + ", which was refused and is in force");
+  auto what =
+      node.name + " acts on routing " + std::to_string(routing.version) + " (change " + std::to_string(mark) + ")";
+  if (!it->second.isValid || it->second.isRefused)
+    return faultOnce("refused " + what, what + ", which was refused and is in force");
   auto isAltered = props_.broken == Broken::kKeep || props_.broken == Broken::kRate || props_.broken == Broken::kDenied;
-  if (!isAltered && !it->second.content.isIn(routing)) faultOnce("altered " + node.name, what + ", but not as it was sent");
+  if (!isAltered && !it->second.content.isIn(routing))
+    faultOnce("altered " + node.name, what + ", but not as it was sent");
 }
 
 // ---- upstreams ----------------------------------------------------------------------------------------------
@@ -531,30 +583,32 @@
   if (tries >= 6 || number != u.number || (!u.isUp && !u.isGone)) return;
   auto state = u.isGone ? "gone" : u.isEmptying ? "emptying" : "working";
   auto coldMs = std::max<int64_t>(0, u.startMs + u.coldMs - nowMs_);
-  auto body = R"({"instance":")" + name + R"(","service":")" + u.pool + R"(","address":")" + u.address + R"(","site":")" + u.site + R"(","capacity":)" +
-              std::to_string(u.capacity) + R"(,"state":")" + state + R"(","coldMs":)" + std::to_string(coldMs) + R"(,"number":)" + std::to_string(number) + "}";
+  auto body = R"({"instance":")" + name + R"(","service":")" + u.pool + R"(","address":")" + u.address +
+              R"(","site":")" + u.site + R"(","capacity":)" + std::to_string(u.capacity) + R"(,"state":")" + state +
+              R"(","coldMs":)" + std::to_string(coldMs) + R"(,"number":)" + std::to_string(number) + "}";
   auto registry = "r" + std::to_string(pick(1, 3));
   auto isAnswered = std::make_shared<bool>(false);
   auto again = [this, name, number, tries, isAnswered] {
     if (!std::exchange(*isAnswered, true)) beat(name, number, tries + 1);
   };
-  http(registry, "POST", "/announce", body, [this, name, registry, isAnswered, again, isLeaving = u.isEmptying || u.isGone](const caller::Answer& a) {
-    if (*isAnswered) return;
-    if (a.status != 200) return again();
-    *isAnswered = true;
-    auto& u = upstreams_.at(name);
-    if (!isLeaving) return;
-    if (u.leftMs < 0 && isInTouch(registry)) u.leftMs = nowMs_;
-    if (u.isGone || u.number > 1u << 20) return;
-    // It serves on for the bound and a little longer, says that it is gone, and ends.
-    u.number += 1u << 20;
-    at(nowMs_ + kBoundMs + 300, [this, name] {
-      auto& u = upstreams_.at(name);
-      u.isGone = true;
-      beat(name, ++u.number, 0);
-      at(nowMs_ + 100, [this, name] { crash(name); });
-    });
-  });
+  http(registry, "POST", "/announce", body,
+       [this, name, registry, isAnswered, again, isLeaving = u.isEmptying || u.isGone](const caller::Answer& a) {
+         if (*isAnswered) return;
+         if (a.status != 200) return again();
+         *isAnswered = true;
+         auto& u = upstreams_.at(name);
+         if (!isLeaving) return;
+         if (u.leftMs < 0 && isInTouch(registry)) u.leftMs = nowMs_;
+         if (u.isGone || u.number > 1u << 20) return;
+         // It serves on for the bound and a little longer, says that it is gone, and ends.
+         u.number += 1u << 20;
+         at(nowMs_ + kBoundMs + 300, [this, name] {
+           auto& u = upstreams_.at(name);
+           u.isGone = true;
+           beat(name, ++u.number, 0);
+           at(nowMs_ + 100, [this, name] { crash(name); });
+         });
+       });
   at(nowMs_ + 1000, again);
 }
 
@@ -621,7 +675,8 @@
 auto ProxySim::arrive(const std::shared_ptr<Call>& call) -> void {
   if (call->isOver || isBlocked(call->node)) return;
   const auto& fetch = call->fetch;
-  auto it = std::find_if(upstreams_.begin(), upstreams_.end(), [&](const auto& one) { return one.second.isUp && one.second.address == fetch.address; });
+  auto it = std::find_if(upstreams_.begin(), upstreams_.end(),
+                         [&](const auto& one) { return one.second.isUp && one.second.address == fetch.address; });
   if (it == upstreams_.end()) {
     upstream::Fetched f;
     f.fault = upstream::Fault::kNotSent;
@@ -634,21 +689,25 @@
   auto id = caller::header(fetch.headers, "sim-try");
   auto copies = props_.broken == Broken::kTries ? 3 : 1;
   auto& arrivals = arrivals_[u.pool];
-  for (auto i = 0; i < copies; ++i) arrivals.push_back({nowMs_, triesAt_.emplace(id, u.pool).second, isHarmed});
+  for (auto i = 0; i < copies; ++i)
+    arrivals.push_back({nowMs_, triesAt_.emplace(id, u.pool).second, isHarmed});
   auto decline = [&](int status) {
     upstream::Fetched f;
     f.status = status;
     f.headers = {{"Sim-Untouched", "1"}, {"Sim-Try", id}, {"Content-Length", "0"}};
-    f.headers.emplace_back("Dykestage-Load", std::to_string(u.running) + "," + std::to_string(u.waiting.size()) + "," + std::to_string(u.capacity));
+    f.headers.emplace_back("Dykestage-Load", std::to_string(u.running) + "," + std::to_string(u.waiting.size()) + "," +
+                                                 std::to_string(u.capacity));
     deliver(call, f);
   };
   auto meant = props_.broken == Broken::kInstance ? "" : caller::header(fetch.headers, "dykestage-instance");
   if (!meant.empty() && meant != u.name) return decline(421);
   auto isHeldUp = nowMs_ - touch.upstreamMs <= kTouchMs;
   if (u.leftMs >= 0 && nowMs_ > u.leftMs + kBoundMs && isInTouch(call->node) && !isHeldUp)
-    fault("a request of " + call->node + " reached " + u.name + " " + std::to_string(nowMs_ - u.leftMs) + " ms after its leaving was acknowledged");
+    fault("a request of " + call->node + " reached " + u.name + " " + std::to_string(nowMs_ - u.leftMs) +
+          " ms after its leaving was acknowledged");
   auto rated = u.pool == "shop" || u.pool == "shelf";
-  auto lately = std::count_if(arrivals.rbegin(), arrivals.rend(), [&](const auto& a) { return a.atMs > nowMs_ - 1000; });
+  auto lately =
+      std::count_if(arrivals.rbegin(), arrivals.rend(), [&](const auto& a) { return a.atMs > nowMs_ - 1000; });
   if (rated && lately > 2 * props_.rate) return decline(429);
   if (u.running >= u.capacity && static_cast<int64_t>(u.waiting.size()) >= u.queue) return decline(503);
   u.waiting.push_back(call);
@@ -669,7 +728,8 @@
     std::erase(u.calls, call);
     upstream::Fetched f;
     f.status = 503;
-    f.headers = {{"Sim-Untouched", "1"}, {"Sim-Try", caller::header(call->fetch.headers, "sim-try")}, {"Content-Length", "0"}};
+    f.headers = {
+        {"Sim-Untouched", "1"}, {"Sim-Try", caller::header(call->fetch.headers, "sim-try")}, {"Content-Length", "0"}};
     deliver(call, f);
   }
 }
@@ -685,17 +745,22 @@
     auto says = [&](const Content& c) {
       return std::any_of(c.routes.begin(), c.routes.end(), [&](const auto& r) {
         const auto& shares = r.second.shares;
-        return r.second.prefix == prefix && std::any_of(shares.begin(), shares.end(), [&](const auto& s) { return s.pool == u.pool && s.weight > 0; });
+        return r.second.prefix == prefix && std::any_of(shares.begin(), shares.end(), [&](const auto& s) {
+                 return s.pool == u.pool && s.weight > 0;
+               });
       });
     };
-    if (isInTouch(node) && isInTouch(call->node) && !mayRule(sentMs, says)) fault("a request of " + node + " to " + prefix + " was run by " + u.name + " as only an older routing allows");
+    if (isInTouch(node) && isInTouch(call->node) && !mayRule(sentMs, says))
+      fault("a request of " + node + " to " + prefix + " was run by " + u.name + " as only an older routing allows");
   }
-  if (!allowed_[prefix].count(u.pool)) fault("a request to " + prefix + " was run by " + u.name + ", whose pool no routing allowed");
+  if (!allowed_[prefix].count(u.pool))
+    fault("a request to " + prefix + " was run by " + u.name + ", whose pool no routing allowed");
   upstream::Fetched f;
   f.status = 200;
   if (prefix == "/items/") {
     auto now = objects_[fetch.target].size() - 1;
-    f.body = fetch.target + "|" + std::to_string(now) + "|" + call->node + "|" + (isInTouch(call->node) ? "1" : "0") + ".";
+    f.body =
+        fetch.target + "|" + std::to_string(now) + "|" + call->node + "|" + (isInTouch(call->node) ? "1" : "0") + ".";
     f.headers.emplace_back("Dykestage-Labels", "l" + std::to_string(std::atoi(fetch.target.c_str() + 7) % 3));
   } else {
     f.body = id;
@@ -705,11 +770,21 @@
   auto isMute = false;
   if (props_.lossyUpstreams && !isHealed_ && pick(1, 100) <= 35) {
     switch (pick(0, 4)) {
-      case 0: f.fault = upstream::Fault::kLost; break;
-      case 1: f.fault = upstream::Fault::kNotWhole; break;
-      case 2: f.fault = upstream::Fault::kMixed; break;
-      case 3: isMute = true; break;
-      case 4: f.status = 500; break;
+      case 0:
+        f.fault = upstream::Fault::kLost;
+        break;
+      case 1:
+        f.fault = upstream::Fault::kNotWhole;
+        break;
+      case 2:
+        f.fault = upstream::Fault::kMixed;
+        break;
+      case 3:
+        isMute = true;
+        break;
+      case 4:
+        f.status = 500;
+        break;
     }
     if (f.fault != upstream::Fault::kNone) {
       f.status = 0;
@@ -724,8 +799,10 @@
     --u.running;
     std::erase(u.calls, call);
     if (f.fault == upstream::Fault::kNone) {
-      f.headers.insert(f.headers.end(), {{"Sim-Try", id}, {"Sim-Seal", "whole"}, {"Content-Length", std::to_string(f.body.size())}});
-      f.headers.emplace_back("Dykestage-Load", std::to_string(u.running) + "," + std::to_string(u.waiting.size()) + "," + std::to_string(u.capacity));
+      f.headers.insert(f.headers.end(),
+                       {{"Sim-Try", id}, {"Sim-Seal", "whole"}, {"Content-Length", std::to_string(f.body.size())}});
+      f.headers.emplace_back("Dykestage-Load", std::to_string(u.running) + "," + std::to_string(u.waiting.size()) +
+                                                   "," + std::to_string(u.capacity));
     }
     if (!isMute) deliver(call, f);
     pump(u);
@@ -798,11 +875,14 @@
   asked_.erase(it);
   auto isTurnedAway = answer.status == 503 || answer.status == 429 || answer.status == 408 || answer.status == 421;
   if (asked.isWrite) ends_[asked.id] = answer.status == 200 ? 'w' : isTurnedAway ? 'r' : 'u';
-  if (isTurnedAway && answer.status != 408 && answer.status != 421 && caller::header(answer.headers, "retry-after").empty()) fault("a refusal without Retry-After");
+  if (isTurnedAway && answer.status != 408 && answer.status != 421 &&
+      caller::header(answer.headers, "retry-after").empty())
+    fault("a refusal without Retry-After");
   auto isOwn = !caller::header(answer.headers, "dykestage-code").empty();
   if (asked.isTouched && isInTouch(asked.node) && isOwn && answer.status / 100 == 4 && !isTurnedAway) {
     auto lacks = [&](const Content& c) {
-      return std::none_of(c.routes.begin(), c.routes.end(), [&](const auto& r) { return r.second.prefix == prefixOf(asked.target); });
+      return std::none_of(c.routes.begin(), c.routes.end(),
+                          [&](const auto& r) { return r.second.prefix == prefixOf(asked.target); });
     };
     if (!mayRule(asked.atMs, lacks)) {
       ++verdict_.denied;
@@ -812,10 +892,13 @@
   if (answer.status != 200 || isOwn) {
     // Some callers come again at once.
     if (isTurnedAway && asked.again < 5 && pick(1, 3) == 1)
-      at(nowMs_ + pick(0, 50), [this, target = asked.target, again = asked.again + 1] { askOnce(target, false, again); });
+      at(nowMs_ + pick(0, 50),
+         [this, target = asked.target, again = asked.again + 1] { askOnce(target, false, again); });
     if (!asked.isCounted) return;
     isTurnedAway ? ++verdict_.busy : ++verdict_.unknown;
-    if (isHealed_) say(asked.node + " answers " + std::to_string(answer.status) + " " + caller::header(answer.headers, "dykestage-code") + " to " + asked.target);
+    if (isHealed_)
+      say(asked.node + " answers " + std::to_string(answer.status) + " " +
+          caller::header(answer.headers, "dykestage-code") + " to " + asked.target);
     return;
   }
   if (asked.isCounted) {
@@ -827,7 +910,8 @@
     return;
   }
   auto mark = asked.target + "|";
-  if (answer.body.rfind(mark, 0) != 0 || answer.body.back() != '.') return fault("a caller got another object, or part of one");
+  if (answer.body.rfind(mark, 0) != 0 || answer.body.back() != '.')
+    return fault("a caller got another object, or part of one");
   auto rest = answer.body.substr(mark.size());
   auto version = static_cast<size_t>(std::atoll(rest.c_str()));
   auto fetcher = rest.substr(rest.find('|') + 1);
@@ -836,39 +920,50 @@
   const auto& since = objects_[asked.target];
   auto isJudged = [&](const Purge& purge) {
     auto bound = purge.ackMs < 0 ? std::nullopt : boundOf(asked.node, purge.ackMs);
-    return bound && asked.atMs > purge.ackMs + *bound && std::find(purge.targets.begin(), purge.targets.end(), asked.target) != purge.targets.end();
+    return bound && asked.atMs > purge.ackMs + *bound &&
+           std::find(purge.targets.begin(), purge.targets.end(), asked.target) != purge.targets.end();
   };
   if (std::any_of(purges_.begin(), purges_.end(), isJudged)) ++verdict_.readsJudged;
   if (version + 1 >= since.size()) return;
   auto replacedMs = since[version + 1];
   for (const auto& purge : purges_)
     if (replacedMs < purge.sentMs && wasFetcherInTouch && isJudged(purge))
-      return fault(asked.node + " served a purged version of " + asked.target + ", " + std::to_string(asked.atMs - purge.ackMs) + " ms after the purge was acknowledged");
+      return fault(asked.node + " served a purged version of " + asked.target + ", " +
+                   std::to_string(asked.atMs - purge.ackMs) + " ms after the purge was acknowledged");
   auto isHarmed = touch_.at(asked.node).linkMs >= replacedMs || touch_.at(fetcher).linkMs >= replacedMs;
   if (!isHarmed && isInTouch(asked.node) && nowMs_ - replacedMs > kKeepMs + kSlackMs)
-    fault(asked.node + " served a version of " + asked.target + " that was replaced " + std::to_string(nowMs_ - replacedMs) + " ms ago");
+    fault(asked.node + " served a version of " + asked.target + " that was replaced " +
+          std::to_string(nowMs_ - replacedMs) + " ms ago");
 }
 
 // ---- what happens ---------------------------------------------------------------------------------------------
 
 auto ProxySim::plan() -> void {
   auto endMs = props_.faultsMs + props_.healMs;
-  for (auto& [name, core] : cores_) touch_[name] = {};
-  for (auto& [name, node] : nodes_) touch_[name] = {};
-  for (auto i = 0; i < kObjects; ++i) objects_["/items/" + std::to_string(i)] = {0};
-  for (int64_t t = 0; t < endMs; t += 10) at(t, [this] { feel(); });
+  for (auto& [name, core] : cores_)
+    touch_[name] = {};
+  for (auto& [name, node] : nodes_)
+    touch_[name] = {};
+  for (auto i = 0; i < kObjects; ++i)
+    objects_["/items/" + std::to_string(i)] = {0};
+  for (int64_t t = 0; t < endMs; t += 10)
+    at(t, [this] { feel(); });
   for (auto pool : {"till", "till", "next", "next", "shop", "shop", "shelf", "shelf", "spare", "other"})
     at(1000 + pick(0, 200), [this, pool = std::string(pool)] { startUpstream(pool, "", pick(0, 1) ? 1000 : 0); });
   at(1500, [this] { changeRouting(0, false); });
   auto target = [this] {
     auto dice = pick(1, 100);
-    return dice <= 40 ? "/items/" + std::to_string(pick(0, kObjects - 1)) : dice <= 65 ? "/view/" + std::to_string(pick(0, 99)) : "/buy/" + std::to_string(pick(0, 99));
+    return dice <= 40   ? "/items/" + std::to_string(pick(0, kObjects - 1))
+           : dice <= 65 ? "/view/" + std::to_string(pick(0, 99))
+                        : "/buy/" + std::to_string(pick(0, 99));
   };
-  for (int64_t t = 3000; t < endMs - 200; t += 25) at(t + pick(0, 24), [this, target] { askOnce(target(), true); });
+  for (int64_t t = 3000; t < endMs - 200; t += 25)
+    at(t + pick(0, 24), [this, target] { askOnce(target(), true); });
   // Now and then callers come all at once, or ask for what may not be there.
   for (int64_t t = 4000; t < endMs; t += 2500)
     at(t + pick(0, 500), [this, target] {
-      for (auto i = 0; i < 30; ++i) askOnce(target(), false);
+      for (auto i = 0; i < 30; ++i)
+        askOnce(target(), false);
     });
   for (int64_t t = 3000; t < endMs; t += 200)
     at(t, [this] { askOnce(pick(0, 1) ? "/spare/1" : "/extra-" + std::to_string(pick(0, 4)) + "/1", false); });
@@ -879,14 +974,19 @@
       changeRouting(base, pick(1, 6) == 1);
       if (pick(1, 3) == 1) changeRouting(base, pick(1, 6) == 1);  // two operators at once
     });
-  for (int64_t t = 3500; t < endMs - 500; t += 400) at(t + pick(0, 300), [this] { purge(); });
-  for (int64_t t = 3000; t < endMs; t += 300) at(t, [this] { objects_["/items/" + std::to_string(pick(0, kObjects - 1))].push_back(nowMs_); });
+  for (int64_t t = 3500; t < endMs - 500; t += 400)
+    at(t + pick(0, 300), [this] { purge(); });
+  for (int64_t t = 3000; t < endMs; t += 300)
+    at(t, [this] { objects_["/items/" + std::to_string(pick(0, kObjects - 1))].push_back(nowMs_); });
   for (int64_t t = 3000; t < endMs; t += 40)
     at(t, [this] {
-      for (auto& [name, node] : nodes_) lookAt(*node);
+      for (auto& [name, node] : nodes_)
+        lookAt(*node);
     });
-  for (int64_t t = 4000; t < endMs; t += 700) at(t, [this] { readBack(false); });
-  for (int64_t t = endMs - kTouchMs; t < endMs; t += 200) at(t, [this] { readBack(true); });
+  for (int64_t t = 4000; t < endMs; t += 700)
+    at(t, [this] { readBack(false); });
+  for (int64_t t = endMs - kTouchMs; t < endMs; t += 200)
+    at(t, [this] { readBack(true); });
   planFaults();
   at(props_.faultsMs, [this] { healAll(); });
 }
@@ -953,8 +1053,10 @@
   auto areCoresWell = [this] { return nowMs_ - coreTroubleMs_ > 20; };
   auto machines = [this] {
     std::vector<std::string> list = {"upstreams"};
-    for (auto& [name, c] : cores_) list.push_back(name);
-    for (auto& [name, n] : nodes_) list.push_back(name);
+    for (auto& [name, c] : cores_)
+      list.push_back(name);
+    for (auto& [name, n] : nodes_)
+      list.push_back(name);
     return list;
   };
   auto cut = [this](const std::string& a, const std::string& b, int64_t ms) {
@@ -1022,10 +1124,7 @@
         if (other != node && !(hasUpstreams && other == "upstreams")) cut(node, other, ms);
       say(node + " cut off for " + std::to_string(ms) + " ms" + (hasUpstreams ? ", not from upstreams" : ""));
     });
-  if (props_.wipes)
-    kinds.push_back([=, this] {
-      wipe(anyCore());
-    });
+  if (props_.wipes) kinds.push_back([=, this] { wipe(anyCore()); });
   if (props_.stalls)
     kinds.push_back([=, this] {
       if (!areCoresWell()) return;
@@ -1097,8 +1196,8 @@
 
 // ---- judging at the end -----------------------------------------------------------------------------------------
 
-// What a pool receives beyond the first arrival of each request, in any ten seconds, against the requests for it in that
-// window, the one before it, or the one half a window before it.
+// What a pool receives beyond the first arrival of each request, in any ten seconds, against the requests for it in
+// that window, the one before it, or the one half a window before it.
 auto ProxySim::judgeExtras() -> void {
   for (const auto& [pool, arrivals] : arrivals_) {
     const auto& asked = requests_[pool];
@@ -1110,10 +1209,14 @@
       if (!a.isFirst) extras.push_back(a.atMs);
     for (size_t first = 0, last = 0; last < extras.size(); ++last) {
       auto endMs = extras[last];
-      while (endMs - extras[first] >= kWindowMs) ++first;
-      auto requests = std::max({between(endMs - kWindowMs, endMs), between(endMs - 2 * kWindowMs, endMs - kWindowMs), between(endMs - kWindowMs * 3 / 2, endMs - kWindowMs / 2)});
-      if (static_cast<double>(last - first + 1) <= kTriesShare * static_cast<double>(requests) + kTriesAllowance) continue;
-      fault("further tries at " + pool + " until " + std::to_string(endMs) + " ms: " + std::to_string(last - first + 1) + " for " + std::to_string(requests) + " requests");
+      while (endMs - extras[first] >= kWindowMs)
+        ++first;
+      auto requests = std::max({between(endMs - kWindowMs, endMs), between(endMs - 2 * kWindowMs, endMs - kWindowMs),
+                                between(endMs - kWindowMs * 3 / 2, endMs - kWindowMs / 2)});
+      if (static_cast<double>(last - first + 1) <= kTriesShare * static_cast<double>(requests) + kTriesAllowance)
+        continue;
+      fault("further tries at " + pool + " until " + std::to_string(endMs) +
+            " ms: " + std::to_string(last - first + 1) + " for " + std::to_string(requests) + " requests");
       return;
     }
   }
@@ -1125,9 +1228,11 @@
     for (const auto& a : arrivals_[pool])
       if (!a.isHarmed) times.push_back(a.atMs);
     for (size_t first = 0, last = 0; last < times.size(); ++last) {
-      while (times[last] - times[first] >= 5000) ++first;
+      while (times[last] - times[first] >= 5000)
+        ++first;
       if (static_cast<double>(last - first + 1) <= 1.1 * 5 * static_cast<double>(props_.rate) + 5) continue;
-      fault(std::string(pool) + " got more than its rate: " + std::to_string(last - first + 1) + " in the 5 s until " + std::to_string(times[last]) + " ms");
+      fault(std::string(pool) + " got more than its rate: " + std::to_string(last - first + 1) + " in the 5 s until " +
+            std::to_string(times[last]) + " ms");
       return;
     }
   }
@@ -1138,13 +1243,15 @@
   for (const auto& [id, count] : ran_) {
     if (count > 1) fault("write " + id + " ran " + std::to_string(count) + " times");
     ++verdict_.writesRan;
-    if (auto it = ends_.find(id); it != ends_.end() && it->second == 'r') fault("write " + id + " was turned away and ran");
+    if (auto it = ends_.find(id); it != ends_.end() && it->second == 'r')
+      fault("write " + id + " was turned away and ran");
   }
   for (const auto& [id, end] : ends_)
     if (end == 'w' && !ran_.count(id)) fault("write " + id + " was answered and did not run");
   judgeExtras();
   judgeRates();
-  if (verdict_.denied > 5 + verdict_.asked / 500) fault(std::to_string(verdict_.denied) + " proper requests were denied");
+  if (verdict_.denied > 5 + verdict_.asked / 500)
+    fault(std::to_string(verdict_.denied) + " proper requests were denied");
   if (lastReadMs_ < 0 && nowMs_ > endMs - 100) fault("no read came at the end");
   for (auto slot = returnMs_ / 500; slot < endMs / 500 - 1; ++slot) {
     auto [asked, well] = slots_[slot];
@@ -1153,7 +1260,9 @@
     break;
   }
   if (verdict_.backMs < 0 && props_.rate >= 10) fault("service is not back after the heal");
-  for (const auto& [slot, count] : slots_) say(std::to_string(slot * 500) + " ms: " + std::to_string(count.second) + " of " + std::to_string(count.first) + " served well");
+  for (const auto& [slot, count] : slots_)
+    say(std::to_string(slot * 500) + " ms: " + std::to_string(count.second) + " of " + std::to_string(count.first) +
+        " served well");
   for (auto& [name, core] : cores_)
     if (!core->isUp || !core->registry->isReady(nowMs_)) fault(name + " is not back after the heal");
 }
--- a/tests/sim/proxy_sim.hpp
+++ b/tests/sim/proxy_sim.hpp
@@ -13,11 +13,13 @@
 
 namespace dykestage::sim {
 
-/// Most rules hold for machines in touch only. A machine is in touch at a moment when, throughout the kTouchMs before it,
+/// Most rules hold for machines in touch only. A machine is in touch at a moment when, throughout the kTouchMs before
+/// it,
 /// 1. its process ran: it was not ended, started or frozen, and its disk was not in trouble;
-/// 2. the core was settled: more than half of the registries ran and were connected with each other, and in the kTouchMs
-///    before none of them was ended, started, frozen or thawed, and none was cut off from another or joined to it again;
-///    here a stalled or full disk at one registry leaves the core settled, at two it does not;
+/// 2. the core was settled: more than half of the registries ran and were connected with each other, and in the
+/// kTouchMs
+///    before none of them was ended, started, frozen or thawed, and none was cut off from another or joined to it
+///    again; here a stalled or full disk at one registry leaves the core settled, at two it does not;
 /// 3. it had a path both ways to each running registry that itself reaches more than half of the core.
 /// Both spans are one: the state is looked at every 10 ms, and kTouchMs after the last trouble all is calm again. While
 /// the core is unsettled, but more than half of it has run and been connected all the time, a machine for which 1 and 3
@@ -80,7 +82,9 @@
     bool isFirst, isHarmed;  // of its try; from a node that is frozen or on a troubled link
   };
   struct Touch {
-    int64_t ownMs = 0, pathMs = 0, linkMs = 0, upstreamMs = 0;  // when each was last in trouble: its process, its paths to the core, any link, those to upstreams
+    int64_t ownMs = 0, pathMs = 0, linkMs = 0,
+            upstreamMs =
+                0;  // when each was last in trouble: its process, its paths to the core, any link, those to upstreams
   };
 
   auto populate() -> void override;
@@ -153,12 +157,12 @@
   std::map<std::string, std::vector<int64_t>> objects_;  // target → since when it has had each version
   uint64_t nextUpstream_ = 1, nextTry_ = 1;
   std::map<std::string, std::pair<int64_t, std::string>> sentBy_;  // try → when, to which node
-  std::map<std::string, std::string> triesAt_;           // try → first pool that it reached
-  std::map<std::string, std::vector<Arrival>> arrivals_; // by pool
-  std::map<std::string, std::vector<int64_t>> requests_; // by pool
+  std::map<std::string, std::string> triesAt_;                     // try → first pool that it reached
+  std::map<std::string, std::vector<Arrival>> arrivals_;           // by pool
+  std::map<std::string, std::vector<int64_t>> requests_;           // by pool
   std::map<const caller::Stream*, Asked> asked_;
-  std::map<std::string, char> ends_;                     // of writes: w(ell), r(efused), u(nknown)
-  std::map<int64_t, std::pair<uint64_t, uint64_t>> slots_;  // half seconds → asked, well
+  std::map<std::string, char> ends_;                                // of writes: w(ell), r(efused), u(nknown)
+  std::map<int64_t, std::pair<uint64_t, uint64_t>> slots_;          // half seconds → asked, well
   std::map<std::string, std::shared_ptr<const core::Frame>> kept_;  // for guards that are taken out
 };
 
--- a/tests/sim/rehearsal.cpp
+++ b/tests/sim/rehearsal.cpp
@@ -5,8 +5,8 @@
 
 #include <algorithm>
 #include <filesystem>
-#include <sstream>
 #include <map>
+#include <sstream>
 #include <thread>
 
 #include "neighbour/post.hpp"
@@ -15,7 +15,8 @@
 
 namespace {
 auto services(int64_t rate, int64_t deadlineMs = 1000) -> std::string {
-  return R"({"services": {"shop": {"hosts": ["shop.test"], "originRate": )" + std::to_string(rate) + R"(, "deadlineMs": )" + std::to_string(deadlineMs) +
+  return R"({"services": {"shop": {"hosts": ["shop.test"], "originRate": )" + std::to_string(rate) +
+         R"(, "deadlineMs": )" + std::to_string(deadlineMs) +
          R"(, "paths": [{"prefix": "/", "kind": "store", "keepMs": 2000}]},
       "till": {"hosts": ["till.test"], "paths": [{"prefix": "/", "kind": "application"}]}}})";
 }
@@ -32,7 +33,8 @@
   fleet.edges = props_.edges;
   fleet.port = props_.port;
   fleet.hasMishaps = props_.hasMishaps;
-  fleet.upstreams = {{"shop", "store", props_.stores, 1, 3, 800}, {"till", "application", props_.applications, 1, 3, 200}};
+  fleet.upstreams = {{"shop", "store", props_.stores, 1, 3, 800},
+                     {"till", "application", props_.applications, 1, 3, 200}};
   // A tenant whose application is much slower than its store, for rollouts to choose between.
   if (props_.hasTenant) {
     fleet.upstreams.push_back({"bazaar", "store", 2, 1, 3, 600});
@@ -41,7 +43,8 @@
   fleet_ = std::make_unique<Fleet>(fleet);
   // What is not synced is lost with the process, as with power.
   if (props_.hasMishaps)
-    for (const auto& name : fleet_->names("registry")) fleet_->mishap(name, props_.dropsSync ? "hold 1\ndropSync 1\n" : "hold 1\n");
+    for (const auto& name : fleet_->names("registry"))
+      fleet_->mishap(name, props_.dropsSync ? "hold 1\ndropSync 1\n" : "hold 1\n");
   fleet_->startAll();
   if (!fleet_->awaitReady(60000)) verdict_.faults.push_back("the fleet did not become ready");
 }
@@ -70,7 +73,8 @@
   fetch.body = body;
   auto answer = upstream::fetchOnce(fetch);
   // One that has just been started is not listening yet.
-  for (auto i = 0; i < 100 && answer.fault == upstream::Fault::kNotSent; ++i, ::usleep(20000)) answer = upstream::fetchOnce(fetch);
+  for (auto i = 0; i < 100 && answer.fault == upstream::Fault::kNotSent; ++i, ::usleep(20000))
+    answer = upstream::fetchOnce(fetch);
   if (answer.status != 200) verdict_.faults.push_back("a stand-in refused " + body);
 }
 
@@ -91,8 +95,10 @@
 
 auto Rehearsal::load(int64_t seconds, const std::function<void(int64_t)>& during) -> Report {
   Load::Props props;
-  for (const auto& name : fleet_->names("edge")) props.edges.push_back({fleet_->http(name), fleet_->site(name), fleet_->status(name)});
-  for (const auto& name : fleet_->names("origin")) props.accounts[name] = fleet_->account(name);
+  for (const auto& name : fleet_->names("edge"))
+    props.edges.push_back({fleet_->http(name), fleet_->site(name), fleet_->status(name)});
+  for (const auto& name : fleet_->names("origin"))
+    props.accounts[name] = fleet_->account(name);
   props.agreedRates = {{"shop", agreedRate_}};
   props.kinds = kinds_;
   if (props.kinds.empty()) {
@@ -155,11 +161,13 @@
   Steps steps;
   steps.list.push_back({4000, [this] {
                           for (auto kind : {"edge", "shield", "agent"})
-                            for (auto& name : fleet_->names(kind)) fleet_->kill(name);
+                            for (auto& name : fleet_->names(kind))
+                              fleet_->kill(name);
                         }});
   steps.list.push_back({5000, [this] {
                           for (auto kind : {"agent", "shield", "edge"})
-                            for (auto& name : fleet_->names(kind)) fleet_->start(name);
+                            for (auto& name : fleet_->names(kind))
+                              fleet_->start(name);
                         }});
   verdict_.faultAtMs = 4000;
   verdict_.healedAtMs = 5000;
@@ -170,7 +178,8 @@
 auto Rehearsal::rolling() -> void {
   std::vector<std::string> names;
   for (auto kind : {"registry", "shield", "edge"})
-    for (auto& name : fleet_->names(kind)) names.push_back(name);
+    for (auto& name : fleet_->names(kind))
+      names.push_back(name);
   std::shuffle(names.begin(), names.end(), random_);
   size_t at = 0;
   auto state = 0;
@@ -209,18 +218,21 @@
                           auto answer = post("/configuration", services(agreedRate_, 900), pick(5));
                           if (answer.status == 200) acknowledged = 2;
                           for (auto kind : {"registry", "edge", "shield", "agent"})
-                            for (auto& name : fleet_->names(kind)) fleet_->kill(name);
+                            for (auto& name : fleet_->names(kind))
+                              fleet_->kill(name);
                         }});
   steps.list.push_back({5500, [this] {
                           for (auto kind : {"registry", "agent", "shield", "edge"})
-                            for (auto& name : fleet_->names(kind)) fleet_->start(name);
+                            for (auto& name : fleet_->names(kind))
+                              fleet_->start(name);
                         }});
   verdict_.faultAtMs = 4000;
   verdict_.healedAtMs = 5500;
   verdict_.report = load(24, std::ref(steps));
   if (acknowledged == 0) verdict_.faults.push_back("the configuration was not acknowledged before the power went");
   for (auto& name : fleet_->names("edge"))
-    if (revisionOf(name, "configuration") < acknowledged) verdict_.faults.push_back("acknowledged configuration lost at " + name);
+    if (revisionOf(name, "configuration") < acknowledged)
+      verdict_.faults.push_back("acknowledged configuration lost at " + name);
 }
 
 // A registry loses its disk right after an acknowledgement; then another one does.
@@ -253,7 +265,8 @@
 auto Rehearsal::split() -> void {
   auto registries = fleet_->names("registry");
   std::shuffle(registries.begin(), registries.end(), random_);
-  std::vector<std::string> minor(registries.begin(), registries.begin() + 2), rest(registries.begin() + 2, registries.end());
+  std::vector<std::string> minor(registries.begin(), registries.begin() + 2),
+      rest(registries.begin() + 2, registries.end());
   auto lost = any("edge");
   minor.push_back(lost);
   for (auto kind : {"edge", "shield"})
@@ -264,7 +277,8 @@
   steps.list.push_back({7000, [this, rest] {
                           auto at = 0u;
                           auto names = fleet_->names("registry");
-                          while (std::find(rest.begin(), rest.end(), names[at]) == rest.end()) ++at;
+                          while (std::find(rest.begin(), rest.end(), names[at]) == rest.end())
+                            ++at;
                           submitBeside(950, at);
                         }});
   steps.list.push_back({11000, [this, minor, rest] { cutApart(minor, rest, false); }});
@@ -273,14 +287,16 @@
   verdict_.report = load(24, std::ref(steps));
   for (auto kind : {"registry", "edge", "shield"})
     for (auto& name : fleet_->names(kind))
-      if (revisionOf(name, "configuration") != 2) verdict_.faults.push_back("configuration not in force at " + name + " after the heal");
+      if (revisionOf(name, "configuration") != 2)
+        verdict_.faults.push_back("configuration not in force at " + name + " after the heal");
 }
 
 // No proxy reaches any registry: nodes stop when what they know is too old, and come back.
 auto Rehearsal::coreAway() -> void {
   std::vector<std::string> proxies;
   for (auto kind : {"edge", "shield"})
-    for (auto& name : fleet_->names(kind)) proxies.push_back(name);
+    for (auto& name : fleet_->names(kind))
+      proxies.push_back(name);
   Steps steps;
   steps.list.push_back({4000, [this, proxies] { cutApart(proxies, fleet_->names("registry"), true); }});
   steps.list.push_back({10000, [this, proxies] { cutApart(proxies, fleet_->names("registry"), false); }});
@@ -288,7 +304,8 @@
   verdict_.healedAtMs = 10000;
   verdict_.report = load(26, std::ref(steps));
   // Well into the cut nothing may be served any more: a configuration could be in force that nobody here has.
-  if (verdict_.report.share(6500, 10000) > 0) verdict_.faults.push_back("nodes acted on knowledge older than the bound");
+  if (verdict_.report.share(6500, 10000) > 0)
+    verdict_.faults.push_back("nodes acted on knowledge older than the bound");
 }
 
 // Processes are frozen for longer than the bound, and thawed; a configuration changes meanwhile.
@@ -296,15 +313,18 @@
   std::vector<std::string> names = {any("shield"), any("edge"), any("registry")};
   Steps steps;
   steps.list.push_back({4000, [this, names] {
-                          for (auto& name : names) fleet_->signal(name, SIGSTOP);
+                          for (auto& name : names)
+                            fleet_->signal(name, SIGSTOP);
                         }});
   steps.list.push_back({6000, [this, names] {
                           auto at = 0u;
-                          while (fleet_->names("registry")[at] == names[2]) ++at;
+                          while (fleet_->names("registry")[at] == names[2])
+                            ++at;
                           submitBeside(940, at);
                         }});
   steps.list.push_back({9500, [this, names] {
-                          for (auto& name : names) fleet_->signal(name, SIGCONT);
+                          for (auto& name : names)
+                            fleet_->signal(name, SIGCONT);
                         }});
   verdict_.faultAtMs = 4000;
   verdict_.healedAtMs = 9500;
@@ -316,10 +336,12 @@
   Steps steps;
   auto bad = R"({"lose": 8, "garbage": 4, "cut": 6, "endless": 4, "long": 4, "error": 2})";
   steps.list.push_back({3000, [this, bad] {
-                          for (auto& name : fleet_->names("origin")) stand(name, bad);
+                          for (auto& name : fleet_->names("origin"))
+                            stand(name, bad);
                         }});
   steps.list.push_back({15000, [this] {
-                          for (auto& name : fleet_->names("origin")) stand(name, R"({"lose": 0, "garbage": 0, "cut": 0, "endless": 0, "long": 0, "error": 0})");
+                          for (auto& name : fleet_->names("origin"))
+                            stand(name, R"({"lose": 0, "garbage": 0, "cut": 0, "endless": 0, "long": 0, "error": 0})");
                         }});
   verdict_.faultAtMs = 3000;
   verdict_.healedAtMs = 15000;
@@ -342,7 +364,8 @@
   verdict_.report = load(14, std::ref(steps));
   for (auto& origin : {std::string(name), second}) {
     auto last = lastServedMs(origin);
-    verdict_.notes.push_back(origin + ": last request " + std::to_string(last - takenMs) + " ms after it was known to be leaving");
+    verdict_.notes.push_back(origin + ": last request " + std::to_string(last - takenMs) +
+                             " ms after it was known to be leaving");
     if (last - takenMs > 2000) verdict_.faults.push_back("requests reached " + origin + " too late");
   }
 }
@@ -366,8 +389,10 @@
   const auto* all = cJSON_GetObjectItemCaseSensitive(roster.get(), "upstreams");
   const auto* next = all ? cJSON_GetObjectItemCaseSensitive(all, "origin-next-1") : nullptr;
   const auto* state = next ? cJSON_GetObjectItemCaseSensitive(next, "state") : nullptr;
-  if (!cJSON_IsString(state) || std::string(state->valuestring) != "working") verdict_.faults.push_back("the address did not become usable again");
-  if (all && cJSON_GetObjectItemCaseSensitive(all, name.c_str())) verdict_.faults.push_back("the old entry is still there");
+  if (!cJSON_IsString(state) || std::string(state->valuestring) != "working")
+    verdict_.faults.push_back("the address did not become usable again");
+  if (all && cJSON_GetObjectItemCaseSensitive(all, name.c_str()))
+    verdict_.faults.push_back("the old entry is still there");
 }
 
 // Whoever asked two seconds after a purge's acknowledgement must have got what came after it.
@@ -382,7 +407,8 @@
         if (read.edition < needed) ++late;
       }
   }
-  if (late > 0) verdict_.faults.push_back(std::to_string(late) + " reads came from before a purge acknowledged more than 2 s ago");
+  if (late > 0)
+    verdict_.faults.push_back(std::to_string(late) + " reads came from before a purge acknowledged more than 2 s ago");
   return checked;
 }
 
@@ -395,7 +421,8 @@
   auto purge = [&](int64_t count) {
     ++edition;
     for (auto& name : fleet_->names("origin"))
-      if (fleet_->service(name) == "shop") stand(name, "{\"edition\": " + std::to_string(edition) + ", \"labels\": \"spring\"}");
+      if (fleet_->service(name) == "shop")
+        stand(name, "{\"edition\": " + std::to_string(edition) + ", \"labels\": \"spring\"}");
     // A storm: many purges at once, over all registries.
     upstream::Fetcher fetcher;
     std::map<uint64_t, std::string> open;
@@ -425,15 +452,18 @@
       }
   };
   Steps steps;
-  for (auto i = 0; i < 8; ++i) steps.list.push_back({2000 + i * 1000, [&, i] { purge(i % 4 == 3 ? 200 : 3); }});
+  for (auto i = 0; i < 8; ++i)
+    steps.list.push_back({2000 + i * 1000, [&, i] { purge(i % 4 == 3 ? 200 : 3); }});
   verdict_.faultAtMs = 2000;
   verdict_.healedAtMs = 10000;
   startMs = neighbour::steadyMs();
   verdict_.report = load(16, std::ref(steps));
   auto checked = judgeReads(acked);
   std::sort(tookMs.begin(), tookMs.end());
-  verdict_.notes.push_back("checked " + std::to_string(checked) + " reads against " + std::to_string(tookMs.size()) + " purges; a purge was acknowledged in " +
-                           std::to_string(tookMs.empty() ? 0 : tookMs[tookMs.size() / 2]) + " ms, at most " + std::to_string(tookMs.empty() ? 0 : tookMs.back()) + " ms");
+  verdict_.notes.push_back("checked " + std::to_string(checked) + " reads against " + std::to_string(tookMs.size()) +
+                           " purges; a purge was acknowledged in " +
+                           std::to_string(tookMs.empty() ? 0 : tookMs[tookMs.size() / 2]) + " ms, at most " +
+                           std::to_string(tookMs.empty() ? 0 : tookMs.back()) + " ms");
   if (checked < 100) verdict_.faults.push_back("too few reads to judge");
 }
 
@@ -455,10 +485,13 @@
         auto revision = revisionOf(name, "configuration");
         if (revision < 0) continue;
         ++polls;
-        if (revision < seen[name]) verdict_.faults.push_back(name + " slid back from " + std::to_string(seen[name]) + " to " + std::to_string(revision));
+        if (revision < seen[name])
+          verdict_.faults.push_back(name + " slid back from " + std::to_string(seen[name]) + " to " +
+                                    std::to_string(revision));
         seen[name] = std::max(seen[name], revision);
         for (auto& [ackMs, acknowledged] : acked)
-          if (atMs > ackMs + 2000 && revision < acknowledged) verdict_.faults.push_back(name + " lacks revision " + std::to_string(acknowledged));
+          if (atMs > ackMs + 2000 && revision < acknowledged)
+            verdict_.faults.push_back(name + " lacks revision " + std::to_string(acknowledged));
       }
   };
   verdict_.report = load(16, [&](int64_t passedMs) {
@@ -474,7 +507,8 @@
       fetch.target = "/configuration";
       fetch.timeoutMs = 8000;
       auto deadline = std::to_string(800 + round * 5 + static_cast<int64_t>(i));
-      fetch.body = R"({"base": )" + std::to_string(base) + R"(, "services": {"shop": {"hosts": ["shop.test"], "originRate": 200, "deadlineMs": )" + deadline +
+      fetch.body = R"({"base": )" + std::to_string(base) +
+                   R"(, "services": {"shop": {"hosts": ["shop.test"], "originRate": 200, "deadlineMs": )" + deadline +
                    R"(, "paths": [{"prefix": ")" + (i == 4 ? "" : "/") + R"(", "kind": "store", "keepMs": 2000}]}}})";
       fetcher.start(std::move(fetch));
     }
@@ -503,9 +537,11 @@
   ::usleep(2100000);
   watch();
   std::sort(tookMs.begin(), tookMs.end());
-  verdict_.notes.push_back("rounds " + std::to_string(round) + ", won " + std::to_string(won) + ", lost " + std::to_string(lost) + ", refused " +
-                           std::to_string(refused) + ", looks " + std::to_string(polls) + "; acknowledged in " +
-                           std::to_string(tookMs.empty() ? 0 : tookMs[tookMs.size() / 2]) + " ms, at most " + std::to_string(tookMs.empty() ? 0 : tookMs.back()) + " ms");
+  verdict_.notes.push_back("rounds " + std::to_string(round) + ", won " + std::to_string(won) + ", lost " +
+                           std::to_string(lost) + ", refused " + std::to_string(refused) + ", looks " +
+                           std::to_string(polls) + "; acknowledged in " +
+                           std::to_string(tookMs.empty() ? 0 : tookMs[tookMs.size() / 2]) + " ms, at most " +
+                           std::to_string(tookMs.empty() ? 0 : tookMs.back()) + " ms");
   if (won == 0 || lost == 0 || refused == 0) verdict_.faults.push_back("the race did not race");
 }
 
@@ -517,7 +553,8 @@
   if (answer.status != 200) verdict_.faults.push_back("the rate was not taken");
   props_.perSecond = 250;
   ::usleep(2500000);  // the former rate may still be in the windows
-  for (auto& name : fleet_->names("origin")) std::filesystem::resize_file(fleet_->account(name), 0);
+  for (auto& name : fleet_->names("origin"))
+    std::filesystem::resize_file(fleet_->account(name), 0);
   auto shield = any("shield");
   Steps steps;
   steps.list.push_back({5000, [this, shield] { fleet_->kill(shield); }});
@@ -557,16 +594,21 @@
   props_.perSecond = 150;
   auto shape = [](const std::string& kind, const std::string& keepMs, int64_t deadlineMs, int64_t least) {
     return R"({"name": "retail", "template": {"parameters": {"keep": {"low": 0, "high": 60000, "default": 4000}},
-      "service": {"deadlineMs": )" + std::to_string(deadlineMs) + R"(, "paths": [{"prefix": "/", "kind": ")" + kind + "\"" + keepMs + R"(}]},
-      "rollout": {"stepsPermille": [200, 500], "leastSample": )" + std::to_string(least) + R"(, "stepMs": 2000, "longestMs": 8000, "latencyMs": 15}}})";
+      "service": {"deadlineMs": )" +
+           std::to_string(deadlineMs) + R"(, "paths": [{"prefix": "/", "kind": ")" + kind + "\"" + keepMs + R"(}]},
+      "rollout": {"stepsPermille": [200, 500], "leastSample": )" +
+           std::to_string(least) + R"(, "stepMs": 2000, "longestMs": 8000, "latencyMs": 15}}})";
   };
   auto keep = std::string(R"(, "keepMs": {"parameter": "keep"})");
   auto must = [&](const upstream::Fetched& answer, const std::string& what) {
     if (answer.status != 200) verdict_.faults.push_back(what + ": " + answer.body);
   };
   must(post("/templates", shape("store", keep, 1000, 50)), "the first template");
-  must(post("/tenants", R"({"tenants": {"bazaar": {"template": "retail", "hosts": ["bazaar.test"], "values": {"keep": 5000}}}})"), "the tenant");
-  if (post("/tenants", R"({"tenants": {"b": {"template": "retail", "hosts": ["b"], "values": {"keep": 60001}}}})").status != 400)
+  must(post("/tenants",
+            R"({"tenants": {"bazaar": {"template": "retail", "hosts": ["bazaar.test"], "values": {"keep": 5000}}}})"),
+       "the tenant");
+  if (post("/tenants", R"({"tenants": {"b": {"template": "retail", "hosts": ["b"], "values": {"keep": 60001}}}})")
+          .status != 400)
     verdict_.faults.push_back("a value out of bounds was taken");
   struct Change {
     std::string name, body, expected;
@@ -596,7 +638,8 @@
       }
       running = id->valuestring;
       sinceMs = passedMs;
-      if (post("/templates", change.body).status != 409) verdict_.faults.push_back("a change during a rollout was not refused");
+      if (post("/templates", change.body).status != 409)
+        verdict_.faults.push_back("a change during a rollout was not refused");
       return;
     }
     if (change.killsHolder && killed.empty() && passedMs - sinceMs > 1200) {
@@ -614,7 +657,8 @@
     const auto* decisions = cJSON_GetObjectItemCaseSensitive(json.get(), "decisions");
     const auto* last = cJSON_GetArrayItem(decisions, cJSON_GetArraySize(decisions) - 1);
     const auto* why = last ? cJSON_GetObjectItemCaseSensitive(last, "why") : nullptr;
-    verdict_.notes.push_back(change.name + ": " + text + " after " + std::to_string(passedMs - sinceMs) + " ms; " + (cJSON_IsString(why) ? why->valuestring : ""));
+    verdict_.notes.push_back(change.name + ": " + text + " after " + std::to_string(passedMs - sinceMs) + " ms; " +
+                             (cJSON_IsString(why) ? why->valuestring : ""));
     if (text != change.expected) verdict_.faults.push_back(change.name + " ended as " + text);
     if (!killed.empty()) fleet_->start(killed);
     killed.clear();
@@ -668,7 +712,8 @@
 
 auto Rehearsal::names() -> std::vector<std::string> {
   std::vector<std::string> list;
-  for (const auto& one : all()) list.push_back(one.name);
+  for (const auto& one : all())
+    list.push_back(one.name);
   return list;
 }
 
@@ -690,7 +735,8 @@
       r.verdict_.faults.push_back(text);
   }
   auto& v = r.verdict_;
-  for (auto& fault : v.report.faults) v.faults.push_back(fault);
+  for (auto& fault : v.report.faults)
+    v.faults.push_back(fault);
   if (v.healedAtMs >= 0) {
     v.backMs = v.report.backAfterMs(v.healedAtMs);
     if (v.backMs < 0 || v.backMs > 15000) v.faults.push_back("service was not back 15 s after the failure");
--- a/tests/sim/rehearsal.hpp
+++ b/tests/sim/rehearsal.hpp
@@ -32,10 +32,10 @@
     std::string name;
     uint64_t seed = 0;
     Report report;
-    int64_t faultAtMs = 0;    // when the failure began
-    int64_t healedAtMs = 0;   // when it ended; -1 when it stays
-    int64_t backMs = -1;      // from its end until service is back
-    double during = 0;        // share served well from its begin to its end
+    int64_t faultAtMs = 0;   // when the failure began
+    int64_t healedAtMs = 0;  // when it ended; -1 when it stays
+    int64_t backMs = -1;     // from its end until service is back
+    double during = 0;       // share served well from its begin to its end
     std::vector<std::string> faults;
     std::vector<std::string> notes;
   };
@@ -50,8 +50,10 @@
     std::vector<std::pair<int64_t, std::function<void()>>> list;
     size_t next = 0;
     auto operator()(int64_t passedMs) -> void {
-      if (next == 0) std::stable_sort(list.begin(), list.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-      while (next < list.size() && passedMs >= list[next].first) list[next++].second();
+      if (next == 0)
+        std::stable_sort(list.begin(), list.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+      while (next < list.size() && passedMs >= list[next].first)
+        list[next++].second();
     }
   };
   struct Cause {
@@ -67,7 +69,8 @@
   auto pick(size_t n) -> size_t { return random_() % n; }
   auto any(const std::string& kind) -> std::string;
   // Submits a configuration beside the load, and then does what follows its acknowledgement.
-  auto submitBeside(int64_t deadlineMs, size_t registry, std::function<void()> then = [] {}) -> void;
+  auto submitBeside(
+      int64_t deadlineMs, size_t registry, std::function<void()> then = [] {}) -> void;
   auto configure() -> void;
   auto cutApart(const std::vector<std::string>& a, const std::vector<std::string>& b, bool isCut) -> void;
   auto revisionOf(const std::string& name, const char* key) -> int64_t;
@@ -111,7 +114,8 @@
   auto growth() -> void;
   auto storm() -> void;
 
-  using Purged = std::map<std::string, std::vector<std::pair<int64_t, int64_t>>>;  // target → when acknowledged, edition
+  using Purged =
+      std::map<std::string, std::vector<std::pair<int64_t, int64_t>>>;  // target → when acknowledged, edition
   // Judges the reads by the purges; returns how many there were to judge.
   auto judgeReads(const Purged& acked) -> uint64_t;
   // The upstreams that the roster lists.
--- a/tests/sim/rehearsal_disks.cpp
+++ b/tests/sim/rehearsal_disks.cpp
@@ -15,7 +15,8 @@
 auto Rehearsal::powerLoss() -> void {
   auto registries = fleet_->names("registry");
   if (props_.seed % 2 == 0)
-    for (const auto& name : registries) fleet_->mishap(name, props_.dropsSync ? "hold 1\ntorn 1\ndropSync 1\n" : "hold 1\ntorn 1\n");
+    for (const auto& name : registries)
+      fleet_->mishap(name, props_.dropsSync ? "hold 1\ntorn 1\ndropSync 1\n" : "hold 1\ntorn 1\n");
   int64_t acknowledged = 1;
   std::vector<std::string> down;
   Steps steps;
@@ -23,8 +24,11 @@
     auto t = 3000 + i * 7000;
     steps.list.push_back({t, [&, i] {
                             auto at = pick(5);
-                            auto answer = post("/configuration", std::string(R"({"services": {"extra)") + std::to_string(i) +
-                                                                     R"(": {"hosts": ["e)" + std::to_string(i) + R"(.test"], "paths": [{"prefix": "/", "kind": "store"}]}}})", at);
+                            auto answer = post("/configuration",
+                                               std::string(R"({"services": {"extra)") + std::to_string(i) +
+                                                   R"(": {"hosts": ["e)" + std::to_string(i) +
+                                                   R"(.test"], "paths": [{"prefix": "/", "kind": "store"}]}}})",
+                                               at);
                             verdict_.notes.push_back(answer.body.substr(0, 90));
                             if (answer.status == 200)
                               ++acknowledged;
@@ -35,15 +39,18 @@
                             if (how != 1) {
                               down.clear();
                               for (auto kind : {"registry", "agent", "shield", "edge"})
-                                for (auto& name : fleet_->names(kind)) down.push_back(name);
+                                for (auto& name : fleet_->names(kind))
+                                  down.push_back(name);
                             }
-                            for (auto& name : down) fleet_->kill(name);
+                            for (auto& name : down)
+                              fleet_->kill(name);
                             if (how == 2) fleet_->wipe(registries[pick(5)]);
                             static const char* said[] = {"all", "the acknowledging registry", "all, and one disk"};
                             verdict_.notes.push_back(std::string("power lost: ") + said[how]);
                           }});
     steps.list.push_back({t + 1500, [&] {
-                            for (auto& name : down) fleet_->start(name);
+                            for (auto& name : down)
+                              fleet_->start(name);
                           }});
   }
   verdict_.faultAtMs = 3000;
@@ -57,7 +64,8 @@
   for (auto kind : {"edge", "registry"})
     for (auto& name : fleet_->names(kind))
       if (auto has = revisionOf(name, "configuration"); has < acknowledged)
-        verdict_.faults.push_back("acknowledged configuration " + std::to_string(acknowledged) + " lost at " + name + ", which has " + std::to_string(has));
+        verdict_.faults.push_back("acknowledged configuration " + std::to_string(acknowledged) + " lost at " + name +
+                                  ", which has " + std::to_string(has));
 }
 
 // Disks of two registries are full or broken, at a write, at a sync, at the creation of a file; then they have room
@@ -70,7 +78,11 @@
   for (auto i = 0; i < 2; ++i) {
     auto name = names[static_cast<size_t>(i)];
     auto error = pick(2) ? "28" : "5";
-    steps.list.push_back({3000 + i * 1500, [this, name, i, error] { fleet_->mishap(name, std::string("hold 1\nfail ") + fails[(props_.seed + static_cast<uint64_t>(i)) % 2] + "\nerror " + error + "\n"); }});
+    steps.list.push_back({3000 + i * 1500, [this, name, i, error] {
+                            fleet_->mishap(name, std::string("hold 1\nfail ") +
+                                                     fails[(props_.seed + static_cast<uint64_t>(i)) % 2] + "\nerror " +
+                                                     error + "\n");
+                          }});
     steps.list.push_back({8000 + i * 500, [this, name] {
                             if (fleet_->isRunning(name)) verdict_.faults.push_back(name + " goes on without its disk");
                             // Started on a disk that still refuses, it says so and stops again.
@@ -78,16 +90,19 @@
                             fleet_->start(name);
                           }});
     steps.list.push_back({10000 + i * 500, [this, name] {
-                            if (fleet_->isRunning(name)) verdict_.faults.push_back(name + " started on a disk that refuses");
+                            if (fleet_->isRunning(name))
+                              verdict_.faults.push_back(name + " started on a disk that refuses");
                             fleet_->mishap(name, "hold 1\n");
                             fleet_->start(name);
                           }});
   }
-  for (auto i = 0; i < 5; ++i) steps.list.push_back({2500 + i * 2000, [this, i] { submitBeside(900 + i, pick(5)); }});
+  for (auto i = 0; i < 5; ++i)
+    steps.list.push_back({2500 + i * 2000, [this, i] { submitBeside(900 + i, pick(5)); }});
   verdict_.faultAtMs = 3000;
   verdict_.healedAtMs = 10500;
   verdict_.report = load(24, std::ref(steps));
-  if (verdict_.report.share(3000, 10500) < 0.95) verdict_.faults.push_back("two full disks of five stopped more than a twentieth of the requests");
+  if (verdict_.report.share(3000, 10500) < 0.95)
+    verdict_.faults.push_back("two full disks of five stopped more than a twentieth of the requests");
 }
 
 // One disk stalls for seconds, then two at once. A registry whose disk stalls still ends within its grace.
@@ -102,7 +117,8 @@
   steps.list.push_back({7500, [this, names] { fleet_->signal(names[0], SIGTERM); }});
   steps.list.push_back({10000, [this, names] { fleet_->mishap(names[1], "hold 1\n"); }});
   steps.list.push_back({14000, [this, names] {
-                          if (fleet_->isRunning(names[0])) verdict_.faults.push_back(names[0] + " took longer than the grace");
+                          if (fleet_->isRunning(names[0]))
+                            verdict_.faults.push_back(names[0] + " took longer than the grace");
                           fleet_->kill(names[0]);
                           fleet_->mishap(names[0], "hold 1\n");
                           fleet_->start(names[0]);
@@ -116,13 +132,17 @@
 auto Rehearsal::clocks() -> void {
   std::vector<std::string> names;
   for (auto kind : {"registry", "agent", "shield", "edge"})
-    for (auto& name : fleet_->names(kind)) names.push_back(name);
+    for (auto& name : fleet_->names(kind))
+      names.push_back(name);
   Steps steps;
   for (auto t = 3000; t < 11000; t += 250)
     steps.list.push_back({t, [this, names] {
                             for (auto i = 0; i < 4; ++i) {
                               auto hours = static_cast<int64_t>(pick(200)) - 100;
-                              fleet_->mishap(names[pick(names.size())], "hold 1\nclockMs " + std::to_string(hours * 3600000 + static_cast<int64_t>(pick(3600000))) + "\n");
+                              fleet_->mishap(names[pick(names.size())],
+                                             "hold 1\nclockMs " +
+                                                 std::to_string(hours * 3600000 + static_cast<int64_t>(pick(3600000))) +
+                                                 "\n");
                             }
                           }});
   steps.list.push_back({5000, [this] { submitBeside(905, pick(5)); }});
@@ -140,21 +160,25 @@
   int64_t takenMs = -1;
   Steps steps;
   steps.list.push_back({4000, [&] {
-                          for (auto& name : fleet_->names("shield")) fleet_->mishap(name, "connectMs 3500\n");
+                          for (auto& name : fleet_->names("shield"))
+                            fleet_->mishap(name, "connectMs 3500\n");
                         }});
   steps.list.push_back({4200, [&] {
-                          for (auto& name : origins) stand(name, R"({"emptying": true})");
+                          for (auto& name : origins)
+                            stand(name, R"({"emptying": true})");
                           takenMs = neighbour::steadyMs() + 700;
                         }});
   steps.list.push_back({8500, [&] {
-                          for (auto& name : fleet_->names("shield")) fleet_->mishap(name, "");
+                          for (auto& name : fleet_->names("shield"))
+                            fleet_->mishap(name, "");
                         }});
   verdict_.faultAtMs = 4000;
   verdict_.healedAtMs = 8500;
   verdict_.report = load(18, std::ref(steps));
   for (auto& origin : origins)
     if (auto late = lastServedMs(origin) - takenMs; late > 2000)
-      verdict_.faults.push_back("a request reached " + origin + " " + std::to_string(late) + " ms after it was known to be leaving");
+      verdict_.faults.push_back("a request reached " + origin + " " + std::to_string(late) +
+                                " ms after it was known to be leaving");
 }
 
 }  // namespace dykestage::sim
--- a/tests/sim/rehearsal_machines.cpp
+++ b/tests/sim/rehearsal_machines.cpp
@@ -38,7 +38,8 @@
   steps.list.push_back({3500, [cut] { cut(true); }});
   steps.list.push_back({6000, [this, lost] {
                           auto at = pick(5);
-                          while (fleet_->names("registry")[at] == lost) at = pick(5);
+                          while (fleet_->names("registry")[at] == lost)
+                            at = pick(5);
                           submitBeside(930, at);
                         }});
   steps.list.push_back({11500, [cut] { cut(false); }});
@@ -46,7 +47,8 @@
   verdict_.healedAtMs = 11500;
   verdict_.report = load(24, std::ref(steps));
   auto least = std::string(kind) == "edge" ? 0.6 : 0.75;
-  if (verdict_.report.share(3500, 11500) < least) verdict_.faults.push_back("one machine cut off stops more than its part");
+  if (verdict_.report.share(3500, 11500) < least)
+    verdict_.faults.push_back("one machine cut off stops more than its part");
 }
 
 // Machines are restarted in turn: a registry, an agent and a proxy go at once and come back after a while.
@@ -54,7 +56,8 @@
   auto registries = fleet_->names("registry");
   std::vector<std::string> proxies;
   for (auto kind : {"shield", "edge"})
-    for (auto& name : fleet_->names(kind)) proxies.push_back(name);
+    for (auto& name : fleet_->names(kind))
+      proxies.push_back(name);
   std::shuffle(registries.begin(), registries.end(), random_);
   std::shuffle(proxies.begin(), proxies.end(), random_);
   Steps steps;
@@ -63,17 +66,20 @@
     auto names = machineOf(proxies[i]);
     names.push_back(registries[i % registries.size()]);
     steps.list.push_back({t, [this, names] {
-                            for (auto& name : names) fleet_->kill(name);
+                            for (auto& name : names)
+                              fleet_->kill(name);
                           }});
     steps.list.push_back({t + 1500, [this, names] {
-                            for (auto& name : names) fleet_->start(name);
+                            for (auto& name : names)
+                              fleet_->start(name);
                           }});
     t += 5000;
   }
   verdict_.faultAtMs = 3000;
   verdict_.healedAtMs = t - 3500;
   verdict_.report = load(t / 1000 + 8, std::ref(steps));
-  if (verdict_.report.share(3000, t) < 0.9) verdict_.faults.push_back("machines restarted in turn cost more than a tenth of the requests");
+  if (verdict_.report.share(3000, t) < 0.9)
+    verdict_.faults.push_back("machines restarted in turn cost more than a tenth of the requests");
 }
 
 // One process of each kind comes and goes several times a second.
@@ -82,10 +88,12 @@
   Steps steps;
   for (auto t = 3000; t < 11000; t += 600)
     steps.list.push_back({t, [this, names, t] {
-                            for (auto& name : names) t / 600 % 2 ? fleet_->kill(name) : fleet_->start(name);
+                            for (auto& name : names)
+                              t / 600 % 2 ? fleet_->kill(name) : fleet_->start(name);
                           }});
   steps.list.push_back({11000, [this, names] {
-                          for (auto& name : names) fleet_->start(name);
+                          for (auto& name : names)
+                            fleet_->start(name);
                         }});
   verdict_.faultAtMs = 3000;
   verdict_.healedAtMs = 11000;
@@ -100,10 +108,12 @@
   Steps steps;
   for (auto t : {4000, 8000}) {
     steps.list.push_back({t, [this] {
-                            for (auto& name : fleet_->names("shield")) fleet_->kill(name);
+                            for (auto& name : fleet_->names("shield"))
+                              fleet_->kill(name);
                           }});
     steps.list.push_back({t + 300, [this] {
-                            for (auto& name : fleet_->names("shield")) fleet_->start(name);
+                            for (auto& name : fleet_->names("shield"))
+                              fleet_->start(name);
                           }});
   }
   verdict_.faultAtMs = 4000;
@@ -117,8 +127,10 @@
   Steps steps;
   steps.list.push_back({3500, [&] {
                           name = holder();
-                          if (name.empty()) verdict_.faults.push_back("nobody holds the watch");
-                          else fleet_->signal(name, SIGSTOP);
+                          if (name.empty())
+                            verdict_.faults.push_back("nobody holds the watch");
+                          else
+                            fleet_->signal(name, SIGSTOP);
                           fleet_->kill("origin-till-application-2");
                         }});
   steps.list.push_back({11500, [&] {
@@ -137,11 +149,13 @@
   repeatsKeyed_ = true;
   Steps steps;
   steps.list.push_back({4000, [this] {
-                          for (auto& name : fleet_->names("shield")) fleet_->signal(name, SIGSTOP);
+                          for (auto& name : fleet_->names("shield"))
+                            fleet_->signal(name, SIGSTOP);
                         }});
   steps.list.push_back({5000, [this] { submitBeside(945, pick(5)); }});
   steps.list.push_back({8000, [this] {
-                          for (auto& name : fleet_->names("shield")) fleet_->signal(name, SIGCONT);
+                          for (auto& name : fleet_->names("shield"))
+                            fleet_->signal(name, SIGCONT);
                         }});
   verdict_.faultAtMs = 4000;
   verdict_.healedAtMs = 8000;
@@ -153,16 +167,19 @@
   std::vector<std::string> names = {"agent-shield-1", "agent-edge-1"};
   Steps steps;
   steps.list.push_back({3500, [this, names] {
-                          for (auto& name : names) fleet_->signal(name, SIGSTOP);
+                          for (auto& name : names)
+                            fleet_->signal(name, SIGSTOP);
                         }});
   steps.list.push_back({5000, [this] { submitBeside(946, pick(5)); }});
   steps.list.push_back({9500, [this, names] {
-                          for (auto& name : names) fleet_->signal(name, SIGCONT);
+                          for (auto& name : names)
+                            fleet_->signal(name, SIGCONT);
                         }});
   verdict_.faultAtMs = 3500;
   verdict_.healedAtMs = 9500;
   verdict_.report = load(18, std::ref(steps));
-  if (verdict_.report.share(3500, 9500) < 0.75) verdict_.faults.push_back("two frozen agents stop more than their proxies' part");
+  if (verdict_.report.share(3500, 9500) < 0.75)
+    verdict_.faults.push_back("two frozen agents stop more than their proxies' part");
 }
 
 }  // namespace dykestage::sim
--- a/tests/sim/rehearsal_upstreams.cpp
+++ b/tests/sim/rehearsal_upstreams.cpp
@@ -13,7 +13,8 @@
   auto roster = get("/roster");
   const auto* all = cJSON_GetObjectItemCaseSensitive(roster.get(), "upstreams");
   if (!all) verdict_.faults.push_back("the roster can't be read");
-  for (const auto* one = all ? all->child : nullptr; one; one = one->next) names.insert(one->string);
+  for (const auto* one = all ? all->child : nullptr; one; one = one->next)
+    names.insert(one->string);
   return names;
 }
 
@@ -21,7 +22,8 @@
   std::istringstream lines(op::readFile(fleet_->account(origin)).value_or(""));
   std::string line;
   int64_t last = 0;
-  while (std::getline(lines, line)) last = std::max<int64_t>(last, std::atoll(line.c_str()));
+  while (std::getline(lines, line))
+    last = std::max<int64_t>(last, std::atoll(line.c_str()));
   return last;
 }
 
@@ -42,7 +44,8 @@
   verdict_.faultAtMs = 3000;
   verdict_.healedAtMs = t;
   verdict_.report = load(t / 1000 + 8, std::ref(steps));
-  if (verdict_.report.share(3000, t) < 0.98) verdict_.faults.push_back("a release cost more than a fiftieth of the requests");
+  if (verdict_.report.share(3000, t) < 0.98)
+    verdict_.faults.push_back("a release cost more than a fiftieth of the requests");
   auto all = listed();
   for (const auto& name : names)
     if (!all.count(name + "-next") || all.count(name))
@@ -54,7 +57,8 @@
   auto gone = {std::string("origin-till-application-2"), std::string("origin-shop-store-2")};
   Steps steps;
   steps.list.push_back({3000, [&] {
-                          for (auto& name : gone) fleet_->kill(name);
+                          for (auto& name : gone)
+                            fleet_->kill(name);
                         }});
   steps.list.push_back({9000, [this] {
                           fleet_->kill("origin-till-application-1");
@@ -63,7 +67,8 @@
   verdict_.faultAtMs = 3000;
   verdict_.healedAtMs = 9500;
   verdict_.report = load(20, std::ref(steps));
-  if (verdict_.report.share(6500, 9000) < 0.99) verdict_.faults.push_back("requests still fail long after upstreams vanished");
+  if (verdict_.report.share(6500, 9000) < 0.99)
+    verdict_.faults.push_back("requests still fail long after upstreams vanished");
   auto all = listed();
   for (const auto& name : gone)
     if (all.count(name)) verdict_.faults.push_back(name + " was not signed off");
@@ -74,15 +79,18 @@
   auto names = {std::string("origin-till-application-1"), std::string("origin-shop-store-1")};
   Steps steps;
   steps.list.push_back({3000, [&] {
-                          for (auto& name : names) stand(name, R"({"delayMs": 700})");
+                          for (auto& name : names)
+                            stand(name, R"({"delayMs": 700})");
                         }});
   steps.list.push_back({11000, [&] {
-                          for (auto& name : names) stand(name, R"({"delayMs": 3})");
+                          for (auto& name : names)
+                            stand(name, R"({"delayMs": 3})");
                         }});
   verdict_.faultAtMs = 3000;
   verdict_.healedAtMs = 11000;
   verdict_.report = load(18, std::ref(steps));
-  if (verdict_.report.share(5000, 11000) < 0.9) verdict_.faults.push_back("a slow upstream costs more than a tenth of the requests");
+  if (verdict_.report.share(5000, 11000) < 0.9)
+    verdict_.faults.push_back("a slow upstream costs more than a tenth of the requests");
 }
 
 // Announcements that are garbled, incomplete or impossible are refused with their places, and change nothing.
@@ -94,7 +102,13 @@
   };
   auto before = rosterText();
   std::vector<std::string> bad = {
-      "", "{", "[]", "null", "\x01\x02\xff", R"({"instance": 7})", R"({"instance": "x"})",
+      "",
+      "{",
+      "[]",
+      "null",
+      "\x01\x02\xff",
+      R"({"instance": 7})",
+      R"({"instance": "x"})",
       R"({"instance": "x", "service": "shop", "kind": "store", "address": "not an address", "site": "north"})",
       R"({"instance": "x", "service": "shop", "kind": "store", "address": "host.name:80", "site": "north"})",
       R"({"instance": "x", "service": "shop", "kind": "palace", "address": "127.0.0.1:99", "site": "north"})",
@@ -109,7 +123,8 @@
                             const auto& body = bad[pick(bad.size())];
                             auto answer = post("/announce", body, pick(5));
                             if (answer.status != 400 || answer.body.find("\"faults\":[{") == std::string::npos)
-                              verdict_.faults.push_back("a bad announcement got " + std::to_string(answer.status) + " " + answer.body + " for " + body.substr(0, 120));
+                              verdict_.faults.push_back("a bad announcement got " + std::to_string(answer.status) +
+                                                        " " + answer.body + " for " + body.substr(0, 120));
                           }});
   verdict_.faultAtMs = 2000;
   verdict_.healedAtMs = 8000;
--- a/tests/sim/system_sim.cpp
+++ b/tests/sim/system_sim.cpp
@@ -13,12 +13,17 @@
 
 namespace {
 constexpr int64_t kBoundMs = 2000;
-const std::string kStoreAt = "127.0.0.1:1", kLeavingAt = "127.0.0.1:3", kReusedAt = "127.0.0.1:4", kStoreToo = "127.0.0.1:5";
+const std::string kStoreAt = "127.0.0.1:1", kLeavingAt = "127.0.0.1:3", kReusedAt = "127.0.0.1:4",
+                  kStoreToo = "127.0.0.1:5";
 
 // The machine of an address such as "agent:edge-1".
-auto machineOf(const std::string& address) -> std::string { return address.substr(address.find(':') + 1); }
+auto machineOf(const std::string& address) -> std::string {
+  return address.substr(address.find(':') + 1);
+}
 
-auto pack(const auto& value) -> std::string { return Writer().put(value).take(); }
+auto pack(const auto& value) -> std::string {
+  return Writer().put(value).take();
+}
 }  // namespace
 
 auto SystemSim::Node::seeds() const -> std::vector<std::string> {
@@ -63,8 +68,18 @@
       {"proxies, upstreams come and go", proxies({.upstreams = true})},
       {"proxies, pressed origin", proxies({.crashes = true, .herds = true, .rate = 5, .nodeCuts = true})},
       {"proxies freeze", proxies({.freezes = true})},
-      {"proxies, all", proxies({.crashes = true, .wipes = true, .cuts = true, .freezes = true, .lossyUpstreams = true, .stalls = true, .herds = true,
-                                .blackouts = true, .nodeCuts = true, .fullDisks = true, .rolling = true, .upstreams = true})},
+      {"proxies, all", proxies({.crashes = true,
+                                .wipes = true,
+                                .cuts = true,
+                                .freezes = true,
+                                .lossyUpstreams = true,
+                                .stalls = true,
+                                .herds = true,
+                                .blackouts = true,
+                                .nodeCuts = true,
+                                .fullDisks = true,
+                                .rolling = true,
+                                .upstreams = true})},
   };
   return all;
 }
@@ -82,7 +97,8 @@
 
 // ---- the wire -----------------------------------------------------------------------------------------
 
-auto SystemSim::send(const std::string& fromMachine, const std::string& from, const std::string& to, uint8_t kind, const std::string& body) -> bool {
+auto SystemSim::send(const std::string& fromMachine, const std::string& from, const std::string& to, uint8_t kind,
+                     const std::string& body) -> bool {
   auto machine = machineOf(to);
   auto core = cores_.find(machine);
   auto node = nodes_.find(machine);
@@ -180,7 +196,8 @@
 auto SystemSim::coreProps(const Core& core) const -> core::Registry::Props {
   core::Registry::Props props;
   props.slot = core.slot;
-  for (const auto& [other, c] : cores_) props.addresses[c->slot] = "core:" + other;
+  for (const auto& [other, c] : cores_)
+    props.addresses[c->slot] = "core:" + other;
   return props;
 }
 
@@ -203,7 +220,8 @@
   if (!core.isUp) return;
   say((isPowerLost ? "crash " : "kill ") + name);
   auto written = isPowerLost ? 0 : pick(0, static_cast<int64_t>(core.unsynced.size()));
-  for (int64_t i = 0; i < written; ++i) write(core, core.unsynced[static_cast<size_t>(i)]);
+  for (int64_t i = 0; i < written; ++i)
+    write(core, core.unsynced[static_cast<size_t>(i)]);
   core.unsynced.clear();
   core.isUp = false;
   core.life = nextLife_++;
@@ -212,7 +230,8 @@
 
 // The ring's room is its own; a full disk takes no new frame. False when the registry can't go on without one.
 auto SystemSim::write(Core& core, const core::DiskJob& job) -> bool {
-  for (const auto& w : job.writes) core.writes.push_back(w);
+  for (const auto& w : job.writes)
+    core.writes.push_back(w);
   if (job.frame.empty()) return true;
   if (nowMs_ < core.fullUntilMs) return !job.mustHaveFrame;
   core.frame = job.frame;
@@ -251,7 +270,8 @@
       flush(core);
     });
   }
-  for (auto& letter : out.letters) send(machine, "core:" + machine, letter.to, letter.kind, letter.body);
+  for (auto& letter : out.letters)
+    send(machine, "core:" + machine, letter.to, letter.kind, letter.body);
   for (auto& a : out.answers) {
     auto it = pages_.find(a.stream.get());
     if (it == pages_.end()) continue;
@@ -270,8 +290,8 @@
   at(nowMs_ + 5, [this, name, life] { coreTick(name, life); });
 }
 
-auto SystemSim::http(const std::string& name, const std::string& method, const std::string& target, const std::string& body,
-                     std::function<void(const caller::Answer&)> then) -> void {
+auto SystemSim::http(const std::string& name, const std::string& method, const std::string& target,
+                     const std::string& body, std::function<void(const caller::Answer&)> then) -> void {
   auto& core = *cores_.at(name);
   if (!core.isUp || core.frozenUntilMs > nowMs_) return;
   caller::Request request;
@@ -360,21 +380,28 @@
 auto SystemSim::flush(Node& node) -> void {
   const auto& held = node.agentFollows->held();
   auto agentAt = "agent:" + node.name, loopAt = "loop:" + node.name, linkAt = "link:" + node.name;
-  for (auto& [to, feed] : node.toProxy->give(*held.frame, held.asOfMs, nowMs_)) send(node.name, loopAt, to, neighbour::kFeed, pack(feed));
-  for (auto& [to, feed] : node.toNeighbours->give(*held.frame, held.asOfMs, nowMs_)) send(node.name, agentAt, to, neighbour::kFeed, pack(feed));
+  for (auto& [to, feed] : node.toProxy->give(*held.frame, held.asOfMs, nowMs_))
+    send(node.name, loopAt, to, neighbour::kFeed, pack(feed));
+  for (auto& [to, feed] : node.toNeighbours->give(*held.frame, held.asOfMs, nowMs_))
+    send(node.name, agentAt, to, neighbour::kFeed, pack(feed));
   if (node.edge && node.shield) {
     flushBoth(node);
   } else if (node.edge) {
     for (auto out = node.edge->output(); !out.asks.empty() || !out.answers.empty(); out = node.edge->output()) {
       for (auto& a : out.asks)
         if (!send(node.name, node.address(), a.to, neighbour::kAsk, pack(a.ask))) node.edge->unsent(a.ask.id, nowMs_);
-      for (auto& a : out.answers) answered(a.stream.get(), a.answer);
+      for (auto& a : out.answers)
+        answered(a.stream.get(), a.answer);
     }
   } else {
-    auto out = node.shield->outputAfter([&](const auto& l) { return send(node.name, node.address(), l.to, l.kind, l.body); }, nowMs_);
-    for (auto& claims : out.claims) send(node.name, linkAt, loopAt, neighbour::kClaims, pack(claims));
-    for (auto& f : out.fetches) fetch(node.name, f);
-    for (auto& r : out.replies) send(node.name, node.address(), r.to, neighbour::kReply, pack(r.reply));
+    auto out = node.shield->outputAfter(
+        [&](const auto& l) { return send(node.name, node.address(), l.to, l.kind, l.body); }, nowMs_);
+    for (auto& claims : out.claims)
+      send(node.name, linkAt, loopAt, neighbour::kClaims, pack(claims));
+    for (auto& f : out.fetches)
+      fetch(node.name, f);
+    for (auto& r : out.replies)
+      send(node.name, node.address(), r.to, neighbour::kReply, pack(r.reply));
   }
 }
 
@@ -388,17 +415,22 @@
       else if (!send(node.name, node.address(), a.to, neighbour::kAsk, pack(a.ask)))
         node.edge->unsent(a.ask.id, nowMs_);
     }
-    for (auto& a : out.answers) answered(a.stream.get(), a.answer);
-    auto own = node.shield->outputAfter([&](const auto& l) { return send(node.name, node.address(), l.to, l.kind, l.body); }, nowMs_);
-    for (auto& claims : own.claims) send(node.name, "link:" + node.name, "loop:" + node.name, neighbour::kClaims, pack(claims));
-    for (auto& f : own.fetches) fetch(node.name, f);
+    for (auto& a : out.answers)
+      answered(a.stream.get(), a.answer);
+    auto own = node.shield->outputAfter(
+        [&](const auto& l) { return send(node.name, node.address(), l.to, l.kind, l.body); }, nowMs_);
+    for (auto& claims : own.claims)
+      send(node.name, "link:" + node.name, "loop:" + node.name, neighbour::kClaims, pack(claims));
+    for (auto& f : own.fetches)
+      fetch(node.name, f);
     for (auto& r : own.replies) {
       if (r.to == node.address())
         node.edge->takeReply(r.to, r.reply, nowMs_);
       else
         send(node.name, node.address(), r.to, neighbour::kReply, pack(r.reply));
     }
-    isMore = !out.asks.empty() || !out.answers.empty() || !own.claims.empty() || !own.fetches.empty() || !own.replies.empty();
+    isMore = !out.asks.empty() || !out.answers.empty() || !own.claims.empty() || !own.fetches.empty() ||
+             !own.replies.empty();
   }
 }
 
@@ -413,10 +445,12 @@
     std::vector<std::string> others;
     for (const auto& [other, member] : node.agentFollows->held().frame->members)
       if (other != name && !member.agent.empty()) others.push_back(member.agent);
-    for (auto& other : neighbour::rendezvous(name, others)) targets.push_back(other);
+    for (auto& other : neighbour::rendezvous(name, others))
+      targets.push_back(other);
     if (auto poll = node.agentFollows->tick(targets, 3, node.agentTold, nowMs_)) {
       poll->second.isNeighbour = poll->first.starts_with("agent:");
-      if (!send(name, "agent:" + name, poll->first, neighbour::kPoll, pack(poll->second))) node.agentFollows->lost(nowMs_);
+      if (!send(name, "agent:" + name, poll->first, neighbour::kPoll, pack(poll->second)))
+        node.agentFollows->lost(nowMs_);
     }
   }
   if (node.edge) node.edge->tick(nowMs_);
@@ -427,7 +461,9 @@
 
 auto SystemSim::fetched(const std::string& name, uint64_t life, const upstream::Fetched& f) -> void {
   auto& node = *nodes_.at(name);
-  if (!node.isUp || node.life != life || isBefore(node.frozenUntilMs, [this, name, life, f] { fetched(name, life, f); })) return;
+  if (!node.isUp || node.life != life ||
+      isBefore(node.frozenUntilMs, [this, name, life, f] { fetched(name, life, f); }))
+    return;
   node.shield->takeFetched(f, nowMs_);
   flush(node);
 }
@@ -442,10 +478,13 @@
     auto service = caller::header(fetch.headers, "dykestage-service");
     if (fetch.address == kStoreAt || fetch.address == kStoreToo) storeFetches_.push_back(nowMs_);
     auto extras = caller::has(fetch.headers, "dykestage-extra") ? 1 : props_.broken == Broken::kTries ? 2 : 0;
-    for (auto i = 0; i < extras; ++i) extras_[service].push_back(nowMs_);
+    for (auto i = 0; i < extras; ++i)
+      extras_[service].push_back(nowMs_);
     if (fetch.address == kLeavingAt && leavingKnownMs_ >= 0 && nowMs_ > leavingKnownMs_ + kBoundMs)
-      fault("a request reached an upstream " + std::to_string(nowMs_ - leavingKnownMs_) + " ms after it was known to be leaving");
-    if (fetch.address == kReusedAt && isReused_) fault("a request for " + service + " reached a service that no configuration allowed");
+      fault("a request reached an upstream " + std::to_string(nowMs_ - leavingKnownMs_) +
+            " ms after it was known to be leaving");
+    if (fetch.address == kReusedAt && isReused_)
+      fault("a request for " + service + " reached a service that no configuration allowed");
     if (fetch.address == kReusedAt && isGone_) {
       f.fault = upstream::Fault::kNotSent;
       f.isUntouched = true;
@@ -549,9 +588,10 @@
 auto SystemSim::configure(const std::string& registry, uint64_t base) -> void {
   auto fromMs = nowMs_;
   auto deadlineMs = 800 + ++deadlines_ % 1000;
-  auto body = std::string("{") + (base ? "\"base\": " + std::to_string(base) + ", " : "") + R"("services": {"shop": {"hosts": ["shop.test"], )" +
-              R"("originRate": )" + std::to_string(props_.rate) + R"(, "deadlineMs": )" +
-              std::to_string(deadlineMs) + R"(, "paths": [{"prefix": "/", "kind": "store", "keepMs": 5000}]},
+  auto body = std::string("{") + (base ? "\"base\": " + std::to_string(base) + ", " : "") +
+              R"("services": {"shop": {"hosts": ["shop.test"], )" + R"("originRate": )" + std::to_string(props_.rate) +
+              R"(, "deadlineMs": )" + std::to_string(deadlineMs) +
+              R"(, "paths": [{"prefix": "/", "kind": "store", "keepMs": 5000}]},
       "till": {"hosts": ["till.test"], "paths": [{"prefix": "/", "kind": "application"}]}}})";
   http(registry, "POST", "/configuration", body, [this, fromMs, deadlineMs](const caller::Answer& a) {
     if (a.status == 409) ++verdict_.conflicts;
@@ -580,12 +620,13 @@
   }
   auto target = "/items/" + std::to_string(pick(0, 9));
   auto edition = ++edition_;
-  http(name, "POST", "/purge", R"({"service": "shop", "path": ")" + target + "\"}", [this, target, edition, fromMs](const caller::Answer& a) {
-    if (a.status != 200) return;
-    purged_[target].emplace_back(nowMs_, edition);
-    ++verdict_.purges;
-    verdict_.ackMs.push_back(nowMs_ - fromMs);
-  });
+  http(name, "POST", "/purge", R"({"service": "shop", "path": ")" + target + "\"}",
+       [this, target, edition, fromMs](const caller::Answer& a) {
+         if (a.status != 200) return;
+         purged_[target].emplace_back(nowMs_, edition);
+         ++verdict_.purges;
+         verdict_.ackMs.push_back(nowMs_ - fromMs);
+       });
 }
 
 // Whoever would act now must have every configuration acknowledged more than the bound ago.
@@ -597,13 +638,16 @@
     ++verdict_.looks;
     const auto& held = *node->proxyFollows->held().frame;
     if (auto it = ackedDeadlines_.find(held.revision.configuration); it != ackedDeadlines_.end())
-      if (auto shop = held.services.find("shop"); shop != held.services.end() && shop->second.deadlineMs != it->second) {
-        fault(name + " has something else in force as revision " + std::to_string(it->first) + " than was acknowledged");
+      if (auto shop = held.services.find("shop");
+          shop != held.services.end() && shop->second.deadlineMs != it->second) {
+        fault(name + " has something else in force as revision " + std::to_string(it->first) +
+              " than was acknowledged");
         return;
       }
     for (const auto& [ackMs, revision] : acked_)
       if (nowMs_ > ackMs + kBoundMs && node->revision().configuration < revision) {
-        fault(name + " acts without configuration " + std::to_string(revision) + ", acknowledged " + std::to_string(nowMs_ - ackMs) + " ms ago");
+        fault(name + " acts without configuration " + std::to_string(revision) + ", acknowledged " +
+              std::to_string(nowMs_ - ackMs) + " ms ago");
         return;
       }
   }
@@ -619,14 +663,15 @@
                            {"a2", "till", "application", kLeavingAt, isLeaving_ ? "emptying" : "working"},
                            {isGone_ ? "n1" : "a3", isGone_ ? "next" : "till", "application", kReusedAt, "working"}};
   for (const auto& one : all) {
-    auto body = R"({"instance": ")" + one.instance + R"(", "service": ")" + one.service + R"(", "kind": ")" + one.kind + R"(", "address": ")" +
-                one.address + R"(", "site": "site", "state": ")" + one.state + R"("})";
+    auto body = R"({"instance": ")" + one.instance + R"(", "service": ")" + one.service + R"(", "kind": ")" + one.kind +
+                R"(", "address": ")" + one.address + R"(", "site": "site", "state": ")" + one.state + R"("})";
     for (auto i = 1; i <= 5; ++i) {
       auto name = "r" + std::to_string(i);
       if (!cores_.at(name)->isUp || cores_.at(name)->frozenUntilMs > nowMs_) continue;
       http(name, "POST", "/announce", body, [this, one](const caller::Answer& a) {
         if (a.status != 200) return;
-        if (one.instance == "a2" && one.state == "emptying" && isLeaving_ && leavingKnownMs_ < 0) leavingKnownMs_ = nowMs_;
+        if (one.instance == "a2" && one.state == "emptying" && isLeaving_ && leavingKnownMs_ < 0)
+          leavingKnownMs_ = nowMs_;
         // The new service takes requests once its entry is not held any more.
         if (one.instance == "n1" && a.body.find("known") != std::string::npos) isReused_ = true;
       });
@@ -639,11 +684,13 @@
   for (const auto& [service, list] : extras_) {
     const auto& asks = asks_[service];
     for (size_t first = 0, last = 0; last < list.size(); ++last) {
-      while (list[last] - list[first] >= 10000) ++first;
+      while (list[last] - list[first] >= 10000)
+        ++first;
       auto fromMs = list[last] - 10000;
       auto asked = std::count_if(asks.begin(), asks.end(), [&](int64_t ms) { return ms > fromMs && ms <= list[last]; });
       if (static_cast<double>(last - first + 1) > 0.2 * static_cast<double>(asked) + 10) {
-        fault("extra tries of " + service + ": " + std::to_string(last - first + 1) + " for " + std::to_string(asked) + " requests");
+        fault("extra tries of " + service + ": " + std::to_string(last - first + 1) + " for " + std::to_string(asked) +
+              " requests");
         return;
       }
     }
@@ -652,27 +699,35 @@
 
 auto SystemSim::plan() -> void {
   auto endMs = props_.faultsMs + props_.healMs;
-  for (int64_t t = 3000; t < endMs; t += 25) at(t + pick(0, 24), [this] { ask(pick(1, 5) == 1, ""); });
+  for (int64_t t = 3000; t < endMs; t += 25)
+    at(t + pick(0, 24), [this] { ask(pick(1, 5) == 1, ""); });
   at(2500, [this] {
-    http("r1", "POST", "/configuration", R"({"services": {
-      "shop": {"hosts": ["shop.test"], "originRate": )" + std::to_string(props_.rate) + R"(, "paths": [{"prefix": "/", "kind": "store", "keepMs": 5000}]},
+    http("r1", "POST", "/configuration",
+         R"({"services": {
+      "shop": {"hosts": ["shop.test"], "originRate": )" +
+             std::to_string(props_.rate) + R"(, "paths": [{"prefix": "/", "kind": "store", "keepMs": 5000}]},
       "till": {"hosts": ["till.test"], "paths": [{"prefix": "/", "kind": "application"}]}}})",
          [this](const caller::Answer& a) {
            if (a.status != 200) fault("the first configuration was not taken: " + a.body);
          });
   });
-  for (int64_t t = 4000; t < endMs - 1000; t += 150) at(t + pick(0, 149), [this] { submit(); });
-  for (int64_t t = 3000; t < endMs; t += 40) at(t, [this] { look(); });
+  for (int64_t t = 4000; t < endMs - 1000; t += 150)
+    at(t + pick(0, 149), [this] { submit(); });
+  for (int64_t t = 3000; t < endMs; t += 40)
+    at(t, [this] { look(); });
   // Upstreams beat to the registries that are up. The second application empties for a while, again and again; the
   // third one's address passes to a service that is not configured.
-  for (int64_t t = 1500; t < endMs; t += 400) at(t, [this] { announce(); });
+  for (int64_t t = 1500; t < endMs; t += 400)
+    at(t, [this] { announce(); });
   for (int64_t t = 4200; t < endMs; t += 5000) {
     at(t, [this] { isLeaving_ = true; });
     at(t + 3000, [this] { isLeaving_ = false, leavingKnownMs_ = -1; });
   }
   at(6000, [this] { isGone_ = true; });
   auto coresDown = [this] {
-    return std::count_if(cores_.begin(), cores_.end(), [this](auto& c) { return !c.second->isUp || c.second->frozenUntilMs > nowMs_ || !c.second->registry->isReady(nowMs_); });
+    return std::count_if(cores_.begin(), cores_.end(), [this](auto& c) {
+      return !c.second->isUp || c.second->frozenUntilMs > nowMs_ || !c.second->registry->isReady(nowMs_);
+    });
   };
   for (int64_t t = 4500; t < props_.faultsMs; t += 400)
     at(t + pick(0, 300), [this, coresDown] {
@@ -689,8 +744,10 @@
       if (props_.blackouts) kinds.push_back(10);
       if (kinds.empty()) return;
       std::vector<std::string> machines;
-      for (auto& [name, c] : cores_) machines.push_back(name);
-      for (auto& [name, n] : nodes_) machines.push_back(name);
+      for (auto& [name, c] : cores_)
+        machines.push_back(name);
+      for (auto& [name, n] : nodes_)
+        machines.push_back(name);
       auto core = "r" + std::to_string(pick(1, 5));
       auto node = std::next(nodes_.begin(), pick(0, static_cast<int64_t>(nodes_.size()) - 1))->first;
       auto cutBetween = [&](const std::string& a, const std::string& b, int64_t ms) {
@@ -719,7 +776,9 @@
           auto ms = pick(300, 3000);
           for (auto& a : machines)
             for (auto& b : machines)
-              if (a != b && (neighbour::hash(a + std::to_string(nowMs_)) ^ neighbour::hash(b + std::to_string(nowMs_))) & 1) cutBetween(a, b, ms);
+              if (a != b &&
+                  (neighbour::hash(a + std::to_string(nowMs_)) ^ neighbour::hash(b + std::to_string(nowMs_))) & 1)
+                cutBetween(a, b, ms);
           say("split");
           break;
         }
@@ -743,7 +802,8 @@
         case 7: {
           auto ms = pick(500, 4000);
           for (auto& [c, x] : cores_)
-            for (auto& [n, y] : nodes_) cutBetween(c, n, ms), cutBetween(n, c, ms);
+            for (auto& [n, y] : nodes_)
+              cutBetween(c, n, ms), cutBetween(n, c, ms);
           say("core away");
           break;
         }
@@ -809,7 +869,8 @@
   for (const auto& [id, end] : writes_)
     if (end == 'w' && !ran_.count(id)) fault("write " + id + " was answered and did not run");
   for (size_t first = 0, last = 0; last < storeFetches_.size(); ++last) {
-    while (storeFetches_[last] - storeFetches_[first] >= 5000) ++first;
+    while (storeFetches_[last] - storeFetches_[first] >= 5000)
+      ++first;
     if (static_cast<double>(last - first + 1) > 1.1 * 5 * static_cast<double>(props_.rate) + 1) {
       fault("the store got more than its rate");
       break;
@@ -825,11 +886,14 @@
   for (auto& [name, node] : nodes_) {
     const auto& held = node->agentFollows->held();
     std::string members;
-    for (const auto& [other, member] : held.frame->members) members += " " + other;
-    say(name + " asks " + node->agentFollows->target() + ", its frame is " + std::to_string(nowMs_ - held.asOfMs) + " ms old, members" + members);
+    for (const auto& [other, member] : held.frame->members)
+      members += " " + other;
+    say(name + " asks " + node->agentFollows->target() + ", its frame is " + std::to_string(nowMs_ - held.asOfMs) +
+        " ms old, members" + members);
   }
   for (const auto& [second, count] : seconds_)
-    say("second " + std::to_string(second) + ": " + std::to_string(count.second) + " of " + std::to_string(count.first) + " served well");
+    say("second " + std::to_string(second) + ": " + std::to_string(count.second) + " of " +
+        std::to_string(count.first) + " served well");
   judgeTries();
   if (verdict_.backMs < 0 && props_.rate >= 10) fault("service is not back after the heal");
   for (auto& [name, core] : cores_)
@@ -844,8 +908,10 @@
   auto level = FLAGS_minloglevel;
   FLAGS_minloglevel = google::GLOG_FATAL;
   populate();
-  for (auto& [name, core] : cores_) at(pick(0, 50), [this, n = name] { startCore(n); });
-  for (auto& [name, node] : nodes_) at(pick(0, 50), [this, n = name] { startNode(n); });
+  for (auto& [name, core] : cores_)
+    at(pick(0, 50), [this, n = name] { startCore(n); });
+  for (auto& [name, node] : nodes_)
+    at(pick(0, 50), [this, n = name] { startNode(n); });
   plan();
   auto endMs = props_.faultsMs + props_.healMs;
   try {
--- a/tests/sim/system_sim.hpp
+++ b/tests/sim/system_sim.hpp
@@ -19,10 +19,11 @@
 
 struct SystemVerdict {
   std::vector<std::string> faults;
-  uint64_t asked = 0, well = 0, busy = 0, unknown = 0, writesRan = 0, configurations = 0, purges = 0, conflicts = 0, looks = 0, readsJudged = 0;
-  uint64_t denied = 0;                  // proper requests that were called wrong
-  int64_t backMs = -1;                  // from the heal until every node is current and a second is served well
-  std::vector<int64_t> ackMs;           // of configurations, routings and purges
+  uint64_t asked = 0, well = 0, busy = 0, unknown = 0, writesRan = 0, configurations = 0, purges = 0, conflicts = 0,
+           looks = 0, readsJudged = 0;
+  uint64_t denied = 0;         // proper requests that were called wrong
+  int64_t backMs = -1;         // from the heal until every node is current and a second is served well
+  std::vector<int64_t> ackMs;  // of configurations, routings and purges
   std::vector<std::string> history;
 };
 
@@ -44,34 +45,35 @@
     kSync,        // disks say that they have synced and have not
     kLoser,       // who lost a race is told that it won
     // Of deployments of proxies:
-    kInstance,    // shields never learn of upstreams that leave, and requests do not say which one they are for
-    kFirst,       // nodes stay with the first routing that they took
-    kBack,        // now and then a node takes an earlier frame for the newest
-    kInvalid,     // who sent something invalid is told that it was taken
-    kRefused,     // who was taken is told that it has lost
-    kKeep,        // copies are kept for ever
-    kRate,        // nodes know of no pool's rate
-    kDenied,      // nodes lack a route that every routing has
-    kMixUp,       // nodes and readers get a routing otherwise than it was sent
-    kMute,        // operators hear nothing after the heal
-    kGone         // nodes that went down stay away
+    kInstance,  // shields never learn of upstreams that leave, and requests do not say which one they are for
+    kFirst,     // nodes stay with the first routing that they took
+    kBack,      // now and then a node takes an earlier frame for the newest
+    kInvalid,   // who sent something invalid is told that it was taken
+    kRefused,   // who was taken is told that it has lost
+    kKeep,      // copies are kept for ever
+    kRate,      // nodes know of no pool's rate
+    kDenied,    // nodes lack a route that every routing has
+    kMixUp,     // nodes and readers get a routing otherwise than it was sent
+    kMute,      // operators hear nothing after the heal
+    kGone       // nodes that went down stay away
   };
   struct Props {
     uint64_t seed = 1;
-    bool crashes = false, wipes = false, cuts = false, oneWayCuts = false, freezes = false, coreCuts = false, lossyUpstreams = false, stalls = false;
-    bool herds = false;        // all shields at once, or all proxies
-    bool blackouts = false;    // all registries lose power at once
-    int64_t rate = 60;         // the store's agreed rate
+    bool crashes = false, wipes = false, cuts = false, oneWayCuts = false, freezes = false, coreCuts = false,
+         lossyUpstreams = false, stalls = false;
+    bool herds = false;      // all shields at once, or all proxies
+    bool blackouts = false;  // all registries lose power at once
+    int64_t rate = 60;       // the store's agreed rate
     Broken broken = Broken::kNothing;
     int64_t faultsMs = 9000, healMs = 9000;
     int64_t wayMs = 4, syncMs = 2;  // at most, from machine to machine and to the disk
     bool keepHistory = false;
     // Proxies (an edge and a shield in one process) before three registries, fed by routing: see ProxySim.
     bool hasProxies = false;
-    bool nodeCuts = false;     // one node from all others, and perhaps from upstreams
+    bool nodeCuts = false;  // one node from all others, and perhaps from upstreams
     bool fullDisks = false;
-    bool rolling = false;      // machines are restarted in turn
-    bool upstreams = false;    // upstreams start, empty, crash, and their addresses pass to another pool
+    bool rolling = false;    // machines are restarted in turn
+    bool upstreams = false;  // upstreams start, empty, crash, and their addresses pass to another pool
   };
   explicit SystemSim(const Props& props);
   virtual ~SystemSim();
@@ -102,11 +104,11 @@
     std::unique_ptr<agent::Giver> toProxy, toNeighbours;
     agent::Told agentTold, proxyTold;
     bool hasProxySpoken = false;
-    std::unique_ptr<caller::Edge> edge;        // a node of kind "proxy" has both machines
+    std::unique_ptr<caller::Edge> edge;  // a node of kind "proxy" has both machines
     std::unique_ptr<upstream::Shield> shield;
     caller::HeldFrame inForce;
     std::map<std::string, core::Upstream> everSeen;  // for a guard that is taken out
-    core::Revision seen;  // the highest that it was seen to act on
+    core::Revision seen;                             // the highest that it was seen to act on
     auto revision() const -> core::Revision { return edge ? edge->revision() : shield->revision(); }
     auto address() const -> std::string { return "data:" + name; }
     auto seeds() const -> std::vector<std::string>;
@@ -126,7 +128,8 @@
   auto fault(const std::string& what) -> void;
   auto say(const std::string& what) -> void;
   auto isCut(const std::string& from, const std::string& to) const -> bool { return cuts_.count({from, to}) != 0; }
-  auto send(const std::string& fromMachine, const std::string& from, const std::string& to, uint8_t kind, const std::string& body) -> bool;
+  auto send(const std::string& fromMachine, const std::string& from, const std::string& to, uint8_t kind,
+            const std::string& body) -> bool;
   auto take(const std::string& to, const std::string& from, uint8_t kind, const std::string& body) -> void;
   auto startCore(const std::string& name) -> void;
   // Without power what was not synced is lost; where only the process ends, some of it is on the disk all the same.
@@ -163,9 +166,10 @@
   int64_t edition_ = 0;
   std::map<std::string, int> ran_;
   std::vector<int64_t> storeFetches_;
-  bool isLeaving_ = false;                 // the second application says that it is emptying
-  int64_t leavingKnownMs_ = -1;            // since when a registry has taken that
-  bool isGone_ = false, isReused_ = false; // the third application's address passes to a service that is not configured
+  bool isLeaving_ = false;       // the second application says that it is emptying
+  int64_t leavingKnownMs_ = -1;  // since when a registry has taken that
+  bool isGone_ = false,
+       isReused_ = false;  // the third application's address passes to a service that is not configured
   std::map<std::string, std::vector<int64_t>> asks_, extras_;  // by service
   // Callers and operators.
   struct Open {
@@ -178,15 +182,16 @@
   std::map<std::string, int> repeats_;  // of writes whose outcome was not known
   std::map<std::string, char> writes_;  // id → w(ell), b(usy), u(nknown)
   std::map<const caller::Stream*, std::function<void(const caller::Answer&)>> pages_;
-  std::vector<std::pair<int64_t, uint64_t>> acked_;                                  // at, configuration
-  int64_t deadlines_ = 0;                                                            // no two configurations are alike
-  std::map<uint64_t, int64_t> ackedDeadlines_;                                       // what it said
-  std::map<std::string, std::vector<std::pair<int64_t, int64_t>>> purged_;           // target → at, edition
-  std::map<int64_t, std::pair<uint64_t, uint64_t>> seconds_;                         // second → asked, well
+  std::vector<std::pair<int64_t, uint64_t>> acked_;                         // at, configuration
+  int64_t deadlines_ = 0;                                                   // no two configurations are alike
+  std::map<uint64_t, int64_t> ackedDeadlines_;                              // what it said
+  std::map<std::string, std::vector<std::pair<int64_t, int64_t>>> purged_;  // target → at, edition
+  std::map<int64_t, std::pair<uint64_t, uint64_t>> seconds_;                // second → asked, well
   SystemVerdict verdict_;
 };
 
-/// Runs one seeded history of the deployment that the props name. Example: `auto v = runSystem({.seed = 3, .crashes = true});`
+/// Runs one seeded history of the deployment that the props name. Example: `auto v = runSystem({.seed = 3, .crashes =
+/// true});`
 auto runSystem(const SystemSim::Props& props) -> SystemVerdict;
 
 }  // namespace dykestage::sim
--- a/tests/sim/timeline.hpp
+++ b/tests/sim/timeline.hpp
@@ -18,14 +18,17 @@
     events_.push_back({ms, order_++, std::move(what)});
     std::push_heap(events_.begin(), events_.end());
   }
-  /// True when that moment is still to come; `what` happens then. Example: `if (isBefore(host.frozenUntilMs, again)) return;`
+  /// True when that moment is still to come; `what` happens then. Example: `if (isBefore(host.frozenUntilMs, again))
+  /// return;`
   auto isBefore(int64_t ms, std::function<void()> what) -> bool {
     if (ms <= nowMs_) return false;
     at(ms, std::move(what));
     return true;
   }
   /// A number from `low` to `high`. Example: `pick(1, 6)`
-  auto pick(int64_t low, int64_t high) -> int64_t { return low + static_cast<int64_t>(random_() % static_cast<uint64_t>(high - low + 1)); }
+  auto pick(int64_t low, int64_t high) -> int64_t {
+    return low + static_cast<int64_t>(random_() % static_cast<uint64_t>(high - low + 1));
+  }
   /// Lets everything happen up to a moment, as long as `goesOn`. Example: `pass(9000, [&] { return faults.empty(); });`
   auto pass(int64_t endMs, const std::function<bool()>& goesOn) -> void {
     while (!events_.empty() && events_.front().atMs <= endMs && goesOn()) {
--- a/tests/system_test.cpp
+++ b/tests/system_test.cpp
@@ -18,28 +18,44 @@
     if (!v.faults.empty() && props.broken == SystemSim::Broken::kNothing) {
       props.keepHistory = true;
       std::cout << name << ", seed " << seed << ":\n";
-      for (const auto& line : runSystem(props).history) std::cout << line << "\n";
+      for (const auto& line : runSystem(props).history)
+        std::cout << line << "\n";
     }
-    for (auto& fault : v.faults) sum.faults.push_back("seed " + std::to_string(seed) + " " + fault);
-    sum.asked += v.asked, sum.well += v.well, sum.looks += v.looks, sum.readsJudged += v.readsJudged, sum.writesRan += v.writesRan;
+    for (auto& fault : v.faults)
+      sum.faults.push_back("seed " + std::to_string(seed) + " " + fault);
+    sum.asked += v.asked, sum.well += v.well, sum.looks += v.looks, sum.readsJudged += v.readsJudged,
+        sum.writesRan += v.writesRan;
     sum.configurations += v.configurations, sum.purges += v.purges;
     sum.backMs = std::max(sum.backMs, v.backMs);
     sum.ackMs.insert(sum.ackMs.end(), v.ackMs.begin(), v.ackMs.end());
   }
   std::sort(sum.ackMs.begin(), sum.ackMs.end());
-  auto at = [&](double q) { return sum.ackMs.empty() ? 0 : sum.ackMs[static_cast<size_t>(q * static_cast<double>(sum.ackMs.size() - 1))]; };
-  std::cout << name << ": " << count << " seeds, served well " << 100 * sum.well / std::max<uint64_t>(1, sum.asked) << "%, configurations "
-            << sum.configurations << ", purges " << sum.purges << ", acknowledged in " << at(0.5) << " ms, 99% in " << at(0.99) << ", at most " << at(1)
-            << ", back in " << sum.backMs << " ms at most\n";
+  auto at = [&](double q) {
+    return sum.ackMs.empty() ? 0 : sum.ackMs[static_cast<size_t>(q * static_cast<double>(sum.ackMs.size() - 1))];
+  };
+  std::cout << name << ": " << count << " seeds, served well " << 100 * sum.well / std::max<uint64_t>(1, sum.asked)
+            << "%, configurations " << sum.configurations << ", purges " << sum.purges << ", acknowledged in "
+            << at(0.5) << " ms, 99% in " << at(0.99) << ", at most " << at(1) << ", back in " << sum.backMs
+            << " ms at most\n";
   return sum;
 }
 }  // namespace
 
 TEST_CASE("Nothing that must never happen happens in the whole system, under every kind of failure") {
   // Of 100 first asks, at least so many served well: turning everything away is no pass.
-  const std::map<std::string, uint64_t> leastWell = {{"none", 99},   {"crashes", 85},      {"herds", 20},        {"wiped disks", 98},
-                                                     {"splits", 65}, {"one-way cuts", 80}, {"freezes", 70},      {"core away", 75},
-                                                     {"all", 55},    {"blackouts", 50}, {"pressed origin", 30},    {"stalled disks", 80}, {"upstreams lose answers", 95}};
+  const std::map<std::string, uint64_t> leastWell = {{"none", 99},
+                                                     {"crashes", 85},
+                                                     {"herds", 20},
+                                                     {"wiped disks", 98},
+                                                     {"splits", 65},
+                                                     {"one-way cuts", 80},
+                                                     {"freezes", 70},
+                                                     {"core away", 75},
+                                                     {"all", 55},
+                                                     {"blackouts", 50},
+                                                     {"pressed origin", 30},
+                                                     {"stalled disks", 80},
+                                                     {"upstreams lose answers", 95}};
   for (const auto& [name, props] : SystemSim::mixes()) {
     if (props.hasProxies) continue;
     auto v = runSeeds(name.c_str(), props, 20);
@@ -53,11 +69,20 @@
 }
 
 TEST_CASE("Proxies before three registries keep every rule while they are in touch, under every kind of failure") {
-  const std::map<std::string, uint64_t> leastWell = {{"proxies calm", 98},          {"proxies crash", 95},        {"proxies freeze", 88},        {"proxies in herds", 85},
-                                                     {"proxies split", 60},         {"proxies cut off", 75},      {"proxies, wiped disk", 96},
-                                                     {"proxies, stalled and full disks", 96}, {"proxies, blackouts", 45}, {"proxies restarted in turn", 96},
-                                                     {"proxies, answers lost", 80}, {"proxies, upstreams come and go", 96},
-                                                     {"proxies, pressed origin", 70}, {"proxies, all", 55}};
+  const std::map<std::string, uint64_t> leastWell = {{"proxies calm", 98},
+                                                     {"proxies crash", 95},
+                                                     {"proxies freeze", 88},
+                                                     {"proxies in herds", 85},
+                                                     {"proxies split", 60},
+                                                     {"proxies cut off", 75},
+                                                     {"proxies, wiped disk", 96},
+                                                     {"proxies, stalled and full disks", 96},
+                                                     {"proxies, blackouts", 45},
+                                                     {"proxies restarted in turn", 96},
+                                                     {"proxies, answers lost", 80},
+                                                     {"proxies, upstreams come and go", 96},
+                                                     {"proxies, pressed origin", 70},
+                                                     {"proxies, all", 55}};
   for (const auto& [name, props] : SystemSim::mixes()) {
     if (!props.hasProxies) continue;
     auto v = runSeeds(name.c_str(), props, 5);
@@ -88,13 +113,16 @@
       {"address of another service", "no configuration allowed", {.broken = Broken::kUpstreams}},
       {"purges missed", "a purged copy", {.broken = Broken::kPurges}},
       {"tries without budget", "extra tries", {.lossyUpstreams = true, .broken = Broken::kTries}},
-      {"acknowledged before the sync", "two changes were acknowledged as one revision", {.blackouts = true, .broken = Broken::kSync}},
+      {"acknowledged before the sync",
+       "two changes were acknowledged as one revision",
+       {.blackouts = true, .broken = Broken::kSync}},
       {"loser acknowledged", "acknowledged", {.broken = Broken::kLoser}},
   };
   for (const auto& row : rows) {
     auto v = runSeeds(row.name, row.props, 5);
     INFO(row.name);
-    CHECK(std::any_of(v.faults.begin(), v.faults.end(), [&](const auto& fault) { return fault.find(row.caught) != std::string::npos; }));
+    CHECK(std::any_of(v.faults.begin(), v.faults.end(),
+                      [&](const auto& fault) { return fault.find(row.caught) != std::string::npos; }));
   }
 }
 
@@ -110,7 +138,8 @@
   const std::vector<Row> rows = {
       {"second send", "ran 2 times", "proxies calm", Broken::kSecondSend},
       {"turned away after it ran", "was turned away and ran", "proxies, answers lost", Broken::kUntouched},
-      {"upstreams' leaving unheard", "after its leaving was acknowledged", "proxies, upstreams come and go", Broken::kUpstreams},
+      {"upstreams' leaving unheard", "after its leaving was acknowledged", "proxies, upstreams come and go",
+       Broken::kUpstreams},
       {"upstream not named", "whose pool no routing allowed", "proxies, upstreams come and go", Broken::kInstance},
       {"routing stays as it was", "acts on routing", "proxies calm", Broken::kFirst},
       {"old routing run", "as only an older routing allows", "proxies calm", Broken::kFirst},
@@ -139,7 +168,8 @@
     auto isCaught = false;
     for (props.seed = 1; props.seed <= 5 && !isCaught; ++props.seed) {
       auto v = runSystem(props);
-      isCaught = std::any_of(v.faults.begin(), v.faults.end(), [&](const auto& fault) { return fault.find(row.caught) != std::string::npos; });
+      isCaught = std::any_of(v.faults.begin(), v.faults.end(),
+                             [&](const auto& fault) { return fault.find(row.caught) != std::string::npos; });
     }
     INFO(row.name);
     CHECK(isCaught);
--- a/tests/tempo_test.cpp
+++ b/tests/tempo_test.cpp
@@ -46,7 +46,8 @@
     props.replicas = r;
     props.faults = f;
     std::map<Slot, Incarnation> members;
-    for (Slot s = 1; s <= r; ++s) members[s] = s;
+    for (Slot s = 1; s <= r; ++s)
+      members[s] = s;
     for (Slot s = 1; s <= r; ++s) {
       machines.push_back(std::make_unique<ListMachine>());
       nodes.push_back(std::make_unique<Node>(props, s, s, *machines.back()));
@@ -57,8 +58,10 @@
   auto gather() -> void {
     for (auto& n : nodes) {
       auto out = n->take();
-      for (auto& send : out.sends) letters.push_back({n->slot(), send.to, std::move(send.message)});
-      for (auto& answer : out.answers) answers.push_back(answer);
+      for (auto& send : out.sends)
+        letters.push_back({n->slot(), send.to, std::move(send.message)});
+      for (auto& answer : out.answers)
+        answers.push_back(answer);
     }
   }
   // Delivers the first letter that fits; false when there is none.
@@ -78,7 +81,8 @@
   }
   auto pass(int64_t ms, const std::vector<Slot>& living) -> void {
     for (auto end = nowMs + ms; nowMs < end; nowMs += 10) {
-      for (auto s : living) node(s).tick(nowMs);
+      for (auto s : living)
+        node(s).tick(nowMs);
       deliverAll([&](const Letter& l) {
         return std::count(living.begin(), living.end(), l.from) && std::count(living.begin(), living.end(), l.to);
       });
@@ -94,14 +98,17 @@
 // One row of the paper's table 1: the clocks of A to D before, f, and whether the fast path is taken.
 auto takesFastPath(uint32_t f, std::vector<Stamp> clocks) -> std::pair<bool, Stamp> {
   Table t(5, f);
-  for (size_t i = 0; i < clocks.size(); ++i) t.node(static_cast<Slot>(i + 1)).setClock(kMembers, clocks[i]);
+  for (size_t i = 0; i < clocks.size(); ++i)
+    t.node(static_cast<Slot>(i + 1)).setClock(kMembers, clocks[i]);
   t.gather();
   t.letters.clear();
   t.node(1).submit(1u << kMembers, "c", t.nowMs);
   // Only proposals and their acks move, so that nothing but the fast quorum decides.
   t.deliverAll([](const Letter& l) { return l.message.kind == Kind::kPropose || l.message.kind == Kind::kProposeAck; });
-  auto commit = std::find_if(t.letters.begin(), t.letters.end(), [](const auto& l) { return l.message.kind == Kind::kCommit; });
-  auto consensus = std::find_if(t.letters.begin(), t.letters.end(), [](const auto& l) { return l.message.kind == Kind::kConsensus; });
+  auto commit =
+      std::find_if(t.letters.begin(), t.letters.end(), [](const auto& l) { return l.message.kind == Kind::kCommit; });
+  auto consensus = std::find_if(t.letters.begin(), t.letters.end(),
+                                [](const auto& l) { return l.message.kind == Kind::kConsensus; });
   REQUIRE((commit != t.letters.end()) != (consensus != t.letters.end()));
   auto isFast = commit != t.letters.end();
   return {isFast, isFast ? commit->message.stamp : consensus->message.stamp};
@@ -117,7 +124,8 @@
     auto v = CoreSim(props).run();
     sum.executed += v.executed, sum.answered += v.answered, sum.fast += v.fast, sum.slow += v.slow;
     sum.recovered += v.recovered, sum.frames += v.frames, sum.voided += v.voided, sum.changes += v.changes;
-    for (auto& f : v.faults) sum.faults.push_back("seed " + std::to_string(seed) + " " + f);
+    for (auto& f : v.faults)
+      sum.faults.push_back("seed " + std::to_string(seed) + " " + f);
   }
   return sum;
 }
@@ -170,7 +178,8 @@
     CHECK(m->ran[0] == std::pair{Stamp{10}, std::string("both")});
   }
   // MBump: the lower partition's clocks followed before the commit.
-  for (Slot s = 1; s <= 3; ++s) CHECK(t.node(s).clock(kConfiguration) >= 10);
+  for (Slot s = 1; s <= 3; ++s)
+    CHECK(t.node(s).clock(kConfiguration) >= 10);
 }
 
 TEST_CASE("A command runs only once it is stable, and once") {
@@ -245,15 +254,20 @@
       for (Slot lost : {2u, 3u, 4u, 5u}) {
         Table t(5, 2);
         auto clocks = std::vector<Stamp>{5, 6, 10, d};
-        for (size_t i = 0; i < clocks.size(); ++i) t.node(static_cast<Slot>(i + 1)).setClock(kMembers, clocks[i]);
+        for (size_t i = 0; i < clocks.size(); ++i)
+          t.node(static_cast<Slot>(i + 1)).setClock(kMembers, clocks[i]);
         t.gather();
         t.letters.clear();
         t.node(1).submit(1u << kMembers, "c", t.nowMs);
-        t.deliverAll([](const Letter& l) { return l.message.kind != Kind::kCommit && l.message.kind != Kind::kConsensus; });
+        t.deliverAll(
+            [](const Letter& l) { return l.message.kind != Kind::kCommit && l.message.kind != Kind::kConsensus; });
         std::optional<Stamp> decided;
         for (auto& l : t.letters)
           if (l.message.kind == Kind::kCommit) decided = l.message.stamp;
-        if (told) t.deliver([&](const Letter& l) { return l.to == told && (l.message.kind == Kind::kCommit || l.message.kind == Kind::kConsensus); });
+        if (told)
+          t.deliver([&](const Letter& l) {
+            return l.to == told && (l.message.kind == Kind::kCommit || l.message.kind == Kind::kConsensus);
+          });
         t.letters.clear();
         std::vector<Slot> living;
         for (Slot s = 2; s <= 5; ++s)
@@ -282,9 +296,11 @@
       t.deliver([](const Letter& l) { return l.to == 3 && l.message.kind == Kind::kPayload; });
       t.letters.clear();
       t.nowMs += 10;
-      for (Slot s : {2u, 3u}) t.node(s).tick(t.nowMs);
+      for (Slot s : {2u, 3u})
+        t.node(s).tick(t.nowMs);
       t.nowMs += 400;
-      for (Slot s : {2u, 3u}) t.node(s).tick(t.nowMs);
+      for (Slot s : {2u, 3u})
+        t.node(s).tick(t.nowMs);
       t.gather();
       std::vector<Letter> first;
       for (auto& l : t.letters)
@@ -292,7 +308,8 @@
       t.letters.clear();
       REQUIRE(first.size() == (isLost ? 2 : 4));
       if (order.empty())
-        for (size_t i = 0; i < first.size(); ++i) order.push_back(i);
+        for (size_t i = 0; i < first.size(); ++i)
+          order.push_back(i);
       for (auto i : order) {
         t.node(first[i].to).receive(first[i].from, first[i].message, t.nowMs);
         t.gather();
@@ -320,7 +337,8 @@
   t.letters.clear();
   auto id = t.node(1).submit(1u << kConfiguration | 1u << kUpstreams, "c", t.nowMs);
   t.deliverAll([](const Letter& l) {
-    return l.message.part == kConfiguration && (l.message.kind == Kind::kPropose || l.message.kind == Kind::kProposeAck);
+    return l.message.part == kConfiguration &&
+           (l.message.kind == Kind::kPropose || l.message.kind == Kind::kProposeAck);
   });
   t.letters.clear();
   Message rec;
@@ -336,8 +354,10 @@
   rec.command = command;
   t.node(1).receive(3, rec, t.nowMs);
   t.gather();
-  CHECK(std::none_of(t.letters.begin(), t.letters.end(), [](const auto& l) { return l.message.kind == Kind::kRecAck; }));
-  CHECK(std::any_of(t.letters.begin(), t.letters.end(), [](const auto& l) { return l.to == 3 && l.message.kind == Kind::kCommit; }));
+  CHECK(
+      std::none_of(t.letters.begin(), t.letters.end(), [](const auto& l) { return l.message.kind == Kind::kRecAck; }));
+  CHECK(std::any_of(t.letters.begin(), t.letters.end(),
+                    [](const auto& l) { return l.to == 3 && l.message.kind == Kind::kCommit; }));
 }
 
 TEST_CASE("Seeded histories under every kind of failure") {
@@ -346,8 +366,8 @@
     INFO(name << ": " << (v.faults.empty() ? "" : v.faults.front()));
     CHECK(v.faults.empty());
     CHECK(v.answered > 60 * 120 * 2 / 5);  // a run in which nothing is answered proves nothing
-    std::cout << name << ": answered " << v.answered << ", fast " << v.fast << ", slow " << v.slow << ", recovered " << v.recovered
-              << ", frames " << v.frames << ", voided " << v.voided << "\n";
+    std::cout << name << ": answered " << v.answered << ", fast " << v.fast << ", slow " << v.slow << ", recovered "
+              << v.recovered << ", frames " << v.frames << ", voided " << v.voided << "\n";
   }
 }
 
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -1,13 +1,13 @@
 // Edges and shields as state machines, the cache, budgets and rates, and the checking of configurations.
-#include <catch2/catch.hpp>
 #include <sys/socket.h>
+#include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <filesystem>
 #include <cmath>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <random>
-#include <fstream>
 #include <sstream>
 
 #include "agent/feed.hpp"
@@ -46,7 +46,8 @@
   r.method = method;
   r.target = target;
   r.headers = {{"Host", "shop.test"}};
-  for (auto& h : more) r.headers.push_back(h);
+  for (auto& h : more)
+    r.headers.push_back(h);
   r.stream = std::make_shared<Stream>(fds[0]);
   ::close(fds[0]);
   ::close(fds[1]);
@@ -75,7 +76,8 @@
   return reply;
 }
 
-auto shieldAt(int64_t nowMs, std::shared_ptr<core::Frame> frame = frameOf(), const std::string& name = "shield-1", uint64_t life = 1) -> upstream::Shield {
+auto shieldAt(int64_t nowMs, std::shared_ptr<core::Frame> frame = frameOf(), const std::string& name = "shield-1",
+              uint64_t life = 1) -> upstream::Shield {
   upstream::Shield::Props props;
   props.name = name;
   props.site = "north";
@@ -86,7 +88,8 @@
   return shield;
 }
 
-auto askOf(uint64_t id, const std::string& method, const std::string& target, core::UpstreamKind kind) -> neighbour::Ask {
+auto askOf(uint64_t id, const std::string& method, const std::string& target, core::UpstreamKind kind)
+    -> neighbour::Ask {
   neighbour::Ask ask;
   ask.id = id;
   ask.service = "shop";
@@ -185,13 +188,15 @@
   SECTION("no shield takes it") {
     edge.take(request("POST", "/api/buy"), 1000);
     for (auto out = edge.output(); !out.asks.empty(); out = edge.output()) {
-      for (auto& asked : out.asks) edge.unsent(asked.ask.id, 1000);
+      for (auto& asked : out.asks)
+        edge.unsent(asked.ask.id, 1000);
       if (auto last = edge.output(); !last.answers.empty()) {
         CHECK(last.answers[0].answer.status == 503);
         CHECK_FALSE(header(last.answers[0].answer.headers, "retry-after").empty());
         return;
       } else {
-        for (auto& asked : last.asks) edge.unsent(asked.ask.id, 1000);
+        for (auto& asked : last.asks)
+          edge.unsent(asked.ask.id, 1000);
         last = edge.output();
         REQUIRE(last.answers.size() == 1);
         CHECK(last.answers[0].answer.status == 503);
@@ -277,7 +282,8 @@
     op.name = letter.shield;
     op.incarnation = letter.life;
     op.keys = letter.keys;
-    auto results = Reader(state.apply({.payload = Writer().put(std::vector{op}).take()}, 1)).get<std::vector<core::OpResult>>();
+    auto results =
+        Reader(state.apply({.payload = Writer().put(std::vector{op}).take()}, 1)).get<std::vector<core::OpResult>>();
     return {letter.nonce, letter.life, results.at(0).keys};
   }
 };
@@ -418,7 +424,8 @@
     std::vector<std::pair<upstream::Shield*, neighbour::Claims>> letters;
     auto gather = [&](upstream::Shield& shield) {
       auto out = shield.output();
-      for (auto& letter : out.claims) letters.emplace_back(&shield, letter);
+      for (auto& letter : out.claims)
+        letters.emplace_back(&shield, letter);
       return fetchesOf(out).size();
     };
     first.take("ed1", keyedAsk(1), 10000);
@@ -443,7 +450,8 @@
           holder.takeKeyAsk("x", Reader(told.body).get<neighbour::KeyAsk>(), 10520);
           auto answered = holder.output();
           sent += fetchesOf(answered).size();
-          if (!answered.letters.empty()) one->takeKeyTold(letterOf<neighbour::KeyTold>(answered, neighbour::kKeyTold), 10520);
+          if (!answered.letters.empty())
+            one->takeKeyTold(letterOf<neighbour::KeyTold>(answered, neighbour::kKeyTold), 10520);
         }
       }
     }
@@ -474,7 +482,8 @@
   };
   tick(5, 1000);
   core.order({1, 0, "shield-1", 1, {{"shop\nk", 1, 7, 600, false}}});
-  for (auto i = 0; i < 50; ++i) tick(6, 100000 + i * 1000);  // others' ticks move nothing
+  for (auto i = 0; i < 50; ++i)
+    tick(6, 100000 + i * 1000);  // others' ticks move nothing
   tick(5, 1500);
   CHECK(core.state.keys() == 1);
   claim.term = 2;
@@ -582,7 +591,8 @@
   shield.output();
   shield.take("ed3", askOf(3, "GET", "/a", core::UpstreamKind::kStore), 10040);
   out = shield.output();
-  for (auto& r : out.replies) CHECK(r.reply.body != "old");
+  for (auto& r : out.replies)
+    CHECK(r.reply.body != "old");
   shield.takeFetched(fetched(fresh.id, 200, "new"), 10050);
   out = shield.output();
   REQUIRE(out.replies.size() == 2);
@@ -622,7 +632,9 @@
   }
   CHECK(tried.size() > 100);
   for (auto end : tried) {
-    auto in = [&](const std::vector<int64_t>& list) { return std::count_if(list.begin(), list.end(), [&](auto at) { return at > end - 10000 && at <= end; }); };
+    auto in = [&](const std::vector<int64_t>& list) {
+      return std::count_if(list.begin(), list.end(), [&](auto at) { return at > end - 10000 && at <= end; });
+    };
     CHECK(static_cast<double>(in(tried)) <= 0.2 * static_cast<double>(in(asked)) + 10 + 0.001);
   }
 }
@@ -655,7 +667,8 @@
 auto mostInFiveSeconds(const std::vector<int64_t>& ran) -> size_t {
   size_t most = 0;
   for (size_t first = 0, last = 0; last < ran.size(); ++last) {
-    while (ran[last] - ran[first] >= 5000) ++first;
+    while (ran[last] - ran[first] >= 5000)
+      ++first;
     most = std::max(most, last - first + 1);
   }
   return most;
@@ -706,7 +719,8 @@
     auto op = op::readConfiguration(body, {}, faults);
     CHECK(op.has_value() == faults.empty());
     std::vector<std::string> list;
-    for (auto& f : faults) list.push_back(f.place);
+    for (auto& f : faults)
+      list.push_back(f.place);
     return list;
   };
   CHECK(places("{") == std::vector<std::string>{"the whole"});
@@ -716,8 +730,8 @@
     "a": {"hosts": ["h"], "deadlineMs": "soon", "paths": [{"prefix": "x", "kind": "store"}, {"prefix": "/", "kind": "shop"}]},
     "b": {"hosts": ["h"], "originRate": -1, "paths": []},
     "c": null}})");
-  for (auto place : {"whoa", "services.a.deadlineMs", "services.a.paths[0].prefix", "services.a.paths[1].kind", "services.b.originRate",
-                     "services.b.paths", "services.c", "services.b.hosts"}) {
+  for (auto place : {"whoa", "services.a.deadlineMs", "services.a.paths[0].prefix", "services.a.paths[1].kind",
+                     "services.b.originRate", "services.b.paths", "services.c", "services.b.hosts"}) {
     INFO(place);
     CHECK(std::count(many.begin(), many.end(), place) == 1);
   }
@@ -796,7 +810,8 @@
   CHECK(termsOf(500, {}, 5000).keepMs == 0);
   CHECK_FALSE(policy::isShareable("GET", {{"Range", "bytes=0-1"}}));
   CHECK_FALSE(policy::isShareable("HEAD", {}));
-  CHECK(endToEnd({{"Connection", "X-Hop, close"}, {"X-Hop", "1"}, {"TE", "x"}, {"X-A", "1"}, {"X-A", "2"}}) == Headers{{"X-A", "1"}, {"X-A", "2"}});
+  CHECK(endToEnd({{"Connection", "X-Hop, close"}, {"X-Hop", "1"}, {"TE", "x"}, {"X-A", "1"}, {"X-A", "2"}}) ==
+        Headers{{"X-A", "1"}, {"X-A", "2"}});
 }
 
 TEST_CASE("A shield that owes replies comes last, and a late read is asked elsewhere within the budget") {
@@ -857,7 +872,8 @@
   policy::SetPoints points;
   auto sample = [](int n, int64_t ms, int errors, int fetches) {
     policy::Sample s;
-    for (auto i = 0; i < n; ++i) s.add(ms, i < errors, i < fetches, 0);
+    for (auto i = 0; i < n; ++i)
+      s.add(ms, i < errors, i < fetches, 0);
     return s;
   };
   auto old = sample(1000, 20, 5, 100);
@@ -888,7 +904,8 @@
     CHECK(record.add({20, "POST", "shop.test", "/b?\"q\"", 5, true}));
     CHECK(record.add({10, "GET", "shop.test", "/a", 0, false}));
     auto count = 2;
-    while (record.add({30, "GET", "shop.test", "/c", 0, false})) ++count;
+    while (record.add({30, "GET", "shop.test", "/c", 0, false}))
+      ++count;
     CHECK(count == 4);
   }
   CHECK(std::filesystem::file_size(path) <= 300);
@@ -899,7 +916,8 @@
   CHECK(day->at(1).target == "/b?\"q\"");
   CHECK(day->at(1).bodyBytes == 5);
   CHECK(day->at(1).hasKey);
-  std::ofstream(path, std::ios::app) << "{\"atMs\": 1, \"method\": \"GET\", \"host\": \"h\", \"target\": \"nowhere\"}\n";
+  std::ofstream(path, std::ios::app)
+      << "{\"atMs\": 1, \"method\": \"GET\", \"host\": \"h\", \"target\": \"nowhere\"}\n";
   CHECK_FALSE(readRecord(path, reason));
   CHECK(reason == "line 5: target must start with /");
   std::filesystem::remove_all(folder);
@@ -913,7 +931,8 @@
     INFO(reason);
     REQUIRE(script);
     // Again and again: nothing of a failure may stay behind.
-    for (auto i = 0; i < 3; ++i) script->run("GET", "h", "/draft/a", reason);
+    for (auto i = 0; i < 3; ++i)
+      script->run("GET", "h", "/draft/a", reason);
     return script->run("GET", "h", "/draft/a", reason);
   };
   CHECK(run("function decide(r) if starts(r.target, '/draft/') then return {refuse = true} end end")->isRefused);
@@ -926,13 +945,16 @@
   CHECK_FALSE(run("function decide(r) return 7 end"));
   CHECK_FALSE(run("function decide(r) return {keepMs = -1} end"));
   CHECK_FALSE(run("function decide(r) return setmetatable({}, {__index = function() while true do end end}) end"));
-  for (auto text : {"function decide(", "x = 1", "while true do end", "os.exit(1)", "function decide(r) end require('os')", "("})
+  for (auto text :
+       {"function decide(", "x = 1", "while true do end", "os.exit(1)", "function decide(r) end require('os')", "("})
     CHECK_FALSE(Script::compile(text, reason));
   CHECK_FALSE(run("function decide(r) return {refuse = string.find(r.target, 'a')} end"));
   CHECK_FALSE(Script::compile("\x1bLua", reason));
 
   auto frame = frameOf();
-  frame->services["shop"].paths[0].policy = "function decide(r) if r.target == '/no' then return {refuse = true} end if r.target == '/bad' then error('x') end end";
+  frame->services["shop"].paths[0].policy =
+      "function decide(r) if r.target == '/no' then return {refuse = true} end if r.target == '/bad' then error('x') "
+      "end end";
   auto edge = edgeAt(1000, frame);
   edge.take(request("GET", "/no"), 1000);
   CHECK(edge.output().answers.at(0).answer.status == 403);
@@ -945,7 +967,9 @@
   CHECK(header(out.answers.at(0).answer.headers, "dykestage-policy") == "3019");
 
   std::vector<op::Fault> faults;
-  op::readConfiguration(R"({"services": {"a": {"hosts": ["h"], "paths": [{"prefix": "/", "kind": "store", "policy": "function"}]}}})", {}, faults);
+  op::readConfiguration(
+      R"({"services": {"a": {"hosts": ["h"], "paths": [{"prefix": "/", "kind": "store", "policy": "function"}]}}})", {},
+      faults);
   REQUIRE(faults.size() == 1);
   CHECK(faults[0].place == "services.a.paths[0].policy");
 }
@@ -962,17 +986,21 @@
   auto ran = [](int64_t atMs, const std::string& id, const char* what = "first") {
     return std::to_string(atMs) + " shop POST /buy " + id + " " + what + "\n";
   };
-  CHECK(faults({{"w1", End::kWell}, {"w2", End::kBusy}, {"w3", End::kUnknown}, {"w4", End::kUnknown}}, ran(1, "w1") + ran(2, "w3")) == 0);
+  CHECK(faults({{"w1", End::kWell}, {"w2", End::kBusy}, {"w3", End::kUnknown}, {"w4", End::kUnknown}},
+               ran(1, "w1") + ran(2, "w3")) == 0);
   CHECK(faults({{"w1", End::kWell}}, ran(1, "w1") + ran(900, "w1")) == 1);
   CHECK(faults({{"w1", End::kBusy}}, ran(1, "w1")) == 1);
   CHECK(faults({{"w1", End::kWell}}, ran(1, "w2")) == 1);
   std::string even, burst, tries;
-  for (auto i = 0; i < 1000; ++i) even += ran(i * 10, "-");                       // 100 a second
-  for (auto i = 0; i < 600; ++i) burst += ran(i < 300 ? i * 10 : 3000 + i, "-");  // 300 more within 0.3 s
+  for (auto i = 0; i < 1000; ++i)
+    even += ran(i * 10, "-");  // 100 a second
+  for (auto i = 0; i < 600; ++i)
+    burst += ran(i < 300 ? i * 10 : 3000 + i, "-");  // 300 more within 0.3 s
   CHECK(faults({}, even, 100) == 0);
   CHECK(faults({}, burst, 100) == 1);
   CHECK(faults({}, even, 80) == 1);
-  for (auto i = 0; i < 100; ++i) tries += ran(i * 100, "-") + (i % 2 ? ran(i * 100 + 1, "-", "extra") : "");
+  for (auto i = 0; i < 100; ++i)
+    tries += ran(i * 100, "-") + (i % 2 ? ran(i * 100 + 1, "-", "extra") : "");
   CHECK(faults({}, tries) == 1);
   auto body = sim::provenBody("shop", "/a", "r1", 300);
   CHECK(sim::isProven(body, "shop", "/a", "r1"));
@@ -1034,7 +1062,8 @@
         policy::Sample old, next;
         auto isLast = step + 1 == points.stepsPermille.size();
         verdict = policy::Verdict::kHold;
-        for (int64_t passedMs = 0; verdict == policy::Verdict::kHold && passedMs <= points.longestMs; passedMs += 250, ms += 250) {
+        for (int64_t passedMs = 0; verdict == policy::Verdict::kHold && passedMs <= points.longestMs;
+             passedMs += 250, ms += 250) {
           for (auto n = 0; n < static_cast<int>(change.perSecond / 4); ++n) {
             auto isNext = chance() * 1000 < static_cast<double>(points.stepsPermille[step]);
             auto tookMs = 5 + 20 * -std::log(1 - chance());
@@ -1051,8 +1080,9 @@
       change.endedMs.push_back(ms);
     }
     std::sort(change.endedMs.begin(), change.endedMs.end());
-    std::cout << change.name << ": " << change.wrong << " of " << kSeeds << " judged wrong; verdict after " << change.endedMs[kSeeds / 2] << " ms at the median, "
-              << change.endedMs[kSeeds * 9 / 10] << " ms in 9 of 10\n";
+    std::cout << change.name << ": " << change.wrong << " of " << kSeeds << " judged wrong; verdict after "
+              << change.endedMs[kSeeds / 2] << " ms at the median, " << change.endedMs[kSeeds * 9 / 10]
+              << " ms in 9 of 10\n";
     INFO(change.name);
     CHECK(change.wrong <= kSeeds / 20);
   }
