Membership of the core as ordered state: replicas are replaced at any address

Change: core::Membership (hellos, bootstrap, learners, replacement, fencing) beside the ordering; tempo::Replacement names slot, replaced and successor incarnation and address, and is one ordered command over all partitions. A replaced replica keeps its state until a majority of a later membership confirms, then goes on as a learner under another incarnation. A leaving registry hands over within the grace. Agents learn the registries with the news.

Ruled out: growing r for the time of a change (a majority of four tolerates no more than one of three).

--- a/lib/agent/feed.cpp
+++ b/lib/agent/feed.cpp
@@ -109,6 +109,7 @@
     mustMove_ = true;
     return false;
   }
+  if (!feed.registries.empty()) registries_ = feed.registries;
   auto isNew = feed.news.revision != held_.frame->revision;
   if (isNew) {
     auto next = std::make_shared<core::Frame>(*held_.frame);
--- a/lib/agent/feed.hpp
+++ b/lib/agent/feed.hpp
@@ -69,6 +69,8 @@
   auto take(const neighbour::Feed& feed, int64_t nowMs) -> bool;
   auto held() const -> const caller::HeldFrame& { return held_; }
   auto target() const -> const std::string& { return target_; }
+  /// Where the registries are, as the last answer had it; empty: not told yet. Example: `follower.registries()`
+  auto registries() const -> const std::vector<std::string>& { return registries_; }
   /// The registry for a letter's first, second ... attempt: the one that is asked for news, then the others.
   /// Example: `post->send(follower.registryFor(seeds, claims.attempt), letter.kind, letter.body);`
   auto registryFor(const std::vector<std::string>& registries, uint32_t attempt) const -> const std::string&;
@@ -84,6 +86,7 @@
   core::Revision inForce_;
   int64_t askedMs_ = 0, preferredMs_ = 0, waitUntilMs_ = 0;
   size_t nextPreferred_ = 0;
+  std::vector<std::string> registries_;
   std::string target_;
   std::string neighbour_;  // to go back to when the registry that was tried fails
 };
--- a/lib/core/gathering.hpp
+++ b/lib/core/gathering.hpp
@@ -47,7 +47,9 @@
   /// The list, sorted, once it is settled; the own address is in it. Example: `if (auto list = gathering.addresses())
   /// ...`
   auto addresses() const -> const std::optional<std::vector<std::string>>& { return settled_; }
-  /// True once a list without the own address was settled elsewhere: there is no seat.
+  /// Everybody heard of, itself included. Example: `props.contacts = gathering.known();`
+  auto known() const -> const std::set<std::string>& { return known_; }
+  /// True once a list without the own address was settled elsewhere: it joins that core as a learner.
   /// Example: `if (gathering.isLeftOut()) LOG(WARNING) << ...`
   auto isLeftOut() const -> bool { return isLeftOut_; }
 
--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -12,7 +12,6 @@
 using namespace caller;
 using neighbour::Bundle;
 using neighbour::Have;
-using neighbour::Hello;
 using neighbour::Poll;
 
 namespace {
@@ -47,6 +46,12 @@
   return frame;
 }
 
+auto membershipOptions(const Registry::Props& props) -> Membership::Options {
+  auto own = props.addresses.find(props.slot);
+  auto address = props.address.empty() && own != props.addresses.end() ? own->second : props.address;
+  return {props.slot, address, props.addresses, props.contacts, props.boundMs, props.mayForm};
+}
+
 auto versionDetail(uint64_t version) -> std::string {
   return ",\"version\":" + std::to_string(version);
 }
@@ -73,29 +78,31 @@
                    uint64_t freshIncarnation)
     : props_(std::move(props)),
       disk_(diskFrame(frame, freshIncarnation)),
-      node_(props_.core, props_.slot, disk_.incarnation, state_),
+      node_(std::make_unique<tempo::Node>(props_.core, props_.slot, disk_.incarnation, state_)),
+      membership_(membershipOptions(props_), disk_.membership),
       giver_(props_.holdMs),
       life_(freshIncarnation) {
-  if (!disk_.node.empty()) node_.load(disk_.node);
+  if (!disk_.node.empty()) node_->load(disk_.node);
   for (const auto& write : writes)
-    node_.replay(write);
-  node_.replayed();
+    node_->replay(write);
+  node_->replayed();
   taken_ = published_ = std::make_shared<Frame>(state_.frame());
   disk_.slot = props_.slot;
   disk_.addresses = props_.addresses;
   if (frame.empty()) saveFrame(true);
-  LOG(INFO) << "core: Slot " << props_.slot << ", life " << disk_.incarnation
+  LOG(INFO) << "core: Slot " << node_->slot() << ", incarnation " << disk_.incarnation
             << (frame.empty() ? ", blank disk." : ", disk read.");
 }
 
 auto Registry::isReady(int64_t nowMs) const -> bool {
-  return node_.isMember() && ageMs(nowMs) < props_.staleMs;
+  return node_->isMember() && ageMs(nowMs) < props_.staleMs;
 }
 
 // ---- steps and the disk -------------------------------------------------------------------------------
 
 auto Registry::saveFrame(bool isNeeded) -> void {
-  disk_.node = node_.isMember() || node_.epoch() > 0 ? node_.save() : std::string();
+  disk_.node = node_->members().empty() ? std::string() : node_->save();
+  disk_.membership = membership_.saved();
   DiskJob job{nextJob_++, {}, Writer().put(disk_).take(), isNeeded};
   lastJob_ = frameJob_ = job.number;
   out_.jobs.push_back(std::move(job));
@@ -103,9 +110,11 @@
 
 // Gathers what the node asks for; it leaves when the writes of this step and all before are synced.
 auto Registry::collect(int64_t nowMs) -> void {
-  auto made = node_.take();
+  auto made = node_->take();
   if (made.frameTaken) {
     saveFrame(true);
+    snapshotJob_ = lastJob_;
+    snapshotEpoch_ = node_->epoch();
   } else if (!made.writes.empty()) {
     DiskJob job{nextJob_++, std::move(made.writes), {}, false};
     lastJob_ = job.number;
@@ -113,21 +122,25 @@
   }
   Step step;
   step.job = lastJob_;
-  std::map<uint32_t, Bundle> bundles;
+  std::map<std::string, Bundle> bundles;
   for (auto& send : made.sends) {
-    bundles[send.to].slot = props_.slot;
-    bundles[send.to].messages.push_back(std::move(send.message));
+    // Whoever is ahead is asked where it was heard: the slot may be at another address in the epoch that is known here.
+    const auto& known = send.message.kind == tempo::Kind::kFrameAsk ? heardFrom_ : node_->addresses();
+    auto address = known.find(send.to);
+    if (address == known.end()) continue;
+    auto& bundle = bundles[address->second];
+    bundle.slot = node_->slot();
+    bundle.messages.push_back(std::move(send.message));
   }
-  for (auto& [slot, bundle] : bundles)
-    if (auto it = props_.addresses.find(slot); it != props_.addresses.end())
-      step.letters.push_back({it->second, neighbour::kTempo, Writer().put(bundle).take()});
+  for (auto& [address, bundle] : bundles)
+    step.letters.push_back({address, neighbour::kTempo, Writer().put(bundle).take()});
   step.answers = std::move(made.answers);
   if (ran_.empty() || state_.frame().revision != ran_.back().first) ran_.emplace_back(state_.frame().revision, nowMs);
   while (ran_.size() > 1 && nowMs - ran_[1].second > 2 * ackMs())
     ran_.pop_front();
   if (state_.frame().revision != taken_->revision) taken_ = step.published = std::make_shared<Frame>(state_.frame());
   if (!step.letters.empty() || !step.answers.empty() || step.published) steps_.push_back(std::move(step));
-  if (wantsFrame_ && node_.isMember() && nowMs - frameTriedMs_ > props_.boundMs / 2) {
+  if (wantsFrame_ && node_->isMember() && nowMs - frameTriedMs_ > props_.boundMs / 2) {
     wantsFrame_ = false;
     frameTriedMs_ = nowMs;
     saveFrame(false);
@@ -142,6 +155,10 @@
     keep(syncsUs_, tookUs);
   }
   syncedJob_ = std::max(syncedJob_, number);
+  if (snapshotJob_ != 0 && syncedJob_ >= snapshotJob_) {
+    snapshotJob_ = 0;
+    membership_.onSnapshotSynced(snapshotEpoch_, nowMs);
+  }
   if (fill > 0.5 && (number == 0 || number >= frameJob_)) wantsFrame_ = true;
   release(nowMs);
 }
@@ -183,7 +200,7 @@
 }
 
 auto Registry::flushBatch(int64_t nowMs) -> void {
-  if (batch_.empty() || nowMs - batchSinceMs_ < props_.batchMs || !node_.isMember()) return;
+  if (batch_.empty() || nowMs - batchSinceMs_ < props_.batchMs || !node_->isMember()) return;
   // Operations that touch the same partitions travel as one command.
   std::map<uint8_t, std::vector<Pending>> groups;
   for (auto& one : std::exchange(batch_, {}))
@@ -192,7 +209,7 @@
     std::vector<Op> ops;
     for (auto& one : group)
       ops.push_back(one.op);
-    auto id = node_.submit(parts, Writer().put(ops).take(), nowMs);
+    auto id = node_->submit(parts, Writer().put(ops).take(), nowMs);
     running_[id] = std::move(group);
     runningSinceMs_[id] = nowMs;
   }
@@ -411,10 +428,10 @@
   auto isPost = request.method == "POST";
   if (isGet && path == "/ready") {
     if (isReady(nowMs)) return json(who, "{\"ready\":true}");
-    return answer(who, codeAnswer(node_.isMember() ? kNotCurrent : kNotMember, 1));
+    return answer(who, codeAnswer(node_->isMember() ? kNotCurrent : kNotMember, 1));
   }
   if (isGet && path == "/status") return json(who, statusPage(nowMs));
-  if (!isReady(nowMs)) return answer(who, codeAnswer(node_.isMember() ? kNotCurrent : kNotMember, 1));
+  if (!isReady(nowMs)) return answer(who, codeAnswer(node_->isMember() ? kNotCurrent : kNotMember, 1));
   if (isGet && path == "/configuration") return json(who, op::writeConfiguration(*published_));
   if (isGet && path == "/roster") return json(who, op::writeRoster(*published_));
   if (isGet && path == "/templates") return page(to(who), jsonAnswer(op::writeTemplates(state_)));
@@ -504,8 +521,10 @@
 }
 
 auto Registry::feed(int64_t nowMs) -> void {
-  for (auto& [to, feed] : giver_.give(*published_, asOfMs_, nowMs))
+  for (auto& [to, feed] : giver_.give(*published_, asOfMs_, nowMs)) {
+    feed.registries = membership_.addresses(*node_);
     out_.letters.push_back({to, neighbour::kFeed, Writer().put(feed).take()});
+  }
 }
 
 // ---- letters ------------------------------------------------------------------------------------------
@@ -515,13 +534,12 @@
   Reader r(body);
   if (kind == neighbour::kTempo) {
     auto bundle = r.get<Bundle>();
-    if (!r.done()) return;
-    for (const auto& message : bundle.messages)
-      node_.receive(bundle.slot, message, nowMs);
-    collect(nowMs);
+    if (r.done()) onBundle(from, bundle, nowMs);
   } else if (kind == neighbour::kHello) {
-    auto hello = r.get<Hello>();
-    if (r.done() && props_.addresses.count(hello.slot)) onHello(hello, nowMs);
+    auto hello = r.get<neighbour::Hello>();
+    if (!r.done()) return;
+    membership_.onHello(hello, *node_, nowMs);
+    followMembership(nowMs);
   } else if (kind == neighbour::kHave) {
     auto have = r.get<Have>();
     if (!r.done()) return;
@@ -550,12 +568,13 @@
     auto claims = r.get<neighbour::Claims>();
     if (r.done() && isReady(nowMs)) onClaims(from, std::move(claims));
   } else if (kind == neighbour::kGather) {
-    // Whoever still gathers is told the list; it never changes.
+    // Whoever still gathers is told the list, or the present members once there are any.
     auto gather = r.get<neighbour::Gather>();
-    if (!r.done() || gather.isDone) return;
+    const auto& known = node_->members().empty() ? props_.addresses : node_->addresses();
+    if (!r.done() || gather.isDone || known.empty()) return;
     neighbour::Gather list;
     list.isDone = true;
-    for (const auto& [slot, address] : props_.addresses)
+    for (const auto& [slot, address] : known)
       list.addresses.push_back(address);
     out_.letters.push_back({from, neighbour::kGather, Writer().put(list).take()});
   } else if (kind == neighbour::kPoll) {
@@ -579,80 +598,79 @@
   });
 }
 
-// ---- formation and replacement ------------------------------------------------------------------------
+// ---- membership ---------------------------------------------------------------------------------------
+
+auto Registry::onBundle(const std::string& from, const Bundle& bundle, int64_t nowMs) -> void {
+  if (bundle.slot != 0) heardFrom_[bundle.slot] = from;
+  for (const auto& message : bundle.messages) {
+    if (message.kind == tempo::Kind::kFrameAsk)
+      sendSnapshot(from);
+    else
+      node_->receive(bundle.slot, message, nowMs);
+  }
+  collect(nowMs);
+}
 
-auto Registry::hello() -> void {
-  Hello hello;
-  hello.slot = props_.slot;
-  hello.incarnation = disk_.incarnation;
-  hello.epoch = node_.epoch();
-  hello.isMember = node_.isMember();
-  hello.isFormed = node_.isMember() || disk_.isFormed;
-  hello.proposed = hello.isMember ? node_.members() : disk_.proposed;
-  auto body = Writer().put(hello).take();
-  // A proposal of first members is told only when it is synced.
+// What ran here may rest on something that is not synced yet; the snapshot leaves once it is.
+auto Registry::sendSnapshot(const std::string& to) -> void {
+  if (node_->members().empty()) return;
+  tempo::Message snapshot;
+  snapshot.kind = tempo::Kind::kFrame;
+  snapshot.from = node_->incarnation();
+  snapshot.epoch = node_->epoch();
+  snapshot.frame = node_->save();
   Step step;
   step.job = lastJob_;
-  for (const auto& [slot, address] : props_.addresses)
-    if (slot != props_.slot) step.letters.push_back({address, neighbour::kHello, body});
+  step.letters.push_back({to, neighbour::kTempo, Writer().put(Bundle{node_->slot(), {snapshot}}).take()});
   steps_.push_back(std::move(step));
 }
 
-auto Registry::onHello(const Hello& hello, int64_t nowMs) -> void {
-  hellos_[hello.slot] = hello;
-  if (node_.isMember()) {
-    auto seat = node_.members().find(hello.slot);
-    auto isStranger = !hello.isMember && seat != node_.members().end() && seat->second != hello.incarnation;
-    if (!isStranger || (node_.alive() & tempo::Node::bit(hello.slot))) {
-      strangers_.erase(hello.slot);
-      return;
-    }
-    // A blank life in a slot whose seated life is silent: one living member seats it.
-    auto since = strangers_.try_emplace(hello.slot, nowMs).first->second;
-    auto isFirst = true;
-    for (const auto& [slot, incarnation] : node_.members())
-      if (slot < props_.slot && (node_.alive() & tempo::Node::bit(slot))) isFirst = false;
-    if (!isFirst || nowMs - since < props_.boundMs / 2 || nowMs - seatMs_ < props_.boundMs / 2) return;
-    seatMs_ = nowMs;
-    LOG(INFO) << "core: Seating life " << hello.incarnation << " in slot " << hello.slot << ".";
-    node_.submit(tempo::kAllParts, tempo::Node::seat(hello.slot, hello.incarnation), nowMs, tempo::kReplaceReplica);
-    collect(nowMs);
-    return;
+// Does what the membership asks for. Its hellos tell what is saved: they leave once that is synced.
+auto Registry::followMembership(int64_t nowMs) -> void {
+  auto made = membership_.output();
+  if (made.isBootstrapped) {
+    LOG(INFO) << "core: Bootstrapped with " << props_.addresses.size() << " replicas.";
+    node_->form(membership_.saved().proposed, props_.addresses);
   }
-  if (hello.isMember) {
-    auto seat = hello.proposed.find(props_.slot);
-    if (seat == hello.proposed.end() || seat->second != disk_.incarnation) return;
-    if (disk_.proposed == hello.proposed && hello.epoch == 0) {  // the formation ended elsewhere
-      node_.form(disk_.proposed);
-      disk_.isFormed = true;
-      saveFrame(true);
-      return;
-    }
-    tempo::Message ask;
-    ask.kind = tempo::Kind::kFrameAsk;
-    ask.from = disk_.incarnation;
-    out_.letters.push_back(
-        {props_.addresses.at(hello.slot), neighbour::kTempo, Writer().put(Bundle{props_.slot, {ask}}).take()});
-    return;
-  }
-  if (!props_.mayForm) return;
-  // First formation: every initial member must be blank, and must have synced the same list of lives.
-  if (hellos_.size() + 1 < props_.addresses.size()) return;
-  if (disk_.proposed.empty()) {
-    std::map<uint32_t, uint64_t> proposed{{props_.slot, disk_.incarnation}};
-    for (const auto& [slot, other] : hellos_) {
-      if (other.isFormed || other.isMember) return;
-      proposed[slot] = other.incarnation;
-    }
-    disk_.proposed = proposed;
-    saveFrame(true);
-    return;
+  if (made.isBootstrapped || made.mustSave) saveFrame(true);
+  Step step;
+  step.job = lastJob_;
+  for (const auto& [to, hello] : made.hellos)
+    step.letters.push_back({to, neighbour::kHello, Writer().put(hello).take()});
+  for (const auto& to : made.snapshotRequests) {
+    tempo::Message request;
+    request.kind = tempo::Kind::kFrameAsk;
+    request.from = node_->incarnation();
+    step.letters.push_back({to, neighbour::kTempo, Writer().put(Bundle{node_->slot(), {request}}).take()});
   }
-  for (const auto& [slot, other] : hellos_)
-    if (other.proposed != disk_.proposed) return;
-  LOG(INFO) << "core: The first members are formed.";
-  node_.form(disk_.proposed);
-  disk_.isFormed = true;
+  if (!step.letters.empty()) steps_.push_back(std::move(step));
+  if (made.replacement) node_->replace(*made.replacement, nowMs);
+  collect(nowMs);
+}
+
+// Fencing: whoever finds that it was replaced while it was away drops its former self, and joins as a learner.
+auto Registry::restartAsLearner(int64_t nowMs) -> void {
+  auto former = std::to_string(disk_.incarnation);
+  LOG(WARNING) << "core: Incarnation " << former << " was replaced while it was away; it goes on as a learner.";
+  for (auto& one : std::exchange(batch_, {}))
+    one.done(nullptr, nowMs);
+  runningSinceMs_.clear();
+  for (auto& [id, pending] : std::exchange(running_, {}))
+    for (auto& one : pending)
+      one.done(nullptr, nowMs);
+  batch_.clear();  // what was tried again
+  disk_.incarnation = neighbour::hash(former + " replaced in epoch " + std::to_string(node_->epoch()));
+  state_ = State();
+  props_.slot = 0;
+  props_.addresses.clear();
+  disk_.slot = 0;
+  disk_.addresses.clear();
+  node_ = std::make_unique<tempo::Node>(props_.core, 0, disk_.incarnation, state_);
+  membership_.restartAsLearner();
+  asOfMs_ = -1;
+  snapshotJob_ = 0;
+  ran_.clear();
+  taken_ = published_ = std::make_shared<Frame>();
   saveFrame(true);
 }
 
@@ -661,8 +679,10 @@
 auto Registry::watch(int64_t nowMs) -> void {
   auto duty = state_.duty(kWatchDuty);
   // The duty is vacant when its holder's ticks stop being executed while others' go on.
-  auto silence = static_cast<uint64_t>(props_.boundMs / props_.tickMs) * props_.addresses.size();
-  auto isVacant = duty.term == 0 || state_.ticks() > state_.lastTick(duty.holder) + silence;
+  auto silence = static_cast<uint64_t>(props_.boundMs / props_.tickMs) * node_->members().size();
+  auto isReplaced = std::none_of(node_->members().begin(), node_->members().end(),
+                                 [&](const auto& one) { return one.second == duty.holder; });
+  auto isVacant = duty.term == 0 || isReplaced || state_.ticks() > state_.lastTick(duty.holder) + silence;
   if (isVacant && !watches() && nowMs - claimMs_ > props_.boundMs) {
     claimMs_ = nowMs;
     Op op;
@@ -801,11 +821,10 @@
 
 auto Registry::tick(int64_t nowMs) -> void {
   nowMs_ = nowMs;
-  if (nowMs - helloMs_ >= helloEveryMs()) {
-    helloMs_ = nowMs;
-    hello();
-  }
-  if (node_.isMember()) {
+  membership_.tick(*node_, nowMs);
+  followMembership(nowMs);
+  if (membership_.isReplaced(*node_) && !membership_.isLeaving()) restartAsLearner(nowMs);
+  if (node_->isMember()) {
     if (nowMs - tickedMs_ >= props_.tickMs) {
       tickedMs_ = nowMs;
       Op op;
@@ -833,11 +852,11 @@
       for (const auto& [name, beatMs] : beats_)
         if (nowMs - beatMs < props_.boundMs) have.beats[name] = nowMs - beatMs;
       auto body = Writer().put(have).take();
-      for (const auto& [slot, address] : props_.addresses)
-        if (slot != props_.slot) out_.letters.push_back({address, neighbour::kHave, body});
+      for (const auto& [slot, address] : node_->addresses())
+        if (slot != node_->slot()) out_.letters.push_back({address, neighbour::kHave, body});
     }
     flushBatch(nowMs);
-    node_.tick(nowMs);
+    node_->tick(nowMs);
   }
   collect(nowMs);
   checkAcks(nowMs);
@@ -864,10 +883,10 @@
 }
 
 auto Registry::dueMs() const -> int64_t {
-  auto due = std::min(helloMs_ + helloEveryMs(), giver_.dueMs());
+  auto due = std::min(membership_.dueMs(*node_), giver_.dueMs());
   auto by = [&](int64_t atMs) { due = std::min(due, atMs); };
-  if (node_.isMember()) {
-    by(node_.dueMs());
+  if (node_->isMember()) {
+    by(node_->dueMs());
     by(tickedMs_ + props_.tickMs);
     by(haveMs_ + haveEveryMs());
     if (!batch_.empty()) by(batchSinceMs_ + props_.batchMs);
@@ -882,16 +901,16 @@
 }
 
 auto Registry::statusPage(int64_t nowMs) const -> std::string {
-  auto f = node_.figures();
+  auto f = node_->figures();
   auto duty = state_.duty(kWatchDuty);
   op::StatusPage page("registry");
   auto number = [&](const char* key, double value) { page.number(key, value); };
   page.text("life", std::to_string(disk_.incarnation));
   page.flag("ready", isReady(nowMs));
-  page.flag("member", node_.isMember());
+  page.flag("member", node_->isMember());
   page.flag("watches", watches());
-  number("slot", props_.slot);
-  number("epoch", node_.epoch());
+  number("slot", node_->slot());
+  number("epoch", node_->epoch());
   number("ageMs", static_cast<double>(std::min<int64_t>(ageMs(nowMs), 1 << 30)));
   number("watchTerm", static_cast<double>(duty.term));
   page.revision(published_->revision);
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -12,6 +12,7 @@
 #include "agent/feed.hpp"
 #include "caller/codes.hpp"
 #include "caller/face.hpp"
+#include "core/membership.hpp"
 #include "core/state.hpp"
 #include "neighbour/messages.hpp"
 #include "operator/configuration.hpp"
@@ -30,15 +31,14 @@
 /// What a registry's disk holds besides the writes behind it.
 struct DiskFrame {
   /// Grows by one whenever a record's fields change, here, in the state or in the ordering's writes.
-  static constexpr uint32_t kVersion = 3;
+  static constexpr uint32_t kVersion = 4;
   uint32_t version = kVersion;
   uint64_t incarnation = 0;
-  std::map<uint32_t, uint64_t> proposed;  // the first members
-  bool isFormed = false;
-  tempo::Slot slot = 0;
-  std::map<tempo::Slot, std::string> addresses;  // of all registries: what the settings say later does not change them
+  Membership::Saved membership;
+  tempo::Slot slot = 0;                          // among the initial replicas
+  std::map<tempo::Slot, std::string> addresses;  // of the initial replicas: later settings don't change them
   std::string node;
-  DYKESTAGE_FIELDS(version, incarnation, proposed, isFormed, slot, addresses, node)
+  DYKESTAGE_FIELDS(version, incarnation, membership, slot, addresses, node)
   /// Why a disk's frame can't be read by this release; empty: it can. Example: `if (auto why =
   /// DiskFrame::refusal(frame); !why.empty()) exit(3);`
   static auto refusal(const std::string& bytes) -> std::string;
@@ -50,8 +50,10 @@
  public:
   struct Props {
     tempo::Props core;
-    tempo::Slot slot = 1;
-    std::map<tempo::Slot, std::string> addresses;  // of all registries
+    tempo::Slot slot = 1;                          // among the initial replicas; 0: it joins a core that there is
+    std::map<tempo::Slot, std::string> addresses;  // of the initial replicas
+    std::string address;                           // its own; empty: as `addresses` has it
+    std::vector<std::string> contacts;             // where a core may be found
     int64_t boundMs = 2000;                        // the freshness bound
     int64_t staleMs = 1500;                        // 3/4 of it
     int64_t tickMs = 250;                          // 1/8 of it
@@ -62,7 +64,7 @@
     int64_t memberMissMs = 5000;  // silence after which a data node is signed off
     int64_t answerMs = 5000;      // after it a submission's outcome is called unknown
     size_t waiting = 4000;        // submissions under way
-    bool mayForm = true;          // else a blank disk waits to be seated in a core that there is
+    bool mayForm = true;          // else a blank disk only joins a core that there is
   };
   struct Output {
     struct Sent {
@@ -93,6 +95,14 @@
   /// A disk job has been synced. Example: `registry.synced(job.number, ring.fill(), tookUs, nowMs);`
   auto synced(uint64_t number, double fill, int64_t tookUs, int64_t nowMs) -> void;
   auto tick(int64_t nowMs) -> void;
+  /// Other places where a core may be found. Example: on new settings `registry.setContacts(seeds);`
+  auto setContacts(std::vector<std::string> contacts) -> void { membership_.setContacts(std::move(contacts)); }
+  /// Says that this registry is about to stop, so that a learner takes its place first. Example: on SIGTERM
+  /// `registry.leave();`
+  auto leave() -> void { membership_.leave(); }
+  /// True while a learner may still take the place of this leaving registry. Example: `if
+  /// (!registry.mayHandOver(nowMs)) stop();`
+  auto mayHandOver(int64_t nowMs) const -> bool { return membership_.mayHandOver(*node_, nowMs); }
   /// When time has to pass here at the latest, if nothing comes in before. Example: `poll(fds, registry.dueMs() -
   /// nowMs)`
   auto dueMs() const -> int64_t;
@@ -155,8 +165,10 @@
   auto collect(int64_t nowMs) -> void;
   auto release(int64_t nowMs) -> void;
   auto saveFrame(bool isNeeded) -> void;
-  auto hello() -> void;
-  auto onHello(const neighbour::Hello& hello, int64_t nowMs) -> void;
+  auto followMembership(int64_t nowMs) -> void;
+  auto restartAsLearner(int64_t nowMs) -> void;
+  auto sendSnapshot(const std::string& to) -> void;
+  auto onBundle(const std::string& from, const neighbour::Bundle& bundle, int64_t nowMs) -> void;
   auto onPoll(const std::string& from, neighbour::Poll poll, int64_t nowMs) -> void;
   auto feed(int64_t nowMs) -> void;
   auto onClaims(const std::string& from, neighbour::Claims claims) -> void;
@@ -181,7 +193,6 @@
     return props_.staleMs + props_.tickMs / 4;
   }  // whoever lacks it by then has stopped acting
   auto ackMs() const -> int64_t { return props_.servesStale ? props_.boundMs / 4 : heldMs(); }
-  auto helloEveryMs() const -> int64_t { return node_.isMember() ? props_.boundMs / 4 : props_.boundMs / 10; }
   auto haveEveryMs() const -> int64_t { return hasNewsOfMembers_ ? props_.batchMs : props_.boundMs / 10; }
   auto answer(const Who& who, const caller::Answer& answer) -> void;
   auto page(Reply reply, const caller::Answer& answer) -> void;
@@ -196,7 +207,8 @@
   Props props_;
   DiskFrame disk_;
   State state_;
-  tempo::Node node_;
+  std::unique_ptr<tempo::Node> node_;
+  Membership membership_;
   Output out_;
 
   uint64_t nextJob_ = 1, lastJob_ = 0, syncedJob_ = 0, frameJob_ = 0;
@@ -224,9 +236,10 @@
   std::deque<std::pair<Revision, int64_t>> ran_;        // when each revision ran here, back to ackMs() ago
   int64_t nowMs_ = 0;                                   // of the input under way
   agent::Giver giver_;
-  std::map<uint32_t, neighbour::Hello> hellos_;
-  std::map<uint32_t, int64_t> strangers_;  // slot → since when an unseated life says hello
-  int64_t helloMs_ = 0, haveMs_ = 0, seatMs_ = 0, claimMs_ = 0, watchSinceMs_ = -1, watchedMs_ = 0;
+  std::map<tempo::Slot, std::string> heardFrom_;  // where the last messages of a slot came from
+  uint64_t snapshotJob_ = 0;                      // the disk job of the newest snapshot taken; 0: it is synced
+  uint32_t snapshotEpoch_ = 0;
+  int64_t haveMs_ = 0, claimMs_ = 0, watchSinceMs_ = -1, watchedMs_ = 0;
   bool hasNewsOfMembers_ = false;
   uint64_t life_, changeNumber_ = 0;         // of this process, not of its disk: ids given here are never given again
   std::deque<int64_t> commitsMs_, syncsUs_;  // the last few, for the status page
--- a/lib/neighbour/messages.hpp
+++ b/lib/neighbour/messages.hpp
@@ -37,15 +37,28 @@
   DYKESTAGE_FIELDS(slot, messages)
 };
 
-/// Registry to registry, before and while being a member: which life sits in which slot, as far as known.
+/// A replica of the core: the life of its disk, and where it is reached.
+struct Replica {
+  uint64_t incarnation = 0;
+  std::string address;
+  auto operator==(const Replica&) const -> bool = default;
+  DYKESTAGE_FIELDS(incarnation, address)
+};
+
+/// Registry to registry: who the sender is, and which membership of the core it knows.
 struct Hello {
-  uint32_t slot = 0;
+  uint32_t slot = 0;  // among the initial replicas; 0: it joins a core that there is
   uint64_t incarnation = 0;
-  uint32_t epoch = 0;
+  std::string address;
+  uint32_t epoch = 0;                   // of `members`
+  std::map<uint32_t, Replica> members;  // by slot; empty before the bootstrap, or before the first snapshot
   bool isMember = false;
+  bool isLeaving = false;                 // it is about to stop
+  bool isCaughtUp = false;                // a learner that holds a recent snapshot of this epoch on its disk
   std::map<uint32_t, uint64_t> proposed;  // the first members, once this node has synced them
-  bool isFormed = false;
-  DYKESTAGE_FIELDS(slot, incarnation, epoch, isMember, proposed, isFormed)
+  bool isBootstrapped = false;
+  DYKESTAGE_FIELDS(slot, incarnation, address, epoch, members, isMember, isLeaving, isCaughtUp, proposed,
+                   isBootstrapped)
 };
 
 /// Registry to registry, before there is a list of all: whom it has heard itself, and in which life; or the list, from
@@ -90,8 +103,9 @@
   int64_t ageMs = 0;
   int64_t heldMs = 0;
   bool isMember = false;
+  std::vector<std::string> registries;  // where the registries are, as far as the publisher knows
   core::News news;
-  DYKESTAGE_FIELDS(nonce, ageMs, heldMs, isMember, news)
+  DYKESTAGE_FIELDS(nonce, ageMs, heldMs, isMember, registries, news)
 };
 
 /// A caller's request on its way from edge to shield. Times are what remains, never wall clocks.
--- a/lib/program/agent.cpp
+++ b/lib/program/agent.cpp
@@ -29,6 +29,16 @@
     list.emplace_back(other, frame.members.at(other).agent);
   return list;
 }
+
+// The registries to ask: those that there are now as far as known, then those that the settings name.
+auto registriesOf(const std::string& name, const std::vector<std::string>& known, const std::vector<std::string>& seeds)
+    -> std::vector<std::string> {
+  auto order = neighbour::rendezvous(name, known);
+  for (const auto& seed : neighbour::rendezvous(name, seeds))
+    if (std::find(known.begin(), known.end(), seed) == known.end()) order.push_back(seed);
+  return order;
+}
+
 auto statusPage(const caller::HeldFrame& held, const std::string& target, int64_t nowMs, bool isReady) -> std::string {
   op::StatusPage page("agent");
   page.flag("ready", isReady);
@@ -78,7 +88,8 @@
   agent::Told told;
   int64_t proxyMs = -1, pingedMs = 0;
   std::map<std::string, int64_t> pongMs;  // watched agents, by address
-  auto order = neighbour::rendezvous(name, seeds);
+  std::vector<std::string> registries;    // that there are now
+  auto order = registriesOf(name, registries, seeds);
   std::string target, proxyAt;
   auto stopAtMs = int64_t{-1};
   for (;;) {
@@ -105,6 +116,9 @@
       if (letter.kind == neighbour::kFeed) {
         auto feed = r.get<neighbour::Feed>();
         if (r.done()) follower.take(feed, nowMs);
+        if (follower.registries() == registries) continue;
+        registries = follower.registries();
+        order = registriesOf(name, registries, seeds);
       } else if (letter.kind == neighbour::kPing) {
         outer->warm(letter.from);
         outer->send(letter.from, neighbour::kPong, "");
@@ -141,8 +155,10 @@
     const auto& held = follower.held();
     for (auto& [to, feed] : toProxy.give(*held.frame, held.asOfMs, nowMs))
       inner->send(to, neighbour::kFeed, Writer().put(feed).take());
-    for (auto& [to, feed] : toNeighbours.give(*held.frame, held.asOfMs, nowMs))
+    for (auto& [to, feed] : toNeighbours.give(*held.frame, held.asOfMs, nowMs)) {
+      feed.registries = registries;
       outer->send(to, neighbour::kFeed, Writer().put(feed).take());
+    }
     if (proxyMs >= 0 && nowMs - proxyMs < boundMs) {
       auto targets = order;
       auto neighbours = neighboursOf(*held.frame, name);
@@ -180,7 +196,7 @@
       if (program.isWell() && fresh != seeds) {
         LOG(INFO) << "agent: " << fresh.size() << " seeds are new.";
         seeds = std::move(fresh);
-        order = neighbour::rendezvous(name, seeds);
+        order = registriesOf(name, registries, seeds);
       }
     }
   }
--- a/lib/program/registry.cpp
+++ b/lib/program/registry.cpp
@@ -27,6 +27,8 @@
 };
 using Input = std::variant<neighbour::Letter, caller::Request, Synced>;
 
+constexpr uint32_t kMostFaults = 14;  // of 30 replicas, the most that there are slots for
+
 auto steadyUs() -> int64_t {
   return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch())
       .count();
@@ -39,8 +41,8 @@
   disk::Props diskProps;
   std::string http, name, listen, address;
   std::vector<std::string> registries;
-  int64_t slot = 0, beatMs = 0, faults = 0, boundMs = 2000, ringFiles = 4, ringBytes = 8 << 20, bodyBytes = 8 << 20,
-          threads = 2;
+  int64_t slot = 0, beatMs = 0, faults = 0, graceMs = 0, boundMs = 2000, ringFiles = 4, ringBytes = 8 << 20,
+          bodyBytes = 8 << 20, threads = 2;
   s.text("name", name);
   auto hasSlot = s.integer("slot", 1, 30, slot);
   program.address("http", http);
@@ -52,6 +54,7 @@
   s.text("data", diskProps.folder, true);
   s.integer("boundMs", 400, 60000, boundMs);
   s.integer("beatMs", 1, 600000, beatMs);
+  s.integer("graceMs", 0, 600000, graceMs);
   s.flag("mayForm", props.mayForm);
   s.flag("servesStale", props.servesStale);
   props.beatMissMs = std::max(boundMs * 3 / 2, 3 * beatMs);
@@ -118,7 +121,9 @@
   }
   if (found.tornBytes) LOG(INFO) << "disk: Dropped a torn tail of " << found.tornBytes << " bytes.";
 
-  const auto own = props.addresses.empty() ? address : props.addresses.at(props.slot);
+  const auto own = !address.empty() || props.addresses.empty() ? address : props.addresses.at(props.slot);
+  props.address = own;
+  if (gathers) props.contacts = registries;
   neighbour::Inbox<Input> inbox(16000);
   neighbour::Inbox<core::DiskJob> jobs(16000);
   auto post = neighbour::Post::open(
@@ -137,12 +142,11 @@
 
   // Until there is a list of all registries, operators and upstreams are turned away.
   std::vector<std::shared_ptr<caller::Stream>> writing;
-  if (props.addresses.empty()) {
+  if (props.addresses.empty() && found.frame.empty() && props.mayForm) {
     LOG(INFO) << "registry: Gathering from " << registries.size() << " seeds.";
     core::Gathering gathering({own, registries, agent::freshIncarnation(), boundMs, props.mayForm},
                               neighbour::steadyMs());
-    auto isTold = false;
-    while (!gathering.addresses()) {
+    while (!gathering.addresses() && !gathering.isLeftOut()) {
       std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}, {op::Program::stopFd(), POLLIN, 0}};
       for (auto& stream : writing)
         fds.push_back({stream->fd(), POLLOUT, 0});
@@ -176,21 +180,23 @@
         post->send(sent.to, neighbour::kGather, Writer().put(sent.letter).take());
       std::erase_if(writing, [](auto& stream) { return stream->flush(); });
       post->prune(nowMs);
-      if (gathering.isLeftOut() && !std::exchange(isTold, true))
-        LOG(WARNING) << "registry: The core was formed without " << own << ": there is no seat.";
     }
-    const auto& list = *gathering.addresses();
-    seat(list);
-    props.slot = static_cast<tempo::Slot>(std::find(list.begin(), list.end(), own) - list.begin() + 1);
-    LOG(INFO) << "registry: Gathered " << list.size() << " registries.";
+    if (gathering.isLeftOut()) {
+      LOG(WARNING) << "registry: The core was bootstrapped without " << own << ": it joins as a learner.";
+      props.contacts.assign(gathering.known().begin(), gathering.known().end());
+    } else {
+      const auto& list = *gathering.addresses();
+      seat(list);
+      props.slot = static_cast<tempo::Slot>(std::find(list.begin(), list.end(), own) - list.begin() + 1);
+      LOG(INFO) << "registry: Gathered " << list.size() << " registries.";
+    }
   }
-  count = static_cast<int64_t>(props.addresses.size());
-  auto most = std::max<int64_t>(1, (count - 1) / 2);
-  props.core.replicas = static_cast<uint32_t>(count);
-  props.core.faults = static_cast<uint32_t>(hasFaults ? std::min(faults, most) : most);
-
+  // A minority of the replicas may fail, or fewer if the settings say so; the replicas themselves are ordered state.
+  props.core.faults = hasFaults ? static_cast<uint32_t>(faults) : kMostFaults;
   for (const auto& [other, address] : props.addresses)
     if (other != props.slot) post->warm(address);
+  for (const auto& contact : props.contacts)
+    if (contact != own) post->warm(contact);
   core::Registry registry(props, found.frame, found.writes, agent::freshIncarnation());
   registry.synced(0, ring->fill(), 0, neighbour::steadyMs());
 
@@ -225,9 +231,9 @@
     }
   });
 
-  LOG(INFO) << "registry: Slot " << props.slot << " serves " << ip << ":" << face->port() << ".";
+  LOG(INFO) << "registry: " << own << " serves " << ip << ":" << face->port() << ".";
 
-  auto stopAtMs = int64_t{-1};
+  auto stopAtMs = int64_t{-1}, handOverUntilMs = int64_t{-1};
   for (;;) {
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
     // Once it is stopping, the signal's descriptor stays readable and tells nothing more.
@@ -269,14 +275,26 @@
     }
     std::erase_if(writing, [](auto& stream) { return stream->flush(); });
     post->prune(nowMs);
-    if (program.reread(nowMs)) LOG(INFO) << "registry: Settings have changed; they take effect at the next start.";
+    if (program.reread(nowMs)) {
+      std::vector<std::string> fresh;
+      program.addresses("registries", fresh, 1);
+      if (gathers && program.isWell()) registry.setContacts(fresh);
+      LOG(INFO) << "registry: Settings have changed; all but the contacts take effect at the next start.";
+    }
     if (isBroken) {
       LOG(ERROR) << "registry: Stopping, since the disk can't be relied on.";
       std::_Exit(3);
     }
     // Answers under way get a little of the grace; the state is safe at any moment.
-    if (op::Program::isStopping() && stopAtMs < 0) stopAtMs = nowMs + props.boundMs / 4;
-    if (stopAtMs >= 0 && nowMs >= stopAtMs) break;
+    if (op::Program::isStopping() && stopAtMs < 0) {
+      stopAtMs = nowMs + props.boundMs / 4;
+      handOverUntilMs = nowMs + graceMs * 8 / 10;
+      registry.leave();
+    }
+    // A learner that is there takes this replica's place first.
+    auto mayHandOver = nowMs < handOverUntilMs && registry.mayHandOver(nowMs);
+    if (stopAtMs >= 0 && nowMs >= stopAtMs && !mayHandOver) break;
+    if (stopAtMs >= 0 && nowMs >= stopAtMs) stopAtMs = nowMs + props.boundMs / 40;
   }
   LOG(INFO) << "registry: Stopped.";
   // The disk thread is not waited for: its disk may stall for longer than the grace, and whatever is not synced was
--- a/lib/tempo/tempo.cpp
+++ b/lib/tempo/tempo.cpp
@@ -39,10 +39,20 @@
 }
 
 Node::Node(Props props, Slot slot, Incarnation incarnation, Machine& machine)
-    : props_(props), slot_(slot), incarnation_(incarnation), machine_(machine) {}
+    : props_(props), mostFaults_(props.faults), slot_(slot), incarnation_(incarnation), machine_(machine) {}
 
-auto Node::form(const std::map<Slot, Incarnation>& members) -> void {
-  members_ = members;
+auto Node::form(const std::map<Slot, Incarnation>& members, const std::map<Slot, std::string>& addresses) -> void {
+  adoptMembers(members, addresses);
+}
+
+// The slot, the number of replicas and how many of them may fail follow from who the members are.
+auto Node::adoptMembers(std::map<Slot, Incarnation> members, std::map<Slot, std::string> addresses) -> void {
+  members_ = std::move(members);
+  addresses_ = std::move(addresses);
+  slot_ = slotOf(incarnation_);
+  if (members_.empty()) return;
+  props_.replicas = static_cast<uint32_t>(members_.size());
+  props_.faults = std::min(mostFaults_, (props_.replicas - 1) / 2);
 }
 
 auto Node::isMember() const -> bool {
@@ -50,6 +60,11 @@
   return it != members_.end() && it->second == incarnation_;
 }
 
+auto Node::silentMs(Slot slot, int64_t nowMs) const -> int64_t {
+  auto heard = heardMs_.find(slot);
+  return heard == heardMs_.end() ? 0 : nowMs - heard->second;
+}
+
 auto Node::slotOf(Incarnation incarnation) const -> Slot {
   for (const auto& [slot, inc] : members_)
     if (inc == incarnation) return slot;
@@ -111,8 +126,8 @@
   return command.id;
 }
 
-auto Node::seat(Slot slot, Incarnation incarnation) -> std::string {
-  return Writer().put(slot).put(incarnation).take();
+auto Node::replace(const Replacement& replacement, int64_t nowMs) -> Id {
+  return submit(kAllParts, Writer().put(replacement).take(), nowMs, kReplaceReplica);
 }
 
 auto Node::entry(const Id& id, int64_t nowMs) -> Entry& {
@@ -667,7 +682,7 @@
 auto Node::execute() -> void {
   if (isReplaying_ || !isMember()) return;
   auto isMoving = true;
-  while (isMoving) {
+  while (isMoving && isMember()) {  // a replacement may end its own membership
     isMoving = false;
     std::array<Stamp, kParts> stableUpTo{};
     for (uint8_t part = 0; part < kParts; ++part)
@@ -697,9 +712,8 @@
         Answer answer{id, false, {}};
         if (e.command->kind == kReplaceReplica) {
           Reader r(e.command->payload);
-          auto slot = r.get<Slot>();
-          auto incarnation = r.get<Incarnation>();
-          if (r.ok() && members_.count(slot) && members_[slot] != incarnation) change(stamp, slot, incarnation);
+          auto replacement = r.get<Replacement>();
+          if (r.done()) change(stamp, replacement);
         } else {
           answer.result = machine_.apply(*e.command, stamp);
         }
@@ -726,9 +740,18 @@
 // A replica change: everything of the old epoch stamped above the boundary is void, everywhere alike; the
 // new life starts with its clock at the boundary and counts only for commands of the new epoch.
 // A restarted node may hold commands of the new epoch already; those stay.
-auto Node::change(Stamp stamp, Slot slot, Incarnation incarnation) -> void {
-  members_[slot] = incarnation;
-  heardMs_[slot] = -props_.suspectMs;  // not believed alive before it is heard
+auto Node::change(Stamp stamp, const Replacement& replacement) -> void {
+  auto slot = replacement.slot;
+  auto holder = members_.find(slot);
+  auto isValid = holder != members_.end() && holder->second == replacement.replaced && replacement.successor != 0 &&
+                 slotOf(replacement.successor) == 0;
+  if (!isValid) return;
+  auto members = members_;
+  auto addresses = addresses_;
+  members[slot] = replacement.successor;
+  addresses[slot] = replacement.address;
+  adoptMembers(std::move(members), std::move(addresses));
+  heardMs_[slot] = tickedMs_ - props_.suspectMs;  // not believed alive before it is heard
   ++epoch_;
   boundary_ = stamp;
   for (auto& p : parts_) {
@@ -886,7 +909,7 @@
 
 auto Node::save() const -> std::string {
   Writer w;
-  w.put(epoch_).put(boundary_).put(members_).put(done_).put(incarnation_).put(nextNumber_);
+  w.put(epoch_).put(boundary_).put(members_).put(addresses_).put(done_).put(incarnation_).put(nextNumber_);
   for (const auto& p : parts_)
     w.put(p.clock).put(p.executed).put(p.last).put(p.own);
   for (uint8_t part = 0; part < kParts; ++part)
@@ -913,6 +936,7 @@
   auto epoch = r.get<uint32_t>();
   auto boundary = r.get<Stamp>();
   auto members = r.get<std::map<Slot, Incarnation>>();
+  auto addresses = r.get<std::map<Slot, std::string>>();
   auto done = r.get<std::map<Incarnation, Ranges>>();
   auto source = r.get<Incarnation>();
   auto nextNumber = r.get<uint64_t>();
@@ -938,7 +962,7 @@
   if (std::none_of(isTaken.begin(), isTaken.end(), [](bool taken) { return taken; })) return false;
   epoch_ = epoch;
   boundary_ = boundary;
-  members_ = std::move(members);
+  adoptMembers(std::move(members), std::move(addresses));
   for (const auto& [origin, numbers] : done)
     done_[origin].join(numbers);
   for (uint8_t part = 0; part < kParts; ++part) {
--- a/lib/tempo/tempo.hpp
+++ b/lib/tempo/tempo.hpp
@@ -49,6 +49,16 @@
 inline constexpr uint8_t kPlain = 0;
 inline constexpr uint8_t kReplaceReplica = 1;
 
+/// The payload of a kReplaceReplica command: from its place in the order on, the successor is the replica in the slot.
+/// It changes nothing unless the slot still holds the replaced incarnation and the successor is in no slot yet.
+struct Replacement {
+  Slot slot = 0;
+  Incarnation replaced = 0;
+  Incarnation successor = 0;
+  std::string address;  // of the successor, opaque to this package
+  DYKESTAGE_FIELDS(slot, replaced, successor, address)
+};
+
 enum class Phase : uint8_t { kStart, kPayload, kPropose, kRecoverR, kRecoverP };
 
 /// What a replica says of its own timestamps in (from, upTo]: those attached to commands, by name; all
@@ -133,8 +143,8 @@
 
 /// Settings of the protocol; times follow from the freshness bound (see docs/settings.md).
 struct Props {
-  uint32_t replicas = 5;
-  uint32_t faults = 2;
+  uint32_t replicas = 5;     // follows the members once they are known
+  uint32_t faults = 2;       // at most; never more than a minority of the replicas
   int64_t promiseMs = 20;    // between promises to a replica that lacks some, or that waits to hear what is known here
   int64_t idleMs = 100;      // between promises when nothing waits for them; below suspectMs
   int64_t slowMs = 40;       // wait for a whole fast quorum before a majority is enough
@@ -170,12 +180,17 @@
  public:
   Node(Props props, Slot slot, Incarnation incarnation, Machine& machine);
 
-  /// Starts the first epoch with its members. Example: `node.form(members);`
-  auto form(const std::map<Slot, Incarnation>& members) -> void;
+  /// Starts the first epoch with its members, and their addresses if replicas are to be replaced at other ones.
+  /// Example: `node.form(members, addresses);`
+  auto form(const std::map<Slot, Incarnation>& members, const std::map<Slot, std::string>& addresses = {}) -> void;
   /// True once this node's incarnation is one of the members. Example: `if (!node.isMember()) sayHello();`
   auto isMember() const -> bool;
   /// The members of the current epoch. Example: `node.members().at(2)`
   auto members() const -> const std::map<Slot, Incarnation>& { return members_; }
+  /// Where the members of the current epoch are reached. Example: `node.addresses().at(2)`
+  auto addresses() const -> const std::map<Slot, std::string>& { return addresses_; }
+  /// How long nothing has been heard of a member, in ms. Example: `if (node.silentMs(2, nowMs) > limitMs) ...`
+  auto silentMs(Slot slot, int64_t nowMs) const -> int64_t;
   auto epoch() const -> uint32_t { return epoch_; }
   auto slot() const -> Slot { return slot_; }
   auto incarnation() const -> Incarnation { return incarnation_; }
@@ -183,8 +198,8 @@
   /// Coordinates a command; the answer comes later under the returned id.
   /// Example: `auto id = node.submit(kAllParts, payload, nowMs);`
   auto submit(uint8_t parts, std::string payload, int64_t nowMs, uint8_t kind = kPlain) -> Id;
-  /// Payload that seats a blank disk in a slot. Example: `submit(kAllParts, Node::seat(2, inc), now, kReplaceReplica)`
-  static auto seat(Slot slot, Incarnation incarnation) -> std::string;
+  /// Coordinates the replacement of a replica. Example: `node.replace({2, gone, fresh, "10.0.0.4:7000"}, nowMs);`
+  auto replace(const Replacement& replacement, int64_t nowMs) -> Id;
   /// Takes a message. Example: `node.receive(from, message, nowMs);`
   auto receive(Slot from, const Message& message, int64_t nowMs) -> void;
   /// Lets time pass: promises, retries, recovery. Example: every few ms `node.tick(nowMs);`
@@ -294,7 +309,8 @@
   auto takeFrame(const std::string& frame) -> void;
   auto readFrame(const std::string& frame, bool own) -> bool;
   auto execute() -> void;
-  auto change(Stamp stamp, Slot slot, Incarnation incarnation) -> void;
+  auto change(Stamp stamp, const Replacement& replacement) -> void;
+  auto adoptMembers(std::map<Slot, Incarnation> members, std::map<Slot, std::string> addresses) -> void;
   auto dropVoid() -> void;
   auto forget() -> void;
   auto findOpen() -> void;
@@ -313,10 +329,12 @@
   auto leader(uint8_t part) const -> Slot;
 
   Props props_;
-  Slot slot_;
+  uint32_t mostFaults_;  // as the settings have it
+  Slot slot_;            // 0: it is no member
   Incarnation incarnation_;
   Machine& machine_;
   std::map<Slot, Incarnation> members_;
+  std::map<Slot, std::string> addresses_;
   uint32_t epoch_ = 0;
   Stamp boundary_ = 0;
   uint32_t alive_ = ~0u;
--- a/tests/sim/core_sim.cpp
+++ b/tests/sim/core_sim.cpp
@@ -239,7 +239,7 @@
         deliver(slot, s, ask);
       } else if (h.incarnation > seat->second) {
         ++verdict_.changes;
-        other->node->submit(kAllParts, Node::seat(slot, h.incarnation), nowMs_, kReplaceReplica);
+        other->node->replace({slot, seat->second, h.incarnation, ""}, nowMs_);
         flush(*other);
       }
       break;
