--- a/lib/core/membership.cpp
+++ b/lib/core/membership.cpp
@@ -219,19 +219,28 @@
   }
 }
 
-auto Membership::isReplaced(const tempo::Node& node) const -> bool {
-  if (!saved_.wasMember) return false;
+// How many of the newest membership have said that they are in it; nothing while this replica may still be one of them.
+auto Membership::confirmationsOfReplacement(const tempo::Node& node) const -> Confirmations {
+  Confirmations confirmations;
+  if (!saved_.wasMember) return confirmations;
   const auto* newest = newestMembership(node);
-  if (!newest || lists(*newest, node.incarnation())) return false;
-  if (node.isMember() && newest->epoch == node.epoch()) return false;
-  size_t confirmed = 0;
+  if (!newest || lists(*newest, node.incarnation())) return confirmations;
+  if (node.isMember() && newest->epoch == node.epoch()) return confirmations;
   for (const auto& [slot, member] : newest->members) {
     auto peer = peers_.find(member.address);
     if (peer == peers_.end()) continue;
     const auto& hello = peer->second.hello;
-    if (hello.incarnation == member.incarnation && hello.isMember && hello.epoch >= newest->epoch) ++confirmed;
+    auto isIn = hello.incarnation == member.incarnation && hello.isMember && hello.epoch >= newest->epoch;
+    if (!isIn) continue;
+    ++confirmations.count;
+    if (slot == formerSlot_) confirmations.hasSuccessor = true;
   }
-  return confirmed >= majorityOf(newest->members.size());
+  confirmations.isMajority = confirmations.count >= majorityOf(newest->members.size());
+  return confirmations;
+}
+
+auto Membership::isReplaced(const tempo::Node& node) const -> bool {
+  return confirmationsOfReplacement(node).isMajority;
 }
 
 auto Membership::restartAsLearner() -> void {
@@ -242,14 +251,17 @@
 }
 
 auto Membership::mayHandOver(const tempo::Node& node, int64_t nowMs) const -> bool {
-  if (!isLeaving_ || isReplaced(node)) return false;
-  if (!node.isMember()) return saved_.wasMember;  // replaced: until that is confirmed
+  if (!isLeaving_ || !saved_.wasMember) return false;
+  auto confirmations = confirmationsOfReplacement(node);
+  if (confirmations.isMajority && confirmations.hasSuccessor) return false;
+  if (!node.isMember()) return true;
   return std::any_of(peers_.begin(), peers_.end(), [&](const auto& one) { return isLearner(one.second, node, nowMs); });
 }
 
 // ---- time ---------------------------------------------------------------------------------------------
 
 auto Membership::tick(const tempo::Node& node, int64_t nowMs) -> void {
+  if (node.isMember()) formerSlot_ = node.slot();
   if (node.isMember() && !saved_.wasMember) {
     saved_.wasMember = true;
     out_.mustSave = true;
--- a/lib/core/membership.hpp
+++ b/lib/core/membership.hpp
@@ -97,12 +97,19 @@
   auto bootstrap(const tempo::Node& node) -> void;
   auto proposeReplacement(const tempo::Node& node, int64_t nowMs) -> void;
   auto vacantSlot(const Peer& learner, const tempo::Node& node, int64_t nowMs) const -> tempo::Slot;
+  struct Confirmations {
+    size_t count = 0;
+    bool isMajority = false;
+    bool hasSuccessor = false;  // the one in this replica's former slot is among them
+  };
+  auto confirmationsOfReplacement(const tempo::Node& node) const -> Confirmations;
   auto newestMembership(const tempo::Node& node) const -> const neighbour::Hello*;
 
   Options options_;
   Saved saved_;
   std::map<std::string, Peer> peers_;  // by address
   bool isLeaving_ = false;
+  tempo::Slot formerSlot_ = 0;
   int64_t helloMs_ = kNever, requestedMs_ = kNever, proposedMs_ = kNever;
   uint32_t proposedEpoch_ = 0;
   int64_t snapshotMs_ = kNever;  // when the newest snapshot was synced
--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -633,8 +633,10 @@
     node_->form(membership_.saved().proposed, props_.addresses);
   }
   if (made.isBootstrapped || made.mustSave) saveFrame(true);
+  // A learner's hellos promise nothing that is not synced; they need not wait for its disk.
+  auto isPromise = node_->isMember() || !membership_.saved().proposed.empty();
   Step step;
-  step.job = lastJob_;
+  step.job = isPromise ? lastJob_ : 0;
   for (const auto& [to, hello] : made.hellos)
     step.letters.push_back({to, neighbour::kHello, Writer().put(hello).take()});
   for (const auto& to : made.snapshotRequests) {
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -110,6 +110,12 @@
   /// Ready to serve operators, upstreams and agents. Example: `registry.isReady(nowMs)`
   auto isReady(int64_t nowMs) const -> bool;
   auto incarnation() const -> uint64_t { return disk_.incarnation; }
+  /// Whether it is a replica, or a learner that may become one. Example: `registry.isMember()`
+  auto isMember() const -> bool { return node_->isMember(); }
+  auto isLearner() const -> bool { return !isMember() && !membership_.saved().wasMember; }
+  /// Which membership of the core it knows, and where those members are. Example: `registry.epoch()`
+  auto epoch() const -> uint32_t { return node_->epoch(); }
+  auto members() const -> std::vector<std::string> { return membership_.addresses(*node_); }
 
  private:
   using Done = std::function<void(const OpResult*, int64_t nowMs)>;  // null: the outcome is not known
