--- /dev/null
+++ b/tests/races_test.cpp
@@ -0,0 +1,152 @@
+// One number, one configuration: orders that race, orders whose answers are lost, and orders that are sent again.
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <iostream>
+
+#include "sim/control_sim.hpp"
+#include "sim/explorer.hpp"
+
+using namespace dykestage;
+using namespace dykestage::sim;
+using core::Op;
+using core::OpKind;
+using core::OpResult;
+using core::Outcome;
+
+namespace {
+auto routing(uint64_t base, uint64_t version, uint64_t print, bool isWhole = false) -> Op {
+  Op op;
+  op.kind = OpKind::kRouting;
+  op.base = base;
+  op.print = print;
+  op.isWhole = isWhole;
+  op.routing.version = version;
+  op.routing.limits = core::Limits{};
+  op.routing.limits->idleMs = static_cast<int64_t>(print);
+  return op;
+}
+
+auto apply(core::State& state, const Op& op) -> OpResult {
+  tempo::Command command;
+  command.payload = Writer().put(std::vector<Op>{op}).take();
+  return Reader(state.apply(command, 1)).get<std::vector<OpResult>>().front();
+}
+
+// The orders of a case: which of them are the same, by print.
+struct Sent {
+  tempo::Slot at;
+  Op op;
+};
+
+// What has been told to submitters so far must be possible: one winner on a base, and nothing told two ways.
+auto judge(const std::vector<Sent>& sent, const Cluster& cluster) -> std::string {
+  std::map<uint64_t, uint64_t> winners;  // base → print
+  std::map<uint64_t, Outcome> told;      // print → what its submitter knows
+  for (const auto& [number, result] : cluster.outcomes()) {
+    const auto& op = sent[number].op;
+    if (result.outcome != Outcome::kDone && result.outcome != Outcome::kConflict) continue;
+    auto [known, isFirst] = told.emplace(op.print, result.outcome);
+    if (!isFirst && known->second != result.outcome)
+      return "order " + std::to_string(op.print) + " is acknowledged and refused";
+    if (result.outcome != Outcome::kDone) continue;
+    auto [winner, isNew] = winners.emplace(op.base, op.print);
+    if (!isNew && winner->second != op.print) return "two orders on one base are acknowledged";
+  }
+  for (auto slot : cluster.slots()) {
+    auto inForce = static_cast<uint64_t>(cluster.state(slot).frame().routing.limits.idleMs);
+    if (auto it = told.find(inForce); it != told.end() && it->second == Outcome::kConflict)
+      return "order " + std::to_string(inForce) + " is refused and in force at " + std::to_string(slot);
+  }
+  return "";
+}
+
+auto judgeEnd(const std::vector<Sent>& sent, const Cluster& cluster) -> std::string {
+  const auto& first = cluster.state(1).frame().routing;
+  for (auto slot : cluster.slots())
+    if (cluster.state(slot).frame().routing.version != first.version ||
+        cluster.state(slot).frame().routing.limits.idleMs != first.limits.idleMs)
+      return "replicas differ in the end";
+  // Somebody won on base 0.
+  if (first.version == 0) return "no order is in force";
+  return judge(sent, cluster);
+}
+
+auto search(const std::string& name, const std::vector<Sent>& sent, ExplorerBudget budget, size_t mostStates,
+            ApplyFunction mutated = {}, tempo::Props core = {}) -> ExplorerReport {
+  core.replicas = 3;
+  core.faults = 1;
+  Cluster cluster({core, std::move(mutated)}, {{1, 11}, {2, 12}, {3, 13}});
+  for (const auto& one : sent)
+    cluster.submit(one.at, one.op);
+  ExplorerProps props;
+  props.budget = budget;
+  props.mostStates = mostStates;
+  props.invariant = [&](const Cluster& c) { return judge(sent, c); };
+  props.atEnd = [&](const Cluster& c) { return judgeEnd(sent, c); };
+  auto report = explore(cluster, props);
+  std::cout << name << ": " << report.states << " states, " << report.ends << " ends, "
+            << (report.isExhaustive ? "exhaustive" : "bounded")
+            << (report.violation.empty() ? "" : ", " + report.violation) << "\n";
+  return report;
+}
+
+auto traceOf(const ExplorerReport& report) -> std::string {
+  auto text = report.violation;
+  for (const auto& step : report.trace)
+    text += "\n  " + step;
+  return text;
+}
+
+const std::vector<Sent> kRace = {{1, routing(0, 1, 101)}, {2, routing(0, 1, 102, true)}, {3, routing(0, 1, 101)}};
+// The second order builds on the first before anybody knows that the first is in force.
+const std::vector<Sent> kChain = {{1, routing(0, 1, 101)}, {2, routing(1, 2, 102)}, {3, routing(1, 2, 102)}};
+
+struct Case {
+  const char* name;
+  ExplorerBudget budget;
+  size_t mostStates, leastStates;
+};
+}  // namespace
+
+TEST_CASE("All orders, losses and repetitions of messages of two orders on one base and a repeat") {
+  const std::vector<Case> cases = {
+      {"in all orders", {}, 400000, 1000},
+      {"one message lost", {.losses = 1}, 60000, 10000},
+      {"one message repeated", {.repetitions = 1}, 60000, 10000},
+      {"one timer early", {.timeouts = 1}, 60000, 10000},
+      {"one restart", {.restarts = 1}, 60000, 10000},
+  };
+  for (const auto& one : cases) {
+    auto report = search(std::string("race, ") + one.name, kRace, one.budget, one.mostStates);
+    INFO(traceOf(report));
+    CHECK(report.violation.empty());
+    CHECK(report.states >= one.leastStates);
+  }
+}
+
+TEST_CASE("The search bites for each guard that is taken out") {
+  auto withoutBase = [](core::State& state, const tempo::Command& command, tempo::Stamp stamp) {
+    auto ops = core::readOps(command.payload);
+    for (auto& op : ops) {
+      op.base = state.frame().routing.version;
+      op.routing.version = op.base + 1;
+    }
+    auto changed = command;
+    changed.payload = Writer().put(ops).take();
+    return state.apply(changed, stamp);
+  };
+  auto withoutMemory = [](core::State& state, const tempo::Command& command, tempo::Stamp stamp) {
+    auto ops = core::readOps(command.payload);
+    for (auto& op : ops)
+      op.print += stamp;
+    auto changed = command;
+    changed.payload = Writer().put(ops).take();
+    return state.apply(changed, stamp);
+  };
+  CHECK_FALSE(search("mutation: base ignored", kRace, {}, 60000, withoutBase).violation.empty());
+  CHECK_FALSE(search("mutation: repeats not known", kRace, {}, 60000, withoutMemory).violation.empty());
+  tempo::Props unstable;
+  unstable.breakStability = true;
+  CHECK_FALSE(search("mutation: runs before it is stable", kRace, {}, 60000, {}, unstable).violation.empty());
+}
--- a/tests/sim/proxy_sim.cpp
+++ b/tests/sim/proxy_sim.cpp
@@ -384,7 +384,9 @@
   http("r" + std::to_string(pick(1, 3)), "POST", "/routing", change.body,
        [this, mark, isAnswered](const caller::Answer& a) {
          if (props_.broken == Broken::kMute && nowMs_ > props_.faultsMs) return;
-         if (!std::exchange(*isAnswered, true)) takeOutcome(mark, a);
+         if (std::exchange(*isAnswered, true)) return;
+         if (isAnswerLost()) return at(nowMs_ + pick(50, 300), [this, mark] { postRouting(mark); });
+         takeOutcome(mark, a);
        });
   at(nowMs_ + 1000, [this, mark, isAnswered] {
     if (!std::exchange(*isAnswered, true)) postRouting(mark);
@@ -495,7 +497,7 @@
   http("r" + std::to_string(pick(1, 3)), "POST", "/purge", purges_[index].body,
        [this, index, isAnswered](const caller::Answer& a) {
          if (std::exchange(*isAnswered, true)) return;
-         if (a.status != 200) {
+         if (a.status != 200 || isAnswerLost()) {
            at(nowMs_ + pick(50, 200), [this, index] { postPurge(index); });
            return;
          }
@@ -967,8 +969,8 @@
     });
   for (int64_t t = 3000; t < endMs; t += 200)
     at(t, [this] { askOnce(pick(0, 1) ? "/spare/1" : "/extra-" + std::to_string(pick(0, 4)) + "/1", false); });
-  for (int64_t t = 3500; t < endMs - 500; t += 600)
-    at(t + pick(0, 500), [this] {
+  for (int64_t t = 3500; t < endMs - 500; t += props_.changeEveryMs)
+    at(t + pick(0, props_.changeEveryMs * 5 / 6), [this] {
       if (known_ == 0) return;
       auto base = known_;
       changeRouting(base, pick(1, 6) == 1);
@@ -1124,6 +1126,22 @@
         if (other != node && !(hasUpstreams && other == "upstreams")) cut(node, other, ms);
       say(node + " cut off for " + std::to_string(ms) + " ms" + (hasUpstreams ? ", not from upstreams" : ""));
     });
+  if (props_.longCuts) {
+    at(6000, [=, this] {
+      auto ms = pick(18000, 21000);
+      auto core = anyCore();
+      auto way = pick(0, 2);  // both ways, out of it, into it
+      for (auto& [other, c] : cores_) {
+        if (other == core) continue;
+        for (const auto& pair : {std::pair{core, other}, std::pair{other, core}}) {
+          if ((way == 1 && pair.first != core) || (way == 2 && pair.second != core)) continue;
+          cuts_.insert(pair);
+          at(nowMs_ + ms, [this, pair] { cuts_.erase(pair); });
+        }
+      }
+      say(core + " is cut off from the core for " + std::to_string(ms) + " ms, way " + std::to_string(way));
+    });
+  }
   if (props_.wipes) kinds.push_back([=, this] { wipe(anyCore()); });
   if (props_.stalls)
     kinds.push_back([=, this] {
--- a/tests/sim/proxy_sim.hpp
+++ b/tests/sim/proxy_sim.hpp
@@ -115,6 +115,9 @@
   auto postRouting(uint64_t mark) -> void;
   auto takeOutcome(uint64_t mark, const caller::Answer& answer) -> void;
   auto readBack(bool isLast) -> void;
+  auto isAnswerLost() -> bool {
+    return props_.lostAnswerPercent > 0 && !isHealed_ && pick(1, 100) <= props_.lostAnswerPercent;
+  }
   auto expectAck(const std::string& what, std::function<bool()> isOver) -> void;
   auto purge() -> void;
   auto postPurge(size_t index) -> void;
--- a/tests/sim/system_sim.cpp
+++ b/tests/sim/system_sim.cpp
@@ -41,6 +41,12 @@
     props.healMs = 8000;
     return props;
   };
+  // Long enough for one cut of twenty seconds, or for hundreds of changes.
+  auto longProxies = [&](Props props) {
+    props = proxies(props);
+    props.faultsMs = 32000;
+    return props;
+  };
   static const std::map<std::string, Props> all = {
       {"none", {}},
       {"crashes", {.crashes = true}},
@@ -68,6 +74,9 @@
       {"proxies, upstreams come and go", proxies({.upstreams = true})},
       {"proxies, pressed origin", proxies({.crashes = true, .herds = true, .rate = 5, .nodeCuts = true})},
       {"proxies freeze", proxies({.freezes = true})},
+      {"proxies, long cut", longProxies({.longCuts = true, .lostAnswerPercent = 30})},
+      {"proxies, answers to operators lost", proxies({.lostAnswerPercent = 70})},
+      {"proxies, hundreds of changes", longProxies({.crashes = true, .lostAnswerPercent = 20, .changeEveryMs = 60})},
       {"proxies, all", proxies({.crashes = true,
                                 .wipes = true,
                                 .cuts = true,
@@ -103,7 +112,7 @@
   auto core = cores_.find(machine);
   auto node = nodes_.find(machine);
   auto isUp = core != cores_.end() ? core->second->isUp : node != nodes_.end() && node->second->isUp;
-  if (!isUp) return false;  // a line to nobody is down
+  if (!isUp || downLines_.count({fromMachine, machine})) return false;  // a line to nobody is down
   auto life = core != cores_.end() ? core->second->life : node->second->life;
   auto isLocal = machine == fromMachine;
   auto arrivesMs = nowMs_ + (isLocal ? 0 : pick(1, props_.wayMs));
--- a/tests/sim/system_sim.hpp
+++ b/tests/sim/system_sim.hpp
@@ -72,8 +72,11 @@
     bool hasProxies = false;
     bool nodeCuts = false;  // one node from all others, and perhaps from upstreams
     bool fullDisks = false;
-    bool rolling = false;    // machines are restarted in turn
-    bool upstreams = false;  // upstreams start, empty, crash, and their addresses pass to another pool
+    bool rolling = false;         // machines are restarted in turn
+    bool longCuts = false;        // one registry is cut off from the others for 18 to 21 s, also one way
+    int lostAnswerPercent = 0;    // of answers to operators, who then send the same order again
+    int64_t changeEveryMs = 600;  // between changes of the routing
+    bool upstreams = false;       // upstreams start, empty, crash, and their addresses pass to another pool
   };
   explicit SystemSim(const Props& props);
   virtual ~SystemSim();
@@ -159,6 +162,7 @@
   std::map<std::string, std::unique_ptr<Core>> cores_;
   std::map<std::string, std::unique_ptr<Node>> nodes_;
   std::set<std::pair<std::string, std::string>> cuts_;
+  std::set<std::pair<std::string, std::string>> downLines_;  // of the cuts: senders see that the line is down
   std::map<std::pair<std::string, std::string>, int64_t> lastArrivalsMs_;  // by line
   bool isHealed_ = false;
 
--- a/tests/system_test.cpp
+++ b/tests/system_test.cpp
@@ -82,6 +82,9 @@
                                                      {"proxies, answers lost", 80},
                                                      {"proxies, upstreams come and go", 96},
                                                      {"proxies, pressed origin", 70},
+                                                     {"proxies, long cut", 90},
+                                                     {"proxies, answers to operators lost", 96},
+                                                     {"proxies, hundreds of changes", 90},
                                                      {"proxies, all", 55}};
   for (const auto& [name, props] : SystemSim::mixes()) {
     if (!props.hasProxies) continue;
