A late call of an upstream changes nothing, whatever removed the upstream

Cause: the number of an upstream's last call was remembered only when the upstream itself said that it was gone. Where silence, another service at its address or the end of its pool removed it, an earlier call that came late (from a registry that was frozen or cut off) listed it again, as accepting after it had said that it empties, or took the address from the upstream that has it now.

Ruled out: the order of commands; the late call is ordered properly, it is only not known to be late.

Change: each removal remembers the number, within the same bound of 10,000 (the older half is forgotten then).

Measured: the test's three ways fail before (the upstream is listed again in each) and pass after.

--- a/lib/core/state.cpp
+++ b/lib/core/state.cpp
@@ -205,7 +205,10 @@
       return isOldTerm() ? OpResult{Outcome::kOldTerm, {}, {}} : decide(op);
     case OpKind::kSignOff: {
       if (isOldTerm()) return {Outcome::kOldTerm, {}, {}};
-      if (!frame_.upstreams.erase(op.name)) return {Outcome::kNoChange, {}, {}};
+      auto it = frame_.upstreams.find(op.name);
+      if (it == frame_.upstreams.end()) return {Outcome::kNoChange, {}, {}};
+      noteGone(op.name, it->second.number);
+      frame_.upstreams.erase(it);
       ++revision.upstreams;
       break;
     }
@@ -289,6 +292,8 @@
     const auto& name = one.second.service;
     return services.count(name) && !frame_.services.count(name) && !frame_.routing.pools.count(name);
   };
+  for (const auto& one : frame_.upstreams)
+    if (isGone(one)) noteGone(one.first, one.second.number);
   if (std::erase_if(frame_.upstreams, isGone)) ++frame_.revision.upstreams;
 }
 
@@ -515,19 +520,22 @@
 
 auto State::deregister(const Op& op) -> OpResult {
   if (isLate(op)) return {Outcome::kNoChange, {}, {}};
-  if (op.upstream.number > 0) {
-    gone_[op.name] = op.upstream.number;
-    goneOrder_.emplace_back(op.name, op.upstream.number);
-    if (goneOrder_.size() > kGoneKept) {
-      for (size_t i = 0; i < kGoneKept / 2; ++i)
-        if (auto it = gone_.find(goneOrder_[i].first); it != gone_.end() && it->second == goneOrder_[i].second)
-          gone_.erase(it);
-      goneOrder_.erase(goneOrder_.begin(), goneOrder_.begin() + kGoneKept / 2);
-    }
-  }
+  noteGone(op.name, op.upstream.number);
   if (!frame_.upstreams.erase(op.name)) return {Outcome::kNoChange, {}, {}};
   OpResult result{Outcome::kDone, {}, {}};
   result.revision.upstreams = ++frame_.revision.upstreams;
+auto State::noteGone(const std::string& name, uint64_t number) -> void {
+  if (number == 0) return;
+  auto& last = gone_[name];
+  last = std::max(last, number);
+  goneOrder_.emplace_back(name, last);
+  if (goneOrder_.size() <= kGoneKept) return;
+  for (size_t i = 0; i < kGoneKept / 2; ++i)
+    if (auto it = gone_.find(goneOrder_[i].first); it != gone_.end() && it->second == goneOrder_[i].second)
+      gone_.erase(it);
+  goneOrder_.erase(goneOrder_.begin(), goneOrder_.begin() + kGoneKept / 2);
+}
+
   return result;
 }
 
@@ -555,8 +563,11 @@
   }
   // An address belongs to one instance at a time. One that passes to another service is held until no node
   // can know the old entry any more, even where that entry has long been signed off.
-  std::erase_if(frame_.upstreams,
-                [&](const auto& one) { return one.first != op.name && one.second.address == next.address; });
+  std::erase_if(frame_.upstreams, [&](const auto& one) {
+    auto isReplaced = one.first != op.name && one.second.address == next.address;
+    if (isReplaced) noteGone(one.first, one.second.number);
+    return isReplaced;
+  });
   auto [owner, isNew] = owners_.try_emplace(next.address, next.service);
   if (!isNew && owner->second != next.service) next.isHeld = true;
   owner->second = next.service;
--- a/lib/core/state.hpp
+++ b/lib/core/state.hpp
@@ -417,8 +417,10 @@
   std::map<std::string, Tenant> tenants_;
   std::map<std::string, Rollout> rollouts_;
   std::vector<std::string> rolloutOrder_;
+  /// Remembers the last number of an upstream that is no longer listed. Example: `noteGone(name, upstream.number);`
+  auto noteGone(const std::string& name, uint64_t number) -> void;
   std::map<std::string, std::string> owners_;  // address → the service that had it last
-  std::map<std::string, uint64_t> gone_;       // upstreams that said so → number of that announcement
+  std::map<std::string, uint64_t> gone_;       // upstreams no longer listed → number of their last announcement
   std::vector<std::pair<std::string, uint64_t>> goneOrder_;
   Sources sources_;
   std::vector<OpResult> taken_;  // of routings, the newest ones
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -150,3 +150,46 @@
   unstable.breakStability = true;
   CHECK_FALSE(search("mutation: runs before it is stable", kRace, {}, 60000, {}, unstable).violation.empty());
 }
+
+TEST_CASE("A call of an upstream that comes after its last word changes nothing, whatever removed the upstream") {
+  auto announce = [](const std::string& name, const std::string& service, uint64_t number, bool isEmptying) {
+    Op op;
+    op.kind = OpKind::kAnnounce;
+    op.name = name;
+    op.upstream.service = service;
+    op.upstream.address = "10.0.0.1:80";
+    op.upstream.number = number;
+    op.upstream.isEmptying = isEmptying;
+    return op;
+  };
+  SECTION("signed off in silence") {
+    core::State state;
+    apply(state, announce("a", "till", 3, false));
+    apply(state, announce("a", "till", 9, true));
+    Op signOff;
+    signOff.kind = OpKind::kSignOff;
+    signOff.name = "a";
+    REQUIRE(apply(state, signOff).outcome == Outcome::kDone);
+    CHECK(apply(state, announce("a", "till", 8, false)).outcome == Outcome::kNoChange);
+    CHECK(state.frame().upstreams.empty());
+    // One that was only cut off comes back with its next call.
+    CHECK(apply(state, announce("a", "till", 10, false)).outcome == Outcome::kDone);
+  }
+  SECTION("replaced at its address") {
+    core::State state;
+    apply(state, announce("a", "till", 9, true));
+    apply(state, announce("b", "shop", 1, false));
+    CHECK(apply(state, announce("a", "till", 8, false)).outcome == Outcome::kNoChange);
+    CHECK(state.frame().upstreams.count("b") == 1);
+  }
+  SECTION("retired with its pool") {
+    core::State state;
+    auto withPool = routing(0, 1, 1, true);
+    withPool.routing.pools["till"] = core::Pool{};
+    apply(state, withPool);
+    apply(state, announce("a", "till", 9, true));
+    REQUIRE(apply(state, routing(1, 2, 2, true)).outcome == Outcome::kDone);
+    REQUIRE(state.frame().upstreams.empty());
+    CHECK(apply(state, announce("a", "till", 8, false)).outcome == Outcome::kNoChange);
+  }
+}
