A registry out of contact turns calls away at once, and shows nothing of the past

Cause: a registry that is cut off took calls for 1.5 s more (the age at which it calls itself not ready) and held each for 0.9 s, a purge without an id for 5 s, while a caller waits one second. Its pages of the configuration, roster, templates, rollouts and changes showed what it had published last, however much newer an acknowledged change was. A change whose result was not known after 5 s was acknowledged by what had run here, synced or not.

Ruled out: the read of the routing and its orders; each is ordered after the call came in.

Change: contact with a majority is a state of its own: something of this registry was ordered within 3/8 of the bound (750 ms), and a majority is heard (silence is noticed after 1/8 of it). Out of contact, calls get 503 at once, and whoever waits is answered at that moment; what was submitted goes on. All pages but /ready and /status are read by order. The state is on the status page and in the log.

--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <bit>
 
 #include "neighbour/post.hpp"
 #include "operator/configuration.hpp"
@@ -92,6 +93,13 @@
   return node_.isMember() && ageMs(nowMs) < props_.staleMs;
 }
 
+// What was submitted within the bound has been ordered, which takes a majority; and a majority is heard, so that
+// silence is noticed before the next submission fails.
+auto Registry::hasContact(int64_t nowMs) const -> bool {
+  if (!isReady(nowMs) || ageMs(nowMs) >= props_.contactMs) return false;
+  return static_cast<size_t>(std::popcount(node_.alive())) * 2 > node_.members().size();
+}
+
 // ---- steps and the disk -------------------------------------------------------------------------------
 
 auto Registry::saveFrame(bool isNeeded) -> void {
@@ -202,10 +210,6 @@
   out_.answers.push_back({who.stream, who.method, who.keep, answer, who.token});
 }
 
-auto Registry::to(const Who& who) -> Reply {
-  return [this, who](const Answer& a) { answer(who, a); };
-}
-
 // Whoever waits longer is given the late answer; what was submitted goes on.
 auto Registry::within(int64_t forMs, const Who& who, Answer late) -> Reply {
   auto waiter = std::make_shared<Waiter>(Waiter{who, nowMs_ + forMs, std::move(late), false});
@@ -252,8 +256,9 @@
   op.print = neighbour::hash(body);
   auto id = op.changeId;
   submit(std::move(op), [this, reply, id, detail, again, told](const OpResult* result, int64_t nowMs) {
-    auto known = result ? std::optional(*result) : state_.changed(id);
-    if (!known) return reply(unknownAnswer(detail));
+    // What ran here may not be synced here: whoever asks again learns it from a later order.
+    if (!result) return reply(unknownAnswer(detail));
+    auto known = std::optional(*result);
     if (known->outcome == Outcome::kIdReused) return reply(codeAnswer(kIdReused, 0, detail));
     if (known->outcome == Outcome::kRolloutRuns) return reply(codeAnswer(kRolloutRuns, 0, rolloutDetail(*known)));
     if (known->outcome == Outcome::kConflict) {
@@ -277,14 +282,15 @@
   op::Json id(cJSON_CreateString(op->changeId.c_str()), cJSON_Delete);
   std::function<void()> again;
   if (!hasBase && tries > 0) again = [this, body, who, tries] { configure(body, who, tries - 1); };
-  change(std::move(*op), body, to(who), ",\"change\":" + op::print(id.get()), again, revisionDetail);
+  auto detail = ",\"change\":" + op::print(id.get());
+  change(std::move(*op), body, within(props_.answerMs, who, unknownAnswer(detail)), detail, again, revisionDetail);
 }
 
 auto Registry::submitTemplate(const std::string& body, Who who) -> void {
   std::vector<op::Fault> faults;
   auto op = op::readTemplate(body, faults);
   if (!op) return invalid(who, faults);
-  change(std::move(*op), body, to(who), "", {}, [](const OpResult& result) {
+  change(std::move(*op), body, within(props_.answerMs, who, unknownAnswer()), "", {}, [](const OpResult& result) {
     return revisionDetail(result) + (result.rollout.empty() ? "" : rolloutDetail(result));
   });
 }
@@ -297,7 +303,7 @@
   if (!hasBase) op->base = state_.frame().revision.configuration;
   std::function<void()> again;
   if (!hasBase && tries > 0) again = [this, body, who, tries] { setTenants(body, who, tries - 1); };
-  change(std::move(*op), body, to(who), "", again, revisionDetail);
+  change(std::move(*op), body, within(props_.answerMs, who, unknownAnswer()), "", again, revisionDetail);
 }
 
 // Whoever sends the very same routing again joins the first, here and in the order.
@@ -326,6 +332,8 @@
         orderRouting(op, reply, true);
       });
     }
+    // Not checked against its base, it must not be ordered: its base may come into force meanwhile.
+    if (op.base > now.version && !op.isWhole) return page(reply, codeAnswer(kNotCurrent, 1));
     if (op.base != now.version && !op.isWhole) {
       ++conflicts_;
       return page(reply, codeAnswer(kConflict, 0, versionDetail(now.version)));
@@ -336,8 +344,6 @@
   submit(std::move(op), [this, reply, version](const OpResult* result, int64_t nowMs) {
     if (!result || result->outcome == Outcome::kUndecided) return reply(unknownAnswer(versionDetail(version)));
     if (result->outcome == Outcome::kConflict) {
-    // Not checked against its base, it must not be ordered: its base may come into force meanwhile.
-    if (op.base > now.version && !op.isWhole) return page(reply, codeAnswer(kNotCurrent, 1));
       ++conflicts_;
       return reply(codeAnswer(kConflict, 0, versionDetail(result->version)));
     }
@@ -347,13 +353,18 @@
 }
 
 // A linearizable read: whatever was acknowledged before it came is ordered before it.
-auto Registry::showRouting(Who who) -> void {
+auto Registry::afterRead(const Who& who, std::function<Answer()> make) -> void {
   Op read;
   read.kind = OpKind::kRead;
-  submit(std::move(read), [this, reply = within(props_.boundMs * 9 / 20, who, codeAnswer(kNotCurrent, 1))](
-                              const OpResult* result, int64_t) {
-    if (result) page(reply, jsonAnswer(op::writeRouting(state_.frame().routing, state_.sources())));
-  });
+  submit(std::move(read),
+         [this, make = std::move(make), reply = within(props_.boundMs * 9 / 20, who, codeAnswer(kNotCurrent, 1))](
+             const OpResult* result, int64_t) {
+           if (result) page(reply, make());
+         });
+}
+
+auto Registry::showRouting(Who who) -> void {
+  afterRead(who, [this] { return jsonAnswer(op::writeRouting(state_.frame().routing, state_.sources())); });
 }
 
 // A purge with an id can be sent again and joins the first; one without is another purge each time.
@@ -362,7 +373,7 @@
   auto op = op::readPurge(body, faults);
   if (!op) return invalid(who, faults);
   auto reply = op->changeId.empty()
-                   ? to(who)
+                   ? within(props_.boundMs * 9 / 20, who, unknownAnswer())
                    : joined("purge " + std::to_string(neighbour::hash(body)) + " " + op->changeId, who, "");
   if (!reply) return;
   change(std::move(*op), body, reply, "", {},
@@ -416,26 +427,9 @@
     return answer(who, codeAnswer(node_.isMember() ? kNotCurrent : kNotMember, 1));
   }
   if (isGet && path == "/status") return json(who, statusPage(nowMs));
-  if (!isReady(nowMs)) return answer(who, codeAnswer(node_.isMember() ? kNotCurrent : kNotMember, 1));
-  if (isGet && path == "/configuration") return json(who, op::writeConfiguration(*published_));
-  if (isGet && path == "/roster") return json(who, op::writeRoster(*published_));
-  if (isGet && path == "/templates") return page(to(who), jsonAnswer(op::writeTemplates(state_)));
-  if (isGet && path.rfind("/rollouts", 0) == 0) {
-    auto wanted = path.size() > 10 ? path.substr(10) : "";
-    std::string list;
-    for (const auto& [id, rollout] : state_.rollouts())
-      if (wanted.empty() || wanted == id) list += (list.empty() ? "" : ",") + op::writeRollout(id, rollout);
-    if (!wanted.empty() && list.empty()) return answer(who, codeAnswer(kNoSuchChange, 0));
-    return page(to(who), jsonAnswer(wanted.empty() ? "[" + list + "]" : list));
-  }
-  if (isGet && path.rfind("/changes/", 0) == 0) {
-    auto result = state_.changed(path.substr(9));
-    if (!result) return answer(who, codeAnswer(kNoSuchChange, 0));
-    return page(to(who), jsonAnswer("{\"code\":0" + revisionDetail(*result) +
-                                    ",\"purge\":" + std::to_string(result->revision.purges) + "}"));
-  }
+  if (!hasContact(nowMs)) return answer(who, codeAnswer(node_.isMember() ? kNotCurrent : kNotMember, 1));
   if (running_.size() + batch_.size() + acks_.size() > props_.waiting) return answer(who, codeAnswer(kEdgeFull, 1));
-  if (isGet && path == "/routing") return showRouting(who);
+  if (isGet) return show(path, who);
   if (isPost && path == "/routing") return setRouting(request.body, who);
   if (isPost && path == "/configuration") return configure(request.body, who, 5);
   if (isPost && path == "/templates") return submitTemplate(request.body, who);
@@ -445,6 +439,38 @@
   answer(who, codeAnswer(kNoSuchPage, 0));
 }
 
+// Pages of ordered state, each read in its place in the order.
+auto Registry::show(const std::string& path, const Who& who) -> void {
+  const std::string rollouts = "/rollouts", changes = "/changes/";
+  if (path == "/routing") return showRouting(who);
+  if (path == "/configuration")
+    return afterRead(who, [this] { return jsonAnswer(op::writeConfiguration(state_.frame())); });
+  if (path == "/roster") return afterRead(who, [this] { return jsonAnswer(op::writeRoster(state_.frame())); });
+  if (path == "/templates") return afterRead(who, [this] { return jsonAnswer(op::writeTemplates(state_)); });
+  if (path.starts_with(rollouts)) {
+    auto wanted = path.size() > rollouts.size() ? path.substr(rollouts.size() + 1) : "";
+    return afterRead(who, [this, wanted] { return rolloutsAnswer(wanted); });
+  }
+  if (path.starts_with(changes))
+    return afterRead(who, [this, id = path.substr(changes.size())] { return changeAnswer(id); });
+  answer(who, codeAnswer(kNoSuchPage, 0));
+}
+
+auto Registry::rolloutsAnswer(const std::string& wanted) const -> Answer {
+  std::string list;
+  for (const auto& [id, rollout] : state_.rollouts())
+    if (wanted.empty() || wanted == id) list += (list.empty() ? "" : ",") + op::writeRollout(id, rollout);
+  if (!wanted.empty() && list.empty()) return codeAnswer(kNoSuchChange, 0);
+  return jsonAnswer(wanted.empty() ? "[" + list + "]" : list);
+}
+
+auto Registry::changeAnswer(const std::string& id) const -> Answer {
+  auto result = state_.changed(id);
+  if (!result) return codeAnswer(kNoSuchChange, 0);
+  return jsonAnswer("{\"code\":0" + revisionDetail(*result) + ",\"purge\":" + std::to_string(result->revision.purges) +
+                    "}");
+}
+
 // ---- acknowledgement ----------------------------------------------------------------------------------
 
 auto Registry::everyoneHas(const Revision& revision) const -> bool {
@@ -855,14 +881,29 @@
     for (auto& one : pending)
       one.done(nullptr, nowMs);
   }
+  watchContact(nowMs);
+  answerLate(nowMs);
+  std::erase_if(heard_, [&](const auto& one) { return nowMs - one.second.heardMs > 20 * props_.memberMissMs; });
+}
+
+// Whoever waits is answered when its time is over, or when contact has been lost since it came: what was submitted
+// goes on, and the caller asks another registry meanwhile.
+auto Registry::answerLate(int64_t nowMs) -> void {
+  auto isOut = !hasContact(nowMs);
   std::erase_if(waiters_, [&](const auto& waiter) {
-    if (!waiter->isAnswered && nowMs >= waiter->untilMs) {
+    if (!waiter->isAnswered && (isOut || nowMs >= waiter->untilMs)) {
       waiter->isAnswered = true;
       answer(waiter->who, waiter->late);
     }
     return waiter->isAnswered;
   });
-  std::erase_if(heard_, [&](const auto& one) { return nowMs - one.second.heardMs > 20 * props_.memberMissMs; });
+}
+
+auto Registry::watchContact(int64_t nowMs) -> void {
+  auto hasContactNow = hasContact(nowMs);
+  if (std::exchange(hadContact_, hasContactNow) == hasContactNow) return;
+  LOG(INFO) << "core: " << (hasContactNow ? "In contact with a majority." : "Out of contact with a majority")
+            << (hasContactNow ? "" : ", last ordered " + std::to_string(ageMs(nowMs)) + " ms ago.");
 }
 
 auto Registry::dueMs() const -> int64_t {
@@ -878,6 +919,7 @@
     by(ack.sinceMs + ackMs() + 1);
   for (const auto& waiter : waiters_)
     by(waiter->untilMs);
+  if (!waiters_.empty()) by(asOfMs_ + props_.contactMs);
   for (const auto& [id, sinceMs] : runningSinceMs_)
     by(sinceMs + props_.answerMs);
   return due;
@@ -891,6 +933,7 @@
   page.text("life", std::to_string(disk_.incarnation));
   page.flag("ready", isReady(nowMs));
   page.flag("member", node_.isMember());
+  page.flag("contact", hasContact(nowMs));
   page.flag("watches", watches());
   number("slot", props_.slot);
   number("epoch", node_.epoch());
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -54,6 +54,7 @@
     std::map<tempo::Slot, std::string> addresses;  // of all registries
     int64_t boundMs = 2000;                        // the freshness bound
     int64_t staleMs = 1500;                        // 3/4 of it
+    int64_t contactMs = 750;                       // 3/8 of it: without a majority for so long, calls are turned away
     int64_t tickMs = 250;                          // 1/8 of it
     bool servesStale = false;  // data nodes go on with what they know: who lacks a change is not waited for as long
     int64_t holdMs = 200;      // 1/10: how long a question for news is held
@@ -99,6 +100,9 @@
   auto output() -> Output { return std::exchange(out_, {}); }
   /// Ready to serve operators, upstreams and agents. Example: `registry.isReady(nowMs)`
   auto isReady(int64_t nowMs) const -> bool;
+  /// True while a majority is known to have ordered something of this registry within the contact bound, and is heard.
+  /// Whoever asks a registry out of contact is turned away at once. Example: `if (!registry.hasContact(nowMs)) ...`
+  auto hasContact(int64_t nowMs) const -> bool;
   auto incarnation() const -> uint64_t { return disk_.incarnation; }
 
  private:
@@ -171,9 +175,14 @@
   auto setRouting(const std::string& body, Who who) -> void;
   auto orderRouting(Op op, Reply reply, bool hasRead) -> void;
   auto showRouting(Who who) -> void;
+  auto afterRead(const Who& who, std::function<caller::Answer()> make) -> void;
+  auto show(const std::string& path, const Who& who) -> void;
+  auto rolloutsAnswer(const std::string& wanted) const -> caller::Answer;
+  auto changeAnswer(const std::string& id) const -> caller::Answer;
+  auto answerLate(int64_t nowMs) -> void;
+  auto watchContact(int64_t nowMs) -> void;
   auto announce(const std::string& body, Who who) -> void;
   auto purge(const std::string& body, Who who) -> void;
-  auto to(const Who& who) -> Reply;
   auto within(int64_t forMs, const Who& who, caller::Answer late) -> Reply;
   auto joined(const std::string& key, const Who& who, const std::string& detail) -> Reply;
   auto ranMs(const Revision& revision) const -> int64_t;
@@ -227,7 +236,7 @@
   std::map<uint32_t, neighbour::Hello> hellos_;
   std::map<uint32_t, int64_t> strangers_;  // slot → since when an unseated life says hello
   int64_t helloMs_ = 0, haveMs_ = 0, seatMs_ = 0, claimMs_ = 0, watchSinceMs_ = -1, watchedMs_ = 0;
-  bool hasNewsOfMembers_ = false;
+  bool hasNewsOfMembers_ = false, hadContact_ = false;
   uint64_t life_, changeNumber_ = 0;         // of this process, not of its disk: ids given here are never given again
   std::deque<int64_t> commitsMs_, syncsUs_;  // the last few, for the status page
   uint64_t syncs_ = 0;
