A registry that is heard and hears nobody no longer stalls the others

Cause: with what it hears cut off, a registry went on submitting a tick every 1/8 of the bound, which the others had to recover; and since they hear it, they took it for the leader of one partition in three, which alone recovers there. Its commands, and with them everything above their timestamps, waited for as long as the cut lasted.

Ruled out: the choice of fast quorums (a missing reply costs 40 ms); news and agents.

Change: a registry that hears no majority submits no ticks. At the second, fourth, eighth ... attempt to recover a command one more living replica tries beside the leader. Ballots make that safe; the growing gaps leave a slow recovery the time to end. The contact bound follows boundMs in the program.

--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -48,6 +48,10 @@
   return frame;
 }
 
+auto hearsMajority(const tempo::Node& node) -> bool {
+  return static_cast<size_t>(std::popcount(node.alive())) * 2 > node.members().size();
+}
+
 auto versionDetail(uint64_t version) -> std::string {
   return ",\"version\":" + std::to_string(version);
 }
@@ -97,7 +101,7 @@
 // silence is noticed before the next submission fails.
 auto Registry::hasContact(int64_t nowMs) const -> bool {
   if (!isReady(nowMs) || ageMs(nowMs) >= props_.contactMs) return false;
-  return static_cast<size_t>(std::popcount(node_.alive())) * 2 > node_.members().size();
+  return hearsMajority(node_);
 }
 
 // ---- steps and the disk -------------------------------------------------------------------------------
@@ -834,7 +838,8 @@
     hello();
   }
   if (node_.isMember()) {
-    if (nowMs - tickedMs_ >= props_.tickMs) {
+    // What a registry submits that hears no majority, the others would have to recover.
+    if (nowMs - tickedMs_ >= props_.tickMs && hearsMajority(node_)) {
       tickedMs_ = nowMs;
       Op op;
       op.kind = OpKind::kTick;
@@ -911,7 +916,7 @@
   auto by = [&](int64_t atMs) { due = std::min(due, atMs); };
   if (node_.isMember()) {
     by(node_.dueMs());
-    by(tickedMs_ + props_.tickMs);
+    if (hearsMajority(node_)) by(tickedMs_ + props_.tickMs);
     by(haveMs_ + haveEveryMs());
     if (!batch_.empty()) by(batchSinceMs_ + props_.batchMs);
   }
--- a/lib/program/registry.cpp
+++ b/lib/program/registry.cpp
@@ -94,6 +94,7 @@
   props.boundMs = boundMs;
   props.staleMs = boundMs * 3 / 4;
   props.tickMs = boundMs / 8;
+  props.contactMs = boundMs * 3 / 8;
   props.holdMs = boundMs / 10;
   diskProps.files = static_cast<uint32_t>(ringFiles);
   diskProps.fileBytes = static_cast<uint64_t>(ringBytes);
--- a/lib/tempo/tempo.cpp
+++ b/lib/tempo/tempo.cpp
@@ -15,6 +15,20 @@
   for (uint8_t part = 0; part < kParts; ++part)
     if (parts & (1u << part)) f(part);
 }
+
+// Who else recovers a command than its leader, which tries each time: at the second, fourth, eighth ... time the next
+// living replica after it. A leader that is heard and hears nobody would otherwise keep commands from being recovered.
+auto isDeputy(Slot slot, const std::map<Slot, Incarnation>& members, uint32_t alive, Slot leader, int64_t attempt)
+    -> bool {
+  if (attempt < 2 || !std::has_single_bit(static_cast<uint64_t>(attempt))) return false;
+  std::vector<Slot> living;
+  for (const auto& [member, incarnation] : members)
+    if (alive & Node::bit(member)) living.push_back(member);
+  auto first = std::find(living.begin(), living.end(), leader);
+  if (first == living.end()) return false;
+  auto place = static_cast<size_t>(first - living.begin()) + std::bit_width(static_cast<uint64_t>(attempt)) - 1;
+  return living[place % living.size()] == slot;
+}
 }  // namespace
 
 auto Ranges::add(uint64_t first, uint64_t last) -> void {
@@ -582,8 +596,10 @@
     auto m = make(Kind::kPayload, id, 0);
     m.command = e.command;
     sendAll(m);
+    auto attempt = (nowMs - e.sinceMs) / props_.recoveryMs;
     eachPart(e.command->parts, [&](uint8_t part) {
-      if (!e.shares[part].committed && leader(part) == slot_) recover(id, e, part, nowMs);
+      auto isTurn = leader(part) == slot_ || isDeputy(slot_, members_, alive_, leader(part), attempt);
+      if (!e.shares[part].committed && isTurn) recover(id, e, part, nowMs);
     });
   }
   // Commits that others' promises name and that did not come by themselves are asked for.
--- a/tests/cutoff_test.cpp
+++ b/tests/cutoff_test.cpp
@@ -44,6 +44,8 @@
       {"silent cut", {{Trouble::kSilentCut, kTroubleMs, kLongMs, "r1"}}},
       {"silent cut of the leader", {{Trouble::kSilentCut, kTroubleMs, kLongMs, "leader"}}},
       {"outbound cut", {{Trouble::kOutboundCut, kTroubleMs, kLongMs, "leader"}}},
+      {"inbound cut", {{Trouble::kInboundCut, kTroubleMs, kLongMs, "r2"}}},
+      {"inbound cut of the leader", {{Trouble::kInboundCut, kTroubleMs, kLongMs, "leader"}}},
       {"cut by reset", {{Trouble::kResetCut, kTroubleMs, kLongMs, "leader"}}},
       {"cut off from data nodes too", {{Trouble::kLonelyCut, kTroubleMs, kLongMs, "r3"}}},
       {"freeze", {{Trouble::kFreeze, kTroubleMs, kLongMs, "leader"}}, 1},
