A refusal that comes twice no longer sends a write to a third node

Cause: an edge joined a node's refusal to the request by its id alone. When the refusal of a node asked earlier came again, the edge took it for the present node's, handed the write to a third node while the second may have been running it, and in the end answered 503 though it may have run. For reads the second node's answer was lost. The guard rested on the transport alone. Change: a refusal counts only if it comes from the node that was asked last. Test: once, "A refusal that comes twice" and "In all orders of replies" (59,049 orders of replies, repeats, lost connections, silence), both seen failing before: "handed to at-e4 while another node may run it", "called not run while it may run".

--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -391,6 +391,9 @@
   auto* w = waiting_.get(reply.id);
   if (!w) return;
   if (reply.code != kOk) {
+    // A refusal ends the ask that it answers. One that comes again, or from a node that was asked before the present
+    // one, says nothing of what that one may be running.
+    if (from != w->shield) return;
     // What a shield turned away untouched may go to another one; that costs the upstreams nothing.
     auto mayMove = reply.isUntouched && isTurnedAway(reply.code) && reply.code != kDeadline;
     w->retryMs = reply.retryMs;
