A shared copy bears its receiver's try id, and no upstream's seal on a 416 of this node's own

Cause: an answer fetched for one client and shared with another, joined or from the cache, went out with the first one's Try-Id. A range past the end of a kept copy was answered 416 with the seal of the upstream's 200: a failure that bears a seal must have the status that the upstream gave. Change: the edge sets the id of whoever gets the answer, and leaves the seal off a 416 that it makes itself. Test: once, "A shared copy bears the id ...", seen failing before (five answers with "id-1"; a 416 with the seal). Not settled: such a 416 is a 4xx of this system's own; to hand the range to the upstream would cost it a request.

--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -178,7 +178,8 @@
       Answer answer{copy->status, copy->headers, copy->body};
       answer.headers.emplace_back("Age", std::to_string((nowMs - copy->bornMs) / 1000));
       if (hasPolicyFailed) answer.headers.emplace_back("Dykestage-Policy", std::to_string(kPolicyFailed));
-      if (w.range && answer.status == 200) answer = slice(std::move(answer), *w.range);
+      if (w.range && answer.status == 200) answer = cut(std::move(answer), *w.range);
+      identify(answer, w.tryId);
       measure(found->rollout, found->isNext, 0, answer.status, false, 0);
       auto untilMs = copy->bornMs + path.keepMs + props_.staleMs;
       if (!props_.servesStale) untilMs = std::min(untilMs, held_.asOfMs + props_.staleMs);
@@ -494,10 +495,26 @@
   if (w.hasPolicyFailed) answer.headers.emplace_back("Dykestage-Policy", std::to_string(kPolicyFailed));
   measure(w.rollout, w.isNext, nowMs - w.startMs, answer.status, w.isFetched, w.load);
   if (w.range && answer.status == 200 && header(answer.headers, "dykestage-code").empty())
-    answer = slice(std::move(answer), *w.range);
+    answer = cut(std::move(answer), *w.range);
+  identify(answer, w.tryId);
   out_.answers.push_back({w.request.stream, w.request.method, w.request.keep, std::move(answer)});
 }
 
+// The seal vouches for the status that the upstream gave: a 416 of this node's own goes without it.
+auto Edge::cut(Answer whole, const Range& range) const -> Answer {
+  auto part = slice(std::move(whole), range);
+  if (part.status == 416 && !props_.names.seal.empty())
+    std::erase_if(part.headers, [&](const auto& h) { return lower(h.first) == lower(props_.names.seal); });
+  return part;
+}
+
+// An answer that was fetched for one caller and shared with another bears the id of the one that gets it.
+auto Edge::identify(Answer& answer, const std::string& tryId) const -> void {
+  if (props_.names.tryId.empty() || tryId.empty()) return;
+  for (auto& [name, value] : answer.headers)
+    if (lower(name) == lower(props_.names.tryId)) value = tryId;
+}
+
 auto Edge::endBy(int64_t untilMs) -> void {
   endMs_ = untilMs;
   for (auto id : waiting_.ids()) {
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -183,6 +183,8 @@
   auto giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void;
   auto finish(uint64_t id, const Answer& answer, const policy::Copy* copy, int64_t nowMs) -> void;
   auto answer(Waiting& waiting, Answer answer, int64_t nowMs) -> void;
+  auto cut(Answer whole, const Range& range) const -> Answer;
+  auto identify(Answer& answer, const std::string& tryId) const -> void;
   auto isSilent(const std::string& shield, int64_t nowMs) const -> bool;
   auto order(const Waiting& waiting, uint64_t id, int64_t nowMs) const -> std::vector<size_t>;
   auto turnAway(const Request& request, uint32_t code, int64_t retryMs) -> void;
--- a/tests/once_test.cpp
+++ b/tests/once_test.cpp
@@ -486,6 +486,30 @@
 
 // ---- shared copies -----------------------------------------------------------------------------------------
 
+TEST_CASE("A shared copy bears the id of the request that it answers, and its seal only with its status") {
+  Node n;
+  n.ask("GET", "/covers/1", "id-1");
+  n.ask("GET", "/covers/1", "id-2");  // joins the first
+  REQUIRE(n.fetches.size() == 1);
+  n.end(End{"whole", Fault::kNone, 200}.fetched(n.fetches[0]), kStartMs + 20);
+  n.ask("GET", "/covers/1", "id-3", {}, kStartMs + 30);  // from the cache
+  n.ask("GET", "/covers/1", "id-4", {{"Range", "bytes=1-2"}}, kStartMs + 30);
+  n.ask("GET", "/covers/1", "id-5", {{"Range", "bytes=99-"}}, kStartMs + 30);
+  REQUIRE(n.answers.size() == 5);
+  std::vector<std::string> ids;
+  for (const auto& a : n.answers)
+    ids.push_back(header(a.answer.headers, "Try"));
+  std::sort(ids.begin(), ids.end());
+  CHECK(ids == std::vector<std::string>{"id-1", "id-2", "id-3", "id-4", "id-5"});
+  for (const auto& a : n.answers) {
+    CHECK(std::count_if(a.answer.headers.begin(), a.answer.headers.end(),
+                        [](const auto& h) { return caller::lower(h.first) == "try"; }) == 1);
+    auto isRange = header(a.answer.headers, "Try") >= "id-4";
+    CHECK(a.answer.status == (!isRange ? 200 : header(a.answer.headers, "Try") == "id-4" ? 206 : 416));
+    CHECK(has(a.answer.headers, "Seal") == (a.answer.status < 300));
+  }
+}
+
 // ---- bytes -------------------------------------------------------------------------------------------------
 
 namespace {
