A route's request that every upstream answered with 421 is turned away with 503, not 502

Cause: 421 says that the request has not run, but the last one was told to the client as 502, which promises nothing: a client does not send a write again after it. For routes the other nodes were asked on top, beyond the route's tries. Change: for routes a final 421 ends like "not run" from a full upstream: 503 with when to come back, no other node asked. Services of the product's own deployments keep code 3013. Test: once, rows "421" and "421, not run" of "Each way a send to an upstream can end", seen failing before (502).

--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -528,7 +528,7 @@
     return giveUp(id, kNoUpstream, nowMs);
   }
   if (f.fault == Fault::kNone && notRun && (isRoute || f.status == 421))
-    return retryOr(id, f.status == 421 ? kMisdirected : kNoUpstream, nowMs);
+    return retryOr(id, f.status == 421 && !isRoute ? kMisdirected : kNoUpstream, nowMs);
   // Statuses that promise to callers that nothing ran are passed on only when the upstream promises it.
   auto isPromise = f.status == 408 || f.status == 421 || f.status == 429 || f.status == 503;
   if (f.fault == Fault::kNone && isRoute && w->isWrite && isPromise && !props_.names.notRun.empty())
--- a/tests/once_test.cpp
+++ b/tests/once_test.cpp
@@ -182,6 +182,8 @@
     {{"503, not run", Fault::kNone, 503, true}, true, 503, true, 503},
     {{"429, not run", Fault::kNone, 429, true}, true, 503, true, 503},
     {{"400, not run", Fault::kNone, 400, true}, true, 503, true, 503},
+    {{"421", Fault::kNone, 421}, true, 503, true, 503},
+    {{"421, not run", Fault::kNone, 421, true}, true, 503, true, 503},
     {{"503 that does not say that it has not run", Fault::kNone, 503}, true, 503, false, 504},
     {{"429 that does not say so", Fault::kNone, 429}, false, 429, false, 504},
     {{"408 that does not say so", Fault::kNone, 408}, false, 408, false, 504},
