Resends by libcurl are charged to the budget of extra tries

Cause: when a kept connection dies under a read, libcurl sends it again by itself, also when the upstream had run it and reset the connection instead of answering. The fetcher counted these sends, and nobody read the count, so that the upstream's arrivals went beyond what the budget knew of. Change: each send of one fetch beyond the first is an extra try in the shield's budget. Test: once, "A resend by the library counts as an extra try", seen failing before (a fourth fetch with an allowance of two).

--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -517,6 +517,9 @@
   auto id = fetching.waiting;
   auto* w = waiting_.get(id);
   if (!w) return;
+  // The library has sent it again by itself, when a kept connection had died under a read: arrivals like any other.
+  for (auto resend = 1; resend < f.sends; ++resend)
+    budgetOf(w->ask).tried(nowMs);
   --w->open;
   w->wasTouched = w->wasTouched || !(f.isUntouched || notRun);
   if (w->open > 0 && (f.fault != Fault::kNone || notRun || f.status >= 500)) return;  // the other one may still be well
--- a/tests/once_test.cpp
+++ b/tests/once_test.cpp
@@ -283,6 +283,21 @@
     }
 }
 
+TEST_CASE("A resend by the library counts as an extra try") {
+  Node n(2);
+  for (auto target : {"/list/1", "/list/2"}) {
+    n.ask("GET", target);
+    auto fetched = End{"whole", Fault::kNone, 200}.fetched(n.fetches.back());
+    fetched.sends = 2;
+    n.end(fetched, kStartMs + 20);
+  }
+  REQUIRE(n.answers.size() == 2);
+  n.ask("GET", "/list/3");
+  auto before = n.fetches.size();
+  n.end(End{"lost", Fault::kLost}.fetched(n.fetches.back()), kStartMs + 20);
+  CHECK(n.fetches.size() == before);  // the allowance of two is used up
+}
+
 // ---- node to node ------------------------------------------------------------------------------------------
 
 namespace {
