Headers of this system's own names are put in place of a client's, not beside them

Cause: the name of the upstream that is meant was added after whatever a client had sent under the same name. An upstream that reads the first of two answers 421, or one that is not meant answers. Change: the shield removes a client's header of a name before it adds its own. Test: once, "What a client sends under this system's own names ...".

--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -432,8 +432,11 @@
   fetch.method = w.ask.method;
   fetch.target = w.ask.target;
   fetch.headers = w.ask.headers;
+  // In place of what a client sent under the same name: an upstream may read either of two.
   auto add = [&](const std::string& name, const std::string& value) {
-    if (!name.empty()) fetch.headers.emplace_back(name, value);
+    if (name.empty()) return;
+    std::erase_if(fetch.headers, [&](const auto& h) { return lower(h.first) == lower(name); });
+    fetch.headers.emplace_back(name, value);
   };
   add(names.service, w.ask.service);
   add(names.instance, *candidate.name);
--- a/tests/once_test.cpp
+++ b/tests/once_test.cpp
@@ -298,6 +298,20 @@
   CHECK(n.fetches.size() == before);  // the allowance of two is used up
 }
 
+TEST_CASE("What a client sends under this system's own names does not go along") {
+  Node n;
+  n.ask("POST", "/pay/1", "id-1", {{"mEANT", "t9"}, {"Left", "5"}, {"Other", "kept"}});
+  REQUIRE(n.fetches.size() == 1);
+  const auto& headers = n.fetches[0].headers;
+  for (const auto* name : {"meant", "left", "other"}) {
+    INFO(name);
+    CHECK(std::count_if(headers.begin(), headers.end(),
+                        [&](const auto& h) { return caller::lower(h.first) == name; }) == 1);
+  }
+  CHECK(header(headers, "Meant")[0] == 't');
+  CHECK(header(headers, "Meant") != "t9");
+}
+
 // ---- node to node ------------------------------------------------------------------------------------------
 
 namespace {
