A client's connection is kept open for as long as its last answer told

Cause: when a configuration lowers idleCloseMs, every connection that has rested longer than the new limit was ended at once, though its client had been told a longer time in Keep-Alive and may be taking it up at that moment. Change: the time told in the last answer, with half a second for the way, is the least; it does not hold while draining. Test: once, "A connection is not ended before the time that its caller was told", seen failing before (no answer on it).

--- a/lib/caller/face.cpp
+++ b/lib/caller/face.cpp
@@ -27,6 +27,7 @@
 constexpr int64_t kSweepMs = 1000, kDrainSweepMs = 100;
 constexpr int64_t kLingerMs = 1000;  // after our half ended, for the caller to end its own or to go on sending
 constexpr int64_t kMostLingerMs = 10000;
+constexpr int64_t kToldSlackMs = 500;  // on the way, for a caller who uses all of the time that it was told
 constexpr size_t kPieceBytes = 64u << 10;
 constexpr size_t kHeldBytes = 1u << 20;  // written bytes that a waiting answer may still hold
 constexpr size_t kChunkLineBytes = 256;
@@ -231,6 +232,7 @@
   if (!isBare && !hasLength) head.append("Content-Length: ").append(std::to_string(answer.body.size())).append("\r\n");
   // Callers that heed it send nothing in the second in which their stream may end.
   auto keepS = keep && limits_ ? limits_->idleMs.load() / 1000 - 1 : 0;
+  toldIdleMs_.store(std::max<int64_t>(0, keepS * 1000));
   if (keepS > 0) head.append("Keep-Alive: timeout=").append(std::to_string(keepS)).append("\r\n");
   if (!keep) head.append("Connection: close\r\n");
   head.append("\r\n");
@@ -577,6 +579,9 @@
       if (stream.isOpen.load() || stream.pending() > 0) continue;
       auto sinceMs = std::max(reading->openedMs, stream.answeredMs());
       auto limitMs = mayIdle ? idleMs : int64_t{-1};
+      // A limit that was lowered meanwhile does not take back what the caller was told.
+      auto toldMs = stream.toldIdleMs();
+      if (limitMs >= 0 && !isDraining && toldMs > 0) limitMs = std::max(limitMs, toldMs + kToldSlackMs);
       if (!reading->isIdle()) {
         sinceMs = reading->part == Reading::Part::kHead ? reading->sinceMs : reading->lastMs;
         limitMs = headerMs > 0 ? headerMs : -1;
--- a/lib/caller/face.hpp
+++ b/lib/caller/face.hpp
@@ -78,6 +78,8 @@
   /// Example: `if (stream->closedMs() >= 0) ...`
   auto closedMs() const -> int64_t { return closedMs_.load(); }
   auto answeredMs() const -> int64_t { return answeredMs_.load(); }
+  /// How long the last answer said that the stream may rest; 0: nothing. Example: `std::max(idleMs, s.toldIdleMs())`
+  auto toldIdleMs() const -> int64_t { return toldIdleMs_.load(); }
 
   std::atomic<bool> isOpen{false};     // a request waits for its answer
   std::atomic<bool> mustClose{false};  // the stream ends with the next answer
@@ -94,7 +96,7 @@
   size_t sent_ = 0;  // of waiting_
   bool closesAfter_ = false;
   std::atomic<size_t> pending_{0};
-  std::atomic<int64_t> closedMs_{-1}, answeredMs_{-1};
+  std::atomic<int64_t> closedMs_{-1}, answeredMs_{-1}, toldIdleMs_{0};
 };
 
 struct Request {
--- a/tests/once_test.cpp
+++ b/tests/once_test.cpp
@@ -809,3 +809,32 @@
   CHECK(inbox.push(7));
   CHECK(inbox.take() == std::vector<int>{7});
 }
+
+TEST_CASE("A connection is not ended before the time that its caller was told") {
+  neighbour::Inbox<caller::Request> inbox(16);
+  caller::Face face({"127.0.0.1", 0, 1, 1 << 16}, [&](caller::Request r) { inbox.push(std::move(r)); });
+  auto exchange = [&](const disk::Fd& fd) -> std::string {
+    sendAll(fd, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    for (auto untilMs = neighbour::steadyMs() + 5000; neighbour::steadyMs() < untilMs;) {
+      pollfd ready[] = {{inbox.fd(), POLLIN, 0}, {fd.get(), POLLIN, 0}};
+      ::poll(ready, 2, 50);
+      for (auto& r : inbox.take())
+        r.stream->answer({204, {}, ""}, r.method, r.keep);
+      if (ready[1].revents) return readHead(fd);
+    }
+    return "";
+  };
+  auto limit = [&](int64_t idleMs) { face.limit(1 << 14, 1 << 16, 1000, idleMs); };
+  limit(kIdleMs);
+  auto fd = connectTo("127.0.0.1:" + std::to_string(face.port()));
+  CHECK(exchange(fd).find("Keep-Alive: timeout=2") != std::string::npos);
+  limit(50);  // a new configuration
+  sleepMs(80);
+  limit(50);  // connections are looked at anew
+  sleepMs(80);
+  CHECK(exchange(fd).rfind("HTTP/1.1 204", 0) == 0);
+  // It was told nothing this time: the new limit holds.
+  sleepMs(80);
+  limit(50);
+  CHECK(readHead(fd).empty());
+}
