A fetch whose process was frozen before its first byte no longer leaves after its time is over

Cause: libcurl counts a transfer's time limit from when it first runs it, not from when it was handed over. A process that stood still in between sent the request, a write too, with a whole new time limit and an old Time-Left. Ruled out: freezes after the connection has begun; libcurl then ends the transfer by its clock. Change: the fetcher keeps the deadline itself and looks at it at the last point before bytes leave.

--- a/lib/upstream/fetcher.cpp
+++ b/lib/upstream/fetcher.cpp
@@ -64,6 +64,7 @@
   bool hasStray = false, isProvisional = false, hasHead = false;
   bool isTooLarge = false, isMalformed = false, isMixed = false;
   int64_t startMs = 0;
+  int64_t untilMs = 0;  // libcurl's own time limit begins only when it first runs the transfer
 };
 
 Fetcher::Fetcher() : multi_(curl_multi_init()), events_(::epoll_create1(EPOLL_CLOEXEC)) {
@@ -159,6 +160,7 @@
   call->fetch = std::move(fetch);
   call->result.id = call->fetch.id;
   call->startMs = startMs;
+  call->untilMs = neighbour::steadyMs() + call->fetch.timeoutMs;
   const auto& f = call->fetch;
   ++busy_[f.address];
   // The target goes out as it is: what libcurl makes of a URL may lose some of it.
@@ -276,12 +278,13 @@
     return size * count;
   };
   // The last point before bytes leave: the stream is up, the request is not sent. A fetch that waited for its turn,
-  // or whose process was frozen, goes no further once what it rests on is too old. Nor does it go out on a kept stream
-  // on which bytes have come since the last answer: they belong to no request.
+  // or whose process was frozen, goes no further once its time is over or what it rests on is too old. Nor does it go
+  // out on a kept stream on which bytes have come since the last answer: they belong to no request.
   auto onReady = +[](void* at, char*, char*, int, int ownPort) -> int {
     auto& call = *static_cast<Call*>(at);
-    auto untilMs = call.fetch.actUntilMs;
-    if (untilMs > 0 && neighbour::steadyMs() >= untilMs) return CURL_PREREQFUNC_ABORT;
+    auto actUntilMs = call.fetch.actUntilMs;
+    auto nowMs = neighbour::steadyMs();
+    if (nowMs >= call.untilMs || (actUntilMs > 0 && nowMs >= actUntilMs)) return CURL_PREREQFUNC_ABORT;
     auto kept = call.fetcher->kept_.find({call.fetch.address, ownPort});
     char byte = 0;
     if (kept != call.fetcher->kept_.end() && ::recv(kept->second, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) {
