--- a/tests/once_test.cpp
+++ b/tests/once_test.cpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <thread>
 
+#include "agent/feed.hpp"
 #include "caller/codes.hpp"
 #include "caller/edge.hpp"
 #include "caller/face.hpp"
@@ -515,6 +516,63 @@
   CHECK(failures == std::vector<std::string>());
 }
 
+// ---- agent to registry, edge to agent ----------------------------------------------------------------------
+
+TEST_CASE("News answers the open question alone: not an earlier one, not twice, not one of an earlier life") {
+  agent::Follower follower("e1", 400, 1000);
+  core::Member member{"proxy", "north", "at-e1", "", 1};
+  follower.be(member);
+  const std::vector<std::string> targets = {"r1", "r2"};
+  auto ask = [&](int64_t nowMs) {
+    auto asked = follower.tick(targets, 2, {}, nowMs);
+    REQUIRE(asked);
+    return asked->second.nonce;
+  };
+  auto feedFor = [](uint64_t nonce, uint64_t configuration) {
+    neighbour::Feed feed;
+    feed.nonce = nonce, feed.isMember = true;
+    core::Frame frame;
+    frame.revision = {configuration, 0, 0, 0};
+    feed.news = core::newsSince(frame, {});
+    return feed;
+  };
+  auto first = ask(kStartMs);
+  auto second = ask(kStartMs + 500);  // the first is taken for lost
+  REQUIRE(second != first);
+  CHECK_FALSE(follower.take(feedFor(first, 9), kStartMs + 510));
+  CHECK(follower.held().asOfMs < 0);
+  CHECK(follower.take(feedFor(second, 1), kStartMs + 520));
+  auto asOfMs = follower.held().asOfMs;
+  CHECK(asOfMs <= kStartMs + 520);
+  CHECK_FALSE(follower.take(feedFor(second, 9), kStartMs + 900));
+  CHECK(follower.held().asOfMs == asOfMs);
+  CHECK(follower.held().frame->revision.configuration == 1);
+  agent::Follower later("e1", 400, 2000);
+  later.be(member);
+  REQUIRE(later.tick(targets, 2, {}, kStartMs + 1000));
+  CHECK_FALSE(later.take(feedFor(second, 9), kStartMs + 1010));
+}
+
+TEST_CASE("A request on a connection has one answer; a second one is not written") {
+  int fds[2];
+  REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, fds) == 0);
+  disk::Fd ours(fds[0]), callers(fds[1]);
+  caller::Stream stream(ours.get());
+  auto received = [&] {
+    char buffer[4096];
+    auto n = ::recv(callers.get(), buffer, sizeof buffer, MSG_DONTWAIT);
+    return n > 0 ? std::string(buffer, static_cast<size_t>(n)) : std::string();
+  };
+  stream.answer({200, {}, "too early"}, "GET", true);
+  CHECK(received().empty());  // no request waits
+  stream.isOpen.store(true);
+  stream.answer({200, {}, "first"}, "GET", true);
+  stream.answer({503, {}, "second"}, "GET", true);
+  auto bytes = received();
+  CHECK(bytes.find("first") != std::string::npos);
+  CHECK(bytes.find("second") == std::string::npos);
+}
+
 // ---- shared copies -----------------------------------------------------------------------------------------
 
 TEST_CASE("A shared copy bears the id of the request that it answers, and its seal only with its status") {
