--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -432,8 +432,11 @@
   fetch.method = w.ask.method;
   fetch.target = w.ask.target;
   fetch.headers = w.ask.headers;
+  // In place of what a client sent under the same name: an upstream may read either of two.
   auto add = [&](const std::string& name, const std::string& value) {
-    if (!name.empty()) fetch.headers.emplace_back(name, value);
+    if (name.empty()) return;
+    std::erase_if(fetch.headers, [&](const auto& h) { return lower(h.first) == lower(name); });
+    fetch.headers.emplace_back(name, value);
   };
   add(names.service, w.ask.service);
   add(names.instance, *candidate.name);
@@ -517,6 +520,9 @@
   auto id = fetching.waiting;
   auto* w = waiting_.get(id);
   if (!w) return;
+  // The library has sent it again by itself, when a kept connection had died under a read: arrivals like any other.
+  for (auto resend = 1; resend < f.sends; ++resend)
+    budgetOf(w->ask).tried(nowMs);
   --w->open;
   w->wasTouched = w->wasTouched || !(f.isUntouched || notRun);
   if (w->open > 0 && (f.fault != Fault::kNone || notRun || f.status >= 500)) return;  // the other one may still be well
@@ -528,7 +534,7 @@
     return giveUp(id, kNoUpstream, nowMs);
   }
   if (f.fault == Fault::kNone && notRun && (isRoute || f.status == 421))
-    return retryOr(id, f.status == 421 ? kMisdirected : kNoUpstream, nowMs);
+    return retryOr(id, f.status == 421 && !isRoute ? kMisdirected : kNoUpstream, nowMs);
   // Statuses that promise to callers that nothing ran are passed on only when the upstream promises it.
   auto isPromise = f.status == 408 || f.status == 421 || f.status == 429 || f.status == 503;
   if (f.fault == Fault::kNone && isRoute && w->isWrite && isPromise && !props_.names.notRun.empty())
