A try's sends are granted by the edge that took it; other nodes ask for more

Cause: a fetch request carried the route's `tries` whole, and each owner counted its own sends. An owner that took 2.5 times as long as expected sent the read to a second upstream (2 sends); at 40% of the deadline the edge asked a second owner, which did the same: 4 sends where the route allows 2.

Ruled out: one owner going over its own count (never above `tries` in the test), writes (one owner at a time), joined fetches (they leave under the leader's try).

Change: the edge keeps the account of a try (policy::SendAccount). A read is handed on with one send; the rest stays in reserve for a second owner, or for the first one, which asks for more (SendRequest, SendGrant) before it hedges or sends again. What is granted counts as used until a reply says how many sends were made; a silent or lost owner keeps its grant. Asking again for the same total grants nothing more, a reply counts once, a fetch request that arrives again is dropped (policy::SeenRequests). Names of upstreams that have had the try go along, so that no second node sends to the same one. A failing owner leaves the request to another that is still at work on it. An owner that hears no grant within the time for a connection ends with what its last send brought.

--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -157,7 +157,7 @@
   w.untilMs = std::min(w.untilMs, std::max(nowMs + 1, endMs_));
   if (found->route) {
     w.isWrite = found->route->kind == core::RouteKind::kWriting;
-    w.tries = std::max<int64_t>(1, found->route->tries);
+    w.sends = policy::SendAccount(std::max<int64_t>(1, found->route->tries));
     w.rank = found->route->rank;
     w.routeKey = service + found->route->prefix;
     w.isShared = path.keepMs > 0;
@@ -271,11 +271,17 @@
 auto Edge::ask(uint64_t id, bool isExtra, int64_t nowMs) -> void {
   auto& w = *waiting_.get(id);
   auto order = this->order(w, id, nowMs);
+  if (order.empty() && w.sends.openCount() > 0) return;  // whoever is at work on it goes on
   if (order.empty()) return giveUp(id, w.refusal, nowMs);
   if (nowMs >= w.untilMs) return giveUp(id, kDeadline, nowMs);
+  // A write has one owner at a time, and all that is left goes with it. Of a read the edge keeps what it does not hand
+  // on at once: for a second shield, should the first stay silent, or for the first one, should it ask for more.
+  auto granted = w.isWrite ? w.sends.left() : 1;
+  auto attempt = w.sends.open(granted);
+  if (!attempt) return giveUp(id, w.refusal, nowMs);
   const auto& fetcher = fetchers_[order.front()];
   w.tried.insert(fetcher.name);
-  w.shield = fetcher.address;
+  w.attemptAddresses.push_back(fetcher.address);
   w.wasSent = true;
   w.askedMs = nowMs;
   if (w.firstAskedMs == 0) w.firstAskedMs = nowMs;
@@ -287,6 +293,7 @@
   }
   Ask ask;
   ask.id = id;
+  ask.attempt = *attempt;
   ask.life = props_.life;
   ask.service = w.service;
   ask.pool = w.pool;
@@ -303,7 +310,9 @@
   ask.isShared = w.isShared;
   ask.isExtra = isExtra;
   ask.isWrite = w.isWrite;
-  ask.tries = w.tries;
+  ask.tries = granted;
+  ask.reserve = w.sends.left();
+  ask.upstreams.assign(w.upstreams.begin(), w.upstreams.end());
   ask.rank = w.rank;
   ask.tryId = w.tryId;
   ask.mayWait = order.size() == 1 || w.tried.size() >= std::min<size_t>(fetchers_.size(), kMostAsked);
@@ -313,7 +322,7 @@
     ++figures_.extras;
     budgets_.of(*held_.frame, w.pool).tried(nowMs);
   }
-  out_.asks.push_back({w.shield, std::move(ask), isSelf});
+  out_.asks.push_back({fetcher.address, std::move(ask), isSelf});
 }
 
 // A frozen or cut-off shield keeps its lines up and says nothing. One that owes replies comes last, until it
@@ -325,20 +334,41 @@
          nowMs - it->second.lastAskedMs < 8 * props_.suspectMs;
 }
 
-auto Edge::unsent(uint64_t id, int64_t nowMs) -> void {
-  auto* w = waiting_.get(id);
-  if (!w) return;
-  w->wasSent = false;
-  ask(id, false, nowMs);
+auto Edge::unsent(const Ask& unsentAsk, int64_t nowMs) -> void {
+  auto* w = waiting_.get(unsentAsk.id);
+  if (!w || !w->sends.close(unsentAsk.attempt, 0)) return;
+  w->wasSent = w->sends.openCount() > 0;
+  ask(unsentAsk.id, unsentAsk.isExtra, nowMs);
+}
+
+auto Edge::takeSendRequest(const std::string& from, const neighbour::SendRequest& request) -> void {
+  if (request.life != props_.life) return;
+  neighbour::SendGrant grant;
+  grant.waiting = request.waiting;
+  grant.shieldLife = request.shieldLife;
+  // A request that has ended here grants nothing more, and its shield learns that at once.
+  if (auto* w = waiting_.get(request.id)) {
+    w->upstreams.insert(request.upstreams.begin(), request.upstreams.end());
+    grant.granted = w->sends.raise(request.attempt, request.wanted);
+    grant.reserve = w->sends.left();
+    grant.upstreams.assign(w->upstreams.begin(), w->upstreams.end());
+  }
+  out_.grants.push_back({from, std::move(grant), self_ && from == fetchers_[*self_].address});
 }
 
 auto Edge::lost(const std::string& shield, int64_t nowMs) -> void {
   for (auto id : waiting_.ids()) {
     auto* w = waiting_.get(id);
-    if (!w || w->shield != shield || !w->wasSent) continue;
+    if (!w) continue;
+    auto wasAsked = false;
+    for (uint32_t attempt = 0; attempt < w->attemptAddresses.size(); ++attempt)
+      if (w->attemptAddresses[attempt] == shield) wasAsked = w->sends.closeUnknown(attempt) || wasAsked;
+    if (!wasAsked) continue;
     if (w->isWrite)
       giveUp(id, kUnknown, nowMs);
-    else if (budgets_.of(*held_.frame, w->pool).mayTry(nowMs))
+    else if (w->sends.openCount() > 0)
+      continue;  // another shield is at work on it
+    else if (w->sends.left() > 0 && budgets_.of(*held_.frame, w->pool).mayTry(nowMs))
       ask(id, true, nowMs);
     else
       giveUp(id, kUpstreamLost, nowMs);
@@ -390,20 +420,10 @@
   owing_.erase(from);
   auto* w = waiting_.get(reply.id);
   if (!w) return;
+  auto isFirst = w->sends.close(reply.attempt, reply.sends);
   if (reply.code != kOk) {
-    // What a shield turned away untouched may go to another one; that costs the upstreams nothing.
-    auto mayMove = reply.isUntouched && isTurnedAway(reply.code) && reply.code != kDeadline;
-    w->retryMs = reply.retryMs;
-    if (reply.code == kEmptying) awayUntilMs_[from] = nowMs + 4 * props_.suspectMs;
-    // A pool without an upstream that can take it now has none elsewhere either; other reasons are a fetcher's own.
-    auto isPools = props_.fetches && reply.code == kNoUpstream;
-    if (mayMove && !isPools && w->tried.size() < std::min<size_t>(fetchers_.size(), kMostAsked)) {
-      w->wasSent = false;
-      w->refusal = reply.code;
-      return ask(reply.id, false, nowMs);
-    }
-    if (reply.isUntouched) w->wasSent = false;
-    return giveUp(reply.id, reply.code, nowMs);
+    if (isFirst) fail(reply.id, from, reply, nowMs);
+    return;
   }
   Answer answer{static_cast<int>(reply.status), reply.headers, reply.body};
   w->isFetched = reply.isFetched;
@@ -430,6 +450,24 @@
   finish(reply.id, answer, copy.get(), nowMs);
 }
 
+auto Edge::fail(uint64_t id, const std::string& from, const Reply& reply, int64_t nowMs) -> void {
+  auto* w = waiting_.get(id);
+  w->upstreams.insert(reply.upstreams.begin(), reply.upstreams.end());
+  w->retryMs = reply.retryMs;
+  if (reply.code == kEmptying) awayUntilMs_[from] = nowMs + 4 * props_.suspectMs;
+  auto isOtherAtWork = w->sends.openCount() > 0;
+  if (reply.isUntouched && !isOtherAtWork) w->wasSent = false;
+  // What a shield turned away untouched may go to another one; that costs the upstreams nothing.
+  auto mayMove = reply.isUntouched && isTurnedAway(reply.code) && reply.code != kDeadline && w->sends.left() > 0;
+  // A pool without an upstream that can take it now has none elsewhere either; other reasons are a fetcher's own.
+  auto isPools = props_.fetches && reply.code == kNoUpstream;
+  if (mayMove && !isPools && w->tried.size() < std::min<size_t>(fetchers_.size(), kMostAsked)) {
+    w->refusal = reply.code;
+    return ask(id, false, nowMs);
+  }
+  if (!isOtherAtWork) giveUp(id, reply.code, nowMs);
+}
+
 auto Edge::giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void {
   auto& w = *waiting_.get(id);
   // A write that was handed on may have run, whatever became of the answer.
@@ -512,7 +550,8 @@
       continue;
     }
     auto isLate = w->wasSent && (nowMs - w->startMs) * 100 >= (w->untilMs - w->startMs) * props_.hedgePercent;
-    if (w->isWrite || w->isHedged || !isLate || w->tried.size() >= std::min<size_t>(fetchers_.size(), kMostAsked) ||
+    if (w->isWrite || w->isHedged || !isLate || w->sends.left() <= 0 ||
+        w->tried.size() >= std::min<size_t>(fetchers_.size(), kMostAsked) ||
         !budgets_.of(*held_.frame, w->pool).mayTry(nowMs))
       continue;
     w->isHedged = true;
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -17,6 +17,7 @@
 #include "policy/cache.hpp"
 #include "policy/placement.hpp"
 #include "policy/script.hpp"
+#include "policy/sends.hpp"
 #include "policy/slab.hpp"
 
 namespace dykestage::caller {
@@ -98,8 +99,14 @@
       neighbour::Ask ask;
       bool isSelf = false;  // the fetcher in this very process
     };
+    struct Granted {
+      std::string to;
+      neighbour::SendGrant grant;
+      bool isSelf = false;
+    };
     std::vector<Answered> answers;
     std::vector<Asked> asks;
+    std::vector<Granted> grants;
   };
   struct Figures {
     uint64_t requests = 0, hits = 0, joins = 0, asks = 0, extras = 0, turnedAway = 0, unknown = 0, refused = 0,
@@ -118,8 +125,10 @@
   auto take(Request request, int64_t nowMs) -> void;
   /// Takes a shield's reply. Example: `edge.takeReply(letter.from, reply, nowMs);`
   auto takeReply(const std::string& from, const neighbour::Reply& reply, int64_t nowMs) -> void;
-  /// An ask that surely did not leave. Example: `if (!post->send(...)) edge.unsent(ask.id, nowMs);`
-  auto unsent(uint64_t id, int64_t nowMs) -> void;
+  /// A shield wants to send a request to one more upstream. Example: `edge.takeSendRequest(letter.from, request);`
+  auto takeSendRequest(const std::string& from, const neighbour::SendRequest& request) -> void;
+  /// An ask that surely did not leave. Example: `if (!post->send(...)) edge.unsent(ask, nowMs);`
+  auto unsent(const neighbour::Ask& ask, int64_t nowMs) -> void;
   /// A shield that can't be reached any more. Example: `edge.lost(address, nowMs);`
   auto lost(const std::string& shield, int64_t nowMs) -> void;
   /// Puts a newer frame, or newer knowledge of its age, in force. Example: `edge.takeFrame(held, nowMs);`
@@ -156,18 +165,21 @@
   auto cache() const -> const policy::Cache& { return *cache_; }
 
  private:
+  static constexpr int64_t kServiceTries = 3;  // upstreams that a request without a route may be sent to
   struct Waiting {
     Request request;
     std::string service, pool;
     core::Path path;
     std::optional<Range> range;
     std::string routeKey;  // host and prefix, for the size of its answers
-    int64_t tries = 3, rank = 0, retryMs = 0;
+    int64_t rank = 0, retryMs = 0;
+    policy::SendAccount sends{kServiceTries};
+    std::vector<std::string> attemptAddresses;  // of the shields asked, by attempt
+    std::set<std::string> upstreams;            // known to have been sent it
     std::string tryId;
     int64_t startMs = 0, untilMs = 0, askedMs = 0, firstAskedMs = 0;
     uint64_t purges = 0;          // in force when it was first asked for
-    std::string shield;           // its address
-    std::set<std::string> tried;  // names
+    std::set<std::string> tried;  // names of shields
     bool isWrite = false, isShared = false, wasSent = false, isHedged = false;
     uint32_t refusal = kNoShield;  // why the last shield did not take it
     std::string joinKey;
@@ -180,6 +192,7 @@
   auto measure(const std::string& rollout, bool isNext, int64_t tookMs, int status, bool isFetched, double load)
       -> void;
   auto ask(uint64_t id, bool isExtra, int64_t nowMs) -> void;
+  auto fail(uint64_t id, const std::string& from, const neighbour::Reply& reply, int64_t nowMs) -> void;
   auto giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void;
   auto finish(uint64_t id, const Answer& answer, const policy::Copy* copy, int64_t nowMs) -> void;
   auto answer(Waiting& waiting, Answer answer, int64_t nowMs) -> void;
--- a/lib/neighbour/messages.hpp
+++ b/lib/neighbour/messages.hpp
@@ -23,7 +23,9 @@
   kKeyTold = 11,
   kPing = 12,
   kPong = 13,
-  kGather = 14
+  kGather = 14,
+  kSendRequest = 15,
+  kSendGrant = 16
 };
 
 /// What an edge saw of the old and the new revision's traffic, by rollout, since it started.
@@ -97,7 +99,8 @@
 /// A caller's request on its way from edge to shield. Times are what remains, never wall clocks.
 struct Ask {
   uint64_t id = 0;
-  uint64_t life = 0;  // of the edge: a later life at the same address uses the same ids
+  uint32_t attempt = 0;  // which of the edge's fetch requests for this try
+  uint64_t life = 0;     // of the edge: a later life at the same address uses the same ids
   std::string service;
   core::UpstreamKind kind = core::UpstreamKind::kApplication;
   std::string method, target;
@@ -105,23 +108,26 @@
   std::string body;
   int64_t remainingMs = 0;
   int64_t keepMs = 0;
-  uint64_t purges = 0;    // purge number in force at the edge when it asked
-  bool isShared = false;  // may be answered from the shared cache
-  bool isExtra = false;   // an extra try
-  bool isWrite = false;   // runs once at most
-  std::string key;        // Idempotency-Key
-  std::string pool;       // of upstreams; the service itself, where no route names one
-  int64_t tries = 3;      // upstreams that it may be sent to at most
-  int64_t rank = 0;       // 0 is highest
-  std::string tryId;      // the caller's name for this try; upstreams answer with it
-  bool mayWait = false;   // for its turn within a pool's rate: no other node is asked after this one
-  DYKESTAGE_FIELDS(id, life, service, kind, method, target, headers, body, remainingMs, keepMs, purges, isShared,
-                   isExtra, isWrite, key, pool, tries, rank, tryId, mayWait)
+  uint64_t purges = 0;                 // purge number in force at the edge when it asked
+  bool isShared = false;               // may be answered from the shared cache
+  bool isExtra = false;                // an extra try
+  bool isWrite = false;                // runs once at most
+  std::string key;                     // Idempotency-Key
+  std::string pool;                    // of upstreams; the service itself, where no route names one
+  int64_t tries = 3;                   // sends to upstreams that are granted to the receiver
+  int64_t reserve = 0;                 // sends of the same try that the edge has granted to nobody yet
+  std::vector<std::string> upstreams;  // that are known to have been sent it already
+  int64_t rank = 0;                    // 0 is highest
+  std::string tryId;                   // the caller's name for this try; upstreams answer with it
+  bool mayWait = false;                // for its turn within a pool's rate: no other node is asked after this one
+  DYKESTAGE_FIELDS(id, attempt, life, service, kind, method, target, headers, body, remainingMs, keepMs, purges,
+                   isShared, isExtra, isWrite, key, pool, tries, reserve, upstreams, rank, tryId, mayWait)
 };
 
 /// A shield's answer to an Ask.
 struct Reply {
   uint64_t id = 0;
+  uint32_t attempt = 0;  // of the Ask
   uint64_t life = 0;
   uint32_t code = 0;        // result code; 0: an upstream's whole answer
   bool isUntouched = true;  // no byte of the request went to an upstream
@@ -130,12 +136,37 @@
   std::string body;
   int64_t ageMs = 0;  // since the request to the upstream
   int64_t heldMs = 0;
-  int64_t keepMs = 0;      // 0: not to be kept
-  uint64_t purges = 0;     // purge number when the fill began
-  bool isFetched = false;  // an upstream was asked for it
-  int64_t retryMs = 0;     // turned away: when to come back; 0: not known
-  DYKESTAGE_FIELDS(id, life, code, isUntouched, status, headers, body, ageMs, heldMs, keepMs, purges, isFetched,
-                   retryMs)
+  int64_t keepMs = 0;                  // 0: not to be kept
+  uint64_t purges = 0;                 // purge number when the fill began
+  bool isFetched = false;              // an upstream was asked for it
+  int64_t retryMs = 0;                 // turned away: when to come back; 0: not known
+  int64_t sends = 0;                   // made of those that were granted; what is left goes back to the edge
+  std::vector<std::string> upstreams;  // of a failure: those that were sent the request
+  DYKESTAGE_FIELDS(id, attempt, life, code, isUntouched, status, headers, body, ageMs, heldMs, keepMs, purges,
+                   isFetched, retryMs, sends, upstreams)
+};
+
+/// Shield to edge: the sends that were granted with an Ask are used up, and one more is wanted. Asking again for the
+/// same total changes nothing.
+struct SendRequest {
+  uint64_t id = 0;  // of the Ask
+  uint32_t attempt = 0;
+  uint64_t life = 0;     // of the edge
+  uint64_t waiting = 0;  // the shield's own id of the request
+  uint64_t shieldLife = 0;
+  int64_t wanted = 0;                  // sends in all for this Ask
+  std::vector<std::string> upstreams;  // that have been sent it so far
+  DYKESTAGE_FIELDS(id, attempt, life, waiting, shieldLife, wanted, upstreams)
+};
+
+/// The answer: how many sends the shield may have made for its Ask in all. No more than before is a refusal.
+struct SendGrant {
+  uint64_t waiting = 0;
+  uint64_t shieldLife = 0;
+  int64_t granted = 0;
+  int64_t reserve = 0;
+  std::vector<std::string> upstreams;  // known to have been sent it by any node
+  DYKESTAGE_FIELDS(waiting, shieldLife, granted, reserve, upstreams)
 };
 
 /// Shield to registry, by way of its agent: claims of Idempotency-Keys before writes leave, and keys given back.
--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -169,9 +169,10 @@
   std::optional<upstream::Desk> desk;
   if (shield)
     desk.emplace(*shield, fetcher, *post, link,
-                 upstream::Desk::Props{post->address(), boundMs, [&](const neighbour::Reply& r) {
-                                         edge.takeReply(post->address(), r, neighbour::steadyMs());
-                                       }});
+                 upstream::Desk::Props{
+                     post->address(), boundMs,
+                     [&](const neighbour::Reply& r) { edge.takeReply(post->address(), r, neighbour::steadyMs()); },
+                     [&](const neighbour::SendRequest& r) { edge.takeSendRequest(post->address(), r); }});
   auto open = [&](const std::string& at, int count, auto wrap) {
     auto [ip, port] = op::splitAddress(at);
     return std::make_unique<caller::Face>(caller::Face::Props{ip, port, count, static_cast<size_t>(bodyBytes)},
@@ -222,6 +223,10 @@
           Reader r(letter->body);
           auto reply = r.get<neighbour::Reply>();
           if (r.done()) edge.takeReply(letter->from, reply, nowMs);
+        } else if (letter->kind == neighbour::kSendRequest) {
+          Reader r(letter->body);
+          auto sendRequest = r.get<neighbour::SendRequest>();
+          if (r.done()) edge.takeSendRequest(letter->from, sendRequest);
         } else if (desk) {
           desk->take(*letter, nowMs);
         }
@@ -251,12 +256,18 @@
     // An ask that did not leave, or that this very process answers, is a new input.
     for (auto isMore = true; isMore;) {
       auto out = edge.output();
-      isMore = !out.asks.empty();
+      isMore = !out.asks.empty() || !out.grants.empty();
       for (auto& a : out.asks) {
         if (a.isSelf && shield)
           shield->take(a.to, std::move(a.ask), nowMs);
         else if (!post->send(a.to, neighbour::kAsk, Writer().put(a.ask).take()))
-          edge.unsent(a.ask.id, nowMs);
+          edge.unsent(a.ask, nowMs);
+      }
+      for (auto& g : out.grants) {
+        if (g.isSelf && shield)
+          shield->takeSendGrant(g.grant, nowMs);
+        else
+          post->send(g.to, neighbour::kSendGrant, Writer().put(g.grant).take());
       }
       for (auto& a : out.answers) {
         a.stream->answer(caller::Edge::atLast(a, neighbour::steadyMs()), a.method, a.keep && stopAtMs < 0);
--- a/lib/upstream/desk.cpp
+++ b/lib/upstream/desk.cpp
@@ -11,6 +11,11 @@
       if (r.done()) shield_.take(letter.from, std::move(ask), nowMs);
       return true;
     }
+    case neighbour::kSendGrant: {
+      auto grant = r.get<neighbour::SendGrant>();
+      if (r.done()) shield_.takeSendGrant(grant, nowMs);
+      return true;
+    }
     case neighbour::kClaimed: {
       auto claimed = r.get<neighbour::Claimed>();
       if (r.done()) shield_.takeClaimed(claimed, nowMs);
@@ -45,6 +50,13 @@
     fetcher_.drop(address);
   for (auto& fetch : out.fetches)
     fetcher_.start(std::move(fetch));
+  // One that does not leave is not granted, and the shield goes on without.
+  for (auto& r : out.sendRequests) {
+    if (!props_.self.empty() && r.to == props_.self)
+      props_.sendRequest(r.request);
+    else
+      post_.send(r.to, neighbour::kSendRequest, Writer().put(r.request).take());
+  }
   for (auto& r : out.replies) {
     if (!props_.self.empty() && r.to == props_.self)
       props_.reply(r.reply);
@@ -54,7 +66,7 @@
   // A line that is just coming up is waited for; an edge that has gone is not.
   std::erase_if(replies_,
                 [&](const Waiting& w) { return post_.send(w.to, neighbour::kReply, w.body) || nowMs >= w.untilMs; });
-  return !out.claims.empty() || !out.fetches.empty() || !out.replies.empty();
+  return !out.claims.empty() || !out.fetches.empty() || !out.replies.empty() || !out.sendRequests.empty();
 }
 
 auto Desk::warm() -> void {
--- a/lib/upstream/desk.hpp
+++ b/lib/upstream/desk.hpp
@@ -20,7 +20,8 @@
   struct Props {
     std::string self;  // address whose replies stay in this process; empty: none
     int64_t boundMs = 2000;
-    std::function<void(const neighbour::Reply&)> reply;  // takes those
+    std::function<void(const neighbour::Reply&)> reply;              // takes those
+    std::function<void(const neighbour::SendRequest&)> sendRequest;  // and those
   };
   Desk(Shield& shield, Fetcher& fetcher, neighbour::Post& post, agent::Link& link, Props props)
       : shield_(shield), fetcher_(fetcher), post_(post), link_(link), props_(std::move(props)) {}
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -34,6 +34,7 @@
 
 auto Shield::give(const std::string& from, const Ask& ask, Reply reply) -> void {
   reply.id = ask.id;
+  reply.attempt = ask.attempt;
   reply.life = ask.life;
   out_.replies.push_back({from, std::move(reply)});
 }
@@ -87,6 +88,9 @@
     }
   }
   if (waiting_.size() >= props_.requests) return refuse(from, ask, kShieldFull);
+  // One that arrives again is worked on already, or has been answered: its sends are granted once.
+  if (from != props_.address && !seen_.add({from, ask.life, ask.id, ask.attempt}, nowMs)) return;
+  w.tried.insert(ask.upstreams.begin(), ask.upstreams.end());
   w.ask = std::move(ask);
   auto place = waiting_.add(std::move(w));
   auto join = [&](uint64_t leader) {
@@ -262,11 +266,70 @@
 }
 
 // The other one goes out only where there is room for it at once.
+auto Shield::mayHedgeNow(const Waiting& w, int64_t nowMs) -> bool {
+  auto* view = viewOf(w.ask);
+  if (!view || (view->ratePerS > 0 && !rates_[w.ask.pool].has(nowMs))) return false;
+  auto props = placementOf(*view, nowMs);
+  props.isFreeOnly = true;
+  const auto& list = view->kept.empty() ? view->candidates : view->kept;
+  return policy::choose(list, w.tried, props, 0, nowMs).has_value();
+}
+
 auto Shield::hedge(uint64_t id, int64_t nowMs) -> void {
   auto& w = *waiting_.get(id);
-  auto& rate = rates_[w.ask.pool];
-  auto* view = viewOf(w.ask);
-  if (view && (view->ratePerS <= 0 || rate.has(nowMs))) dispatch(id, true, nowMs);
+  w.isHedged = true;
+  if (!mayHedgeNow(w, nowMs)) return;
+  if (w.tries < w.ask.tries)
+    dispatch(id, true, nowMs);
+  else
+    requestSend(id, SendPurpose::kHedge, nowMs);
+}
+
+// ---- sends ------------------------------------------------------------------------------------------------
+//
+// A try's sends are granted by the edge that took it from its client. A shield that has used its own asks for one
+// more; until that is granted nothing leaves, whatever becomes of the messages.
+
+auto Shield::requestSend(uint64_t id, SendPurpose purpose, int64_t nowMs) -> void {
+  auto& w = *waiting_.get(id);
+  w.requested = purpose;
+  w.requestedMs = nowMs;
+  neighbour::SendRequest request;
+  request.id = w.ask.id;
+  request.attempt = w.ask.attempt;
+  request.life = w.ask.life;
+  request.waiting = id;
+  request.shieldLife = props_.life;
+  request.wanted = w.ask.tries + 1;
+  request.upstreams.assign(w.tried.begin(), w.tried.end());
+  out_.sendRequests.push_back({w.from, std::move(request)});
+}
+
+auto Shield::takeSendGrant(const neighbour::SendGrant& grant, int64_t nowMs) -> void {
+  auto* w = grant.shieldLife == props_.life ? waiting_.get(grant.waiting) : nullptr;
+  if (!w) return;
+  w->ask.tries = std::max(w->ask.tries, grant.granted);
+  w->ask.reserve = grant.reserve;
+  w->tried.insert(grant.upstreams.begin(), grant.upstreams.end());
+  if (w->requested == SendPurpose::kNone) return;  // no longer waited for
+  if (w->tries >= w->ask.tries) return sendNotGranted(grant.waiting, nowMs);
+  if (!budgetOf(w->ask).mayTry(nowMs)) return sendNotGranted(grant.waiting, nowMs);
+  auto isRetry = std::exchange(w->requested, SendPurpose::kNone) == SendPurpose::kRetry;
+  if (isRetry) {
+    w->held.reset();
+    return dispatch(grant.waiting, true, nowMs);
+  }
+  if (w->open == 1 && mayHedgeNow(*w, nowMs)) dispatch(grant.waiting, true, nowMs);
+}
+
+// Without a further send the outcome of the last one is final; beside a fetch under way nothing changes.
+auto Shield::sendNotGranted(uint64_t id, int64_t nowMs) -> void {
+  auto& w = *waiting_.get(id);
+  w.ask.reserve = 0;
+  if (std::exchange(w.requested, SendPurpose::kNone) != SendPurpose::kRetry) return;
+  if (!w.held) return giveUp(id, w.failure, nowMs);
+  auto reply = *std::exchange(w.held, std::nullopt);
+  finish(id, std::move(reply), nullptr, nowMs);
 }
 
 // Of a pool that few nodes keep, the allowance is theirs: a third each time, since within one window it may pass to
@@ -535,8 +598,14 @@
     return giveUp(id, kUnknown, nowMs);
   auto mayAgain =
       f.fault == Fault::kNone && !w->isWrite && (isRoute ? f.status >= 500 && f.status != 504 : f.status == 503);
-  if (mayAgain && w->tries < std::min<int64_t>(w->ask.tries, 2) && budgetOf(w->ask).mayTry(nowMs))
-    return dispatch(id, true, nowMs);
+  constexpr int64_t kMostAfterAnswer = 2;
+  if (mayAgain && w->tries < kMostAfterAnswer && budgetOf(w->ask).mayTry(nowMs)) {
+    if (w->tries < w->ask.tries) return dispatch(id, true, nowMs);
+    if (w->ask.reserve > 0) {
+      w->held = replyOf(*w, fetching, f, nowMs);
+      return requestSend(id, SendPurpose::kRetry, nowMs);
+    }
+  }
   if (f.fault != Fault::kNone) {
     auto code = f.fault == Fault::kTooLarge                               ? kAnswerTooLarge
                 : f.fault == Fault::kNotWhole || f.fault == Fault::kMixed ? kNotWhole
@@ -544,10 +613,14 @@
                                                                           : kUpstreamLost;
     return retryOr(id, code, nowMs);
   }
+  answered(id, replyOf(*w, fetching, f, nowMs), fetching, f, nowMs);
+}
+
+auto Shield::replyOf(const Waiting& w, const Fetching& fetching, const Fetched& f, int64_t nowMs) -> Reply {
   Reply reply;
   reply.status = static_cast<uint32_t>(f.status);
   reply.headers = endToEnd(f.headers);
-  if (w->ask.method == "HEAD" || f.status == 304)
+  if (w.ask.method == "HEAD" || f.status == 304)
     for (const auto& [name, value] : f.headers)
       if (lower(name) == "content-length") reply.headers.emplace_back(name, value);
   reply.body = f.body;
@@ -555,6 +628,13 @@
   reply.isFetched = true;
   reply.ageMs = nowMs - fetching.leftMs;
   reply.purges = fetching.purges;
+  return reply;
+}
+
+// An upstream's answer ends the request; it is kept if it may be.
+auto Shield::answered(uint64_t id, Reply reply, const Fetching& fetching, const Fetched& f, int64_t nowMs) -> void {
+  auto* w = waiting_.get(id);
+  auto isRoute = w->ask.kind == core::UpstreamKind::kAny;
   auto terms = policy::termsOf(f.status, f.headers, w->ask.keepMs, props_.names.labels);
   // A pool's refusals and errors are not kept.
   if (!w->ask.isShared || terms.keepMs <= 0 || (isRoute && f.status != 200))
@@ -570,9 +650,15 @@
   auto& w = *waiting_.get(id);
   // A write may go on only while it surely ran nowhere.
   auto mayRun = !w.isWrite || (w.ask.kind == core::UpstreamKind::kAny && !w.wasTouched);
-  auto mayTry = mayRun && w.tries < std::min<int64_t>(w.ask.tries, 3) && code != kAnswerTooLarge &&
-                w.untilMs - nowMs > kLeastMs && budgetOf(w.ask).mayTry(nowMs);
-  if (mayTry) return dispatch(id, true, nowMs);
+  constexpr int64_t kMostAfterFailure = 3;
+  auto mayTry = mayRun && w.tries < kMostAfterFailure && code != kAnswerTooLarge && w.untilMs - nowMs > kLeastMs &&
+                budgetOf(w.ask).mayTry(nowMs);
+  if (mayTry && w.tries < w.ask.tries) return dispatch(id, true, nowMs);
+  if (mayTry && w.ask.reserve > 0) {
+    w.failure = code;
+    w.held.reset();
+    return requestSend(id, SendPurpose::kRetry, nowMs);
+  }
   giveUp(id, code, nowMs);
 }
 
@@ -638,6 +724,8 @@
 
 auto Shield::reply(const Waiting& w, Reply reply, int64_t nowMs) -> void {
   reply.heldMs = nowMs - w.startMs;
+  reply.sends = w.tries;
+  if (reply.code != kOk) reply.upstreams.assign(w.tried.begin(), w.tried.end());
   give(w.from, w.ask, std::move(reply));
 }
 
@@ -752,6 +840,10 @@
       giveUp(id, kNoClaim, nowMs);
       continue;
     }
+    if (w && w->requested != SendPurpose::kNone && nowMs - w->requestedMs >= props_.connectMs) {
+      sendNotGranted(id, nowMs);
+      w = waiting_.get(id);
+    }
     // A fetch ends by its own timeout; this ends the asks that joined another one, or asked another shield.
     if (w && w->open == 0 && !w->isQueued && nowMs >= w->untilMs) {
       giveUp(id, w->isWrite ? kUnknown : kDeadline, nowMs);
@@ -759,12 +851,11 @@
     }
     // A read that takes far longer than it should goes to another upstream beside the first.
     auto mayHedge = w && w->ask.kind == core::UpstreamKind::kAny && !w->isWrite && !w->isHedged && w->open == 1 &&
-                    w->tries < w->ask.tries;
+                    w->tries < w->ask.tries + w->ask.reserve;
     if (!mayHedge || static_cast<double>(nowMs - w->fetchedMs) <
                          std::max(2.5 * w->expectedMs, static_cast<double>(props_.connectMs) / 2))
       continue;
     if (static_cast<double>(w->untilMs - nowMs) < w->expectedMs || !budgetOf(w->ask).mayTry(nowMs)) continue;
-    w->isHedged = true;
     hedge(id, nowMs);
   }
   forget(nowMs);
--- a/lib/upstream/shield.hpp
+++ b/lib/upstream/shield.hpp
@@ -12,6 +12,7 @@
 #include "caller/edge.hpp"
 #include "policy/cache.hpp"
 #include "policy/placement.hpp"
+#include "policy/sends.hpp"
 #include "policy/slab.hpp"
 #include "upstream/fetcher.hpp"
 
@@ -46,7 +47,12 @@
       std::string to;
       neighbour::Reply reply;
     };
+    struct Requested {
+      std::string to;
+      neighbour::SendRequest request;
+    };
     std::vector<Replied> replies;
+    std::vector<Requested> sendRequests;  // to edges
     std::vector<Fetch> fetches;
     std::vector<std::string> drops;  // addresses whose idle streams must end
     struct Told {
@@ -66,10 +72,13 @@
       : props_(std::move(props)),
         waiting_(props_.requests),
         cache_(cache ? std::move(cache) : std::make_shared<policy::Cache>(props_.cacheBytes)),
-        split_(props_.boundMs) {}
+        split_(props_.boundMs),
+        seen_(kSeenBounds * props_.boundMs) {}
 
   /// Takes an ask; `from` is where the reply goes. Example: `shield.take(letter.from, ask, nowMs);`
   auto take(const std::string& from, neighbour::Ask ask, int64_t nowMs) -> void;
+  /// An edge's answer to a request for one more send. Example: `shield.takeSendGrant(grant, nowMs);`
+  auto takeSendGrant(const neighbour::SendGrant& grant, int64_t nowMs) -> void;
   /// Takes an ended fetch. Example: `for (auto& f : fetcher.run(fds, 10)) shield.takeFetched(f, nowMs);`
   auto takeFetched(const Fetched& fetched, int64_t nowMs) -> void;
   /// Puts a newer frame, or newer knowledge of its age, in force. Example: `shield.takeFrame(held, nowMs);`
@@ -109,6 +118,9 @@
   auto open() const -> size_t { return waiting_.size(); }
 
  private:
+  static constexpr int64_t kSeenBounds = 2;  // asks are known again for so many freshness bounds
+  /// What an edge is asked to grant one more send for.
+  enum class SendPurpose : uint8_t { kNone, kRetry, kHedge };
   struct Waiting {
     std::string from;
     neighbour::Ask ask;
@@ -120,7 +132,11 @@
     int tries = 0, unsent = 0;
     int64_t retryMs = 0;  // when to come back, if it is turned away
     bool isHedged = false;
-    double expectedMs = 0;  // of the fetch that left last
+    SendPurpose requested = SendPurpose::kNone;
+    int64_t requestedMs = 0;
+    uint32_t failure = 0;                  // how the last send ended: the outcome, should the edge grant no other
+    std::optional<neighbour::Reply> held;  // the same, where an upstream's answer tells it
+    double expectedMs = 0;                 // of the fetch that left last
     std::string joinKey, memoryKey;
     uint64_t claim = 0;     // number of its claim of the key, under way or won
     int64_t claimMs = -1;   // since when the answer is waited for
@@ -161,7 +177,14 @@
   };
   auto viewOf(const neighbour::Ask& ask) -> PoolView*;
   auto budgetOf(const neighbour::Ask& ask) -> policy::TryBudget&;
+  auto mayHedgeNow(const Waiting& waiting, int64_t nowMs) -> bool;
   auto hedge(uint64_t id, int64_t nowMs) -> void;
+  auto requestSend(uint64_t id, SendPurpose purpose, int64_t nowMs) -> void;
+  auto sendNotGranted(uint64_t id, int64_t nowMs) -> void;
+  auto replyOf(const Waiting& waiting, const Fetching& fetching, const Fetched& fetched, int64_t nowMs)
+      -> neighbour::Reply;
+  auto answered(uint64_t id, neighbour::Reply reply, const Fetching& fetching, const Fetched& fetched, int64_t nowMs)
+      -> void;
   auto dispatch(uint64_t id, bool isExtra, int64_t nowMs) -> void;
   auto send(uint64_t id, const policy::Candidate& candidate, const policy::Placement& placement, bool isExtra,
             int64_t nowMs) -> void;
@@ -185,6 +208,7 @@
   policy::Slab<Waiting> waiting_;
   std::shared_ptr<policy::Cache> cache_;
   policy::Split split_;
+  policy::SeenRequests seen_;
   std::map<std::pair<std::string, core::UpstreamKind>, PoolView> views_;
   std::map<std::string, std::set<std::tuple<int64_t, int64_t, uint64_t>>> queues_;  // by pool: rank, arrival, id
   std::map<uint64_t, Fetching> fetching_;
--- a/programs/shield.cpp
+++ b/programs/shield.cpp
@@ -89,7 +89,7 @@
                                               [&](caller::Request r) { inbox.push(std::move(r)); });
   LOG(INFO) << "shield: " << props.name << " at " << post->address() << ", status at port " << pages->port() << ".";
 
-  upstream::Desk desk(shield, fetcher, *post, link, {"", boundMs, {}});
+  upstream::Desk desk(shield, fetcher, *post, link, {"", boundMs, {}, {}});
   std::vector<std::shared_ptr<caller::Stream>> writing;
   auto stopAtMs = int64_t{-1};
   int64_t warmedMs = 0;
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -112,9 +112,13 @@
         else
           asked.push_back(std::move(a));
       }
+      for (auto& g : out.grants)
+        if (g.isSelf) shield.takeSendGrant(g.grant, nowMs), isMore = true;
       auto made = shield.output();
       for (auto& f : made.fetches)
         fetches.push_back(std::move(f)), isMore = true;
+      for (auto& r : made.sendRequests)
+        if (r.to == "at-e1") edge.takeSendRequest(r.to, r.request), isMore = true;
       for (auto& r : made.replies)
         if (r.to == "at-e1") edge.takeReply(r.to, r.reply, nowMs), isMore = true;
     }
--- a/tests/sim/system_sim.cpp
+++ b/tests/sim/system_sim.cpp
@@ -175,6 +175,10 @@
     node.shield->takeKeyTold(r.get<neighbour::KeyTold>(), nowMs_);
   } else if (part == "data" && kind == neighbour::kReply && node.edge) {
     node.edge->takeReply(from, r.get<neighbour::Reply>(), nowMs_);
+  } else if (part == "data" && kind == neighbour::kSendRequest && node.edge) {
+    node.edge->takeSendRequest(from, r.get<neighbour::SendRequest>());
+  } else if (part == "data" && kind == neighbour::kSendGrant && node.shield) {
+    node.shield->takeSendGrant(r.get<neighbour::SendGrant>(), nowMs_);
   }
   if (!r.done()) fault("a letter did not read back");
   flush(node);
@@ -387,9 +391,12 @@
   if (node.edge && node.shield) {
     flushBoth(node);
   } else if (node.edge) {
-    for (auto out = node.edge->output(); !out.asks.empty() || !out.answers.empty(); out = node.edge->output()) {
+    for (auto out = node.edge->output(); !out.asks.empty() || !out.answers.empty() || !out.grants.empty();
+         out = node.edge->output()) {
       for (auto& a : out.asks)
-        if (!send(node.name, node.address(), a.to, neighbour::kAsk, pack(a.ask))) node.edge->unsent(a.ask.id, nowMs_);
+        if (!send(node.name, node.address(), a.to, neighbour::kAsk, pack(a.ask))) node.edge->unsent(a.ask, nowMs_);
+      for (auto& g : out.grants)
+        send(node.name, node.address(), g.to, neighbour::kSendGrant, pack(g.grant));
       for (auto& a : out.answers)
         answered(a.stream.get(), a.answer);
     }
@@ -400,6 +407,8 @@
       send(node.name, linkAt, loopAt, neighbour::kClaims, pack(claims));
     for (auto& f : out.fetches)
       fetch(node.name, f);
+    for (auto& r : out.sendRequests)
+      send(node.name, node.address(), r.to, neighbour::kSendRequest, pack(r.request));
     for (auto& r : out.replies)
       send(node.name, node.address(), r.to, neighbour::kReply, pack(r.reply));
   }
@@ -413,7 +422,13 @@
       if (a.isSelf)
         node.shield->take(a.to, std::move(a.ask), nowMs_);
       else if (!send(node.name, node.address(), a.to, neighbour::kAsk, pack(a.ask)))
-        node.edge->unsent(a.ask.id, nowMs_);
+        node.edge->unsent(a.ask, nowMs_);
+    }
+    for (auto& g : out.grants) {
+      if (g.isSelf)
+        node.shield->takeSendGrant(g.grant, nowMs_);
+      else
+        send(node.name, node.address(), g.to, neighbour::kSendGrant, pack(g.grant));
     }
     for (auto& a : out.answers)
       answered(a.stream.get(), a.answer);
@@ -423,6 +438,12 @@
       send(node.name, "link:" + node.name, "loop:" + node.name, neighbour::kClaims, pack(claims));
     for (auto& f : own.fetches)
       fetch(node.name, f);
+    for (auto& r : own.sendRequests) {
+      if (r.to == node.address())
+        node.edge->takeSendRequest(r.to, r.request);
+      else
+        send(node.name, node.address(), r.to, neighbour::kSendRequest, pack(r.request));
+    }
     for (auto& r : own.replies) {
       if (r.to == node.address())
         node.edge->takeReply(r.to, r.reply, nowMs_);
@@ -430,7 +451,7 @@
         send(node.name, node.address(), r.to, neighbour::kReply, pack(r.reply));
     }
     isMore = !out.asks.empty() || !out.answers.empty() || !own.claims.empty() || !own.fetches.empty() ||
-             !own.replies.empty();
+             !own.replies.empty() || !out.grants.empty() || !own.sendRequests.empty();
   }
 }
 
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -189,14 +189,14 @@
     edge.take(request("POST", "/api/buy"), 1000);
     for (auto out = edge.output(); !out.asks.empty(); out = edge.output()) {
       for (auto& asked : out.asks)
-        edge.unsent(asked.ask.id, 1000);
+        edge.unsent(asked.ask, 1000);
       if (auto last = edge.output(); !last.answers.empty()) {
         CHECK(last.answers[0].answer.status == 503);
         CHECK_FALSE(header(last.answers[0].answer.headers, "retry-after").empty());
         return;
       } else {
         for (auto& asked : last.asks)
-          edge.unsent(asked.ask.id, 1000);
+          edge.unsent(asked.ask, 1000);
         last = edge.output();
         REQUIRE(last.answers.size() == 1);
         CHECK(last.answers[0].answer.status == 503);
@@ -232,6 +232,7 @@
     out = edge.output();
     REQUIRE(out.asks.size() == 1);
     reply.id = out.asks[0].ask.id;
+    reply.attempt = out.asks[0].ask.attempt;
     edge.takeReply("sh1", reply, 1002);
     CHECK(edge.output().answers.at(0).answer.status == 503);
   }
