A range past the end is refused by an upstream, with its own seal

Cause: an edge that holds a whole object, or has fetched it whole for a range, made the 416 itself and sent it with all headers of the upstream's 200, its seal too.

Ruled out: other failures of an edge's or a shield's own carry no upstream headers; upstreams' failures keep their status.

Change: such a range is asked of an upstream, unshared, within the try's sends and the retry budget. Where no send is left the 416 is the edge's own and bears no seal.

Test: route_test, "A range past the end is refused by an upstream", its three sections seen failing before.

--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -87,6 +87,10 @@
   return range;
 }
 
+auto headerOf(const Range& range) -> std::string {
+  return "bytes=" + std::to_string(range.first) + "-" + (range.last ? std::to_string(*range.last) : "");
+}
+
 auto slice(Answer whole, const Range& range) -> Answer {
   auto size = whole.body.size();
   std::erase_if(whole.headers, [](const auto& h) {
@@ -171,9 +175,12 @@
                  policy::isShareable(request.method, request.headers);
   }
   budgets_.of(*held_.frame, w.pool).asked(nowMs);
+  auto isRangePastEnd = false;
   if (w.isShared) {
     auto copy = cache_->get(service, request.target, request.headers, nowMs, found->route ? w.pool : "");
-    if (copy && nowMs - copy->bornMs < path.keepMs) {
+    auto isHit = copy && nowMs - copy->bornMs < path.keepMs;
+    isRangePastEnd = isHit && w.range && copy->status == 200 && w.range->first >= copy->body.size();
+    if (isHit && !isRangePastEnd) {
       ++figures_.hits;
       Answer answer{copy->status, copy->headers, copy->body};
       answer.headers.emplace_back("Age", std::to_string((nowMs - copy->bornMs) / 1000));
@@ -185,12 +192,13 @@
       out_.answers.push_back({request.stream, request.method, request.keep, std::move(answer), untilMs});
       return;
     }
-    w.joinKey = service + "\n" + request.target + "\n" + w.pool;
+    if (!isRangePastEnd) w.joinKey = service + "\n" + request.target + "\n" + w.pool;
   }
   w.purges = cache_->purges();
   auto joinKey = w.joinKey;
   if (waiting_.size() >= props_.requests) return turnAway(request, kEdgeFull, 0);
   w.request = std::move(request);
+  if (isRangePastEnd) leaveRangeToUpstream(w);
   auto id = waiting_.add(std::move(w));
   if (!joinKey.empty()) {
     auto [it, isFirst] = joins_.try_emplace(joinKey, *id);
@@ -482,6 +490,20 @@
   finish(id, codeAnswerMs(code, w.retryMs > 0 ? w.retryMs : props_.retryMs), nullptr, nowMs);
 }
 
+// Only an upstream can refuse a range past the end: a failure that this node makes must not bear an upstream's seal.
+auto Edge::isPastEnd(const Waiting& w, const Answer& answer) -> bool {
+  return w.range && answer.status == 200 && w.range->first >= answer.body.size() &&
+         header(answer.headers, "dykestage-code").empty();
+}
+
+auto Edge::leaveRangeToUpstream(Waiting& w) -> void {
+  w.request.headers.emplace_back("Range", headerOf(*w.range));
+  w.range.reset();
+  w.isShared = false;
+  w.joinKey.clear();
+  w.tried.clear();
+}
+
 // Ends a request, and those that joined it: they share a copy that may be shared, or the same refusal; an
 // answer meant for one caller alone sends them on their own way.
 auto Edge::finish(uint64_t id, const Answer& answer, const policy::Copy* copy, int64_t nowMs) -> void {
@@ -489,11 +511,14 @@
   if (auto it = joins_.find(w->joinKey); it != joins_.end() && it->second == id) joins_.erase(it);
   auto isRefusal = !header(answer.headers, "dykestage-code").empty();
   auto own = copy ? policy::variantOf(copy->vary, w->request.headers) : std::string();
-  for (auto follower : w->followers) {
+  for (auto follower : std::exchange(w->followers, {})) {
     auto* f = waiting_.get(follower);
     if (!f) continue;
-    if (isRefusal ||
-        (copy && policy::variantOf(copy->vary, f->request.headers) == own && nowMs - copy->bornMs < copy->keepMs)) {
+    if (copy && isPastEnd(*f, answer)) {
+      leaveRangeToUpstream(*f);
+      ask(follower, false, nowMs);
+    } else if (isRefusal || (copy && policy::variantOf(copy->vary, f->request.headers) == own &&
+                             nowMs - copy->bornMs < copy->keepMs)) {
       auto taken = waiting_.take(follower);
       this->answer(*taken, answer, nowMs);
     } else {
@@ -501,6 +526,11 @@
       ask(follower, false, nowMs);
     }
   }
+  auto mayAskAgain = nowMs < w->untilMs && w->sends.left() > 0 && budgets_.of(*held_.frame, w->pool).mayTry(nowMs);
+  if (isPastEnd(*w, answer) && mayAskAgain) {
+    leaveRangeToUpstream(*w);
+    if (auto again = waiting_.add(std::move(*w))) return ask(*again, true, nowMs);
+  }
   this->answer(*w, answer, nowMs);
 }
 
@@ -530,6 +560,10 @@
   measure(w.rollout, w.isNext, nowMs - w.startMs, answer.status, w.isFetched, w.load);
   if (w.range && answer.status == 200 && header(answer.headers, "dykestage-code").empty())
     answer = slice(std::move(answer), *w.range);
+  if (answer.status == 416 && w.range) {
+    auto seal = lower(props_.names.seal);
+    std::erase_if(answer.headers, [&](const auto& h) { return !seal.empty() && lower(h.first) == seal; });
+  }
   out_.answers.push_back({w.request.stream, w.request.method, w.request.keep, std::move(answer)});
 }
 
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -63,6 +63,8 @@
 /// A single range of bytes that names its first one; anything else is left to the upstream. Example:
 /// `rangeOf("bytes=5-9")`
 auto rangeOf(const std::string& value) -> std::optional<Range>;
+/// The header's value for a range. Example: `headerOf({5, 9}) == "bytes=5-9"`
+auto headerOf(const Range& range) -> std::string;
 /// The part of a whole answer that a range asks for (206), or 416. Example: `auto part = slice(std::move(whole),
 /// range);`
 auto slice(Answer whole, const Range& range) -> Answer;
@@ -192,6 +194,8 @@
   auto measure(const std::string& rollout, bool isNext, int64_t tookMs, int status, bool isFetched, double load)
       -> void;
   auto ask(uint64_t id, bool isExtra, int64_t nowMs) -> void;
+  static auto isPastEnd(const Waiting& waiting, const Answer& answer) -> bool;
+  static auto leaveRangeToUpstream(Waiting& waiting) -> void;
   auto fail(uint64_t id, const std::string& from, const neighbour::Reply& reply, int64_t nowMs) -> void;
   auto giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void;
   auto finish(uint64_t id, const Answer& answer, const policy::Copy* copy, int64_t nowMs) -> void;
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -266,6 +266,52 @@
   CHECK(all.size() == 3);
 }
 
+TEST_CASE("A range past the end is refused by an upstream: no failure of the system's own bears a seal") {
+  auto past = Headers{{"Range", "bytes=10-12"}};
+  auto target = std::string("/covers/0");
+  for (int i = 1; i < 100; ++i) {
+    Node probe;
+    probe.ask("GET", target);
+    if (!probe.fetches.empty()) break;
+    target = "/covers/" + std::to_string(i);
+  }
+  SECTION("of an object in the cache") {
+    Node n;
+    n.ask("GET", target);
+    n.end(n.fetches.at(0), 200);
+    n.ask("GET", target, past, 10100);
+    REQUIRE(n.fetches.size() == 2);
+    CHECK(valueOf(n.fetches[1], "Range") == "bytes=10-12");
+    n.end(n.fetches[1], 416, {}, "", 10150);
+    REQUIRE(n.answers.size() == 2);
+    CHECK(n.answers[1].answer.status == 416);
+    CHECK(header(n.answers[1].answer.headers, "Seal") == "s");
+  }
+  SECTION("of one that was fetched whole for it, and for another who joined") {
+    Node n;
+    n.ask("GET", target, past);
+    n.ask("GET", target, past);
+    n.ask("GET", target);
+    REQUIRE(n.fetches.size() == 1);
+    CHECK(valueOf(n.fetches[0], "Range").empty());
+    n.end(n.fetches[0], 200);
+    REQUIRE(n.answers.size() == 1);
+    CHECK(n.answers[0].answer.status == 200);
+    // Unshared, each is asked of whichever node: here, or of others.
+    CHECK(n.fetches.size() - 1 + n.asked.size() == 2);
+  }
+  SECTION("no send is left: the failure is this node's own, without a seal") {
+    auto frame = frameOf();
+    frame->routing.routes["covers"].tries = 1;
+    Node n("e1", frame);
+    n.ask("GET", target, past);
+    n.end(n.fetches.at(0), 200);
+    REQUIRE(n.answers.size() == 1);
+    CHECK(n.answers[0].answer.status == 416);
+    CHECK(header(n.answers[0].answer.headers, "Seal").empty());
+  }
+}
+
 TEST_CASE("Ranges are cut from whole copies") {
   auto range = rangeOf("bytes=2-5");
   REQUIRE(range);
