--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -87,6 +87,10 @@
   return range;
 }
 
+auto headerOf(const Range& range) -> std::string {
+  return "bytes=" + std::to_string(range.first) + "-" + (range.last ? std::to_string(*range.last) : "");
+}
+
 auto slice(Answer whole, const Range& range) -> Answer {
   auto size = whole.body.size();
   std::erase_if(whole.headers, [](const auto& h) {
@@ -158,7 +162,7 @@
   w.untilMs = std::min(w.untilMs, std::max(nowMs + 1, endMs_));
   if (found->route) {
     w.isWrite = found->route->kind == core::RouteKind::kWriting;
-    w.tries = std::max<int64_t>(1, found->route->tries);
+    w.sends = policy::SendAccount(std::max<int64_t>(1, found->route->tries));
     w.rank = found->route->rank;
     w.routeKey = service + found->route->prefix;
     w.isShared = path.keepMs > 0;
@@ -172,9 +176,12 @@
                  policy::isShareable(request.method, request.headers);
   }
   budgets_.of(*held_.frame, w.pool).asked(nowMs);
+  auto isRangePastEnd = false;
   if (w.isShared) {
     auto copy = cache_->get(service, request.target, request.headers, nowMs, found->route ? w.pool : "");
-    if (copy && nowMs - copy->bornMs < path.keepMs) {
+    auto isHit = copy && nowMs - copy->bornMs < path.keepMs;
+    isRangePastEnd = isHit && w.range && copy->status == 200 && w.range->first >= copy->body.size();
+    if (isHit && !isRangePastEnd) {
       ++figures_.hits;
       Answer answer{copy->status, copy->headers, copy->body};
       answer.headers.emplace_back("Age", std::to_string((nowMs - copy->bornMs) / 1000));
@@ -187,12 +194,13 @@
       out_.answers.push_back({request.stream, request.method, request.keep, std::move(answer), untilMs});
       return;
     }
-    w.joinKey = service + "\n" + request.target + "\n" + w.pool;
+    if (!isRangePastEnd) w.joinKey = service + "\n" + request.target + "\n" + w.pool;
   }
   w.purges = cache_->purges();
   auto joinKey = w.joinKey;
   if (waiting_.size() >= props_.requests) return turnAway(request, kEdgeFull, 0);
   w.request = std::move(request);
+  if (isRangePastEnd) leaveRangeToUpstream(w);
   auto id = waiting_.add(std::move(w));
   if (!joinKey.empty()) {
     auto [it, isFirst] = joins_.try_emplace(joinKey, *id);
@@ -273,11 +281,17 @@
 auto Edge::ask(uint64_t id, bool isExtra, int64_t nowMs) -> void {
   auto& w = *waiting_.get(id);
   auto order = this->order(w, id, nowMs);
+  if (order.empty() && w.sends.openCount() > 0) return;  // whoever is at work on it goes on
   if (order.empty()) return giveUp(id, w.refusal, nowMs);
   if (nowMs >= w.untilMs) return giveUp(id, kDeadline, nowMs);
+  // A write has one owner at a time, and all that is left goes with it. Of a read the edge keeps what it does not hand
+  // on at once: for a second shield, should the first stay silent, or for the first one, should it ask for more.
+  auto granted = w.isWrite ? w.sends.left() : 1;
+  auto attempt = w.sends.open(granted);
+  if (!attempt) return giveUp(id, w.refusal, nowMs);
   const auto& fetcher = fetchers_[order.front()];
   w.tried.insert(fetcher.name);
-  w.shield = fetcher.address;
+  w.attemptAddresses.push_back(fetcher.address);
   w.wasSent = true;
   w.askedMs = nowMs;
   if (w.firstAskedMs == 0) w.firstAskedMs = nowMs;
@@ -289,6 +303,7 @@
   }
   Ask ask;
   ask.id = id;
+  ask.attempt = *attempt;
   ask.life = props_.life;
   ask.service = w.service;
   ask.pool = w.pool;
@@ -305,7 +320,9 @@
   ask.isShared = w.isShared;
   ask.isExtra = isExtra;
   ask.isWrite = w.isWrite;
-  ask.tries = w.tries;
+  ask.tries = granted;
+  ask.reserve = w.sends.left();
+  ask.upstreams.assign(w.upstreams.begin(), w.upstreams.end());
   ask.rank = w.rank;
   ask.tryId = w.tryId;
   ask.mayWait = order.size() == 1 || w.tried.size() >= std::min<size_t>(fetchers_.size(), kMostAsked);
@@ -315,7 +332,7 @@
     ++figures_.extras;
     budgets_.of(*held_.frame, w.pool).tried(nowMs);
   }
-  out_.asks.push_back({w.shield, std::move(ask), isSelf});
+  out_.asks.push_back({fetcher.address, std::move(ask), isSelf});
 }
 
 // A frozen or cut-off shield keeps its lines up and says nothing. One that owes replies comes last, until it
@@ -327,20 +344,41 @@
          nowMs - it->second.lastAskedMs < 8 * props_.suspectMs;
 }
 
-auto Edge::unsent(uint64_t id, int64_t nowMs) -> void {
-  auto* w = waiting_.get(id);
-  if (!w) return;
-  w->wasSent = false;
-  ask(id, false, nowMs);
+auto Edge::unsent(const Ask& unsentAsk, int64_t nowMs) -> void {
+  auto* w = waiting_.get(unsentAsk.id);
+  if (!w || !w->sends.close(unsentAsk.attempt, 0)) return;
+  w->wasSent = w->sends.openCount() > 0;
+  ask(unsentAsk.id, unsentAsk.isExtra, nowMs);
+}
+
+auto Edge::takeSendRequest(const std::string& from, const neighbour::SendRequest& request) -> void {
+  if (request.life != props_.life) return;
+  neighbour::SendGrant grant;
+  grant.waiting = request.waiting;
+  grant.shieldLife = request.shieldLife;
+  // A request that has ended here grants nothing more, and its shield learns that at once.
+  if (auto* w = waiting_.get(request.id)) {
+    w->upstreams.insert(request.upstreams.begin(), request.upstreams.end());
+    grant.granted = w->sends.raise(request.attempt, request.wanted);
+    grant.reserve = w->sends.left();
+    grant.upstreams.assign(w->upstreams.begin(), w->upstreams.end());
+  }
+  out_.grants.push_back({from, std::move(grant), self_ && from == fetchers_[*self_].address});
 }
 
 auto Edge::lost(const std::string& shield, int64_t nowMs) -> void {
   for (auto id : waiting_.ids()) {
     auto* w = waiting_.get(id);
-    if (!w || w->shield != shield || !w->wasSent) continue;
+    if (!w) continue;
+    auto wasAsked = false;
+    for (uint32_t attempt = 0; attempt < w->attemptAddresses.size(); ++attempt)
+      if (w->attemptAddresses[attempt] == shield) wasAsked = w->sends.closeUnknown(attempt) || wasAsked;
+    if (!wasAsked) continue;
     if (w->isWrite)
       giveUp(id, kUnknown, nowMs);
-    else if (budgets_.of(*held_.frame, w->pool).mayTry(nowMs))
+    else if (w->sends.openCount() > 0)
+      continue;  // another shield is at work on it
+    else if (w->sends.left() > 0 && budgets_.of(*held_.frame, w->pool).mayTry(nowMs))
       ask(id, true, nowMs);
     else
       giveUp(id, kUpstreamLost, nowMs);
@@ -392,23 +430,10 @@
   owing_.erase(from);
   auto* w = waiting_.get(reply.id);
   if (!w) return;
+  auto isFirst = w->sends.close(reply.attempt, reply.sends);
   if (reply.code != kOk) {
-    // A refusal ends the ask that it answers. One that comes again, or from a node that was asked before the present
-    // one, says nothing of what that one may be running.
-    if (from != w->shield) return;
-    // What a shield turned away untouched may go to another one; that costs the upstreams nothing.
-    auto mayMove = reply.isUntouched && isTurnedAway(reply.code) && reply.code != kDeadline;
-    w->retryMs = reply.retryMs;
-    if (reply.code == kEmptying) awayUntilMs_[from] = nowMs + 4 * props_.suspectMs;
-    // A pool without an upstream that can take it now has none elsewhere either; other reasons are a fetcher's own.
-    auto isPools = props_.fetches && reply.code == kNoUpstream;
-    if (mayMove && !isPools && w->tried.size() < std::min<size_t>(fetchers_.size(), kMostAsked)) {
-      w->wasSent = false;
-      w->refusal = reply.code;
-      return ask(reply.id, false, nowMs);
-    }
-    if (reply.isUntouched) w->wasSent = false;
-    return giveUp(reply.id, reply.code, nowMs);
+    if (isFirst) fail(reply.id, from, reply, nowMs);
+    return;
   }
   Answer answer{static_cast<int>(reply.status), reply.headers, reply.body};
   w->isFetched = reply.isFetched;
@@ -435,6 +460,24 @@
   finish(reply.id, answer, copy.get(), nowMs);
 }
 
+auto Edge::fail(uint64_t id, const std::string& from, const Reply& reply, int64_t nowMs) -> void {
+  auto* w = waiting_.get(id);
+  w->upstreams.insert(reply.upstreams.begin(), reply.upstreams.end());
+  w->retryMs = reply.retryMs;
+  if (reply.code == kEmptying) awayUntilMs_[from] = nowMs + 4 * props_.suspectMs;
+  auto isOtherAtWork = w->sends.openCount() > 0;
+  if (reply.isUntouched && !isOtherAtWork) w->wasSent = false;
+  // What a shield turned away untouched may go to another one; that costs the upstreams nothing.
+  auto mayMove = reply.isUntouched && isTurnedAway(reply.code) && reply.code != kDeadline && w->sends.left() > 0;
+  // A pool without an upstream that can take it now has none elsewhere either; other reasons are a fetcher's own.
+  auto isPools = props_.fetches && reply.code == kNoUpstream;
+  if (mayMove && !isPools && w->tried.size() < std::min<size_t>(fetchers_.size(), kMostAsked)) {
+    w->refusal = reply.code;
+    return ask(id, false, nowMs);
+  }
+  if (!isOtherAtWork) giveUp(id, reply.code, nowMs);
+}
+
 auto Edge::giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void {
   auto& w = *waiting_.get(id);
   // A write that was handed on may have run, whatever became of the answer.
@@ -449,6 +492,20 @@
   finish(id, codeAnswerMs(code, w.retryMs > 0 ? w.retryMs : props_.retryMs), nullptr, nowMs);
 }
 
+// Only an upstream can refuse a range past the end: a failure that this node makes must not bear an upstream's seal.
+auto Edge::isPastEnd(const Waiting& w, const Answer& answer) -> bool {
+  return w.range && answer.status == 200 && w.range->first >= answer.body.size() &&
+         header(answer.headers, "dykestage-code").empty();
+}
+
+auto Edge::leaveRangeToUpstream(Waiting& w) -> void {
+  w.request.headers.emplace_back("Range", headerOf(*w.range));
+  w.range.reset();
+  w.isShared = false;
+  w.joinKey.clear();
+  w.tried.clear();
+}
+
 // Ends a request, and those that joined it: they share a copy that may be shared, or the same refusal; an
 // answer meant for one caller alone sends them on their own way.
 auto Edge::finish(uint64_t id, const Answer& answer, const policy::Copy* copy, int64_t nowMs) -> void {
@@ -456,11 +513,14 @@
   if (auto it = joins_.find(w->joinKey); it != joins_.end() && it->second == id) joins_.erase(it);
   auto isRefusal = !header(answer.headers, "dykestage-code").empty();
   auto own = copy ? policy::variantOf(copy->vary, w->request.headers) : std::string();
-  for (auto follower : w->followers) {
+  for (auto follower : std::exchange(w->followers, {})) {
     auto* f = waiting_.get(follower);
     if (!f) continue;
-    if (isRefusal ||
-        (copy && policy::variantOf(copy->vary, f->request.headers) == own && nowMs - copy->bornMs < copy->keepMs)) {
+    if (copy && isPastEnd(*f, answer)) {
+      leaveRangeToUpstream(*f);
+      ask(follower, false, nowMs);
+    } else if (isRefusal || (copy && policy::variantOf(copy->vary, f->request.headers) == own &&
+                             nowMs - copy->bornMs < copy->keepMs)) {
       auto taken = waiting_.take(follower);
       this->answer(*taken, answer, nowMs);
     } else {
@@ -468,6 +528,11 @@
       ask(follower, false, nowMs);
     }
   }
+  auto mayAskAgain = nowMs < w->untilMs && w->sends.left() > 0 && budgets_.of(*held_.frame, w->pool).mayTry(nowMs);
+  if (isPastEnd(*w, answer) && mayAskAgain) {
+    leaveRangeToUpstream(*w);
+    if (auto again = waiting_.add(std::move(*w))) return ask(*again, true, nowMs);
+  }
   this->answer(*w, answer, nowMs);
 }
 
@@ -533,7 +598,8 @@
       continue;
     }
     auto isLate = w->wasSent && (nowMs - w->startMs) * 100 >= (w->untilMs - w->startMs) * props_.hedgePercent;
-    if (w->isWrite || w->isHedged || !isLate || w->tried.size() >= std::min<size_t>(fetchers_.size(), kMostAsked) ||
+    if (w->isWrite || w->isHedged || !isLate || w->sends.left() <= 0 ||
+        w->tried.size() >= std::min<size_t>(fetchers_.size(), kMostAsked) ||
         !budgets_.of(*held_.frame, w->pool).mayTry(nowMs))
       continue;
     w->isHedged = true;
