A late answer from a registry still brings news: a congested link held it off for ever

Cause: a follower took only the answer to its newest question. An idle question is held for 1/10 of the bound and repeated after 1/5, so that once a round trip takes over 1/10 of the bound (200 ms; over 1/5 with news) no answer is ever taken: each comes after its question was repeated, under an older nonce. A node behind a full link then keeps its old configuration for as long as the link is full, and moves from registry to registry.

Ruled out: the freshness rule does not need it. The age of an answer counts from the moment of its own question, whichever that was.

Change: open questions are kept for twice the bound with the time at which each was asked; the answer to any of them is taken, ages from its own question, and never slides back. Only the newest one decides whether to move to another registry.

--- a/lib/agent/feed.cpp
+++ b/lib/agent/feed.cpp
@@ -8,6 +8,10 @@
 using neighbour::Feed;
 using neighbour::Poll;
 
+namespace {
+constexpr int64_t kOpenQuestionPeriods = 10;  // how long a late answer is still taken, in answer times
+}  // namespace
+
 auto Giver::take(std::string from, Poll poll, int64_t nowMs) -> void {
   // A newer question of the same asker takes the place of the older one.
   std::erase_if(held_, [&](const Held& h) { return h.from == from && h.poll.name == poll.name; });
@@ -74,8 +78,10 @@
   isAsking_ = true;
   inForce_ = told.revision;
   askedMs_ = nowMs;
+  forgetOldQuestions(nowMs);
+  openQuestions_[++nonce_] = nowMs;
   Poll poll;
-  poll.nonce = ++nonce_;
+  poll.nonce = nonce_;
   poll.name = name_;
   poll.member = member_;
   poll.revision = told.revision;
@@ -98,25 +104,34 @@
   waitUntilMs_ = nowMs + answerMs_ / 20;
 }
 
+auto Follower::forgetOldQuestions(int64_t nowMs) -> void {
+  auto oldestMs = nowMs - kOpenQuestionPeriods * answerMs_;
+  std::erase_if(openQuestions_, [&](const auto& question) { return question.second < oldestMs; });
+}
+
+auto Follower::takeNews(const core::News& news) -> bool {
+  if (news.revision == held_.frame->revision) return true;
+  auto next = std::make_shared<core::Frame>(*held_.frame);
+  if (!join(*next, news)) return false;
+  held_.frame = next;
+  return true;
+}
+
 auto Follower::take(const Feed& feed, int64_t nowMs) -> bool {
-  if (!isAsking_ || feed.nonce != nonce_) return false;
-  isAsking_ = false;
-  if (!feed.isMember) {
-    mustMove_ = true;  // perhaps another one knows of this node already
+  auto question = openQuestions_.find(feed.nonce);
+  if (question == openQuestions_.end()) return false;
+  auto askedMs = question->second;
+  openQuestions_.erase(question);
+  auto isNewest = isAsking_ && feed.nonce == nonce_;
+  if (isNewest) isAsking_ = false;
+  if (!feed.isMember || !feed.news.revision.covers(held_.frame->revision)) {
+    mustMove_ = mustMove_ || isNewest;  // perhaps another one knows of this node already, or knows more
     return false;
   }
-  if (!feed.news.revision.covers(held_.frame->revision)) {
-    mustMove_ = true;
-    return false;
-  }
-  auto isNew = feed.news.revision != held_.frame->revision;
-  if (isNew) {
-    auto next = std::make_shared<core::Frame>(*held_.frame);
-    if (!join(*next, feed.news)) return false;
-    held_.frame = next;
-  }
+  if (!takeNews(feed.news)) return false;
   // The giver's age, and all of the way there and back that was not spent waiting at the giver.
-  held_.asOfMs = std::max(held_.asOfMs, askedMs_ + feed.heldMs - feed.ageMs);
+  held_.asOfMs = std::max(held_.asOfMs, askedMs + feed.heldMs - feed.ageMs);
+  if (!isNewest) return true;
   // A giver that is not fresh itself (a neighbour cut off as well) is no one to stay with.
   if (nowMs - held_.asOfMs > 2 * answerMs_)
     mustMove_ = true;
--- a/lib/agent/feed.hpp
+++ b/lib/agent/feed.hpp
@@ -65,7 +65,8 @@
   /// Example: `if (!post->send(...)) follower.lost(nowMs);`
   auto lost(int64_t nowMs) -> void;
   auto isAsking() const -> bool { return isAsking_; }
-  /// Takes an answer; true when the frame or its age is newer now.
+  /// Takes an answer; true when the frame or its age is newer now. A late answer to an earlier question counts too:
+  /// over a congested link every answer may come after its question has been repeated.
   auto take(const neighbour::Feed& feed, int64_t nowMs) -> bool;
   auto held() const -> const caller::HeldFrame& { return held_; }
   auto target() const -> const std::string& { return target_; }
@@ -74,6 +75,9 @@
   auto registryFor(const std::vector<std::string>& registries, uint32_t attempt) const -> const std::string&;
 
  private:
+  auto forgetOldQuestions(int64_t nowMs) -> void;
+  auto takeNews(const core::News& news) -> bool;
+
   std::string name_;
   int64_t answerMs_;
   uint64_t nonce_;
@@ -82,6 +86,7 @@
   bool isAsking_ = false;
   bool mustMove_ = false;
   core::Revision inForce_;
+  std::map<uint64_t, int64_t> openQuestions_;  // nonce → when it was asked; the newest is nonce_
   int64_t askedMs_ = 0, preferredMs_ = 0, waitUntilMs_ = 0;
   size_t nextPreferred_ = 0;
   std::string target_;
