Bulk answers take four fifths of the link, so that news and heartbeats do not wait behind them

Cause: on the large sites a machine's link sends in the order of writing, and an edge wrote whole answers to callers and to other edges as soon as it had them.

Change: policy::LinkShare, a token bucket of 0.8 of linkMbps with bursts of 1/100 of the bound, shared by answers to callers (caller::Stream) and replies to other processes (upstream::ReplyQueue, taken out of the desk). Answers of 2 KiB and less (refusals, pages) never wait. A kept object for which the link has no room for 1/4 of the bound is refused to the asker, untouched; any other reply leaves all the same.

Measured: tests/control_priority_test.cpp.

--- a/lib/caller/face.cpp
+++ b/lib/caller/face.cpp
@@ -237,18 +237,7 @@
   if (!keep) mustClose.store(true);
   closesAfter_ = !keep;
   isOpen.store(false);  // the next request may come before the last byte is taken
-  size_t sent = 0;
-  if (waiting_.empty()) {
-    iovec pieces[2] = {{head.data(), head.size()}, {const_cast<char*>(answer.body.data()), answer.body.size()}};
-    msghdr message{};
-    message.msg_iov = pieces;
-    message.msg_iovlen = hasBody && !answer.body.empty() ? 2 : 1;
-    ssize_t n = 0;
-    do
-      n = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
-    while (n < 0 && errno == EINTR);
-    sent = n > 0 ? static_cast<size_t>(n) : 0;  // what is wrong with the stream shows in send()
-  }
+  auto sent = waiting_.empty() ? writeNow(head, hasBody ? std::string_view(answer.body) : std::string_view()) : 0;
   if (sent < head.size()) {
     waiting_.append(head, sent);
     if (hasBody) waiting_ += answer.body;
@@ -262,6 +251,31 @@
   send();
 }
 
+auto Stream::isPaced(size_t bytes) const -> bool {
+  return limits_ && limits_->link && limits_->link->isLimited() && !limits_->link->isSmall(bytes);
+}
+
+// Writes what the socket takes at once, within the answers' part of the link.
+auto Stream::writeNow(std::string_view head, std::string_view body) -> size_t {
+  auto wanted = head.size() + body.size();
+  auto granted = wanted;
+  if (isPaced(wanted)) granted = limits_->link->grant(wanted, neighbour::steadyMs());
+  if (granted == 0) return 0;
+  auto headBytes = std::min(head.size(), granted);
+  auto bodyBytes = granted - headBytes;
+  iovec pieces[2] = {{const_cast<char*>(head.data()), headBytes}, {const_cast<char*>(body.data()), bodyBytes}};
+  msghdr message{};
+  message.msg_iov = pieces;
+  message.msg_iovlen = bodyBytes > 0 ? 2 : 1;
+  ssize_t n = 0;
+  do
+    n = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+  while (n < 0 && errno == EINTR);
+  auto sent = n > 0 ? static_cast<size_t>(n) : 0;  // what is wrong with the stream shows in send()
+  if (isPaced(wanted)) limits_->link->restore(granted - sent);
+  return sent;
+}
+
 auto Stream::flush() -> bool {
   if (pending_.load() == 0) return true;
   std::lock_guard lock(writes_);
@@ -269,8 +283,13 @@
 }
 
 auto Stream::send() -> bool {
+  auto hasToPace = isPaced(waiting_.size());
   while (sent_ < waiting_.size()) {
-    auto n = ::send(fd_.get(), waiting_.data() + sent_, waiting_.size() - sent_, MSG_NOSIGNAL | MSG_DONTWAIT);
+    auto granted = waiting_.size() - sent_;
+    if (hasToPace) granted = limits_->link->grant(granted, neighbour::steadyMs());
+    if (granted == 0) break;
+    auto n = ::send(fd_.get(), waiting_.data() + sent_, granted, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (hasToPace) limits_->link->restore(granted - static_cast<size_t>(std::max<ssize_t>(n, 0)));
     if (n > 0) {
       sent_ += static_cast<size_t>(n);
       continue;
@@ -615,6 +634,7 @@
   shared_->take = std::move(take);
   shared_->takeGone = std::move(takeGone);
   shared_->limits->bodyBytes.store(props.bodyBytes);
+  shared_->limits->link = props.link;
   shared_->listening = disk::Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   auto listening = shared_->listening.get();
   auto on = 1;
--- a/lib/caller/face.hpp
+++ b/lib/caller/face.hpp
@@ -16,6 +16,7 @@
 
 #include "disk/ring.hpp"
 #include "neighbour/messages.hpp"
+#include "policy/link_share.hpp"
 
 namespace dykestage::caller {
 
@@ -47,6 +48,7 @@
   std::atomic<int64_t> headerMs{60000}, idleMs{60000};
   std::atomic<bool> isDraining{false};
   std::atomic<int64_t> drainIdleMs{0};
+  std::shared_ptr<policy::LinkShare> link;  // that answers may take; null: no limit. Set before streams come
 };
 
 /// A caller's stream. One request at a time is open on it. The face's thread and the program's both write answers.
@@ -84,7 +86,9 @@
 
  private:
   auto write(const Answer& answer, std::string* body, const std::string& method, bool keep) -> void;
+  auto writeNow(std::string_view head, std::string_view body) -> size_t;
   auto send() -> bool;
+  auto isPaced(size_t bytes) const -> bool;
   auto end(int64_t nowMs) -> void;
 
   disk::Fd fd_;
@@ -116,6 +120,7 @@
     uint16_t port = 0;
     int threads = 2;
     size_t bodyBytes = 8u << 20;
+    std::shared_ptr<policy::LinkShare> link = nullptr;  // that answers may take; null: no limit
   };
   using TakeGone = std::function<void(std::shared_ptr<Stream>)>;
   Face(Props props, std::function<void(Request)> take, TakeGone takeGone = {});
--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -12,6 +12,7 @@
 #include "caller/record.hpp"
 #include "neighbour/inbox.hpp"
 #include "neighbour/post.hpp"
+#include "policy/link_share.hpp"
 #include "upstream/desk.hpp"
 
 namespace dykestage::program {
@@ -51,6 +52,19 @@
   }
   return page.take() + "\n";
 }
+
+// Bulk answers take four fifths of the link, and leave in bursts of at most 1/100 of the bound: what is written in
+// between (heartbeats, news, acknowledgements) then waits about as long, and not for every answer before it.
+constexpr double kBulkPart = 0.8;
+constexpr double kBytesPerMbit = 125000;
+
+auto linkShareOf(double linkMbps, int64_t boundMs) -> std::shared_ptr<policy::LinkShare> {
+  if (linkMbps <= 0) return nullptr;
+  policy::LinkShare::Props props;
+  props.bytesPerS = linkMbps * kBytesPerMbit * kBulkPart;
+  props.burstBytes = props.bytesPerS * static_cast<double>(boundMs) / 1000 / 100;
+  return std::make_shared<policy::LinkShare>(props);
+}
 }  // namespace
 
 auto runEdge(op::Program& program) -> int {
@@ -166,15 +180,16 @@
   agent::Link link(
       {props.name, {fetches ? "proxy" : "edge", props.site, post->address(), "", props.life}, agentAt, boundMs},
       [&](caller::HeldFrame f) { inbox.push(std::move(f)); }, [&](neighbour::Letter l) { inbox.push(std::move(l)); });
+  auto linkShare = linkShareOf(linkMbps, boundMs);
   std::optional<upstream::Desk> desk;
   if (shield)
     desk.emplace(*shield, fetcher, *post, link,
-                 upstream::Desk::Props{post->address(), boundMs, [&](const neighbour::Reply& r) {
+                 upstream::Desk::Props{post->address(), boundMs, linkShare, [&](const neighbour::Reply& r) {
                                          edge.takeReply(post->address(), r, neighbour::steadyMs());
                                        }});
-  auto open = [&](const std::string& at, int count, auto wrap) {
+  auto open = [&](const std::string& at, int count, std::shared_ptr<policy::LinkShare> share, auto wrap) {
     auto [ip, port] = op::splitAddress(at);
-    return std::make_unique<caller::Face>(caller::Face::Props{ip, port, count, static_cast<size_t>(bodyBytes)},
+    return std::make_unique<caller::Face>(caller::Face::Props{ip, port, count, static_cast<size_t>(bodyBytes), share},
                                           [&inbox, wrap](caller::Request r) {
                                             auto stream = r.stream;
                                             auto method = r.method;
@@ -182,8 +197,8 @@
                                               stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
                                           });
   };
-  auto face = open(http, static_cast<int>(threads), [](caller::Request r) { return Input(std::move(r)); });
-  auto pages = open(status, 1, [](caller::Request r) { return Input(Page{std::move(r)}); });
+  auto face = open(http, static_cast<int>(threads), linkShare, [](caller::Request r) { return Input(std::move(r)); });
+  auto pages = open(status, 1, nullptr, [](caller::Request r) { return Input(Page{std::move(r)}); });
   LOG(INFO) << "edge: " << props.name << " serves port " << face->port() << ", status at port " << pages->port() << ".";
 
   std::vector<std::shared_ptr<caller::Stream>> writing;
@@ -192,11 +207,15 @@
   int64_t warmedMs = 0, toldMs = 0;
   for (;;) {
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
-    for (auto& stream : writing)
-      fds.push_back({stream->fd(), POLLOUT, 0});
     // Deadlines are looked at every few ms while anything waits.
     auto isIdle = edge.open() == 0 && (!desk || desk->isIdle());
     auto waitMs = isIdle ? boundMs / 40 : boundMs / 200;
+    // A socket that could take more is no reason to wake before the link has room for it.
+    auto roomMs = linkShare && !writing.empty() ? linkShare->waitMs(neighbour::steadyMs()) : 0;
+    if (roomMs > 0) waitMs = std::min(waitMs, roomMs);
+    if (roomMs == 0)
+      for (auto& stream : writing)
+        fds.push_back({stream->fd(), POLLOUT, 0});
     std::vector<upstream::Fetched> ended;
     if (fetches)
       ended = fetcher.run(fds, waitMs);
--- a/lib/upstream/desk.cpp
+++ b/lib/upstream/desk.cpp
@@ -49,14 +49,23 @@
     if (!props_.self.empty() && r.to == props_.self)
       props_.reply(r.reply);
     else
-      replies_.push_back({r.to, Writer().put(r.reply).take(), nowMs + props_.boundMs / 4});
+      replies_.add(r.to, r.reply, nowMs);
   }
-  // A line that is just coming up is waited for; an edge that has gone is not.
-  std::erase_if(replies_,
-                [&](const Waiting& w) { return post_.send(w.to, neighbour::kReply, w.body) || nowMs >= w.untilMs; });
+  sendReplies(nowMs);
   return !out.claims.empty() || !out.fetches.empty() || !out.replies.empty();
 }
 
+auto Desk::sendReplies(int64_t nowMs) -> void {
+  auto isUp = [this](const std::string& to) {
+    post_.warm(to);
+    return post_.isUp(to);
+  };
+  auto send = [this](const std::string& to, const std::string& body) {
+    return post_.send(to, neighbour::kReply, body);
+  };
+  replies_.flush({isUp, send}, nowMs);
+}
+
 auto Desk::warm() -> void {
   for (const auto& at : shield_.edges())
     post_.warm(at);
--- a/tests/control_priority_test.cpp
+++ b/tests/control_priority_test.cpp
@@ -1,13 +1,22 @@
 // Control before traffic: news of the control plane keeps its bound while links and processors are full of answers.
 #include <catch2/catch.hpp>
 
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "agent/feed.hpp"
+#include "caller/codes.hpp"
+#include "caller/face.hpp"
+#include "policy/link_share.hpp"
+#include "upstream/reply_queue.hpp"
 
 using namespace dykestage;
 
@@ -75,3 +84,136 @@
   // Known to be current: a round trip, the wait at the giver and the next question's way.
   CHECK(link.ageMs() <= 4 * delayMs + kHoldMs + kAnswerMs);
 }
+
+namespace {
+constexpr double kLinkBytesPerMs = 1000;
+constexpr size_t kAnswerBytes = 20000;
+
+auto shareOf(double bytesPerS, double burstBytes) -> std::shared_ptr<policy::LinkShare> {
+  return std::make_shared<policy::LinkShare>(policy::LinkShare::Props{bytesPerS, burstBytes});
+}
+
+/// A reply that brings a kept object.
+auto objectReply(uint64_t id) -> neighbour::Reply {
+  neighbour::Reply reply;
+  reply.id = id;
+  reply.status = 200;
+  reply.keepMs = 5000;
+  reply.body.assign(kAnswerBytes, 'x');
+  return reply;
+}
+
+auto replyIn(const std::string& body) -> neighbour::Reply {
+  Reader reader(body);
+  return reader.get<neighbour::Reply>();
+}
+
+/// A link that sends what it is given in the order in which it comes, in virtual time.
+class FifoLink {
+ public:
+  auto put(size_t bytes, int64_t nowMs) -> void {
+    auto startMs = std::max(freeAtMs_, static_cast<double>(nowMs));
+    freeAtMs_ = startMs + static_cast<double>(bytes) / kLinkBytesPerMs;
+  }
+  /// How long a letter that is written now waits for what was written before it.
+  auto waitMs(int64_t nowMs) const -> double { return std::max(0.0, freeAtMs_ - static_cast<double>(nowMs)); }
+
+ private:
+  double freeAtMs_ = 0;
+};
+
+/// The longest that a heartbeat waits while 200 objects are asked for at once.
+auto longestWaitMs(std::shared_ptr<policy::LinkShare> share) -> double {
+  FifoLink link;
+  upstream::ReplyQueue replies({60000, std::move(share)});
+  for (uint64_t id = 1; id <= 200; ++id)
+    replies.add("edge-2", objectReply(id), 0);
+  auto longestMs = 0.0;
+  for (int64_t nowMs = 0; nowMs < 10000; ++nowMs) {
+    replies.flush({[](const std::string&) { return true; },
+                   [&](const std::string&, const std::string& body) {
+                     link.put(body.size(), nowMs);
+                     return true;
+                   }},
+                  nowMs);
+    longestMs = std::max(longestMs, link.waitMs(nowMs));
+  }
+  CHECK(replies.isEmpty());
+  return longestMs;
+}
+
+auto bytesIn(int fd) -> size_t {
+  auto count = 0;
+  REQUIRE(::ioctl(fd, FIONREAD, &count) == 0);
+  return static_cast<size_t>(count);
+}
+}  // namespace
+
+TEST_CASE("A heartbeat does not wait behind objects that other processes asked for") {
+  CHECK(longestWaitMs(nullptr) > kBoundMs);
+  auto burstBytes = kLinkBytesPerMs * 0.8 * kBoundMs / 100;
+  CHECK(longestWaitMs(shareOf(kLinkBytesPerMs * 1000 * 0.8, burstBytes)) <= kBoundMs / 20);
+}
+
+TEST_CASE("Over any time bulk takes its part of the link and a burst, and small answers never wait") {
+  policy::LinkShare share({1000 * 100, 20000});
+  size_t granted = 0;
+  for (int64_t nowMs = 0; nowMs <= 1000; ++nowMs)
+    granted += share.grant(50000, nowMs);
+  CHECK(granted >= 100000);
+  CHECK(granted <= 100000 + 20000);
+  CHECK(share.grant(50000, 1000) == 0);
+  CHECK_FALSE(share.admit(50000, 1000));
+  CHECK(share.waitMs(1000) > 0);
+  CHECK(share.admit(200, 1000));
+  CHECK(share.waitMs(1000 + share.waitMs(1000)) == 0);
+  CHECK(share.durationMs(100000) == 1000);
+}
+
+TEST_CASE("An object for which the link has no room is refused in time, any other reply leaves in the end") {
+  upstream::ReplyQueue replies({500, shareOf(1, 1)});
+  std::vector<std::string> sent;
+  auto flush = [&](int64_t nowMs) {
+    replies.flush({[](const std::string&) { return true; },
+                   [&](const std::string&, const std::string& body) {
+                     sent.push_back(body);
+                     return true;
+                   }},
+                  nowMs);
+  };
+  auto result = objectReply(2);
+  result.keepMs = 0;
+  replies.add("edge-2", objectReply(1), 1000);
+  replies.add("edge-2", result, 1000);
+  flush(1499);
+  CHECK(sent.empty());
+  flush(1500);
+  REQUIRE(sent.size() == 2);
+  CHECK(replyIn(sent[0]).code == caller::kShieldFull);
+  CHECK(replyIn(sent[0]).isUntouched);
+  CHECK(replyIn(sent[1]).body.size() == kAnswerBytes);
+  CHECK(replies.isEmpty());
+}
+
+TEST_CASE("A caller's answer is written within the answers' part of the link, a refusal at once") {
+  int fds[2];
+  REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, fds) == 0);
+  disk::Fd own(fds[0]), other(fds[1]);
+  auto limits = std::make_shared<caller::Limits>();
+  limits->link = shareOf(1, 4096);
+  caller::Stream stream(own.get(), limits);
+  stream.isOpen = true;
+  stream.answer(caller::Answer{200, {}, std::string(kAnswerBytes, 'x')}, "GET", true);
+  CHECK(bytesIn(other.get()) <= 4096 + 1);
+  CHECK(stream.pending() > 0);
+  CHECK_FALSE(stream.flush());
+
+  int more[2];
+  REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, more) == 0);
+  disk::Fd ownMore(more[0]), otherMore(more[1]);
+  caller::Stream refused(ownMore.get(), limits);
+  refused.isOpen = true;
+  refused.answer(caller::codeAnswerMs(caller::kEdgeFull, 100), "GET", true);
+  CHECK(bytesIn(otherMore.get()) > 0);
+  CHECK(refused.pending() == 0);
+}
