--- a/lib/policy/link_share.hpp
+++ b/lib/policy/link_share.hpp
@@ -4,6 +4,7 @@
 // written before it. Bulk answers are therefore written at a part of the link's rate: the link's own queue stays short,
 // and what waits does so here, where it holds up nothing else.
 #pragma once
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <mutex>
@@ -34,12 +35,15 @@
   /// How long bytes take over this part of the link. Example: `if (link.durationMs(pending) > leftMs) refuse();`
   auto durationMs(size_t bytes) const -> int64_t;
   auto isSmall(size_t bytes) const -> bool { return bytes <= props_.smallBytes; }
-  auto isLimited() const -> bool { return props_.bytesPerS > 0; }
+  auto isLimited() const -> bool { return props_.bytesPerS > 0 && !isLifted_.load(); }
+  /// Lets everything leave at once: a process that ends soon hands over what it holds. Example: `link.lift();`
+  auto lift() -> void { isLifted_.store(true); }
 
  private:
   auto refill(int64_t nowMs) -> void;
 
   Props props_;
+  std::atomic<bool> isLifted_{false};
   std::mutex guard_;
   double tokens_;
   int64_t filledMs_ = -1;
--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -321,6 +321,7 @@
     if (stopAtMs >= 0 && !isDraining && nowMs >= stopAtMs - graceMs / 6) {
       isDraining = true;
       face->drain(boundMs / 4);
+      if (linkShare) linkShare->lift();  // what the process still holds when it ends is lost
     }
     auto isDone = edge.open() == 0 && writing.empty() && (!desk || desk->isIdle());
     if (stopAtMs >= 0 && (nowMs >= stopAtMs + graceMs / 4 + graceMs / 60 || (nowMs >= stopAtMs && isDone))) break;
--- a/tests/control_priority_test.cpp
+++ b/tests/control_priority_test.cpp
@@ -170,6 +170,25 @@
   CHECK(share.durationMs(100000) == 1000);
 }
 
+TEST_CASE("A process that ends hands over what it holds, whatever its part of the link") {
+  auto share = shareOf(1, 1);
+  upstream::ReplyQueue replies({500, share});
+  auto sent = 0;
+  auto flush = [&](int64_t nowMs) {
+    replies.flush(
+        {[](const std::string&) { return true; }, [&](const std::string&, const std::string&) { return ++sent > 0; }},
+        nowMs);
+  };
+  replies.add("edge-2", objectReply(1), 1000);
+  flush(1001);
+  CHECK(sent == 0);
+  share->lift();
+  flush(1002);
+  CHECK(sent == 1);
+  CHECK(share->grant(kAnswerBytes, 1002) == kAnswerBytes);
+  CHECK(share->waitMs(1002) == 0);
+}
+
 TEST_CASE("An object for which the link has no room is refused in time, any other reply leaves in the end") {
   upstream::ReplyQueue replies({500, shareOf(1, 1)});
   std::vector<std::string> sent;
