--- a/lib/caller/face.cpp
+++ b/lib/caller/face.cpp
@@ -230,9 +230,7 @@
   }
   if (!isBare && !hasLength) head.append("Content-Length: ").append(std::to_string(answer.body.size())).append("\r\n");
   // Callers that heed it send nothing in the second in which their stream may end.
-  auto idleMs = keep && limits_ ? limits_->idleMs.load() : 0;
-  auto keepS = idleMs / 1000 - 1;
-  promisedIdleMs_.store(keepS > 0 ? idleMs : 0);
+  auto keepS = keep && limits_ ? limits_->idleMs.load() / 1000 - 1 : 0;
   if (keepS > 0) head.append("Keep-Alive: timeout=").append(std::to_string(keepS)).append("\r\n");
   if (!keep) head.append("Connection: close\r\n");
   head.append("\r\n");
@@ -597,7 +595,7 @@
       }
       if (stream.isOpen.load() || stream.pending() > 0) continue;
       auto sinceMs = std::max(reading->openedMs, stream.answeredMs());
-      auto limitMs = isDraining ? idleMs : mayIdle ? stream.idleLimitMs(idleMs) : int64_t{-1};
+      auto limitMs = mayIdle ? idleMs : int64_t{-1};
       if (!reading->isIdle()) {
         sinceMs = reading->part == Reading::Part::kHead ? reading->sinceMs : reading->lastMs;
         limitMs = headerMs > 0 ? headerMs : -1;
--- a/lib/caller/face.hpp
+++ b/lib/caller/face.hpp
@@ -7,7 +7,6 @@
 // number. Answers are written here, to a descriptor of the face's own that can never come to mean another caller's
 // stream.
 #pragma once
-#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -81,9 +80,6 @@
   /// Example: `if (stream->closedMs() >= 0) ...`
   auto closedMs() const -> int64_t { return closedMs_.load(); }
   auto answeredMs() const -> int64_t { return answeredMs_.load(); }
-  /// How long the stream may stay idle: a shorter limit does not shorten what its last answer has promised.
-  /// Example: `if (nowMs >= stream.answeredMs() + stream.idleLimitMs(limits.idleMs)) stream.close(nowMs);`
-  auto idleLimitMs(int64_t idleMs) const -> int64_t { return std::max(idleMs, promisedIdleMs_.load()); }
 
   std::atomic<bool> isOpen{false};     // a request waits for its answer
   std::atomic<bool> mustClose{false};  // the stream ends with the next answer
@@ -103,7 +99,6 @@
   bool closesAfter_ = false;
   std::atomic<size_t> pending_{0};
   std::atomic<int64_t> closedMs_{-1}, answeredMs_{-1};
-  std::atomic<int64_t> promisedIdleMs_{0};  // the limit in force when it was told to the caller
 };
 
 struct Request {
--- a/tests/control_priority_test.cpp
+++ b/tests/control_priority_test.cpp
@@ -237,26 +237,6 @@
   CHECK(refused.pending() == 0);
 }
 
-TEST_CASE("A configuration that shortens the idle time ends no stream before the time that its caller was told") {
-  int fds[2];
-  REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, fds) == 0);
-  disk::Fd own(fds[0]), other(fds[1]);
-  auto limits = std::make_shared<caller::Limits>();
-  limits->idleMs = 15000;
-  caller::Stream stream(own.get(), limits);
-  auto answer = [&] {
-    stream.isOpen = true;
-    stream.answer(caller::Answer{200, {}, "ok"}, "GET", true);
-  };
-  answer();
-  limits->idleMs = 4000;
-  CHECK(stream.idleLimitMs(limits->idleMs) == 15000);
-  answer();  // tells the new time
-  CHECK(stream.idleLimitMs(limits->idleMs) == 4000);
-  limits->idleMs = 20000;
-  CHECK(stream.idleLimitMs(limits->idleMs) == 20000);
-}
-
 namespace {
 /// An edge of three that fetch for each other, with a route of which it has just heard.
 class AheadEdge {
