--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -12,6 +12,12 @@
 
 namespace {
 constexpr size_t kMostAsked = 3;  // fetchers, for one request
+
+// This node knows the service, since it asked: a fetcher that does not is behind in its configuration, and its refusal
+// says nothing about the request.
+auto ownCodeOf(const Reply& reply) -> uint32_t {
+  return reply.code == kNoService ? kNotCurrent : reply.code;
+}
 }  // namespace
 
 auto isWrite(const std::string& method) -> bool {
@@ -462,20 +468,21 @@
 
 auto Edge::fail(uint64_t id, const std::string& from, const Reply& reply, int64_t nowMs) -> void {
   auto* w = waiting_.get(id);
+  auto code = ownCodeOf(reply);
   w->upstreams.insert(reply.upstreams.begin(), reply.upstreams.end());
   w->retryMs = reply.retryMs;
-  if (reply.code == kEmptying) awayUntilMs_[from] = nowMs + 4 * props_.suspectMs;
+  if (code == kEmptying) awayUntilMs_[from] = nowMs + 4 * props_.suspectMs;
   auto isOtherAtWork = w->sends.openCount() > 0;
   if (reply.isUntouched && !isOtherAtWork) w->wasSent = false;
   // What a shield turned away untouched may go to another one; that costs the upstreams nothing.
-  auto mayMove = reply.isUntouched && isTurnedAway(reply.code) && reply.code != kDeadline && w->sends.left() > 0;
+  auto mayMove = reply.isUntouched && isTurnedAway(code) && code != kDeadline && w->sends.left() > 0;
   // A pool without an upstream that can take it now has none elsewhere either; other reasons are a fetcher's own.
-  auto isPools = props_.fetches && reply.code == kNoUpstream;
+  auto isPools = props_.fetches && code == kNoUpstream;
   if (mayMove && !isPools && w->tried.size() < std::min<size_t>(fetchers_.size(), kMostAsked)) {
-    w->refusal = reply.code;
+    w->refusal = code;
     return ask(id, false, nowMs);
   }
-  if (!isOtherAtWork) giveUp(id, reply.code, nowMs);
+  if (!isOtherAtWork) giveUp(id, code, nowMs);
 }
 
 auto Edge::giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void {
