Lines to silent registries are dialled anew, not left to the kernel's resending

The others' connections to it had stayed open; the kernel sends again at intervals that double, so after an absence of 15 s the next try comes some 10 s after the return. The returned registry could send, so its ordering tick and its proposals reached the others, attached their promises to commands that it could never commit, and held back everything ordered after them: no acknowledgement for 4 s. The number of changes has no part in it: the length of the absence has.

Ruled out: catching up itself. Letters over the size limit: none.

Change: a peer that is expected to speak (registries do several times a second) and owes a sign of life for 1/4 of the bound gets a new connection; a letter from a peer whose line is down ends the growing pause before the next dial.

Test: catchup_test holds a connection whose other side never answers again while a new process listens at the address. Without the check in Post::line it fails (the letter goes into the dead connection and never arrives); with it it passes.

--- a/lib/neighbour/post.cpp
+++ b/lib/neighbour/post.cpp
@@ -66,35 +66,47 @@
 
 auto Post::line(const std::string& to) -> Line* {
   auto& held = lines_[to];
-  auto nowMs = steadyMs();
+  auto nowMs = props_.nowMs();
   auto redialMs = kRedialMs;
+  if (held && held->silence && held->silence->isSilent(nowMs)) held.reset();
   if (held && held->pipes > 0) held->redialMs = kRedialMs, held->dialedMs = nowMs;
   if (held && held->pipes <= 0 && nowMs - held->dialedMs >= held->redialMs) {
     redialMs = std::min(2 * held->redialMs, kMostRedialMs);
     held.reset();
   }
-  if (!held) {
-    auto made = std::make_unique<Line>();
-    if (nng_push0_open(&made->socket) != 0) return nullptr;
-    nng_socket_set_int(made->socket, NNG_OPT_SENDBUF, props_.queued);
-    nng_socket_set_ms(made->socket, NNG_OPT_RECONNMINT, 50);
-    nng_socket_set_ms(made->socket, NNG_OPT_RECONNMAXT, 400);
-    auto count = [](nng_pipe, nng_pipe_ev event, void* at) {
-      *static_cast<std::atomic<int>*>(at) += event == NNG_PIPE_EV_ADD_POST ? 1 : -1;
-    };
-    nng_pipe_notify(made->socket, NNG_PIPE_EV_ADD_POST, count, &made->pipes);
-    nng_pipe_notify(made->socket, NNG_PIPE_EV_REM_POST, count, &made->pipes);
-    // Lines leave from this process's own IP number, so that the other side can tell machines apart.
-    auto local = props_.address.substr(0, props_.address.rfind(':'));
-    if (nng_dial(made->socket, ("tcp://" + local + ";" + to).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) return nullptr;
-    held = std::move(made);
-    held->dialedMs = nowMs;
-    held->redialMs = redialMs;
-  }
-  held->usedMs = nowMs;
+  if (!held) held = dial(to, redialMs);
+  if (held) held->usedMs = nowMs;
   return held.get();
 }
 
+auto Post::dial(const std::string& to, int64_t redialMs) -> std::unique_ptr<Line> {
+  auto made = std::make_unique<Line>();
+  if (nng_push0_open(&made->socket) != 0) return nullptr;
+  nng_socket_set_int(made->socket, NNG_OPT_SENDBUF, props_.queued);
+  nng_socket_set_ms(made->socket, NNG_OPT_RECONNMINT, 50);
+  nng_socket_set_ms(made->socket, NNG_OPT_RECONNMAXT, 400);
+  auto count = [](nng_pipe, nng_pipe_ev event, void* at) {
+    *static_cast<std::atomic<int>*>(at) += event == NNG_PIPE_EV_ADD_POST ? 1 : -1;
+  };
+  nng_pipe_notify(made->socket, NNG_PIPE_EV_ADD_POST, count, &made->pipes);
+  nng_pipe_notify(made->socket, NNG_PIPE_EV_REM_POST, count, &made->pipes);
+  // Lines leave from this process's own IP number, so that the other side can tell machines apart.
+  auto local = props_.address.substr(0, props_.address.rfind(':'));
+  if (nng_dial(made->socket, ("tcp://" + local + ";" + to).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) return nullptr;
+  made->dialedMs = props_.nowMs();
+  made->redialMs = redialMs;
+  if (auto limit = limitsMs_.find(to); limit != limitsMs_.end()) made->silence.emplace(limit->second);
+  return made;
+}
+
+auto Post::heard(const std::string& from) -> void {
+  if (auto it = lines_.find(from); it != lines_.end() && it->second) {
+    if (it->second->silence) it->second->silence->heard();
+    it->second->redialMs = kRedialMs;
+  }
+  line(from);
+}
+
 auto Post::isUp(const std::string& to) -> bool {
   auto it = lines_.find(to);
   return it != lines_.end() && it->second && it->second->pipes > 0;
@@ -109,6 +121,7 @@
   nng_msg* raw = nullptr;
   if (nng_msg_alloc(&raw, bytes.size()) != 0) return false;
   std::memcpy(nng_msg_body(raw), bytes.data(), bytes.size());
+  if (line->silence) line->silence->sent(props_.nowMs());
   if (nng_sendmsg(line->socket, raw, NNG_FLAG_NONBLOCK) == 0) return true;
   nng_msg_free(raw);
   return false;
--- a/lib/neighbour/post.hpp
+++ b/lib/neighbour/post.hpp
@@ -15,6 +15,7 @@
 #include <thread>
 #include <vector>
 
+#include "neighbour/silence.hpp"
 #include "tempo/bytes.hpp"
 
 namespace dykestage::neighbour {
@@ -31,6 +32,9 @@
   DYKESTAGE_FIELDS(kind, from, body)
 };
 
+/// The steady clock in milliseconds. Example: `auto ageMs = steadyMs() - sinceMs;`
+auto steadyMs() -> int64_t;
+
 class Post {
  public:
   struct Props {
@@ -38,6 +42,7 @@
     std::string advertise;        // what others are told; empty: the address itself
     size_t maxBytes = 24u << 20;  // of one letter
     int queued = 4096;            // letters that may wait on one line
+    std::function<int64_t()> nowMs = steadyMs;
   };
   /// Opens the listening side; letters go to `take` on a thread of the post's own.
   /// Example: `auto post = Post::open({"127.0.0.1:0"}, [&](Letter l) { inbox.push(std::move(l)); }, reason);`
@@ -54,6 +59,12 @@
   /// Opens a line ahead of its first letter; one that does not come up is dialled anew, since what was sent to a
   /// machine without power is not sent again for a second. Example: `post->warm(shield.address);`
   auto warm(const std::string& to) -> void { line(to); }
+  /// Names a peer that speaks at least every `limitMs` while it is well: a connection on which it stays silent for
+  /// longer than that after something was sent is closed and dialled anew. Example: `post->expect(registry, 500);`
+  auto expect(const std::string& peer, int64_t limitMs) -> void { limitsMs_[peer] = limitMs; }
+  /// A letter came from there, so that its line is opened for the answer, without delay if it is down.
+  /// Example: `post->heard(letter.from);`
+  auto heard(const std::string& from) -> void;
   /// True while a line is connected. Example: `if (!post->isUp(address)) ...`
   auto isUp(const std::string& to) -> bool;
   /// Closes the lines that are not named and have long been idle. Example: `post->prune(nowMs);`
@@ -64,23 +75,22 @@
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     std::atomic<int> pipes{0};
     int64_t usedMs = 0, dialedMs = 0, redialMs = 0;
+    std::optional<SilenceDetector> silence;  // of peers that are expected to speak
     ~Line() { nng_close(socket); }
   };
   explicit Post(Props props) : props_(std::move(props)) {}
   auto line(const std::string& to) -> Line*;
+  auto dial(const std::string& to, int64_t redialMs) -> std::unique_ptr<Line>;
 
   Props props_;
   nng_socket pull_ = NNG_SOCKET_INITIALIZER;
   std::function<void(Letter)> take_;
   std::map<std::string, std::unique_ptr<Line>> lines_;
-  int64_t nowMs_ = 0;
-  std::set<uint16_t> strangers_;  // other versions heard, each told once in the log
+  std::map<std::string, int64_t> limitsMs_;  // of silence, by peer
+  std::set<uint16_t> strangers_;             // other versions heard, each told once in the log
   std::thread reader_;
 };
 
-/// The steady clock in milliseconds. Example: `auto ageMs = steadyMs() - sinceMs;`
-auto steadyMs() -> int64_t;
-
 /// Orders names by their weight for a key, heaviest first (rendezvous hashing).
 /// Example: `auto owner = rendezvous("shop/cover/7", shields).front();`
 auto rendezvous(const std::string& key, std::vector<std::string> names) -> std::vector<std::string>;
--- a/lib/program/registry.cpp
+++ b/lib/program/registry.cpp
@@ -189,8 +189,11 @@
   props.core.replicas = static_cast<uint32_t>(count);
   props.core.faults = static_cast<uint32_t>(hasFaults ? std::min(faults, most) : most);
 
-  for (const auto& [other, address] : props.addresses)
-    if (other != props.slot) post->warm(address);
+  for (const auto& [other, address] : props.addresses) {
+    if (other == props.slot) continue;
+    post->expect(address, props.boundMs / 4);  // registries tell their promises several times as often
+    post->warm(address);
+  }
   core::Registry registry(props, found.frame, found.writes, agent::freshIncarnation());
   registry.synced(0, ring->fill(), 0, neighbour::steadyMs());
 
@@ -240,7 +243,7 @@
     auto nowMs = neighbour::steadyMs();
     for (auto& input : inbox.take()) {
       if (auto* letter = std::get_if<neighbour::Letter>(&input)) {
-        post->warm(letter->from);  // so that the answer finds its line open
+        post->heard(letter->from);
         registry.take(letter->from, letter->kind, letter->body, nowMs);
       }
       if (auto* request = std::get_if<caller::Request>(&input)) {
--- /dev/null
+++ b/tests/catchup_test.cpp
@@ -0,0 +1,102 @@
+// How a registry that was away comes back: off the path of acknowledgements, in time bounded by the state's size.
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "disk/ring.hpp"
+#include "neighbour/post.hpp"
+#include "neighbour/silence.hpp"
+
+using namespace dykestage;
+
+namespace {
+constexpr int64_t kLimitMs = 500;
+
+// A machine that lost power: it took a connection, and its kernel never answers on it again.
+class DarkPeer {
+ public:
+  DarkPeer() {
+    listener_ = disk::Fd(::socket(AF_INET, SOCK_STREAM, 0));
+    int on = 1;
+    ::setsockopt(listener_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::bind(listener_.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+    REQUIRE(::listen(listener_.get(), 4) == 0);
+    socklen_t size = sizeof at;
+    ::getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&at), &size);
+    port_ = ntohs(at.sin_port);
+  }
+  auto address() const -> std::string { return "127.0.0.1:" + std::to_string(port_); }
+  /// Takes the connection as nng's pull socket does, and listens no more.
+  auto acceptAndGoDark() -> void {
+    connection_ = disk::Fd(::accept(listener_.get(), nullptr, nullptr));
+    const char greeting[8] = {0, 'S', 'P', 0, 0, 0x51, 0, 0};
+    REQUIRE(::write(connection_.get(), greeting, sizeof greeting) == sizeof greeting);
+    listener_ = disk::Fd();
+  }
+
+ private:
+  disk::Fd listener_, connection_;
+  uint16_t port_ = 0;
+};
+
+// Waits for another thread's doing; the tests' own clock stands still meanwhile.
+template <typename F>
+auto eventually(F&& isSo) -> bool {
+  for (int turn = 0; turn < 4000; ++turn) {
+    if (isSo()) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return false;
+}
+}  // namespace
+
+TEST_CASE("a peer is silent once it owes a sign of life for the limit") {
+  neighbour::SilenceDetector detector(kLimitMs);
+  CHECK_FALSE(detector.isSilent(100000));  // nothing was sent
+  detector.sent(1000);
+  detector.sent(1400);  // later letters do not put the limit off
+  CHECK_FALSE(detector.isSilent(1499));
+  CHECK(detector.isSilent(1500));
+  detector.heard();
+  CHECK_FALSE(detector.isSilent(9000));
+  detector.sent(9000);
+  CHECK_FALSE(detector.isSilent(9499));
+  CHECK(detector.isSilent(9500));
+}
+
+TEST_CASE("letters reach a machine that comes back after a loss of power") {
+  std::atomic<int64_t> nowMs{0};
+  std::string reason;
+  neighbour::Post::Props props{"127.0.0.1:0"};
+  props.nowMs = [&nowMs] { return nowMs.load(); };
+  auto post = neighbour::Post::open(
+      props, [](neighbour::Letter) {}, reason);
+  REQUIRE(post);
+  DarkPeer dark;
+  auto peer = dark.address();
+  post->expect(peer, kLimitMs);
+  post->warm(peer);
+  dark.acceptAndGoDark();
+  REQUIRE(eventually([&] { return post->isUp(peer); }));
+  REQUIRE(post->send(peer, 1, "lost"));
+
+  std::atomic<int> arrived{0};
+  auto back = neighbour::Post::open(
+      {peer}, [&](neighbour::Letter) { ++arrived; }, reason);
+  REQUIRE(back);
+  nowMs = kLimitMs;
+  CHECK_FALSE(post->send(peer, 1, "redials"));
+  REQUIRE(eventually([&] { return post->isUp(peer); }));
+  CHECK(post->send(peer, 1, "arrives"));
+  CHECK(eventually([&] { return arrived == 1; }));
+}
