A registry that came back coordinates and leads nothing before it is current

Change, in lib/tempo: a node is current once it hears a majority and has run what each of those had run when it was first heard; a restart, a standstill, the loss of the majority or a new seat makes it begin again. Promises tell whom their sender hears and whether it is current. Fast quorums and recoverers are taken from replicas that hear this one and are current, then from the living, as before; after two tries in vain the recovery is another one's turn. Lists of promises in acknowledgements and commits start where the usable replicas stand, so that they carry nothing that somebody missed. In the registry: ticks, the watch and orders wait for, or are refused until, it is current. This steers whom to ask; no quorum, ballot or rule of stability changes.

Tests, in virtual time (catchup_test): 20 changes while a registry is without power, deaf for 5 s after its return.

--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -184,6 +184,13 @@
 
 auto Registry::flushBatch(int64_t nowMs) -> void {
   if (batch_.empty() || nowMs - batchSinceMs_ < props_.batchMs || !node_.isMember()) return;
+  // Nobody should have to wait for an order of a registry that can't end it.
+  if (!node_.isCurrent()) {
+    if (nowMs - batchSinceMs_ < props_.answerMs) return;
+    for (auto& one : std::exchange(batch_, {}))
+      one.done(nullptr, nowMs);
+    return;
+  }
   // Operations that touch the same partitions travel as one command.
   std::map<uint8_t, std::vector<Pending>> groups;
   for (auto& one : std::exchange(batch_, {}))
@@ -432,6 +439,7 @@
     return page(to(who), jsonAnswer("{\"code\":0" + revisionDetail(*result) +
                                     ",\"purge\":" + std::to_string(result->revision.purges) + "}"));
   }
+  if (!node_.isCurrent()) return answer(who, codeAnswer(kNotCurrent, 1));
   if (running_.size() + batch_.size() + acks_.size() > props_.waiting) return answer(who, codeAnswer(kEdgeFull, 1));
   if (isGet && path == "/routing") return showRouting(who);
   if (isPost && path == "/routing") return setRouting(request.body, who);
@@ -806,7 +814,7 @@
     hello();
   }
   if (node_.isMember()) {
-    if (nowMs - tickedMs_ >= props_.tickMs) {
+    if (node_.isCurrent() && nowMs - tickedMs_ >= props_.tickMs) {
       tickedMs_ = nowMs;
       Op op;
       op.kind = OpKind::kTick;
@@ -817,7 +825,7 @@
         if (result) asOfMs_ = std::max(asOfMs_, nowMs);
       });
     }
-    if (isReady(nowMs)) watch(nowMs);
+    if (isReady(nowMs) && node_.isCurrent()) watch(nowMs);
     // What nodes have in force is what acknowledgements wait for: news of it is told at once.
     if (nowMs - haveMs_ >= haveEveryMs()) {
       haveMs_ = nowMs;
@@ -868,9 +876,9 @@
   auto by = [&](int64_t atMs) { due = std::min(due, atMs); };
   if (node_.isMember()) {
     by(node_.dueMs());
-    by(tickedMs_ + props_.tickMs);
+    if (node_.isCurrent()) by(tickedMs_ + props_.tickMs);
     by(haveMs_ + haveEveryMs());
-    if (!batch_.empty()) by(batchSinceMs_ + props_.batchMs);
+    if (!batch_.empty()) by(batchSinceMs_ + (node_.isCurrent() ? props_.batchMs : props_.answerMs));
   }
   for (const auto& ack : acks_)
     by(ack.sinceMs + ackMs() + 1);
--- a/lib/tempo/tempo.cpp
+++ b/lib/tempo/tempo.cpp
@@ -10,6 +10,8 @@
 namespace {
 enum class Write : uint8_t { kCommand, kShare, kClock };
 
+constexpr uint32_t kTriesOfOneRecoverer = 2;
+
 template <typename F>
 auto eachPart(uint8_t parts, F&& f) -> void {
   for (uint8_t part = 0; part < kParts; ++part)
@@ -68,15 +70,18 @@
 auto Node::place() const -> uint32_t {
   auto quorum = bit(slot_);
   auto count = 1u;
-  // Nodes believed alive come first, starting behind this one so that load is spread.
-  for (auto wantAlive : {true, false})
+  // Usable replicas come first, then living ones, starting behind this one so that load is spread.
+  auto take = [&](auto&& isWanted) {
     for (uint32_t i = 1; i <= props_.replicas && count < fastSize(); ++i) {
       auto slot = (slot_ - 1 + i) % props_.replicas + 1;
-      auto isAlive = (alive_ & bit(slot)) != 0;
-      if ((quorum & bit(slot)) || isAlive != wantAlive || !members_.count(slot)) continue;
+      if ((quorum & bit(slot)) || !members_.count(slot) || !isWanted(slot)) continue;
       quorum |= bit(slot);
       ++count;
     }
+  };
+  take([&](Slot slot) { return isUsable(slot); });
+  take([&](Slot slot) { return (alive_ & bit(slot)) != 0; });
+  take([](Slot) { return true; });
   return quorum;
 }
 
@@ -296,11 +301,15 @@
 
 // ---- recovery (§5, appendix B) ------------------------------------------------------------------------
 
-auto Node::leader(uint8_t part) const -> Slot {
-  std::vector<Slot> living;
-  for (const auto& [slot, inc] : members_)
+// The nominated recoverer; after some tries in vain it is another one's turn.
+auto Node::leader(uint8_t part, uint32_t tries) const -> Slot {
+  std::vector<Slot> usable, living;
+  for (const auto& [slot, inc] : members_) {
+    if (isUsable(slot)) usable.push_back(slot);
     if (alive_ & bit(slot)) living.push_back(slot);
-  return living.empty() ? slot_ : living[part % living.size()];
+  }
+  const auto& candidates = usable.empty() ? living : usable;
+  return candidates.empty() ? slot_ : candidates[(part + tries / kTriesOfOneRecoverer) % candidates.size()];
 }
 
 auto Node::recover(const Id& id, Entry& e, uint8_t part, int64_t nowMs) -> void {
@@ -399,6 +408,8 @@
 
 auto Node::receive(Slot from, const Message& m, int64_t nowMs) -> void {
   if (m.part >= kParts) return;
+  // A process that stood still has missed whatever was dropped meanwhile.
+  if (tickedMs_ > 0 && nowMs - tickedMs_ >= props_.suspectMs) beginCatchUp();
   dispatch(from, m, nowMs);
   execute();
 }
@@ -475,7 +486,7 @@
       auto it = entries_.find(m.id);
       if (it == entries_.end() || it->second.shares[m.part].committed || !it->second.command) break;
       auto& share = it->second.shares[m.part];
-      if (leader(m.part) != slot_ || share.ballot >= m.ballot) break;
+      if (leader(m.part, it->second.tries) != slot_ || share.ballot >= m.ballot) break;
       share.ballot = m.ballot;
       note(m.id, it->second, m.part);
       recover(m.id, it->second, m.part, nowMs);
@@ -524,6 +535,46 @@
     takePromise(p);
   }
   if (isBehind) askFrame(from, nowMs);
+  if (m.have.size() < kParts) return;  // not one of the regular ones, which tell of their sender
+  peers_[from] = {m.hears, m.isCurrent};
+  if (!catchUp_ || catchUp_->targets.count(from)) return;
+  for (const auto& p : m.promises)
+    if (p.part < kParts) catchUp_->targets[from][p.part] = p.executed;
+}
+
+// ---- who is current -----------------------------------------------------------------------------------
+
+// A replica that hears this one as well and has caught up: others need not be waited for.
+auto Node::isUsable(Slot slot) const -> bool {
+  if (slot == slot_) return isCurrent();
+  auto peer = peers_.find(slot);
+  return (alive_ & bit(slot)) && peer != peers_.end() && peer->second.isCurrent && (peer->second.hears & bit(slot_));
+}
+
+auto Node::beginCatchUp() -> void {
+  catchUp_.emplace();
+}
+
+auto Node::endCatchUp() -> void {
+  if (!catchUp_ || catchUp_->targets.size() + 1 < majority()) return;
+  for (const auto& [slot, executed] : catchUp_->targets)
+    for (uint8_t part = 0; part < kParts; ++part)
+      if (parts_[part].executed < executed[part]) return;
+  catchUp_.reset();
+  idledMs_ = promisedMs_ = 0;  // the others are told at once
+}
+
+// Who is believed alive; whoever is heard again has yet to say that it is current.
+auto Node::listen(int64_t nowMs) -> void {
+  if (tickedMs_ > 0 && nowMs - tickedMs_ >= props_.suspectMs) beginCatchUp();
+  auto before = alive_;
+  alive_ = bit(slot_);
+  for (auto slot : others())
+    if (nowMs - heardMs_.try_emplace(slot, nowMs).first->second < props_.suspectMs) alive_ |= bit(slot);
+  for (auto slot : others())
+    if (!(before & bit(slot)) || !(alive_ & bit(slot))) peers_.erase(slot);
+  if (static_cast<uint32_t>(std::popcount(alive_)) < majority()) beginCatchUp();
+  endCatchUp();
 }
 
 auto Node::askFrame(Slot from, int64_t nowMs) -> void {
@@ -532,12 +583,13 @@
   send(from, make(Kind::kFrameAsk, {}, 0));
 }
 
-// Where a promise must start for every living replica to be able to join it to what it has.
+// Where a promise must start for every usable replica to be able to join it to what it has; the others are told theirs
+// one by one, so that acknowledgements carry no list of what somebody missed.
 auto Node::leastAcked(uint8_t part) const -> Stamp {
   auto least = parts_[part].clock;
   for (auto slot : others()) {
     auto it = parts_[part].acked.find(slot);
-    if (alive_ & bit(slot)) least = std::min(least, it == parts_[part].acked.end() ? 0 : it->second);
+    if (isUsable(slot)) least = std::min(least, it == parts_[part].acked.end() ? 0 : it->second);
   }
   return least;
 }
@@ -570,20 +622,19 @@
 
 auto Node::tick(int64_t nowMs) -> void {
   if (!isMember()) return;
+  listen(nowMs);
   tickedMs_ = nowMs;
-  alive_ = bit(slot_);
-  for (auto slot : others())
-    if (nowMs - heardMs_.try_emplace(slot, nowMs).first->second < props_.suspectMs) alive_ |= bit(slot);
   for (auto& [id, e] : entries_) {
     if (e.executed || e.final || !e.command || e.command->epoch != epoch_) continue;
     eachPart(e.command->parts, [&](uint8_t part) { decide(id, e, part, nowMs); });
     if (nowMs - e.sinceMs < props_.recoveryMs || nowMs - e.triedMs < props_.recoveryMs) continue;
     e.triedMs = nowMs;
+    auto tries = e.tries++;
     auto m = make(Kind::kPayload, id, 0);
     m.command = e.command;
     sendAll(m);
     eachPart(e.command->parts, [&](uint8_t part) {
-      if (!e.shares[part].committed && leader(part) == slot_) recover(id, e, part, nowMs);
+      if (!e.shares[part].committed && leader(part, tries) == slot_) recover(id, e, part, nowMs);
     });
   }
   // Commits that others' promises name and that did not come by themselves are asked for.
@@ -605,6 +656,8 @@
       if (!isIdle && !waits(slot)) continue;
       promisedMs_ = nowMs;
       auto m = make(Kind::kPromises, {}, 0);
+      m.hears = alive_;
+      m.isCurrent = isCurrent();
       for (uint8_t part = 0; part < kParts; ++part) {
         auto& known = parts_[part].known[slot];
         m.promises.push_back(promise(part, parts_[part].acked[slot]));
@@ -879,6 +932,7 @@
 auto Node::replayed() -> void {
   isReplaying_ = false;
   out_ = {};
+  if (isMember()) beginCatchUp();
   findOpen();
   execute();
   out_.answers.clear();
@@ -1001,7 +1055,9 @@
 }
 
 auto Node::takeFrame(const std::string& frame) -> void {
+  auto wasMember = isMember();
   if (!readFrame(frame, false)) return;
+  if (!wasMember) beginCatchUp();
   ++figures_.frames;
   out_.frameTaken = true;
   execute();
--- a/lib/tempo/tempo.hpp
+++ b/lib/tempo/tempo.hpp
@@ -96,7 +96,10 @@
   std::vector<Promise> promises;
   std::vector<Stamp> have;  // kPromises: the receiver's promises known here, per partition
   std::string frame;        // kFrame
-  DYKESTAGE_FIELDS(kind, from, epoch, part, id, stamp, ballot, accepted, phase, command, promises, have, frame)
+  uint32_t hears = 0;       // kPromises: bit per slot that the sender has heard lately
+  bool isCurrent = false;   // kPromises: the sender has caught up with what it hears
+  DYKESTAGE_FIELDS(kind, from, epoch, part, id, stamp, ballot, accepted, phase, command, promises, have, frame, hears,
+                   isCurrent)
 };
 
 struct Send {
@@ -193,6 +196,10 @@
   auto dueMs() const -> int64_t;
   /// The slots believed alive: seated lives heard within suspectMs. Example: `if (node.alive() & Node::bit(2)) ...`
   auto alive() const -> uint32_t { return alive_; }
+  /// True when this node hears a majority and has run what that had run when it was heard first. Until then nothing
+  /// should be submitted here: others would have to wait for it.
+  /// Example: `if (node.isCurrent()) node.submit(...);`
+  auto isCurrent() const -> bool { return !catchUp_; }
   /// Hands over what there is to write, send and answer. Example: `auto out = node.take();`
   auto take() -> Output;
 
@@ -249,6 +256,14 @@
     bool executed = false;
     bool isOwn = false;
     int64_t sinceMs = 0, askedMs = 0, triedMs = 0;
+    uint32_t tries = 0;  // of recovery
+  };
+  struct Peer {  // what another replica last said of itself since it is heard
+    uint32_t hears = 0;
+    bool isCurrent = false;
+  };
+  struct CatchUp {  // how far each replica heard since the beginning had run then
+    std::map<Slot, std::array<Stamp, kParts>> targets;
   };
   struct Known {  // promises of one replica in one partition
     Stamp upTo = 0;
@@ -310,7 +325,11 @@
   auto fastSize() const -> uint32_t { return props_.replicas / 2 + props_.faults; }
   auto majority() const -> uint32_t { return props_.replicas / 2 + 1; }
   auto place() const -> uint32_t;
-  auto leader(uint8_t part) const -> Slot;
+  auto leader(uint8_t part, uint32_t tries) const -> Slot;
+  auto listen(int64_t nowMs) -> void;
+  auto beginCatchUp() -> void;
+  auto endCatchUp() -> void;
+  auto isUsable(Slot slot) const -> bool;
 
   Props props_;
   Slot slot_;
@@ -321,6 +340,8 @@
   Stamp boundary_ = 0;
   uint32_t alive_ = ~0u;
   std::map<Slot, int64_t> heardMs_;
+  std::map<Slot, Peer> peers_;
+  std::optional<CatchUp> catchUp_;
   uint64_t nextNumber_ = 1;
   std::array<PartState, kParts> parts_;
   std::map<Id, Entry> entries_;
--- a/tests/catchup_test.cpp
+++ b/tests/catchup_test.cpp
@@ -10,9 +10,11 @@
 #include <string>
 #include <thread>
 
+#include "core/state.hpp"
 #include "disk/ring.hpp"
 #include "neighbour/post.hpp"
 #include "neighbour/silence.hpp"
+#include "sim/catchup_sim.hpp"
 
 using namespace dykestage;
 
@@ -100,3 +102,66 @@
   CHECK(post->send(peer, 1, "arrives"));
   CHECK(eventually([&] { return arrived == 1; }));
 }
+
+TEST_CASE("no order waits for a registry that came back and hears nobody") {
+  auto result = sim::CatchUpSim({.changes = 20, .deafForMs = 5000}).run();
+  CHECK(result.changes == 20);
+  CHECK(result.longestCatchUpAckMs < 200);
+  CHECK(result.catchUpMs >= 5000);  // it is not taken for current before it hears
+  CHECK(result.catchUpMs < 6000);
+}
+
+TEST_CASE("changes go on while a registry catches up, however it was away") {
+  for (auto absence : {sim::Absence::kPowerLoss, sim::Absence::kWipe, sim::Absence::kFreeze}) {
+    INFO("absence " << static_cast<int>(absence));
+    auto result = sim::CatchUpSim({.changes = 1000, .absence = absence}).run();
+    CHECK(result.changes == 1000);
+    CHECK(result.catchUpMs >= 0);
+    CHECK(result.catchUpMs < 2500);
+    CHECK(result.longestCatchUpAckMs < 1000);
+    CHECK(result.firstAckAfterLossMs < 1000);
+    CHECK(result.droppedLetters == 0);
+  }
+}
+
+namespace {
+auto order(core::State& state, const core::Op& op, uint64_t number) -> core::OpResult {
+  tempo::Command command;
+  command.id = {1, number};
+  command.parts = op.parts();
+  command.payload = Writer().put(std::vector<core::Op>{op}).take();
+  return Reader(state.apply(command, number)).get<std::vector<core::OpResult>>().front();
+}
+}  // namespace
+
+TEST_CASE("a leader that stood still through two changes of leader decides nothing") {
+  core::State state;
+  uint64_t number = 0;
+  core::Op upstream;
+  upstream.kind = core::OpKind::kAnnounce;
+  upstream.name = "u-1";
+  upstream.upstream.address = "10.1.0.1:80";
+  upstream.upstream.service = "shop";
+  upstream.upstream.number = 1;
+  order(state, upstream, ++number);
+  REQUIRE(state.frame().upstreams.count("u-1") == 1);
+  for (uint64_t term : {1, 2, 3}) {
+    core::Op claim;
+    claim.kind = core::OpKind::kClaim;
+    claim.name = core::kWatchDuty;
+    claim.term = term;
+    claim.incarnation = 100 + term;
+    CHECK(order(state, claim, ++number).outcome == core::Outcome::kDone);
+  }
+  core::Op signOff;
+  signOff.kind = core::OpKind::kSignOff;
+  signOff.name = "u-1";
+  for (uint64_t term : {1, 2}) {
+    signOff.term = term;
+    CHECK(order(state, signOff, ++number).outcome == core::Outcome::kOldTerm);
+    CHECK(state.frame().upstreams.count("u-1") == 1);
+  }
+  signOff.term = 3;
+  CHECK(order(state, signOff, ++number).outcome == core::Outcome::kDone);
+  CHECK(state.frame().upstreams.count("u-1") == 0);
+}
