--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -213,6 +213,13 @@
 
 auto Registry::flushBatch(int64_t nowMs) -> void {
   if (batch_.empty() || nowMs - batchSinceMs_ < props_.batchMs || !node_->isMember()) return;
+  // Nobody should have to wait for an order of a registry that can't end it.
+  if (!node_->isCurrent()) {
+    if (nowMs - batchSinceMs_ < props_.answerMs) return;
+    for (auto& one : std::exchange(batch_, {}))
+      one.done(nullptr, nowMs);
+    return;
+  }
   // Operations that touch the same partitions travel as one command.
   std::map<uint8_t, std::vector<Pending>> groups;
   for (auto& one : std::exchange(batch_, {}))
@@ -449,6 +456,7 @@
   }
   if (isGet && path == "/status") return json(who, statusPage(nowMs));
   if (!hasContact(nowMs)) return answer(who, codeAnswer(node_->isMember() ? kNotCurrent : kNotMember, 1));
+  if (!node_->isCurrent()) return answer(who, codeAnswer(kNotCurrent, 1));
   if (running_.size() + batch_.size() + acks_.size() > props_.waiting) return answer(who, codeAnswer(kEdgeFull, 1));
   if (isGet) return show(path, who);
   if (isPost && path == "/routing") return setRouting(request.body, who);
@@ -861,7 +869,7 @@
   if (membership_.isReplaced(*node_) && !membership_.isLeaving()) restartAsLearner(nowMs);
   if (node_->isMember()) {
     // What a registry submits that hears no majority, the others would have to recover.
-    if (nowMs - tickedMs_ >= props_.tickMs && hearsMajority(*node_)) {
+    if (nowMs - tickedMs_ >= props_.tickMs && node_->isCurrent() && hearsMajority(*node_)) {
       tickedMs_ = nowMs;
       Op op;
       op.kind = OpKind::kTick;
@@ -872,7 +880,7 @@
         if (result) asOfMs_ = std::max(asOfMs_, nowMs);
       });
     }
-    if (isReady(nowMs)) watch(nowMs);
+    if (isReady(nowMs) && node_->isCurrent()) watch(nowMs);
     // What nodes have in force is what acknowledgements wait for: news of it is told at once.
     if (nowMs - haveMs_ >= haveEveryMs()) {
       haveMs_ = nowMs;
@@ -938,9 +946,9 @@
   auto by = [&](int64_t atMs) { due = std::min(due, atMs); };
   if (node_->isMember()) {
     by(node_->dueMs());
-    if (hearsMajority(*node_)) by(tickedMs_ + props_.tickMs);
+    if (node_->isCurrent() && hearsMajority(*node_)) by(tickedMs_ + props_.tickMs);
     by(haveMs_ + haveEveryMs());
-    if (!batch_.empty()) by(batchSinceMs_ + props_.batchMs);
+    if (!batch_.empty()) by(batchSinceMs_ + (node_->isCurrent() ? props_.batchMs : props_.answerMs));
   }
   for (const auto& ack : acks_)
     by(ack.sinceMs + ackMs() + 1);
--- a/lib/program/registry.cpp
+++ b/lib/program/registry.cpp
@@ -195,10 +195,16 @@
   }
   // A minority of the replicas may fail, or fewer if the settings say so; the replicas themselves are ordered state.
   props.core.faults = hasFaults ? static_cast<uint32_t>(faults) : kMostFaults;
+  // Registries tell their promises, and learners are answered, several times as often.
+  auto expect = [&](const std::string& registry) {
+    if (registry == own) return;
+    post->expect(registry, props.boundMs / 4);
+    post->warm(registry);
+  };
   for (const auto& [other, address] : props.addresses)
-    if (other != props.slot) post->warm(address);
+    expect(address);
   for (const auto& contact : props.contacts)
-    if (contact != own) post->warm(contact);
+    expect(contact);
   core::Registry registry(props, found.frame, found.writes, agent::freshIncarnation());
   registry.synced(0, ring->fill(), 0, neighbour::steadyMs());
 
@@ -235,6 +241,7 @@
 
   LOG(INFO) << "registry: " << own << " serves " << ip << ":" << face->port() << ".";
 
+  std::vector<std::string> expected;  // the members that are to be heard regularly
   auto stopAtMs = int64_t{-1}, handOverUntilMs = int64_t{-1};
   for (;;) {
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
@@ -248,7 +255,7 @@
     auto nowMs = neighbour::steadyMs();
     for (auto& input : inbox.take()) {
       if (auto* letter = std::get_if<neighbour::Letter>(&input)) {
-        post->warm(letter->from);  // so that the answer finds its line open
+        post->heard(letter->from);
         registry.take(letter->from, letter->kind, letter->body, nowMs);
       }
       if (auto* request = std::get_if<caller::Request>(&input)) {
@@ -266,6 +273,11 @@
         registry.synced(synced->number, synced->fill, synced->tookUs, nowMs);
     }
     registry.tick(nowMs);
+    if (auto members = registry.members(); members != expected) {
+      expected = std::move(members);
+      for (const auto& member : expected)
+        expect(member);
+    }
     auto out = registry.output();
     for (auto& job : out.jobs)
       if (!jobs.push(std::move(job))) isBroken = true;
