--- a/tests/days/days_test.py
+++ b/tests/days/days_test.py
@@ -25,6 +25,7 @@
 core_cut: count (1) machines are cut off; how: one_way, seeds (new seeds, and others), both (these, then those)
 roll_term: share (1) get SIGTERM, x (1) at a time, each gap_s; how: remove (they leave)
 config_race: count (1) pairs of changes, each gap_s
+purge_storm: a purge each gap_s for for_s
 
 these may come too:
 burst: x times the traffic of a zone
@@ -59,7 +60,7 @@
         self.text = parse_kinds(KINDS_TEXT)
 
     def test_finds_every_kind(self):
-        self.assertEqual(len(self.text.kinds), 12)
+        self.assertEqual(len(self.text.kinds), 13)
         self.assertTrue(self.text.kinds["config_race"].expected_on_site)
         self.assertFalse(self.text.kinds["burst"].expected_on_site)
 
@@ -135,6 +136,12 @@
             self.assertGreaterEqual(entry["at"], 0)
             self.assertLess(entry["at"], SITE["length_s"] + 2)
 
+    def test_purges_end_before_the_day(self):
+        storms = [entry for entry in self.entries if entry["kind"] == "purge_storm"]
+        self.assertTrue(storms)
+        for storm in storms:
+            self.assertLess(storm["at"] + storm["for_s"], SITE["length_s"] - 1)
+
     def test_draws_long_cuts_and_hundreds_of_changes(self):
         self.assertTrue(any(entry["kind"] == "core_cut" and 17 <= entry["for_s"] <= 23
                             for entry in self.entries if "for_s" in entry))
--- a/tests/days/draw_day.py
+++ b/tests/days/draw_day.py
@@ -32,7 +32,7 @@
 KINDS_IN_DAY = (1, 2, 3)
 KINDS_IN_DAY_WEIGHTS = (2, 5, 4)
 REPEATS = (1, 2, 3)
-REPEATS_WEIGHTS = (6, 3, 1)
+REPEATS_WEIGHTS = (4, 3, 3)
 SAME_MOMENT_SHARE = 0.3
 SAME_MOMENT_SPREAD_S = 1.5
 SITE_EXAMPLE_SHARE = 0.3
@@ -44,9 +44,14 @@
 # The users' letter: a control machine cut off for some twenty seconds.
 LONG_CUT_SHARE = 0.5
 LONG_CUT_S = (17.0, 23.0)
-MANY_CHANGES_SHARE = 0.2
+MANY_CHANGES_SHARE = 0.3
 MANY_CHANGES = (100, 280)
 RACE_STORM_COUNT = (8, 30)
+# Changes that go on while other troubles strike, so that each trouble meets orders under way.
+CHANGES_MEANWHILE_SHARE = 0.4
+CHANGES_MEANWHILE = (15, 60)
+# A purge sent in the last moment of a day is never acknowledged within it.
+PURGE_END_MARGIN_S = 2.0
 DEFAULT_FOR_S = 5.0
 DEFAULT_GAP_S = 1.0
 SCALE = (0.6, 1.6)
@@ -104,7 +109,9 @@
                     at = common_moment + self.random.uniform(0, SAME_MOMENT_SPREAD_S)
                 entries.append(self.draw_entry(kind, at))
         if MANY_CHANGES_KIND not in self.without and self.chance(MANY_CHANGES_SHARE):
-            entries += self.draw_many_changes()
+            entries += self.draw_changes(self.random.randint(*MANY_CHANGES))
+        elif "config_race" not in self.without and self.chance(CHANGES_MEANWHILE_SHARE):
+            entries += self.draw_changes(self.random.randint(*CHANGES_MEANWHILE))
         return sorted(entries, key=lambda entry: entry["at"])
 
     def draw_moment(self) -> float:
@@ -144,6 +151,9 @@
         if kind.name == "config_race":
             entry["count"] = self.random.randint(*RACE_STORM_COUNT) if self.chance(0.4) else entry.get("count", 1)
             entry["gap_s"] = round(self.random.uniform(0.1, 1.5), 2)
+        if kind.name.startswith("purge"):
+            lasts_s = entry["for_s"] if "for_s" in kind.defaults else entry.get("count", 1) * DEFAULT_GAP_S * SCALE[1]
+            entry["at"] = round(max(0.0, min(entry["at"], self.length_s - PURGE_END_MARGIN_S - lasts_s)), 2)
         if kind.name == "burst":
             entry["x"] = round(self.random.uniform(*SCALE) * 1.5, 2)
         if "share" in entry and kind.name.startswith(ON_CORE_PREFIXES) and self.chance(0.5):
@@ -195,9 +205,8 @@
     def draw_of(self, words: tuple[str, ...]) -> list[str]:
         return [self.random.choice(words)] if words else []
 
-    def draw_many_changes(self) -> list[Entry]:
-        """Draws hundreds of changes over the whole day, at times with acknowledgements lost."""
-        count = self.random.randint(*MANY_CHANGES)
+    def draw_changes(self, count: int) -> list[Entry]:
+        """Draws pairs of racing changes over the whole day, at times with acknowledgements lost."""
         gap_s = round(self.length_s / count, 3)
         entries: list[Entry] = [{"at": 0.5, "kind": "config_race", "count": count, "gap_s": gap_s}]
         if "ack_lost" in self.text.kinds and "ack_lost" not in self.without and self.chance(0.5):
