--- a/tests/days/days_test.py
+++ b/tests/days/days_test.py
@@ -136,6 +136,13 @@
             self.assertGreaterEqual(entry["at"], 0)
             self.assertLess(entry["at"], SITE["length_s"] + 2)
 
+    def test_a_change_follows_what_strikes_at_an_acknowledgement(self):
+        for day in self.days:
+            changes = [entry["at"] for entry in entries_of(day) if entry["kind"] == "config_change"]
+            for entry in entries_of(day):
+                if entry["kind"].startswith("after_ack_"):
+                    self.assertTrue(any(0 < at - entry["at"] <= 1.1 for at in changes))
+
     def test_purges_end_before_the_day(self):
         storms = [entry for entry in self.entries if entry["kind"] == "purge_storm"]
         self.assertTrue(storms)
--- a/tests/days/draw_day.py
+++ b/tests/days/draw_day.py
@@ -19,8 +19,13 @@
 Entry = dict[str, Any]
 Site = dict[str, Any]
 
-CONTROL_PREFIXES = ("after_ack_", "ack_", "big_config", "clock_", "config_", "core_", "disk_", "herd_", "replace_core",
-                    "roll_", "seed_")
+CONTROL_PREFIXES = ("after_ack_", "ack_", "big_config", "clock_", "config_", "core_", "disk_", "herd_", "node_freeze",
+                    "node_kill", "replace_core", "roll_", "seed_")
+# Kinds of the control plane that come with FREQUENT_WEIGHT times the likelihood of the others.
+FREQUENT_PREFIXES = ("after_ack_", "core_", "node_kill", "node_freeze", "replace_core")
+FREQUENT_WEIGHT = 2
+# Kinds that strike at an acknowledgement, and so need a change to be acknowledged.
+AT_ACKNOWLEDGEMENT_PREFIX = "after_ack_"
 MACHINE_PREFIXES = ("after_ack_", "clock_", "core_", "disk_", "herd_", "hup", "node_", "replace_core", "reset_conns",
                     "roll_")
 SERVER_PREFIXES = ("answer_", "garble", "release", "replace_with", "scale_", "srv_")
@@ -36,6 +41,7 @@
 SAME_MOMENT_SHARE = 0.3
 SAME_MOMENT_SPREAD_S = 1.5
 SITE_EXAMPLE_SHARE = 0.3
+ON_CORE_SHARE = 0.6
 TARGET_SHARE = 0.4
 ADDITION_SHARE = 0.25
 ZONE_SHARE = 0.15
@@ -108,6 +114,8 @@
                 if common_moment is not None:
                     at = common_moment + self.random.uniform(0, SAME_MOMENT_SPREAD_S)
                 entries.append(self.draw_entry(kind, at))
+                if kind.name.startswith(AT_ACKNOWLEDGEMENT_PREFIX) and "config_change" not in self.without:
+                    entries.append({"at": round(at + self.random.uniform(0.1, 1.0), 2), "kind": "config_change"})
         if MANY_CHANGES_KIND not in self.without and self.chance(MANY_CHANGES_SHARE):
             entries += self.draw_changes(self.random.randint(*MANY_CHANGES))
         elif "config_race" not in self.without and self.chance(CHANGES_MEANWHILE_SHARE):
@@ -124,7 +132,8 @@
         others = [kind for kind in allowed if not kind.name.startswith(CONTROL_PREFIXES)]
         if others and (not control or not self.chance(CONTROL_SHARE)):
             return self.random.choice(others)
-        return self.random.choice(control)
+        weights = [FREQUENT_WEIGHT if kind.name.startswith(FREQUENT_PREFIXES) else 1 for kind in control]
+        return self.random.choices(control, weights)[0]
 
     def draw_entry(self, kind: TroubleKind, at: float) -> Entry:
         """Draws one entry: as the site shows it, or of its own variants and figures."""
@@ -156,7 +165,7 @@
             entry["at"] = round(max(0.0, min(entry["at"], self.length_s - PURGE_END_MARGIN_S - lasts_s)), 2)
         if kind.name == "burst":
             entry["x"] = round(self.random.uniform(*SCALE) * 1.5, 2)
-        if "share" in entry and kind.name.startswith(ON_CORE_PREFIXES) and self.chance(0.5):
+        if "share" in entry and kind.name.startswith(ON_CORE_PREFIXES) and self.chance(ON_CORE_SHARE):
             del entry["share"]
             entry["on"] = "core"
             entry["count"] = self.random.randint(1, self.tolerated() + 1)
