--- a/lib/neighbour/silence.hpp
+++ b/lib/neighbour/silence.hpp
@@ -1,29 +1,44 @@
-// Neighbour: tells a line whose other side has gone from one that is merely quiet.
+// Neighbour: tells a connection whose other side has gone from one that is merely quiet.
 #pragma once
 #include <cstdint>
-#include <optional>
+#include <map>
+#include <string>
 
 namespace dykestage::neighbour {
 
-/// Watches one line to a peer that is known to speak regularly. A connection to a machine that lost power, or was cut
-/// off, stays open on this side, and what was sent on it is sent again at intervals that double: after an absence of
-/// 15 s the next time is 10 s after the return. A peer that owes a sign of life for `limitMs` needs a new connection.
-/// Example: `if (detector.isSilent(nowMs)) redial();`
-class SilenceDetector {
+/// Remembers since when what was sent to each peer has had no answer of any kind. A connection to a machine that lost
+/// power, or was cut off, stays open on this side, and what was sent on it is sent again at intervals that double: after
+/// an absence of 15 s the next time is up to 10 s after the return. A new connection is up at once.
+/// Used where peers answer each other, or speak regularly.
+/// Example:
+///   watch.sent(to, nowMs);
+///   if (watch.isSilent(to, nowMs)) { redial(to); watch.forget(to); }
+class SilenceWatch {
  public:
-  explicit SilenceDetector(int64_t limitMs) : limitMs_(limitMs) {}
-  /// Something was sent. Example: `detector.sent(nowMs);`
-  auto sent(int64_t nowMs) -> void {
-    if (!owedSinceMs_) owedSinceMs_ = nowMs;
+  /// With a limit of 0 no peer is called silent, but those that are expected to speak.
+  explicit SilenceWatch(int64_t limitMs) : limitMs_(limitMs) {}
+  /// Gives a peer a limit of its own. Example: `watch.expect(registry, 500);`
+  auto expect(const std::string& peer, int64_t limitMs) -> void { limitsMs_[peer] = limitMs; }
+  auto sent(const std::string& to, int64_t nowMs) -> void {
+    if (limitOf(to) > 0) unansweredSinceMs_.try_emplace(to, nowMs);
+  }
+  auto heard(const std::string& from) -> void { unansweredSinceMs_.erase(from); }
+  auto forget(const std::string& to) -> void { unansweredSinceMs_.erase(to); }
+  /// True when nothing has come from a peer for as long as its limit since something was sent to it.
+  auto isSilent(const std::string& to, int64_t nowMs) const -> bool {
+    auto since = unansweredSinceMs_.find(to);
+    return since != unansweredSinceMs_.end() && nowMs - since->second >= limitOf(to);
   }
-  /// Something came from the peer. Example: `detector.heard();`
-  auto heard() -> void { owedSinceMs_.reset(); }
-  /// True when the peer has been silent for too long since something was first sent to it.
-  auto isSilent(int64_t nowMs) const -> bool { return owedSinceMs_ && nowMs - *owedSinceMs_ >= limitMs_; }
 
  private:
+  auto limitOf(const std::string& peer) const -> int64_t {
+    auto own = limitsMs_.find(peer);
+    return own == limitsMs_.end() ? limitMs_ : own->second;
+  }
+
   int64_t limitMs_;
-  std::optional<int64_t> owedSinceMs_;  // the first sending after the peer was last heard
+  std::map<std::string, int64_t> limitsMs_;
+  std::map<std::string, int64_t> unansweredSinceMs_;
 };
 
 }  // namespace dykestage::neighbour
