--- a/tests/catchup_test.cpp
+++ b/tests/catchup_test.cpp
@@ -7,6 +7,8 @@
 
 #include <atomic>
 #include <chrono>
+#include <filesystem>
+#include <fstream>
 #include <string>
 #include <thread>
 
@@ -134,6 +136,110 @@
 }
 }  // namespace
 
+TEST_CASE("the log stays within half of its room through 10,000 changes") {
+  auto result = sim::CatchUpSim({.changes = 10000}).run();
+  CHECK(result.changes == 10000);
+  CHECK(result.catchUpMs >= 0);
+  CHECK(result.largestRingBytes < sim::CatchUpSim::Props{}.ringBytes * 6 / 10);
+}
+
+namespace {
+namespace files = std::filesystem;
+
+struct DataFolder {
+  DataFolder() {
+    auto name = (files::temp_directory_path() / "dykestage-catchup-XXXXXX").string();
+    path = ::mkdtemp(name.data());
+  }
+  ~DataFolder() { files::remove_all(path); }
+  files::path path;
+};
+
+auto openRing(const files::path& folder) -> disk::Ring {
+  std::string reason;
+  auto ring = disk::Ring::open({folder.string(), 3, 1 << 16}, reason);
+  INFO(reason);
+  REQUIRE(ring);
+  return std::move(*ring);
+}
+
+// What a disk tells after a start: the snapshot's text and the writes behind it.
+auto contents(const files::path& folder) -> std::string {
+  auto ring = openRing(folder);
+  auto found = ring.take();
+  auto all = found.frame;
+  for (const auto& write : found.writes)
+    all += write;
+  return all;
+}
+}  // namespace
+
+TEST_CASE("a loss of power between a snapshot's rename and the folder's sync loses nothing") {
+  DataFolder before, after;
+  {
+    auto ring = openRing(before.path);
+    REQUIRE(ring.append({"a"}));
+    REQUIRE(ring.saveFrame("A"));
+    REQUIRE(ring.append({"b"}));
+    REQUIRE(ring.saveFrame("AB"));
+    REQUIRE(ring.append({"c"}));
+    REQUIRE(ring.sync());
+    files::copy(before.path, after.path, files::copy_options::recursive);
+  }
+  {
+    auto ring = openRing(after.path);
+    ring.take();
+    REQUIRE(ring.saveFrame("ABC"));
+  }
+  // The rename and the new file may each be kept or lost by itself.
+  CHECK(contents(after.path) == "ABC");
+  CHECK(contents(before.path) == "ABc");
+  files::copy_file(after.path / "frame-1", before.path / "frame-1.new");
+  CHECK(contents(before.path) == "ABc");
+  files::remove(before.path / "frame-1");  // the replaced name is gone, the new one not yet there
+  CHECK(contents(before.path) == "ABc");
+}
+
+TEST_CASE("a snapshot that was written in part is never taken for a whole one") {
+  DataFolder folder;
+  {
+    auto ring = openRing(folder.path);
+    REQUIRE(ring.append({"a"}));
+    REQUIRE(ring.saveFrame("A"));
+    REQUIRE(ring.append({"b"}));
+    REQUIRE(ring.saveFrame("AB" + std::string(5000, 'x')));
+  }
+  auto newest = folder.path / "frame-0";
+  auto size = files::file_size(newest);
+  for (auto kept : {size - 1, size / 2, uintmax_t{30}, uintmax_t{0}}) {
+    files::resize_file(newest, kept);
+    CHECK(contents(folder.path) == "Ab");
+  }
+}
+
+TEST_CASE("a snapshot that finds no room leaves the log whole, and a later one succeeds") {
+  DataFolder folder;
+  auto blocked = folder.path / "frame-0.new";
+  {
+    auto ring = openRing(folder.path);
+    REQUIRE(ring.append({"a"}));
+    REQUIRE(ring.saveFrame("A"));
+    files::create_directory(blocked);  // stands for a disk that takes no new file
+    REQUIRE(ring.append({"b"}));
+    CHECK_FALSE(ring.saveFrame("AB"));
+    REQUIRE(ring.append({"c"}));
+    REQUIRE(ring.sync());
+  }
+  CHECK(contents(folder.path) == "Abc");
+  files::remove(blocked);
+  {
+    auto ring = openRing(folder.path);
+    ring.take();
+    REQUIRE(ring.saveFrame("ABC"));
+  }
+  CHECK(contents(folder.path) == "ABC");
+}
+
 TEST_CASE("a leader that stood still through two changes of leader decides nothing") {
   core::State state;
   uint64_t number = 0;
