A test that a service's request whose time is over goes to no second upstream

Cause: a seeded defect (the shield's look at the time that is left in dispatch, taken out) passed every test of once.

--- a/tests/once_test.cpp
+++ b/tests/once_test.cpp
@@ -284,6 +284,29 @@
     }
 }
 
+TEST_CASE("A service's request whose time is over goes to no second upstream, and is called untouched") {
+  auto frame = frameOf({"e1"});
+  frame->services["shop"] = {};
+  for (const auto* name : {"a1", "a2"})
+    frame->upstreams[name] = {
+        "shop", std::string("127.0.0.1:4") + name[1], "north", core::UpstreamKind::kApplication, 8, false, false};
+  upstream::Shield shield(Node::shieldProps(1000));
+  shield.takeFrame({frame, 0}, 0);
+  shield.takeFrame({frame, kStartMs}, kStartMs);
+  neighbour::Ask ask;
+  ask.id = 7, ask.service = "shop", ask.kind = core::UpstreamKind::kApplication;
+  ask.method = "POST", ask.target = "/buy", ask.remainingMs = kDeadlineMs, ask.isWrite = true;
+  shield.take("at-e2", ask, kStartMs);
+  auto first = shield.output();
+  REQUIRE(first.fetches.size() == 1);
+  shield.takeFetched(End{"refused", Fault::kNotSent}.fetched(first.fetches[0]), kStartMs + kDeadlineMs + 5000);
+  auto out = shield.output();
+  CHECK(out.fetches.empty());
+  REQUIRE(out.replies.size() == 1);
+  CHECK(out.replies[0].reply.code == caller::kDeadline);
+  CHECK(out.replies[0].reply.isUntouched);
+}
+
 TEST_CASE("A resend by the library counts as an extra try") {
   Node n(2);
   for (auto target : {"/list/1", "/list/2"}) {
