The admin formats in modules of one job, and one reader for what was read twice

Cause: lib/operator/configuration.cpp had 845 lines and eight formats, read services and templates by two readers alike, and began each of six changes with the same lines. Ruled out: a header for each format, since each would include core/state.hpp from a lower package; configuration.hpp keeps the declarations. Change: json (values, fields, faults; no core), changes (how any change is read), services, templates, rollouts, routing, announcements, status. Behaviour, order of faults and text of answers unchanged.

--- a/lib/caller/record.cpp
+++ b/lib/caller/record.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "operator/configuration.hpp"
+#include "operator/json.hpp"
 
 namespace dykestage::caller {
 
--- a/lib/operator/configuration.hpp
+++ b/lib/operator/configuration.hpp
@@ -1,57 +1,18 @@
-// Operator: reading and checking what operators and upstreams send as JSON.
+// Admin formats: reading and checking what admins and upstreams send as JSON, and writing what they read.
+//
+// services.cpp: configurations; templates.cpp: templates and tenants; rollouts.cpp; routing.cpp: routes, pools and
+// limits; announcements.cpp: registrations of upstreams, purges; status.cpp: status pages and the roster.
 #pragma once
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include <cjson/cJSON.h>
-
 #include "core/state.hpp"
+#include "operator/json.hpp"
 
 namespace dykestage::op {
 
-/// Owns a parsed JSON value. Example: `auto json = parse(text); if (!json) ...`
-using Json = std::unique_ptr<cJSON, decltype(&cJSON_Delete)>;
-/// Parses text; null when it is no JSON, or when something stands behind it. Example: `parse("{}")`
-auto parse(const std::string& text) -> Json;
-/// Prints compactly. Example: `print(json.get())`
-auto print(const cJSON* json) -> std::string;
-
-/// A fault of an input and where it stands. Example: `{"services.shop.paths[0].prefix", "must start with /"}`
-struct Fault {
-  std::string place, what;
-};
-
-/// Reads fields of a JSON object, collects every fault, and finds unknown keys.
-/// Example:
-///   Fields f(json, "services.shop", faults);
-///   f.integer("deadlineMs", 10, 60000, service.deadlineMs);
-///   f.close();
-class Fields {
- public:
-  Fields(const cJSON* json, std::string place, std::vector<Fault>& faults);
-  /// Each takes a field when it is there; false when it is missing. Wrong types and ranges become faults.
-  auto integer(const std::string& key, int64_t low, int64_t high, int64_t& into) -> bool;
-  auto number(const std::string& key, double low, double high, double& into) -> bool;
-  auto text(const std::string& key, std::string& into, bool needed = false) -> bool;
-  auto flag(const std::string& key, bool& into) -> bool;
-  auto texts(const std::string& key, std::vector<std::string>& into) -> bool;
-  /// The raw value, for objects and lists. Example: `if (auto* list = f.raw("paths")) ...`
-  auto raw(const std::string& key) -> const cJSON*;
-  /// Adds a fault at a key. Example: `f.fault("kind", "must be store or application");`
-  auto fault(const std::string& key, const std::string& what) -> void;
-  /// Reports the keys that nothing asked for. Example: `f.close();`
-  auto close() -> void;
-
- private:
-  const cJSON* json_;
-  std::string place_;
-  std::vector<Fault>& faults_;
-  std::vector<std::string> seen_;
-};
-
 /// Takes a submitted configuration, whole or partial. Every fault is reported; with any fault nothing is kept.
 /// Example: `auto op = readConfiguration(body, frame.services, faults); if (!op) return turnAway(faults);`
 auto readConfiguration(const std::string& body, const std::map<std::string, core::Service>& now,
@@ -70,8 +31,6 @@
 auto writeTemplates(const core::State& state) -> std::string;
 /// A rollout with the figures of each decision. Example: `writeRollout("retail-2", rollout)`
 auto writeRollout(const std::string& id, const core::Rollout& rollout) -> std::string;
-/// Faults as a JSON list of places. Example: `writeFaults(faults)`
-auto writeFaults(const std::vector<Fault>& faults) -> std::string;
 /// Takes a change of the routing: {"version", "base", "whole", "routes", "pools", "limits"}; with any fault nothing.
 /// Example: `auto op = readRouting(body, faults); if (!op) return turnAway(faults);`
 auto readRouting(const std::string& body, std::vector<Fault>& faults) -> std::optional<core::Op>;
@@ -106,7 +65,4 @@
   Json json_;
 };
 
-/// True for "ip:port" with a numeric IPv4 address. Example: `isAddress("127.0.0.1:80")`
-auto isAddress(const std::string& text) -> bool;
-
 }  // namespace dykestage::op
--- a/tests/tools/includes.sh
+++ b/tests/tools/includes.sh
@@ -19,7 +19,7 @@
   # Look-up of header values stands with the HTTP server.
   "policy/cache.cpp caller/face.hpp"
   # The reader of JSON stands with the admin formats.
-  "caller/record.cpp operator/configuration.hpp"
+  "caller/record.cpp operator/json.hpp"
 )
 
 cd "${1:-$(dirname "$0")/../..}/lib"
