The log on disk: its opening in steps, and the field's terms

Cause: Ring::load did five things in 60 lines, and called records pieces and checkpoints frames. Change: opening the files, finding the last record, collecting what follows the checkpoint and wiping the torn tail are functions of their own; records and checkpoints inside; each public item says what it does when it fails. The format on disk and the public names stay (lib/program uses them).

--- a/lib/disk/ring.cpp
+++ b/lib/disk/ring.cpp
@@ -16,9 +16,9 @@
 namespace dykestage::disk {
 
 namespace {
-constexpr uint64_t kFileMagic = 0x31676e6972796b64;   // start of every ring file
-constexpr uint64_t kFrameMagic = 0x31656d6172666b64;  // start of every frame
-constexpr size_t kFileHead = 20, kPieceHead = 24;
+constexpr uint64_t kFileMagic = 0x31676e6972796b64;        // start of every ring file
+constexpr uint64_t kCheckpointMagic = 0x31656d6172666b64;  // start of every checkpoint
+constexpr size_t kFileHead = 20, kRecordHead = 24;
 
 auto crc(const std::string& bytes) -> uint32_t {
   boost::crc_32_type sum;
@@ -77,7 +77,27 @@
   std::filesystem::create_directories(props_.folder, error);
   errno = 0;
   if (error) return fail("cannot make the data folder " + props_.folder);
-  if (!loadFrame()) return false;
+  if (!loadCheckpoint() || !openFiles()) return false;
+  for (uint32_t i = 0; i < props_.files; ++i)
+    loadFile(i);
+  std::sort(records_.begin(), records_.end(), [](const auto& a, const auto& b) { return a.sequence < b.sequence; });
+  auto last = lastRecord();
+  if (!collectRecords() || !wipeTornTail()) return false;
+  records_.clear();
+  if (!found_.writes.empty()) found_.isBlank = false;
+  synced_ = next_ - 1;
+  for (auto& file : files_) {
+    if (file.first > next_) file.first = file.last = 0;
+    file.last = std::min(file.last, next_ - 1);
+  }
+  // Without any record writing may go on in any file.
+  if (!last) return startFile(0);
+  at_ = last->file;
+  offset_ = last->offset;
+  return true;
+}
+
+auto Ring::openFiles() -> bool {
   for (uint32_t i = 0; i < props_.files; ++i) {
     auto name = path("ring-" + std::to_string(i));
     File file{Fd(::open(name.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600))};
@@ -89,56 +109,52 @@
     if (::fsync(file.fd.get()) != 0) return fail("cannot sync " + name);
     files_.push_back(std::move(file));
   }
-  if (!syncFolder(props_.folder)) return fail("cannot sync the data folder");
-  for (uint32_t i = 0; i < props_.files; ++i)
-    loadFile(i);
+  return syncFolder(props_.folder) || fail("cannot sync the data folder");
+}
 
-  // The records from the frame on must follow one another without a gap. A gap is a torn tail only when
-  // nothing after it was written in the knowledge that the missing record had been synced.
-  std::sort(pieces_.begin(), pieces_.end(), [](const auto& a, const auto& b) { return a.sequence < b.sequence; });
-  auto expected = frameNext_;
-  struct Place {
-    uint32_t file;
-    uint64_t offset;
-  };
+auto Ring::lastRecord() const -> std::optional<Place> {
   std::optional<Place> last;
-  for (auto& piece : pieces_) {
-    if (piece.sequence <= expected) last = Place{piece.file, piece.offset + kPieceHead + piece.body.size()};
-    if (piece.sequence < frameNext_) continue;
-    if (piece.sequence != expected) {
-      if (piece.syncedBefore >= expected) {
-        errno = 0;
-        return fail("damage: synced record " + std::to_string(expected) + " cannot be read");
-      }
-      found_.tornBytes += piece.body.size() + kPieceHead;
+  auto expected = checkpointNext_;
+  for (const auto& record : records_) {
+    if (record.sequence > expected) break;
+    last = Place{record.file, record.offset + kRecordHead + record.body.size()};
+    if (record.sequence == expected) ++expected;
+  }
+  return last;
+}
+
+// The records from the checkpoint on must follow one another without a gap. A gap is a torn tail only when nothing
+// after it was written in the knowledge that the missing record had been synced.
+auto Ring::collectRecords() -> bool {
+  next_ = checkpointNext_;
+  for (auto& record : records_) {
+    if (record.sequence < checkpointNext_) continue;
+    if (record.sequence == next_) {
+      found_.writes.push_back(std::move(record.body));
+      ++next_;
       continue;
     }
-    found_.writes.push_back(std::move(piece.body));
-    ++expected;
+    if (record.syncedBefore >= next_) {
+      errno = 0;
+      return fail("damage: synced record " + std::to_string(next_) + " cannot be read");
+    }
+    found_.tornBytes += record.body.size() + kRecordHead;
   }
-  // A torn piece is wiped, so that it can never stand beside a later record of the same number.
-  for (const auto& piece : pieces_)
-    if (piece.sequence >= expected &&
-        !writeAll(files_[piece.file].fd.get(), std::string(kPieceHead, '\0'), piece.offset))
+  return true;
+}
+
+// A torn record is wiped, so that it can never stand beside a later one of the same number.
+auto Ring::wipeTornTail() -> bool {
+  const std::string zeros(kRecordHead, '\0');
+  for (const auto& record : records_)
+    if (record.sequence >= next_ && !writeAll(files_[record.file].fd.get(), zeros, record.offset))
       return fail("cannot wipe the torn tail");
   for (const auto& file : files_)
     if (::fdatasync(file.fd.get()) != 0) return fail("cannot sync the ring");
-  pieces_.clear();
-  if (!found_.writes.empty()) found_.isBlank = false;
-  next_ = expected;
-  synced_ = next_ - 1;
-  // Writing goes on behind the last record; without one, in any file, since none is needed then.
-  for (auto& file : files_) {
-    if (file.first > next_) file.first = file.last = 0;
-    file.last = std::min(file.last, next_ - 1);
-  }
-  if (!last) return startFile(0);
-  at_ = last->file;
-  offset_ = last->offset;
   return true;
 }
 
-auto Ring::loadFrame() -> bool {
+auto Ring::loadCheckpoint() -> bool {
   uint64_t best = 0;
   auto sawAny = false;
   for (const auto& item : std::filesystem::directory_iterator(props_.folder)) {
@@ -154,10 +170,10 @@
     auto next = r.get<uint64_t>();
     auto sum = r.get<uint32_t>();
     auto body = r.get<std::string>();
-    if (!r.done() || magic != kFrameMagic || sum != crc(body) || number < best) continue;
+    if (!r.done() || magic != kCheckpointMagic || sum != crc(body) || number < best) continue;
     best = number;
-    frames_ = number;
-    frameNext_ = next;
+    checkpoints_ = number;
+    checkpointNext_ = next;
     found_.frame = std::move(body);
     found_.isBlank = false;
   }
@@ -176,21 +192,21 @@
   if (magic != kFileMagic || sum != crc(Writer().put(first).take())) return;
   file.first = first;
   file.last = first - 1;
-  // Every place is tried, so that records behind a damaged one are still seen.
-  for (auto at = kFileHead; at + kPieceHead <= bytes.size();) {
-    Reader r(std::string_view(bytes).substr(at, kPieceHead));
+  // Every offset is tried, so that records behind a damaged one are still seen.
+  for (auto at = kFileHead; at + kRecordHead <= bytes.size();) {
+    Reader r(std::string_view(bytes).substr(at, kRecordHead));
     auto size = r.get<uint32_t>();
     auto check = r.get<uint32_t>();
     auto sequence = r.get<uint64_t>();
     auto syncedBefore = r.get<uint64_t>();
     auto isPlausible = sequence >= first && sequence <= first + props_.fileBytes &&
-                       size <= bytes.size() - at - kPieceHead && sequence != 0;
+                       size <= bytes.size() - at - kRecordHead && sequence != 0;
     if (isPlausible) {
-      auto body = bytes.substr(at + kPieceHead, size);
+      auto body = bytes.substr(at + kRecordHead, size);
       if (check == crc(Writer().put(sequence).put(syncedBefore).take() + body)) {
         file.last = std::max(file.last, sequence);
-        pieces_.push_back({sequence, syncedBefore, std::move(body), index, at});
-        at += kPieceHead + size;
+        records_.push_back({sequence, syncedBefore, std::move(body), index, at});
+        at += kRecordHead + size;
         continue;
       }
     }
@@ -225,24 +241,24 @@
     return ok;
   };
   for (const auto& body : writes) {
-    auto piece = Writer()
-                     .put(static_cast<uint32_t>(body.size()))
-                     .put(crc(Writer().put(next_).put(synced_).take() + body))
-                     .put(next_)
-                     .put(synced_)
-                     .take() +
-                 body;
-    if (piece.size() + kFileHead > props_.fileBytes) return fail("a record is larger than a ring file");
-    if (offset_ + piece.size() > props_.fileBytes) {
+    auto record = Writer()
+                      .put(static_cast<uint32_t>(body.size()))
+                      .put(crc(Writer().put(next_).put(synced_).take() + body))
+                      .put(next_)
+                      .put(synced_)
+                      .take() +
+                  body;
+    if (record.size() + kFileHead > props_.fileBytes) return fail("a record is larger than a ring file");
+    if (offset_ + record.size() > props_.fileBytes) {
       if (!writeRun()) return isBroken_ = true, fail("cannot write to the ring");
       if (::fdatasync(files_[at_].fd.get()) != 0) return isBroken_ = true, fail("cannot sync the ring");
       auto next = (at_ + 1) % props_.files;
-      if (files_[next].first != 0 && files_[next].last >= frameNext_) return fail("the ring is full");
+      if (files_[next].first != 0 && files_[next].last >= checkpointNext_) return fail("the ring is full");
       if (!startFile(next)) return isBroken_ = true, false;
       runAt = offset_;
     }
-    run += piece;
-    offset_ += piece.size();
+    run += record;
+    offset_ += record.size();
     files_[at_].last = next_++;
   }
   if (!writeRun()) return isBroken_ = true, fail("cannot write to the ring");
@@ -261,17 +277,17 @@
 auto Ring::saveFrame(const std::string& frame) -> bool {
   errno = 0;
   if (isBroken_) return false;
-  auto number = frames_ + 1;
+  auto number = checkpoints_ + 1;
   auto name = path("frame-" + std::to_string(number % 2));
-  auto bytes = Writer().put(kFrameMagic).put(number).put(next_).put(crc(frame)).put(frame).take();
+  auto bytes = Writer().put(kCheckpointMagic).put(number).put(next_).put(crc(frame)).put(frame).take();
   {
     Fd fd(::open((name + ".new").c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
     if (!fd || !writeAll(fd.get(), bytes, 0) || ::fsync(fd.get()) != 0) return fail("cannot write a frame");
   }
   if (::rename((name + ".new").c_str(), name.c_str()) != 0 || !syncFolder(props_.folder))
     return fail("cannot place a frame");
-  frames_ = number;
-  frameNext_ = next_;
+  checkpoints_ = number;
+  checkpointNext_ = next_;
   synced_ = next_ - 1;
   return true;
 }
@@ -279,7 +295,7 @@
 auto Ring::fill() const -> double {
   auto held = 0u;
   for (uint32_t i = 0; i < props_.files; ++i)
-    if (i != at_ && files_[i].first != 0 && files_[i].last >= frameNext_) ++held;
+    if (i != at_ && files_[i].first != 0 && files_[i].last >= checkpointNext_) ++held;
   return (held * static_cast<double>(props_.fileBytes) + static_cast<double>(offset_)) /
          (static_cast<double>(props_.files) * static_cast<double>(props_.fileBytes));
 }
--- a/lib/disk/ring.hpp
+++ b/lib/disk/ring.hpp
@@ -1,6 +1,8 @@
-// Disk: a ring of preallocated files that holds the core's writes, and frames that cut it.
-// Records are checksummed and say up to where the ring was synced when they were written, so that a torn
-// tail (never synced, never relied on) is told apart from damage to what was synced.
+// Storage: a registry's write-ahead log in a ring of preallocated files, and the checkpoints that cut it.
+//
+// Each record is checksummed, numbered, and says up to which number the log was synced when it was written. So a torn
+// tail (never synced, never relied on) is told apart from damage to what was synced. Two checkpoints are kept in turn;
+// one is written beside, synced, and renamed into place. All calls block, and belong to one thread.
 #pragma once
 #include <cstdint>
 #include <optional>
@@ -10,7 +12,7 @@
 
 namespace dykestage::disk {
 
-/// Owns a file descriptor. Example: `Fd fd(::open(path, O_RDONLY)); if (fd) ...`
+/// Owns a file descriptor, and closes it. Example: `Fd fd(::open(path, O_RDONLY)); if (fd) ...`
 class Fd {
  public:
   explicit Fd(int fd = -1) : fd_(fd) {}
@@ -32,13 +34,14 @@
   int fd_;
 };
 
+/// Where a log is kept, and how large it may become. What is on a disk keeps its sizes: these must not change.
 struct Props {
   std::string folder;
-  uint32_t files = 4;
-  uint64_t fileBytes = 8u << 20;
+  uint32_t files = 4;             // of the ring
+  uint64_t fileBytes = 8u << 20;  // of each; the largest record is a little smaller
 };
 
-/// The log of one core node, and its frames.
+/// The log of one registry, and its checkpoints (frames).
 /// Example:
 ///   std::string reason;
 ///   auto ring = disk::Ring::open({"data"}, reason);
@@ -49,21 +52,23 @@
   /// What was found at opening. Blank means a disk that never held anything.
   struct Found {
     bool isBlank = true;
-    std::string frame;
-    std::vector<std::string> writes;  // after the frame, in order
-    uint64_t tornBytes = 0;
+    std::string frame;                // the newest checkpoint
+    std::vector<std::string> writes;  // after it, in order
+    uint64_t tornBytes = 0;           // of records that were never synced; they are wiped
   };
   /// Opens or creates the files; nothing when the disk is damaged, with the reason.
+  /// Example: `auto ring = Ring::open({"data"}, reason); if (!ring) return fail(reason);`
   static auto open(Props props, std::string& reason) -> std::optional<Ring>;
   /// Hands over what was found. Example: `auto found = ring->take();`
   auto take() -> Found { return std::exchange(found_, {}); }
   /// Writes records behind the last one; false when there is no room or the disk refuses.
   /// Example: `if (!ring.append(writes)) ring.reason();`
   auto append(const std::vector<std::string>& writes) -> bool;
-  /// Makes what was appended last. Example: `ring.sync();`
+  /// Syncs what was appended; false when the disk refuses. After a failure nothing is known of what it holds, and every
+  /// later call fails until the log is opened anew. Example: `if (!ring.sync()) stop(ring.reason());`
   auto sync() -> bool;
-  /// Saves a frame that covers everything appended so far and frees the files behind it.
-  /// Example: `ring.saveFrame(node.save());`
+  /// Saves a checkpoint that covers everything appended so far, synced, and frees the files behind it. When it fails
+  /// the earlier one holds, and the log goes on as long as it has room. Example: `ring.saveFrame(node.save());`
   auto saveFrame(const std::string& frame) -> bool;
   /// How full the ring is, 0 to 1. Example: `if (ring.fill() > 0.5) saveFrame();`
   auto fill() const -> double;
@@ -72,18 +77,27 @@
 
  private:
   explicit Ring(Props props) : props_(std::move(props)) {}
+  struct Place {  // where a record ends, and the next one may begin
+    uint32_t file = 0;
+    uint64_t offset = 0;
+  };
   auto load() -> bool;
-  auto loadFrame() -> bool;
+  auto loadCheckpoint() -> bool;
+  auto openFiles() -> bool;
   auto loadFile(uint32_t index) -> void;
+  auto lastRecord() const -> std::optional<Place>;
+  auto collectRecords() -> bool;
+  auto wipeTornTail() -> bool;
   auto fail(const std::string& what) -> bool;
   auto path(const std::string& name) const -> std::string { return props_.folder + "/" + name; }
   auto startFile(uint32_t index) -> bool;
 
-  struct Piece {  // one record as read back
-    uint64_t sequence, syncedBefore;
+  struct Record {  // as read back
+    uint64_t sequence = 0;
+    uint64_t syncedBefore = 0;  // all up to here were synced when it was written
     std::string body;
-    uint32_t file;
-    uint64_t offset;
+    uint32_t file = 0;
+    uint64_t offset = 0;
   };
   struct File {
     Fd fd;
@@ -92,13 +106,13 @@
   };
   Props props_;
   std::vector<File> files_;
-  std::vector<Piece> pieces_;
-  uint32_t at_ = 0;         // file being written
-  uint64_t offset_ = 0;     // in it
-  uint64_t next_ = 1;       // next sequence
-  uint64_t synced_ = 0;     // all up to here are synced
-  uint64_t frameNext_ = 1;  // first sequence that the newest frame doesn't cover
-  uint64_t frames_ = 0;
+  std::vector<Record> records_;  // while the log is opened
+  uint32_t at_ = 0;              // file being written
+  uint64_t offset_ = 0;          // in it
+  uint64_t next_ = 1;            // next sequence
+  uint64_t synced_ = 0;          // all up to here are synced
+  uint64_t checkpointNext_ = 1;  // first sequence that the newest checkpoint doesn't cover
+  uint64_t checkpoints_ = 0;     // written so far
   bool isBroken_ = false;
   Found found_;
   std::string reason_;
