Rates in a module of their own; purges and Cache-Control in steps

Cause: lib/policy/cache held the cache and the division of rates; Cache::purge and termsOf nested five deep. Change: rate.hpp and rate.cpp (Split, RateBounds, RateShare) as they were; purges by label and by path, and the directives of Cache-Control, are read by functions of their own; doc comments in the field's terms. Behaviour unchanged.

--- a/lib/policy/cache.cpp
+++ b/lib/policy/cache.cpp
@@ -1,7 +1,6 @@
 #include "policy/cache.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 #include "caller/face.hpp"
 
@@ -13,6 +12,9 @@
 using caller::lower;
 
 namespace {
+constexpr size_t kMaxPurges = 4000;  // known by number; of older ones it is only known that there were some
+constexpr size_t kItemBytes = 512;   // of an item besides its body, key and headers, about
+
 auto baseOf(const std::string& service, const std::string& target) -> std::string {
   return service + "\n" + target;
 }
@@ -45,41 +47,67 @@
                       [](const auto& w) { return w == "no-store" || w == "no-cache" || w == "max-age=0"; });
 }
 
+namespace {
+auto isCacheableStatus(int status) -> bool {
+  return status == 200 || status == 301 || status == 404 || status == 410;
+}
+
+// The seconds of a max-age or s-maxage; none when it is no number.
+auto ageOf(const std::string& directive) -> std::optional<int64_t> {
+  constexpr size_t kMaxDigits = 9;
+  auto digits = directive.substr(directive.find('=') + 1);
+  auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
+  if (digits.empty() || digits.size() > kMaxDigits || !std::all_of(digits.begin(), digits.end(), isDigit))
+    return std::nullopt;
+  return std::stoll(digits);
+}
+
+// The TTL that Cache-Control leaves, header after header; s-maxage counts before max-age.
+class CacheControl {
+ public:
+  explicit CacheControl(int64_t keepMs) : keepMs_(keepMs) {}
+  auto add(const std::string& value) -> void {
+    for (const auto& directive : listOf(value))
+      addDirective(directive);
+  }
+  auto keepMs() const -> int64_t { return keepMs_; }
+
+ private:
+  auto addDirective(const std::string& directive) -> void {
+    if (directive == "no-store" || directive == "private" || directive == "no-cache") keepMs_ = 0;
+    auto isForShared = directive.starts_with("s-maxage=");
+    if (!isForShared && (!directive.starts_with("max-age=") || hasShared_)) return;
+    auto ageS = ageOf(directive);
+    keepMs_ = ageS ? std::min<int64_t>(keepMs_, *ageS * 1000) : 0;
+    hasShared_ = hasShared_ || isForShared;
+  }
+  int64_t keepMs_;
+  bool hasShared_ = false;
+};
+
+auto append(std::vector<std::string>& to, const std::vector<std::string>& list) -> void {
+  to.insert(to.end(), list.begin(), list.end());
+}
+}  // namespace
+
 auto termsOf(int status, const Headers& headers, int64_t pathKeepMs, const std::string& labelsName) -> Terms {
   Terms terms;
-  if (status != 200 && status != 404 && status != 410 && status != 301) return terms;
-  if (has(headers, "set-cookie")) return terms;
-  auto keepMs = pathKeepMs;
-  auto isShared = false;
+  if (!isCacheableStatus(status) || has(headers, "set-cookie")) return terms;
+  CacheControl control(pathKeepMs);
   auto labels = lower(labelsName);
   for (const auto& [name, value] : headers) {
-    auto n = lower(name);
-    if (n == "vary")
-      for (auto& one : listOf(value))
-        terms.vary.push_back(one);
-    if (n == labels) {
+    auto key = lower(name);
+    if (key == "vary") append(terms.vary, listOf(value));
+    if (key == "cache-control") control.add(value);
+    if (key == labels) {
       auto list = value;
       std::replace(list.begin(), list.end(), ' ', ',');
-      for (auto& one : listOf(list))
-        terms.labels.push_back(one);
-    }
-    if (n != "cache-control") continue;
-    for (const auto& wish : listOf(value)) {
-      if (wish == "no-store" || wish == "private" || wish == "no-cache") keepMs = 0;
-      auto isOwn = wish.rfind("s-maxage=", 0) == 0;
-      if (!isOwn && (wish.rfind("max-age=", 0) != 0 || isShared)) continue;
-      auto digits = wish.substr(wish.find('=') + 1);
-      if (digits.empty() || digits.size() > 9 ||
-          !std::all_of(digits.begin(), digits.end(), [](char c) { return c >= '0' && c <= '9'; }))
-        keepMs = 0;
-      else
-        keepMs = std::min<int64_t>(keepMs, std::stoll(digits) * 1000);
-      isShared = isShared || isOwn;
+      append(terms.labels, listOf(list));
     }
   }
-  if (std::find(terms.vary.begin(), terms.vary.end(), "*") != terms.vary.end()) keepMs = 0;
+  auto variesOnAll = std::find(terms.vary.begin(), terms.vary.end(), "*") != terms.vary.end();
   std::sort(terms.vary.begin(), terms.vary.end());
-  terms.keepMs = keepMs;
+  terms.keepMs = variesOnAll ? 0 : control.keepMs();
   return terms;
 }
 
@@ -112,6 +140,12 @@
   if (items_.get<ByBase>().count(base) == 0) vary_.erase(base);
 }
 
+auto Cache::dropBase(const std::string& base) -> void {
+  auto& byBase = items_.get<ByBase>();
+  for (auto it = byBase.find(base); it != byBase.end(); it = byBase.find(base))
+    drop(items_.project<0>(it));
+}
+
 auto Cache::put(const std::string& service, const std::string& target, const Headers& request,
                 std::shared_ptr<const Copy> kept, const std::vector<std::string>& labels, const std::string& pool)
     -> bool {
@@ -119,18 +153,11 @@
   if (copy.keepMs <= 0 || isPurgedSince(copy.purges, service, target, labels)) return false;
   auto base = baseOf(service, target);
   auto known = vary_.find(base);
-  if (known != vary_.end() && known->second != copy.vary) {
-    auto& byBase = items_.get<ByBase>();
-    while (true) {
-      auto it = byBase.find(base);
-      if (it == byBase.end()) break;
-      drop(items_.project<0>(it));
-    }
-  }
+  if (known != vary_.end() && known->second != copy.vary) dropBase(base);
   Item item;
   item.base = base;
   item.key = keyOf(base, pool) + variantOf(copy.vary, request);
-  item.bytes = 512 + copy.body.size() + 2 * item.key.size();
+  item.bytes = kItemBytes + copy.body.size() + 2 * item.key.size();
   for (const auto& [name, value] : copy.headers)
     item.bytes += name.size() + value.size();
   if (item.bytes > boundBytes_ / 4) return false;
@@ -152,43 +179,53 @@
 }
 
 auto Cache::purge(const std::vector<core::Purge>& purges, uint64_t upTo, uint64_t floor) -> void {
-  if (floor > purges_) {  // some purges can no longer be known: nothing kept is sure
+  if (floor > purges_) {  // some purges can no longer be known: no entry is sure
     while (!items_.empty())
       drop(items_.begin());
     floor_ = std::max(floor_, floor);
   }
   for (const auto& purge : purges) {
     if (purge.number <= purges_) continue;
-    if (!purge.label.empty()) {
-      auto it = labelled_.find(lower(purge.label));
-      if (it != labelled_.end()) {
-        auto keys = it->second;
-        for (const auto& key : keys) {
-          auto item = items_.get<ByKey>().find(key);
-          auto isMeant = item != items_.get<ByKey>().end() &&
-                         (purge.service.empty() || item->base.rfind(purge.service + "\n", 0) == 0);
-          if (isMeant) drop(items_.project<0>(item));
-        }
-      }
-    } else {
-      auto& byBase = items_.get<ByBase>();
-      for (const auto& from : {baseOf(purge.service, purge.path), baseOf(purge.service, purge.path + "?")})
-        for (auto it = byBase.lower_bound(from); it != byBase.end() && it->base.compare(0, from.size(), from) == 0;) {
-          auto next = std::next(it);
-          if (isAt(it->base.substr(purge.service.size() + 1), purge.path)) drop(items_.project<0>(it));
-          it = next;
-        }
-    }
+    if (purge.label.empty())
+      purgePath(purge);
+    else
+      purgeLabel(purge);
     log_.push_back(purge);
   }
   purges_ = std::max(purges_, upTo);
-  constexpr size_t kLog = 4000;
-  if (log_.size() > kLog) {
-    floor_ = log_[kLog / 2].number;
-    log_.erase(log_.begin(), log_.begin() + kLog / 2 + 1);
+  forgetOldPurges();
+}
+
+auto Cache::purgeLabel(const core::Purge& purge) -> void {
+  auto labelled = labelled_.find(lower(purge.label));
+  if (labelled == labelled_.end()) return;
+  auto keys = labelled->second;  // dropping an item changes the set
+  for (const auto& key : keys) {
+    auto item = items_.get<ByKey>().find(key);
+    if (item == items_.get<ByKey>().end()) continue;
+    auto isOfService = purge.service.empty() || item->base.starts_with(purge.service + "\n");
+    if (isOfService) drop(items_.project<0>(item));
   }
 }
 
+auto Cache::purgePath(const core::Purge& purge) -> void {
+  auto& byBase = items_.get<ByBase>();
+  for (const auto& from : {baseOf(purge.service, purge.path), baseOf(purge.service, purge.path + "?")}) {
+    for (auto it = byBase.lower_bound(from); it != byBase.end() && it->base.starts_with(from);) {
+      auto next = std::next(it);
+      if (isAt(it->base.substr(purge.service.size() + 1), purge.path)) drop(items_.project<0>(it));
+      it = next;
+    }
+  }
+}
+
+auto Cache::forgetOldPurges() -> void {
+  if (log_.size() <= kMaxPurges) return;
+  auto half = kMaxPurges / 2;
+  floor_ = log_[half].number;
+  log_.erase(log_.begin(), log_.begin() + static_cast<std::ptrdiff_t>(half) + 1);
+}
+
 auto Cache::isPurged(uint64_t since, const std::string& service,
                      const std::function<bool(const core::Purge&)>& concerns) const -> bool {
   if (since >= purges_) return false;
@@ -242,59 +279,4 @@
   return tried + 1 <= share_ * asked + allowance_;
 }
 
-auto Split::set(size_t shields, bool isListed, int64_t nowMs) -> void {
-  if (sinceMs_ < 0) {
-    sinceMs_ = nowMs;
-    wasListed_ = isListed;
-  }
-  if (shields == now_) return;
-  if (now_ > 0) seen_.emplace_back(nowMs, now_);
-  now_ = shields;
-}
-
-auto Split::count(int64_t nowMs) -> size_t {
-  std::erase_if(seen_, [&](const auto& one) { return nowMs - one.first >= leaseMs_; });
-  auto most = std::max<size_t>(1, now_);
-  // Whoever took over an earlier life's part can't know who has left of late and may still act: it leaves room for a
-  // quarter of all, one at least.
-  if (wasListed_ && nowMs - sinceMs_ < leaseMs_) most += std::max<size_t>(1, most / 4);
-  for (const auto& [untilMs, count] : seen_)
-    most = std::max(most, count);
-  return most;
-}
-
-auto RateBounds::share(double ratePerS, size_t nodes) const -> double {
-  if (ratePerS <= 0) return 0;
-  auto count = static_cast<double>(std::max<size_t>(1, nodes));
-  // What is above the rate pays for what nodes gather, and for requests that arrive closer together than they left.
-  auto spare = (over - 1) * ratePerS * windowS + slack - std::max(count, ratePerS / 5);
-  auto factor = over > 1 || slack > 0 ? std::clamp(1 + spare / 2 / (ratePerS * windowS), 0.5, over) : 1.0;
-  return ratePerS * factor / count;
-}
-
-auto RateShare::set(double share, int64_t nowMs) -> void {
-  settle(nowMs);
-  if (share_ <= 0) tokens_ = std::max(1.0, share / 5);
-  share_ = share;
-}
-
-auto RateShare::settle(int64_t nowMs) -> void {
-  auto passedMs = filledMs_ < 0 ? 0 : std::max<int64_t>(0, nowMs - filledMs_);
-  filledMs_ = nowMs;
-  // A fifth of a second of the share may gather: a window of 5 s then holds at most 4% above it.
-  tokens_ = std::min(std::max(1.0, share_ / 5), tokens_ + share_ * static_cast<double>(passedMs) / 1000.0);
-}
-
-auto RateShare::has(int64_t nowMs) -> bool {
-  if (share_ <= 0) return true;
-  settle(nowMs);
-  return tokens_ >= 1;
-}
-
-auto RateShare::take(int64_t nowMs) -> bool {
-  if (!has(nowMs)) return false;
-  if (share_ > 0) tokens_ -= 1;
-  return true;
-}
-
 }  // namespace dykestage::policy
--- a/lib/policy/cache.hpp
+++ b/lib/policy/cache.hpp
@@ -1,4 +1,5 @@
-// Policy: what may be kept, for how long; how much may be asked of an origin; which upstream to place on.
+// Policy: which responses may be cached and for how long, the cache itself, and the retry budgets of services and
+// pools. Pure: the time is an argument, in ms of the steady clock.
 #pragma once
 #include <algorithm>
 #include <boost/multi_index/hashed_index.hpp>
@@ -16,40 +17,41 @@
 
 #include "core/state.hpp"
 #include "neighbour/messages.hpp"
+#include "policy/rate.hpp"
 
 namespace dykestage::policy {
 
 using neighbour::Headers;
 
-/// A whole answer that may be given again.
+/// A cache entry: a whole response that may be given again, to any client.
 struct Copy {
   int status = 200;
   Headers headers;
   std::string body;
-  int64_t bornMs = 0;  // when the request to the origin left, on this node's steady clock
-  int64_t keepMs = 0;
-  uint64_t purges = 0;            // purge number when the fill began
+  int64_t bornMs = 0;             // when the request to the origin left, on this node's steady clock
+  int64_t keepMs = 0;             // its TTL, from then on
+  uint64_t purges = 0;            // purge number when the fetch that filled it began
   std::vector<std::string> vary;  // names of the request headers that it depends on
 };
 
-/// What an answer allows: how long it may be kept, on which request headers it depends, its labels.
+/// What a response allows: its TTL (0: it may not be cached), on which request headers it depends, its labels.
 struct Terms {
   int64_t keepMs = 0;
   std::vector<std::string> vary;
   std::vector<std::string> labels;
 };
-/// Reads an answer's terms, within the path's own keep time.
+/// Reads a response's terms, after Cache-Control, Vary and Set-Cookie, within the TTL of the path.
 /// Example: `auto terms = termsOf(200, headers, path.keepMs); if (terms.keepMs > 0) cache.put(...);`
 auto termsOf(int status, const Headers& headers, int64_t pathKeepMs, const std::string& labelsName = "Dykestage-Labels")
     -> Terms;
-/// True when a request may be answered from a shared copy. Example: `isShareable("GET", headers)`
+/// True when a request may be answered from a shared cache entry. Example: `isShareable("GET", headers)`
 auto isShareable(const std::string& method, const Headers& headers) -> bool;
 
-/// What a request has of the headers that an answer varies on; two requests with the same may share the answer.
+/// What a request has of the headers that a response varies on; two requests with the same may share the response.
 /// Example: `if (variantOf(copy.vary, mine) == variantOf(copy.vary, theirs)) ...`
 auto variantOf(const std::vector<std::string>& vary, const Headers& request) -> std::string;
 
-/// A bounded cache that drops the least recently used copies first.
+/// A cache of bounded size that drops the least recently used entries first.
 /// Example:
 ///   Cache cache(64 << 20);
 ///   cache.put("shop", "/cover/7", requestHeaders, copy, labels);
@@ -57,11 +59,12 @@
 class Cache {
  public:
   explicit Cache(size_t boundBytes) : boundBytes_(boundBytes) {}
-  /// The copy that fits a request and is still within its keep time; null otherwise. Where a route's traffic is
-  /// split, a copy belongs to the pool that it came from.
+  /// The entry that fits a request and is still within its TTL; null otherwise. Where a route's traffic is split, an
+  /// entry belongs to the pool that it came from.
   auto get(const std::string& service, const std::string& target, const Headers& request, int64_t nowMs,
            const std::string& pool = "") -> std::shared_ptr<const Copy>;
-  /// Keeps a copy unless a purge that it missed has been in force since its fill began; false then.
+  /// Stores an entry; false when a purge that it missed came into force since its fetch began, when a newer one is
+  /// there, or when it is larger than a quarter of the cache.
   auto put(const std::string& service, const std::string& target, const Headers& request,
            std::shared_ptr<const Copy> copy, const std::vector<std::string>& labels, const std::string& pool = "")
       -> bool;
@@ -100,6 +103,10 @@
                                                        boost::multi_index::member<Item, std::string, &Item::base>>,
                 boost::multi_index::sequenced<boost::multi_index::tag<ByUse>>>>;
   auto drop(Items::iterator it) -> void;
+  auto dropBase(const std::string& base) -> void;
+  auto purgeLabel(const core::Purge& purge) -> void;
+  auto purgePath(const core::Purge& purge) -> void;
+  auto forgetOldPurges() -> void;
   auto isPurged(uint64_t since, const std::string& service,
                 const std::function<bool(const core::Purge&)>& concerns) const -> bool;
 
@@ -112,7 +119,8 @@
   uint64_t purges_ = 0, floor_ = 0;
 };
 
-/// Extra tries of one service: at most a share of its traffic over ten seconds, plus an allowance.
+/// The retry budget of one service or pool: retries and hedges in a sliding window are at most a share of its requests
+/// plus an allowance.
 /// Example: `if (budget.mayTry(nowMs)) { budget.tried(nowMs); askAgain(); }`
 class TryBudget {
  public:
@@ -158,54 +166,4 @@
   std::map<std::string, TryBudget> budgets_;
 };
 
-/// How many shields an origin's rate is split among.
-///
-/// A split that gives this shield less takes effect at once; one that gives it more only after the old split
-/// has run out everywhere. The freshness bound tells when: a shield that has not learned of the new split by
-/// then turns requests away. A shield that has just come takes no part before the others have made room.
-/// Example: `split.set(shields.size(), false, nowMs); if (!split.isSettled(nowMs)) turnAway();`
-class Split {
- public:
-  explicit Split(int64_t leaseMs) : leaseMs_(leaseMs) {}
-  /// `isListed`: an earlier life of this shield was among them when this one came, so that the others left its part
-  /// to it all the time. Example: `split.set(8, member.replaced != 0, nowMs);`
-  auto set(size_t shields, bool isListed, int64_t nowMs) -> void;
-  /// The number to divide by now. Example: `rate / split.count(nowMs)`
-  auto count(int64_t nowMs) -> size_t;
-  auto isSettled(int64_t nowMs) const -> bool { return sinceMs_ >= 0 && (wasListed_ || nowMs - sinceMs_ >= leaseMs_); }
-
- private:
-  int64_t leaseMs_;
-  int64_t sinceMs_ = -1;
-  bool wasListed_ = false;
-  std::vector<std::pair<int64_t, size_t>> seen_;  // until when a count was in force
-  size_t now_ = 0;
-};
-
-/// How an origin's agreed rate is judged: over any window, with so much above it.
-struct RateBounds {
-  double windowS = 5;
-  double over = 1.0;  // times the rate
-  double slack = 0;   // and so many requests
-  /// What one of `nodes` may use of a rate, a second, so that all together stay within the bounds: each may gather a
-  /// fifth of a second of its share, one request at least. Example: `bounds.share(540, 8)`
-  auto share(double ratePerS, size_t nodes) const -> double;
-};
-
-/// This shield's share of an origin's agreed rate. It starts empty and gathers little, so that any window of
-/// 5 s stays near the rate. Example: `rate.set(300.0 / split.count(now), now); if (!rate.take(now)) turnAway();`
-class RateShare {
- public:
-  /// Requests a second allowed from now on; 0 or less: no limit.
-  auto set(double share, int64_t nowMs) -> void;
-  auto take(int64_t nowMs) -> bool;
-  /// True while one may be taken. Example: `if (rate.has(nowMs)) hedge();`
-  auto has(int64_t nowMs) -> bool;
-
- private:
-  auto settle(int64_t nowMs) -> void;
-  double share_ = 0, tokens_ = 0;
-  int64_t filledMs_ = -1;
-};
-
 }  // namespace dykestage::policy
