--- a/tests/sim/fleet.hpp
+++ b/tests/sim/fleet.hpp
@@ -24,6 +24,7 @@
 ///   links.run();
 class Links {
  public:
+  Links() = default;
   ~Links();
   Links(const Links&) = delete;
   auto operator=(const Links&) -> Links& = delete;
