--- a/lib/neighbour/post.hpp
+++ b/lib/neighbour/post.hpp
@@ -43,7 +43,7 @@
     size_t maxBytes = 24u << 20;  // of one letter
     int queued = 4096;            // letters that may wait on one line
     std::function<int64_t()> nowMs = steadyMs;
-    int64_t silenceMs = 0;        // a line is dialled anew when its other side answers nothing for so long; 0: never
+    int64_t silenceMs = 0;  // a line is dialled anew when its other side answers nothing for so long; 0: never
   };
   /// Opens the listening side; letters go to `take` on a thread of the post's own.
   /// Example: `auto post = Post::open({"127.0.0.1:0"}, [&](Letter l) { inbox.push(std::move(l)); }, reason);`
--- a/lib/neighbour/silence.hpp
+++ b/lib/neighbour/silence.hpp
@@ -7,10 +7,9 @@
 namespace dykestage::neighbour {
 
 /// Remembers since when what was sent to each peer has had no answer of any kind. A connection to a machine that lost
-/// power, or was cut off, stays open on this side, and what was sent on it is sent again at intervals that double: after
-/// an absence of 15 s the next time is up to 10 s after the return. A new connection is up at once.
-/// Used where peers answer each other, or speak regularly.
-/// Example:
+/// power, or was cut off, stays open on this side, and what was sent on it is sent again at intervals that double:
+/// after an absence of 15 s the next time is up to 10 s after the return. A new connection is up at once. Used where
+/// peers answer each other, or speak regularly. Example:
 ///   watch.sent(to, nowMs);
 ///   if (watch.isSilent(to, nowMs)) { redial(to); watch.forget(to); }
 class SilenceWatch {
--- a/tests/catchup_test.cpp
+++ b/tests/catchup_test.cpp
@@ -65,17 +65,21 @@
 }  // namespace
 
 TEST_CASE("a peer is silent once it owes a sign of life for the limit") {
-  neighbour::SilenceDetector detector(kLimitMs);
-  CHECK_FALSE(detector.isSilent(100000));  // nothing was sent
-  detector.sent(1000);
-  detector.sent(1400);  // later letters do not put the limit off
-  CHECK_FALSE(detector.isSilent(1499));
-  CHECK(detector.isSilent(1500));
-  detector.heard();
-  CHECK_FALSE(detector.isSilent(9000));
-  detector.sent(9000);
-  CHECK_FALSE(detector.isSilent(9499));
-  CHECK(detector.isSilent(9500));
+  neighbour::SilenceWatch watch(0);
+  watch.expect("peer", kLimitMs);
+  CHECK_FALSE(watch.isSilent("peer", 100000));  // nothing was sent
+  watch.sent("peer", 1000);
+  watch.sent("peer", 1400);  // later letters do not put the limit off
+  CHECK_FALSE(watch.isSilent("peer", 1499));
+  CHECK(watch.isSilent("peer", 1500));
+  watch.heard("peer");
+  CHECK_FALSE(watch.isSilent("peer", 9000));
+  watch.sent("peer", 9000);
+  CHECK_FALSE(watch.isSilent("peer", 9499));
+  CHECK(watch.isSilent("peer", 9500));
+  // Without a limit nobody is called silent.
+  watch.sent("another", 1000);
+  CHECK_FALSE(watch.isSilent("another", 100000));
 }
 
 TEST_CASE("letters reach a machine that comes back after a loss of power") {
--- a/tests/once_test.cpp
+++ b/tests/once_test.cpp
@@ -378,7 +378,8 @@
   auto reply(size_t at, uint32_t code, bool isUntouched, int64_t nowMs = kStartMs + 10) -> void {
     auto& one = asked.at(at);
     neighbour::Reply r;
-    r.id = one.ask.id, r.life = one.ask.life, r.code = code, r.isUntouched = isUntouched;
+    r.id = one.ask.id, r.life = one.ask.life, r.attempt = one.ask.attempt;
+    r.code = code, r.isUntouched = isUntouched, r.sends = isUntouched ? 0 : 1;
     if (code == caller::kOk) r.status = 200, r.headers = {{"Seal", "s"}}, r.body = "body";
     if (one.state == State::kOpen) one.state = isUntouched && code != caller::kOk ? State::kSurelyNotRun : State::kOver;
     edge.takeReply(one.to, r, nowMs);
@@ -386,7 +387,7 @@
   }
   auto unsent() -> void {
     asked.back().state = State::kSurelyNotRun;
-    edge.unsent(asked.back().ask.id, kStartMs + 10);
+    edge.unsent(asked.back().ask, kStartMs + 10);
     step();
   }
   auto lost(size_t at) -> void {
