--- a/lib/core/membership.cpp
+++ b/lib/core/membership.cpp
@@ -202,7 +202,7 @@
     ++alive;
     if (slot < node.slot()) ++before;
   }
-  if (alive < majorityOf(node.members().size())) return;
+  if (alive < majorityOf(node.members().size()) || !node.isCurrent()) return;
   auto isPending = proposedEpoch_ == node.epoch() && nowMs - proposedMs_ < options_.boundMs / 2;
   if (isPending) return;
   for (const auto& [address, peer] : peers_) {
--- a/tests/days/once_days.py
+++ b/tests/days/once_days.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Writes the days that docs/control-safety-once.md measures: troubles on the way of answers, alone and in pairs.
+"""Writes the days that docs/control-safety.md measures: troubles on the way of answers, alone and in pairs.
 
 Usage: once_days.py FOLDER
 Each day holds up to four moments, 7.5 s apart; each moment brings one trouble or a pair. The days name no site.
--- a/tests/once_test.cpp
+++ b/tests/once_test.cpp
@@ -1,5 +1,5 @@
 // Answers and their requests on every hop: each way a send can end, what may be sent again, and what the caller gets.
-// The table that these rows stand for is docs/control-safety-once.md.
+// The table that these rows stand for is docs/control-safety.md.
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
