--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -206,7 +206,8 @@
     replacements += sim->replacements();
     if (!sim->faults().empty()) {
       options.keepHistory = true;
-      for (const auto& line : liveOnce(options)->history())
+      auto again = liveOnce(options);
+      for (const auto& line : again->history())
         std::cout << "seed " << seed << " " << line << "\n";
     }
     for (const auto& fault : sim->faults())
--- a/tests/sim/membership_sim.cpp
+++ b/tests/sim/membership_sim.cpp
@@ -70,7 +70,7 @@
   auto address = "core-" + std::to_string(nextAddress_++);
   if (seeds.empty())
     for (const auto& [other, one] : machines_)
-      if (one->registry && seeds.size() < 3) seeds.push_back(other);
+      if (!one->isGone && seeds.size() < 3) seeds.push_back(other);  // some may be down just now
   auto one = std::make_unique<Machine>();
   one->address = address;
   one->seeds = std::move(seeds);
