--- a/lib/neighbour/post.cpp
+++ b/lib/neighbour/post.cpp
@@ -68,7 +68,10 @@
   auto& held = lines_[to];
   auto nowMs = props_.nowMs();
   auto redialMs = kRedialMs;
-  if (held && held->silence && held->silence->isSilent(nowMs)) held.reset();
+  if (held && silence_.isSilent(to, nowMs)) {
+    silence_.forget(to);
+    held.reset();
+  }
   if (held && held->pipes > 0) held->redialMs = kRedialMs, held->dialedMs = nowMs;
   if (held && held->pipes <= 0 && nowMs - held->dialedMs >= held->redialMs) {
     redialMs = std::min(2 * held->redialMs, kMostRedialMs);
@@ -95,13 +98,12 @@
   if (nng_dial(made->socket, ("tcp://" + local + ";" + to).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) return nullptr;
   made->dialedMs = props_.nowMs();
   made->redialMs = redialMs;
-  if (auto limit = limitsMs_.find(to); limit != limitsMs_.end()) made->silence.emplace(limit->second);
   return made;
 }
 
 auto Post::heard(const std::string& from) -> void {
+  silence_.heard(from);
   if (auto it = lines_.find(from); it != lines_.end() && it->second) {
-    if (it->second->silence) it->second->silence->heard();
     it->second->redialMs = kRedialMs;
   }
   line(from);
@@ -121,7 +123,7 @@
   nng_msg* raw = nullptr;
   if (nng_msg_alloc(&raw, bytes.size()) != 0) return false;
   std::memcpy(nng_msg_body(raw), bytes.data(), bytes.size());
-  if (line->silence) line->silence->sent(props_.nowMs());
+  silence_.sent(to, props_.nowMs());
   if (nng_sendmsg(line->socket, raw, NNG_FLAG_NONBLOCK) == 0) return true;
   nng_msg_free(raw);
   return false;
--- a/lib/neighbour/post.hpp
+++ b/lib/neighbour/post.hpp
@@ -43,6 +43,7 @@
     size_t maxBytes = 24u << 20;  // of one letter
     int queued = 4096;            // letters that may wait on one line
     std::function<int64_t()> nowMs = steadyMs;
+    int64_t silenceMs = 0;  // a line is dialled anew when its other side answers nothing for so long; 0: never
   };
   /// Opens the listening side; letters go to `take` on a thread of the post's own.
   /// Example: `auto post = Post::open({"127.0.0.1:0"}, [&](Letter l) { inbox.push(std::move(l)); }, reason);`
@@ -61,10 +62,12 @@
   auto warm(const std::string& to) -> void { line(to); }
   /// Names a peer that speaks at least every `limitMs` while it is well: a connection on which it stays silent for
   /// longer than that after something was sent is closed and dialled anew. Example: `post->expect(registry, 500);`
-  auto expect(const std::string& peer, int64_t limitMs) -> void { limitsMs_[peer] = limitMs; }
+  auto expect(const std::string& peer, int64_t limitMs) -> void { silence_.expect(peer, limitMs); }
   /// A letter came from there, so that its line is opened for the answer, without delay if it is down.
   /// Example: `post->heard(letter.from);`
   auto heard(const std::string& from) -> void;
+  /// The same without opening a line. Example: `post->noteHeard(letter.from);`
+  auto noteHeard(const std::string& from) -> void { silence_.heard(from); }
   /// True while a line is connected. Example: `if (!post->isUp(address)) ...`
   auto isUp(const std::string& to) -> bool;
   /// Closes the lines that are not named and have long been idle. Example: `post->prune(nowMs);`
@@ -75,13 +78,12 @@
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     std::atomic<int> pipes{0};
     int64_t usedMs = 0, dialedMs = 0, redialMs = 0;
-    std::optional<SilenceDetector> silence;  // of peers that are expected to speak
     Line() = default;
     Line(const Line&) = delete;
     auto operator=(const Line&) -> Line& = delete;
     ~Line() { nng_close(socket); }
   };
-  explicit Post(Props props) : props_(std::move(props)) {}
+  explicit Post(Props props) : props_(std::move(props)), silence_(props_.silenceMs) {}
   auto line(const std::string& to) -> Line*;
   auto dial(const std::string& to, int64_t redialMs) -> std::unique_ptr<Line>;
 
@@ -89,8 +91,8 @@
   nng_socket pull_ = NNG_SOCKET_INITIALIZER;
   std::function<void(Letter)> take_;
   std::map<std::string, std::unique_ptr<Line>> lines_;
-  std::map<std::string, int64_t> limitsMs_;  // of silence, by peer
-  std::set<uint16_t> strangers_;             // other versions heard, each told once in the log
+  SilenceWatch silence_;
+  std::set<uint16_t> strangers_;  // other versions heard, each told once in the log
   std::thread reader_;
 };
 
