Test: a silence limit counts also for a line that was open before it was named

Cause: registries open lines to each other while they gather, and name the limit of silence after that. Change: none in Post: since silent peers are watched by peer and not by line, the limit holds for every line. The test names the limit before and after the line is opened. The whole of catchup_test was not run with this change.

--- a/tests/catchup_test.cpp
+++ b/tests/catchup_test.cpp
@@ -92,8 +92,11 @@
   REQUIRE(post);
   DarkPeer dark;
   auto peer = dark.address();
-  post->expect(peer, kLimitMs);
+  // A registry opens lines to the others while they gather, before it knows that they are to be expected.
+  auto isExpectedFirst = GENERATE(true, false);
+  if (isExpectedFirst) post->expect(peer, kLimitMs);
   post->warm(peer);
+  if (!isExpectedFirst) post->expect(peer, kLimitMs);
   dark.acceptAndGoDark();
   REQUIRE(eventually([&] { return post->isUp(peer); }));
   REQUIRE(post->send(peer, 1, "lost"));
