--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -333,8 +333,9 @@
     if (stopAtMs >= 0 && !isDraining && nowMs >= stopAtMs - graceMs / 6) {
       isDraining = true;
       face->drain(boundMs / 4);
-      if (linkShare) linkShare->lift();  // what the process still holds when it ends is lost
     }
+    // What the process still holds when it ends is lost. Not sooner: the ends of idle connections would wait behind it.
+    if (stopAtMs >= 0 && nowMs >= stopAtMs && linkShare) linkShare->lift();
     auto isDone = edge.open() == 0 && writing.empty() && (!desk || desk->isIdle());
     if (stopAtMs >= 0 && (nowMs >= stopAtMs + graceMs / 4 + graceMs / 60 || (nowMs >= stopAtMs && isDone))) break;
   }
--- a/tests/control_priority_test.cpp
+++ b/tests/control_priority_test.cpp
@@ -274,6 +274,7 @@
         neighbour::Reply reply;
         reply.id = asked.ask.id;
         reply.life = asked.ask.life;
+        reply.attempt = asked.ask.attempt;
         reply.code = code;
         edge_.takeReply(asked.to, reply, 20);
       }
--- a/tests/sim/membership_sim.hpp
+++ b/tests/sim/membership_sim.hpp
@@ -40,7 +40,8 @@
   auto pass(int64_t ms) -> void;
   auto nowMs() const -> int64_t { return nowMs_; }
 
-  /// A blank machine at a new address joins; its seeds are those named, or three that are not gone. Returns its address.
+  /// A blank machine at a new address joins; its seeds are those named, or three that are not gone. Returns its
+  /// address.
   auto addMachine(std::vector<std::string> seeds = {}) -> std::string;
   /// Loses power: what was not synced is gone. It stays off until `start`.
   auto powerOff(const std::string& address) -> void;
