Simulated operators: a clear answer that is lost on its way back was given in time

Change: the check looks at answers given; a registry that gives none is found as before (mutations 'answers unheard').

--- a/tests/sim/proxy_sim.cpp
+++ b/tests/sim/proxy_sim.cpp
@@ -374,7 +374,7 @@
   change.sentMs = nowMs_;
   changes_[mark] = std::move(change);
   postRouting(mark);
-  expectAck("routing change " + std::to_string(mark), [this, mark] { return changes_.at(mark).isOver; });
+  expectAck("routing change " + std::to_string(mark), [this, mark] { return changes_.at(mark).isAnswered; });
 }
 
 // Whoever gets no clear answer within a second sends the very same again, to another registry.
@@ -386,6 +386,7 @@
        [this, mark, isAnswered](const caller::Answer& a) {
          if (props_.broken == Broken::kMute && nowMs_ > props_.faultsMs) return;
          if (std::exchange(*isAnswered, true)) return;
+         changes_.at(mark).isAnswered = changes_.at(mark).isAnswered || isClear(a);
          if (isAnswerLost()) return at(nowMs_ + pick(50, 300), [this, mark] { postRouting(mark); });
          takeOutcome(mark, a);
        });
@@ -394,6 +395,10 @@
   });
 }
 
+auto ProxySim::isClear(const caller::Answer& answer) -> bool {
+  return answer.status == 200 || answer.status == 409 || answer.status == 400;
+}
+
 auto ProxySim::takeOutcome(uint64_t mark, const caller::Answer& a) -> void {
   auto& change = changes_.at(mark);
   auto status = a.status;
@@ -466,7 +471,8 @@
   });
 }
 
-// While the core is settled and no link is in trouble, an order gets a clear answer in time.
+// While the core is settled and no link is in trouble, an order gets a clear answer in time; one that the simulation
+// loses on its way back to the operator was given.
 auto ProxySim::expectAck(const std::string& what, std::function<bool()> isOver) -> void {
   at(nowMs_ + kAckMs, [this, what, isOver] {
     auto isCalm = nowMs_ - unsettledMs_ > kTouchMs + kAckMs && nowMs_ - linkTroubleMs_ > kAckMs;
@@ -489,7 +495,7 @@
   purges_.push_back(std::move(purge));
   auto index = purges_.size() - 1;
   postPurge(index);
-  expectAck("purge " + std::to_string(index), [this, index] { return purges_[index].ackMs >= 0; });
+  expectAck("purge " + std::to_string(index), [this, index] { return purges_[index].isAnswered; });
 }
 
 auto ProxySim::postPurge(size_t index) -> void {
@@ -498,6 +504,7 @@
   http("r" + std::to_string(pick(1, 3)), "POST", "/purge", purges_[index].body,
        [this, index, isAnswered](const caller::Answer& a) {
          if (std::exchange(*isAnswered, true)) return;
+         purges_[index].isAnswered = purges_[index].isAnswered || isClear(a);
          if (a.status != 200 || isAnswerLost()) {
            at(nowMs_ + pick(50, 200), [this, index] { postPurge(index); });
            return;
--- a/tests/sim/proxy_sim.hpp
+++ b/tests/sim/proxy_sim.hpp
@@ -45,6 +45,7 @@
     uint64_t base = 0;
     std::string body;
     bool isValid = true, isRefused = false, isOver = false;
+    bool isAnswered = false;  // clearly, though the answer may have been lost
     int64_t sentMs = 0;
     int sends = 0;
   };
@@ -52,6 +53,7 @@
     std::string body;
     std::vector<std::string> targets;
     int64_t sentMs = 0, ackMs = -1;
+    bool isAnswered = false;  // clearly, though the answer may have been lost
   };
   // ---- upstreams ----
   struct Call {
@@ -118,6 +120,7 @@
   auto isAnswerLost() -> bool {
     return props_.lostAnswerPercent > 0 && !isHealed_ && pick(1, 100) <= props_.lostAnswerPercent;
   }
+  static auto isClear(const caller::Answer& answer) -> bool;
   auto expectAck(const std::string& what, std::function<bool()> isOver) -> void;
   auto purge() -> void;
   auto postPurge(size_t index) -> void;
