--- a/lib/neighbour/post.cpp
+++ b/lib/neighbour/post.cpp
@@ -82,7 +82,7 @@
   return held.get();
 }
 
-auto Post::dial(const std::string& to, int64_t redialMs) -> std::unique_ptr<Line> {
+auto Post::dial(const std::string& to, int64_t redialMs) const -> std::unique_ptr<Line> {
   auto made = std::make_unique<Line>();
   if (nng_push0_open(&made->socket) != 0) return nullptr;
   nng_socket_set_int(made->socket, NNG_OPT_SENDBUF, props_.queued);
--- a/lib/neighbour/post.hpp
+++ b/lib/neighbour/post.hpp
@@ -85,7 +85,7 @@
   };
   explicit Post(Props props) : props_(std::move(props)), silence_(props_.silenceMs) {}
   auto line(const std::string& to) -> Line*;
-  auto dial(const std::string& to, int64_t redialMs) -> std::unique_ptr<Line>;
+  auto dial(const std::string& to, int64_t redialMs) const -> std::unique_ptr<Line>;
 
   Props props_;
   nng_socket pull_ = NNG_SOCKET_INITIALIZER;
--- a/tests/catchup_test.cpp
+++ b/tests/catchup_test.cpp
@@ -158,6 +158,8 @@
     auto name = (files::temp_directory_path() / "dykestage-catchup-XXXXXX").string();
     path = ::mkdtemp(name.data());
   }
+  DataFolder(const DataFolder&) = delete;
+  auto operator=(const DataFolder&) -> DataFolder& = delete;
   ~DataFolder() { files::remove_all(path); }
   files::path path;
 };
--- a/tests/control_priority_test.cpp
+++ b/tests/control_priority_test.cpp
@@ -151,8 +151,9 @@
 
 TEST_CASE("A heartbeat does not wait behind objects that other processes asked for") {
   CHECK(longestWaitMs(nullptr) > kBoundMs);
-  auto burstBytes = kLinkBytesPerMs * 0.8 * kBoundMs / 100;
-  CHECK(longestWaitMs(shareOf(kLinkBytesPerMs * 1000 * 0.8, burstBytes)) <= kBoundMs / 20);
+  auto burstBytes = kLinkBytesPerMs * 0.8 * static_cast<double>(kBoundMs) / 100;
+  constexpr int64_t kLimitMs = kBoundMs / 20;
+  CHECK(longestWaitMs(shareOf(kLinkBytesPerMs * 1000 * 0.8, burstBytes)) <= kLimitMs);
 }
 
 TEST_CASE("Over any time bulk takes its part of the link and a burst, and small answers never wait") {
--- a/tests/once_test.cpp
+++ b/tests/once_test.cpp
@@ -257,7 +257,7 @@
     if (runs > 0 && n.answers.empty()) failures.push_back(told + "no answer");
   }
   CHECK(played > 500);
-  CHECK(failures == std::vector<std::string>());
+  CHECK(failures.empty());
 }
 
 TEST_CASE("A process frozen past the deadline sends nothing more, and a late answer is nobody's") {
@@ -492,7 +492,7 @@
     CHECK(a.answers.empty());
     a.reply(0, caller::kNoUpstream, true);
     CHECK(a.answers.empty());
-    CHECK(a.failures == std::vector<std::string>());
+    CHECK(a.failures.empty());
     a.reply(1, caller::kOk, false);
     CHECK(a.status() == 200);
   }
@@ -543,7 +543,7 @@
       failures.push_back(told + failure);
     if (failures.size() > 5) break;
   }
-  CHECK(failures == std::vector<std::string>());
+  CHECK(failures.empty());
 }
 
 // ---- agent to registry, edge to agent ----------------------------------------------------------------------
@@ -711,6 +711,8 @@
 /// Serves connections one after the other, each by a function of its own.
 struct Server {
   using Serve = std::function<void(disk::Fd)>;
+  Server(const Server&) = delete;
+  auto operator=(const Server&) -> Server& = delete;
   explicit Server(std::vector<Serve> serves) {
     auto [fd, at] = listenAt(16);
     listening = std::move(fd), address = at;
@@ -773,7 +775,7 @@
       fetcher.start(f);
       std::vector<pollfd> none;
       fetcher.run(none, 0);
-      disk::Fd(::accept(listening.get(), nullptr, nullptr));
+      ::close(::accept(listening.get(), nullptr, nullptr));  // the filler's
       reset(disk::Fd(::accept(listening.get(), nullptr, nullptr)));
       auto ended = finish(fetcher);
       CHECK(ended.fault == Fault::kNotSent);
--- a/tests/sim/catchup_sim.hpp
+++ b/tests/sim/catchup_sim.hpp
@@ -50,6 +50,8 @@
   };
   explicit CatchUpSim(Props props);
   ~CatchUpSim();
+  CatchUpSim(const CatchUpSim&) = delete;
+  auto operator=(const CatchUpSim&) -> CatchUpSim& = delete;
   auto run() -> CatchUpResult;
 
  private:
--- a/tests/sim/membership_sim.hpp
+++ b/tests/sim/membership_sim.hpp
@@ -34,6 +34,8 @@
   };
   explicit MembershipSim(Options options);
   ~MembershipSim();
+  MembershipSim(const MembershipSim&) = delete;
+  auto operator=(const MembershipSim&) -> MembershipSim& = delete;
 
   /// Starts the initial registries on blank disks and waits until they serve.
   auto boot() -> void;
