News and acknowledgements after a restart: wait for the line, and for who is heard

Cause: a process that has just started has no line to anybody. The first answer to each peer was handed to a line that was still coming up, and was lost. Meanwhile changes were acknowledged 1/4 of the bound after they ran, whoever lacked them; "emptying" and "gone" at once. Ruled out: load of the registries (0.07 of 0.6 cores), contact with a majority (back after 0.1 s).

Change: answers wait for their line (Post::sendWhenUp), no longer than until it is dialled anew; a dial to a peer that speaks is not given up for its next message. Where nodes go on with what they know, an acknowledgement waits for each node that some registry has heard within half of the bound; for at most 3/2 of it for changes, 3/8 for purges and for upstreams that leave, whose copies would begin to wait anew. A node that follows a neighbour asks a registry each 1/5 of the bound, since only that counts as heard. Acknowledgements are looked at once a round, not with each message.

--- a/lib/agent/feed.cpp
+++ b/lib/agent/feed.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 constexpr int64_t kOpenQuestionPeriods = 10;  // how long a late answer is still taken, in answer times
+// How long only neighbours are asked. Registries hear from a node only when it asks them, and acknowledge without one
+// that they do not hear for two and a half of these.
+constexpr int64_t kNeighbourPeriods = 1;
 }  // namespace
 
 auto Giver::take(std::string from, Poll poll, int64_t nowMs) -> void {
@@ -68,8 +71,7 @@
   auto place = static_cast<size_t>(std::find(targets.begin(), targets.end(), target_) - targets.begin());
   if (place < preferred) {
     preferredMs_ = nowMs;
-  } else if (nowMs - preferredMs_ > 5 * answerMs_ && preferred > 0) {
-    // Registries hear from this node only when it asks them.
+  } else if (nowMs - preferredMs_ >= kNeighbourPeriods * answerMs_ && preferred > 0) {
     preferredMs_ = nowMs;
     neighbour_ = target_;
     target_ = targets[nextPreferred_++ % preferred];
--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <limits>
 
 #include "neighbour/post.hpp"
 #include "operator/configuration.hpp"
@@ -148,7 +149,7 @@
     step.letters.push_back({address, neighbour::kTempo, Writer().put(bundle).take()});
   step.answers = std::move(made.answers);
   if (ran_.empty() || state_.frame().revision != ran_.back().first) ran_.emplace_back(state_.frame().revision, nowMs);
-  while (ran_.size() > 1 && nowMs - ran_[1].second > 2 * ackMs())
+  while (ran_.size() > 1 && nowMs - ran_[1].second > 2 * longestAckMs())
     ran_.pop_front();
   if (state_.frame().revision != taken_->revision) taken_ = step.published = std::make_shared<Frame>(state_.frame());
   if (!step.letters.empty() || !step.answers.empty() || step.published) steps_.push_back(std::move(step));
@@ -179,7 +180,10 @@
   while (!steps_.empty() && steps_.front().job <= syncedJob_) {
     auto step = std::move(steps_.front());
     steps_.pop_front();
-    if (step.published) published_ = step.published;
+    if (step.published) {
+      published_ = step.published;
+      noteMembers(nowMs);
+    }
     for (auto& letter : step.letters)
       out_.letters.push_back(std::move(letter));
     for (auto& [reply, answer] : step.pages)
@@ -283,7 +287,8 @@
                       std::function<std::string(const OpResult&)> told) -> void {
   op.print = neighbour::hash(body);
   auto id = op.changeId;
-  submit(std::move(op), [this, reply, id, detail, again, told](const OpResult* result, int64_t nowMs) {
+  auto mostMs = op.kind == OpKind::kPurge ? callAckMs() : longestAckMs();
+  submit(std::move(op), [this, reply, id, detail, again, told, mostMs](const OpResult* result, int64_t nowMs) {
     // What ran here may not be synced here: whoever asks again learns it from a later order.
     if (!result) return reply(unknownAnswer(detail));
     auto known = std::optional(*result);
@@ -294,7 +299,7 @@
       if (again) return again();
       return reply(codeAnswer(kConflict, 0, detail + revisionDetail(*known)));
     }
-    acknowledge(known->revision, nowMs,
+    acknowledge(known->revision, mostMs, nowMs,
                 [reply, detail, text = told(*known)] { reply(jsonAnswer("{\"code\":0" + detail + text + "}")); });
   });
 }
@@ -375,7 +380,7 @@
       ++conflicts_;
       return reply(codeAnswer(kConflict, 0, versionDetail(result->version)));
     }
-    acknowledge(result->revision, nowMs,
+    acknowledge(result->revision, longestAckMs(), nowMs,
                 [reply, version] { reply(jsonAnswer("{\"code\":0" + versionDetail(version) + "}")); });
   });
 }
@@ -412,7 +417,7 @@
   std::vector<op::Fault> faults;
   auto op = op::readAnnouncement(body, faults);
   if (!op) return invalid(who, faults);
-  auto stands = [](const char* state) { return std::string("{\"code\":0,\"state\":\"") + state + "\"}"; };
+  auto stands = [](const std::string& state) { return R"({"code":0,"state":")" + state + R"("})"; };
   auto it = published_->upstreams.find(op->name);
   auto isKnown = it != published_->upstreams.end();
   auto number = op->upstream.number;
@@ -433,14 +438,22 @@
   if (isKnown) op->base = it->second.revision;
   // An upstream waits no longer than a second.
   auto reply = within(props_.boundMs * 2 / 5, who, unknownAnswer());
-  submit(*op, [this, reply, stands, isGone, number, name = op->name](const OpResult* result, int64_t) {
+  auto isLeaving = isGone || op->upstream.isEmptying;
+  submit(*op, [this, reply, stands, isGone, isLeaving, number, name = op->name](const OpResult* result, int64_t nowMs) {
     if (!result) return reply(unknownAnswer());
     if (result->outcome == Outcome::kConflict) return reply(codeAnswer(kNotCurrent, 1));
     if (isGone) beats_.erase(name);
-    if (isGone || result->outcome != Outcome::kNoChange) return reply(jsonAnswer(stands(isGone ? "gone" : "taken")));
     auto known = state_.frame().upstreams.find(name);
-    auto isLate = known == state_.frame().upstreams.end() || number < known->second.number;
-    reply(jsonAnswer(stands(isLate ? "late" : known->second.isHeld ? "held" : "known")));
+    auto isListed = known != state_.frame().upstreams.end();
+    auto text = std::string(isGone ? "gone" : "taken");
+    if (!isGone && result->outcome == Outcome::kNoChange)
+      text = !isListed || number < known->second.number ? "late" : known->second.isHeld ? "held" : "known";
+    // Whoever leaves serves on for a while from this answer: by then no node may send to it. Nodes that stop acting on
+    // old knowledge are no danger; those that go on have to have heard.
+    if (!isLeaving || !props_.servesStale) return reply(jsonAnswer(stands(text)));
+    Revision left;
+    left.upstreams = isListed ? known->second.revision : state_.frame().revision.upstreams;
+    acknowledge(left, callAckMs(), nowMs, [reply, answer = jsonAnswer(stands(text))] { reply(answer); });
   });
 }
 
@@ -502,17 +515,55 @@
 
 // ---- acknowledgement ----------------------------------------------------------------------------------
 
-auto Registry::everyoneHas(const Revision& revision) const -> bool {
-  return std::all_of(published_->members.begin(), published_->members.end(), [&](const auto& one) {
-    auto it = heard_.find(one.first);
-    return it != heard_.end() && it->second.incarnation == one.second.incarnation &&
-           it->second.revision.covers(revision);
-  });
+// Notes since when each member is listed under its present incarnation.
+auto Registry::noteMembers(int64_t nowMs) -> void {
+  const auto& members = published_->members;
+  std::erase_if(listedSinceMs_, [&](const auto& one) { return !members.count(one.first); });
+  for (const auto& [name, member] : members) {
+    auto [it, isNew] = listedSinceMs_.try_emplace(name, member.incarnation, nowMs);
+    if (!isNew && it->second.first != member.incarnation) it->second = {member.incarnation, nowMs};
+  }
+}
+
+// Whether acknowledgements wait for a member. One that no registry has heard for a while is out of contact; silence
+// before this registry was in contact itself, and before the member was listed, says nothing. One that is heard under
+// another incarnation than the listed one has ended.
+auto Registry::isAwaited(const std::string& name, const Member& member, int64_t nowMs) const -> bool {
+  auto listed = listedSinceMs_.find(name);
+  auto sinceMs = std::max(contactSinceMs_, listed == listedSinceMs_.end() ? 0 : listed->second.second);
+  auto heard = heard_.find(name);
+  if (heard != heard_.end()) {
+    auto isSame = heard->second.incarnation == member.incarnation;
+    if (!isSame && heard->second.heardMs > sinceMs) return false;
+    if (isSame) sinceMs = std::max(sinceMs, heard->second.heardMs);
+  }
+  return nowMs - sinceMs <= silentMs();
 }
 
-// A change is acknowledged when every node has it, or when whoever lacks it has stopped acting on what it has.
-auto Registry::acknowledge(const Revision& revision, int64_t nowMs, std::function<void()> done) -> void {
-  acks_.push_back({revision, std::min(nowMs, ranMs(revision)), std::move(done)});
+// The newest revision that every member acts on, or every one that is awaited.
+auto Registry::leastInForce(bool isOfAwaited, int64_t nowMs) const -> Revision {
+  constexpr auto kAny = std::numeric_limits<uint64_t>::max();
+  Revision least{kAny, kAny, kAny, kAny};
+  for (const auto& [name, member] : published_->members) {
+    if (isOfAwaited && !isAwaited(name, member, nowMs)) continue;
+    auto heard = heard_.find(name);
+    if (heard == heard_.end() || heard->second.incarnation != member.incarnation) return {};
+    const auto& revision = heard->second.revision;
+    least.configuration = std::min(least.configuration, revision.configuration);
+    least.purges = std::min(least.purges, revision.purges);
+    least.upstreams = std::min(least.upstreams, revision.upstreams);
+    least.members = std::min(least.members, revision.members);
+  }
+  return least;
+}
+
+// A change is acknowledged when every node has it that may still act on what it had before. Nodes that stop acting once
+// their knowledge is old are waited for until then. Nodes that go on with what they know are waited for as long as they
+// are heard: an acknowledgement then binds nobody but those who were out of contact, and who have as long to catch up
+// as a change may take.
+auto Registry::acknowledge(const Revision& revision, int64_t mostMs, int64_t nowMs, std::function<void()> done)
+    -> void {
+  acks_.push_back({revision, std::min(nowMs, ranMs(revision)), mostMs, std::move(done)});
   checkAcks(nowMs);
 }
 
@@ -522,10 +573,13 @@
   return it == ran_.end() ? nowMs_ : it->second;
 }
 
+// Once for all that has come in since the last tick: it looks at each member.
 auto Registry::checkAcks(int64_t nowMs) -> void {
+  if (acks_.empty()) return;
+  auto inForce = leastInForce(props_.servesStale, nowMs);
   auto waiting = std::exchange(acks_, {});
   for (auto& ack : waiting) {
-    auto isOver = nowMs - ack.sinceMs > ackMs() || everyoneHas(ack.revision);
+    auto isOver = nowMs - ack.sinceMs > ack.mostMs || inForce.covers(ack.revision);
     if (!isOver) {
       acks_.push_back(std::move(ack));
       continue;
@@ -541,7 +595,6 @@
   auto& heard = heard_[poll.name];
   hasNewsOfMembers_ = hasNewsOfMembers_ || !(heard.revision == poll.revision);
   heard = {poll.member.incarnation, poll.revision, nowMs, poll.probes, poll.samples, true, poll.silent};
-  checkAcks(nowMs);
   auto it = published_->members.find(poll.name);
   auto isMember = it != published_->members.end() && it->second == poll.member;
   if (!isMember && isReady(nowMs)) {
@@ -563,7 +616,7 @@
 auto Registry::feed(int64_t nowMs) -> void {
   for (auto& [to, feed] : giver_.give(*published_, asOfMs_, nowMs)) {
     feed.registries = membership_.addresses(*node_);
-    out_.letters.push_back({to, neighbour::kFeed, Writer().put(feed).take()});
+    out_.letters.push_back({to, neighbour::kFeed, Writer().put(feed).take(), true});
   }
 }
 
@@ -603,7 +656,6 @@
       heard_[name].samples = told;
     for (const auto& [name, told] : have.silent)
       heard_[name].silent = told;
-    checkAcks(nowMs);
   } else if (kind == neighbour::kClaims) {
     auto claims = r.get<neighbour::Claims>();
     if (r.done() && isReady(nowMs)) onClaims(from, std::move(claims));
@@ -616,7 +668,7 @@
     list.isDone = true;
     for (const auto& [slot, address] : known)
       list.addresses.push_back(address);
-    out_.letters.push_back({from, neighbour::kGather, Writer().put(list).take()});
+    out_.letters.push_back({from, neighbour::kGather, Writer().put(list).take(), true});
   } else if (kind == neighbour::kPoll) {
     auto poll = r.get<Poll>();
     if (r.done()) onPoll(from, std::move(poll), nowMs);
@@ -634,7 +686,7 @@
   submit(std::move(op), [this, from, nonce = claims.nonce, life = claims.life](const OpResult* result, int64_t) {
     if (result)
       out_.letters.push_back(
-          {from, neighbour::kClaimed, Writer().put(neighbour::Claimed{nonce, life, result->keys}).take()});
+          {from, neighbour::kClaimed, Writer().put(neighbour::Claimed{nonce, life, result->keys}).take(), true});
   });
 }
 
@@ -661,7 +713,7 @@
   snapshot.frame = node_->save();
   Step step;
   step.job = lastJob_;
-  step.letters.push_back({to, neighbour::kTempo, Writer().put(Bundle{node_->slot(), {snapshot}}).take()});
+  step.letters.push_back({to, neighbour::kTempo, Writer().put(Bundle{node_->slot(), {snapshot}}).take(), true});
   steps_.push_back(std::move(step));
 }
 
@@ -762,6 +814,7 @@
     return nowMs - std::max({watchSinceMs_, sinceMs, heardMs});
   };
   auto shields = countOf(*published_, "shield");
+  auto inForce = leastInForce(false, nowMs);
   std::set<std::string> stillHeld;
   for (const auto& [name, upstream] : published_->upstreams) {
     auto beat = beats_.find(name);
@@ -783,7 +836,7 @@
       auto since = heldSinceMs_.try_emplace(name, nowMs).first->second;
       Revision needed;
       needed.upstreams = published_->revision.upstreams;
-      if (nowMs - since > heldMs() || (nowMs > since && everyoneHas(needed))) decide(OpKind::kRelease, name, 0);
+      if (nowMs - since > heldMs() || (nowMs > since && inForce.covers(needed))) decide(OpKind::kRelease, name, 0);
     }
   }
   std::erase_if(heldSinceMs_, [&](const auto& one) { return !stillHeld.count(one.first); });
@@ -937,6 +990,7 @@
 auto Registry::watchContact(int64_t nowMs) -> void {
   auto hasContactNow = hasContact(nowMs);
   if (std::exchange(hadContact_, hasContactNow) == hasContactNow) return;
+  if (hasContactNow) contactSinceMs_ = nowMs;
   LOG(INFO) << "core: " << (hasContactNow ? "In contact with a majority." : "Out of contact with a majority")
             << (hasContactNow ? "" : ", last ordered " + std::to_string(ageMs(nowMs)) + " ms ago.");
 }
@@ -951,7 +1005,7 @@
     if (!batch_.empty()) by(batchSinceMs_ + (node_->isCurrent() ? props_.batchMs : props_.answerMs));
   }
   for (const auto& ack : acks_)
-    by(ack.sinceMs + ackMs() + 1);
+    by(ack.sinceMs + ack.mostMs + 1);
   for (const auto& waiter : waiters_)
     by(waiter->untilMs);
   if (!waiters_.empty()) by(asOfMs_ + props_.contactMs);
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -72,6 +72,7 @@
       std::string to;
       uint8_t kind;
       std::string body;
+      bool isAnswer = false;  // to a peer that has just asked: it waits for a line that is still coming up
     };
     struct Answered {
       std::shared_ptr<caller::Stream> stream;
@@ -154,6 +155,7 @@
   struct Ack {
     Revision revision;
     int64_t sinceMs = 0;
+    int64_t mostMs = 0;  // it is not waited for longer than this
     std::function<void()> done;
   };
   struct Who {  // where an HTTP answer goes
@@ -187,8 +189,10 @@
   auto submitTemplate(const std::string& body, Who who) -> void;
   auto setTenants(const std::string& body, Who who, int tries) -> void;
   auto checkAcks(int64_t nowMs) -> void;
-  auto everyoneHas(const Revision& revision) const -> bool;
-  auto acknowledge(const Revision& revision, int64_t nowMs, std::function<void()> done) -> void;
+  auto isAwaited(const std::string& name, const Member& member, int64_t nowMs) const -> bool;
+  auto leastInForce(bool isOfAwaited, int64_t nowMs) const -> Revision;
+  auto noteMembers(int64_t nowMs) -> void;
+  auto acknowledge(const Revision& revision, int64_t mostMs, int64_t nowMs, std::function<void()> done) -> void;
   auto configure(const std::string& body, Who who, int tries) -> void;
   auto setRouting(const std::string& body, Who who) -> void;
   auto orderRouting(Op op, Reply reply, bool hasRead) -> void;
@@ -207,7 +211,12 @@
   auto heldMs() const -> int64_t {
     return props_.staleMs + props_.tickMs / 4;
   }  // whoever lacks it by then has stopped acting
-  auto ackMs() const -> int64_t { return props_.servesStale ? props_.boundMs / 4 : heldMs(); }
+  // How long acknowledgements wait for nodes that are heard and still lack what is acknowledged. A change of the
+  // configuration that is sent again goes on waiting where it was; each copy of a purge or of an upstream's call is
+  // waited for anew, so that its wait ends within one call.
+  auto longestAckMs() const -> int64_t { return props_.servesStale ? props_.boundMs * 3 / 2 : heldMs(); }
+  auto callAckMs() const -> int64_t { return props_.servesStale ? props_.boundMs * 3 / 8 : heldMs(); }
+  auto silentMs() const -> int64_t { return props_.boundMs / 2; }  // then a node counts as out of contact
   auto haveEveryMs() const -> int64_t { return hasNewsOfMembers_ ? props_.batchMs : props_.boundMs / 10; }
   auto answer(const Who& who, const caller::Answer& answer) -> void;
   auto page(Reply reply, const caller::Answer& answer) -> void;
@@ -245,6 +254,8 @@
   std::map<std::string, Watched> watched_;
   std::map<std::string, int64_t> heldSinceMs_;
   std::map<std::string, int64_t> joinTriedMs_;
+  std::map<std::string, std::pair<uint64_t, int64_t>> listedSinceMs_;  // member → its incarnation, and since when
+  int64_t contactSinceMs_ = 0;                                         // what was silent before counts for nothing
   std::vector<Ack> acks_;
   std::vector<std::shared_ptr<Waiter>> waiters_;
   std::map<std::string, std::vector<Reply>> underWay_;  // submissions that whoever repeats them joins
--- a/lib/neighbour/post.cpp
+++ b/lib/neighbour/post.cpp
@@ -13,6 +13,7 @@
 namespace {
 constexpr int64_t kIdleMs = 60000;
 constexpr int64_t kRedialMs = 100, kMostRedialMs = 800;
+constexpr int64_t kHeardRedialMs = 400;  // to a peer that speaks: over a congested link its line takes a while
 }  // namespace
 
 auto Post::open(Props props, std::function<void(Letter)> take, std::string& reason) -> std::unique_ptr<Post> {
@@ -103,8 +104,14 @@
 
 auto Post::heard(const std::string& from) -> void {
   silence_.heard(from);
-  if (auto it = lines_.find(from); it != lines_.end() && it->second) {
-    it->second->redialMs = kRedialMs;
+  auto& held = lines_[from];
+  auto isDown = !held || held->pipes <= 0;
+  // A dial that began before the peer spoke may wait for a machine that was down then. One that began since is not
+  // given up for the next thing that the peer says: what waits on it would be lost each time.
+  auto isOld = held && !held->isToHeard && props_.nowMs() - held->dialedMs >= kRedialMs;
+  if (isDown && (!held || isOld)) {
+    held = dial(from, kHeardRedialMs);
+    if (held) held->isToHeard = true;
   }
   line(from);
 }
@@ -118,13 +125,22 @@
   auto* line = this->line(to);
   // Nothing is left waiting for a line to come up: it would leave long after it was given up on.
   if (!line || line->pipes <= 0) return false;
+  return pass(*line, to, kind, body);
+}
+
+auto Post::sendWhenUp(const std::string& to, uint8_t kind, const std::string& body) -> void {
+  if (auto* line = this->line(to)) pass(*line, to, kind, body);
+}
+
+// A line that is not up keeps the letter in its queue until it is, or until it is closed.
+auto Post::pass(const Line& line, const std::string& to, uint8_t kind, const std::string& body) -> bool {
   auto bytes = Writer().put(kWireVersion).put(Letter{kind, props_.advertise, body}).take();
   if (bytes.size() > props_.maxBytes) return false;
   nng_msg* raw = nullptr;
   if (nng_msg_alloc(&raw, bytes.size()) != 0) return false;
   std::memcpy(nng_msg_body(raw), bytes.data(), bytes.size());
   silence_.sent(to, props_.nowMs());
-  if (nng_sendmsg(line->socket, raw, NNG_FLAG_NONBLOCK) == 0) return true;
+  if (nng_sendmsg(line.socket, raw, NNG_FLAG_NONBLOCK) == 0) return true;
   nng_msg_free(raw);
   return false;
 }
--- a/lib/neighbour/post.hpp
+++ b/lib/neighbour/post.hpp
@@ -22,7 +22,7 @@
 
 /// Of the letters between processes, told at the head of each. It grows by one whenever a letter's fields change:
 /// letters of another version are turned away whole, so that nothing is misread. Example: `Writer().put(kWireVersion)`
-inline constexpr uint16_t kWireVersion = 4;
+inline constexpr uint16_t kWireVersion = 5;
 
 /// What a letter holds; the kinds are listed in messages.hpp.
 struct Letter {
@@ -57,6 +57,11 @@
   /// Passes a letter; false when it surely did not leave. Only one thread may call this.
   /// Example: `if (!post->send(to, kAsk, body)) tryNext();`
   auto send(const std::string& to, uint8_t kind, const std::string& body) -> bool;
+  /// Passes an answer to a peer that has just asked. A line that is still coming up is waited for: whoever was
+  /// restarted has no line to anybody yet, and would lose its first answer to each. What waits is dropped with the line
+  /// when that is dialled anew, so that nothing leaves long after it was made.
+  /// Example: `post->sendWhenUp(question.from, kFeed, body);`
+  auto sendWhenUp(const std::string& to, uint8_t kind, const std::string& body) -> void;
   /// Opens a line ahead of its first letter; one that does not come up is dialled anew, since what was sent to a
   /// machine without power is not sent again for a second. Example: `post->warm(shield.address);`
   auto warm(const std::string& to) -> void { line(to); }
@@ -78,6 +83,7 @@
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     std::atomic<int> pipes{0};
     int64_t usedMs = 0, dialedMs = 0, redialMs = 0;
+    bool isToHeard = false;  // dialled because the peer spoke
     Line() = default;
     Line(const Line&) = delete;
     auto operator=(const Line&) -> Line& = delete;
@@ -85,6 +91,7 @@
   };
   explicit Post(Props props) : props_(std::move(props)), silence_(props_.silenceMs) {}
   auto line(const std::string& to) -> Line*;
+  auto pass(const Line& line, const std::string& to, uint8_t kind, const std::string& body) -> bool;
   auto dial(const std::string& to, int64_t redialMs) const -> std::unique_ptr<Line>;
 
   Props props_;
--- a/lib/program/agent.cpp
+++ b/lib/program/agent.cpp
@@ -125,7 +125,7 @@
         order = registriesOf(name, registries, seeds);
       } else if (letter.kind == neighbour::kPing) {
         outer->warm(letter.from);
-        outer->send(letter.from, neighbour::kPong, "");
+        outer->sendWhenUp(letter.from, neighbour::kPong, "");
       } else if (letter.kind == neighbour::kPong) {
         pongMs[letter.from] = nowMs;
       } else if (letter.kind == neighbour::kClaims) {
@@ -135,7 +135,7 @@
         proxyAt = letter.from;
         outer->send(follower.registryFor(order, claims.attempt), letter.kind, letter.body);
       } else if (letter.kind == neighbour::kClaimed) {
-        if (!proxyAt.empty()) inner->send(proxyAt, letter.kind, letter.body);
+        if (!proxyAt.empty()) inner->sendWhenUp(proxyAt, letter.kind, letter.body);
       } else if (letter.kind == neighbour::kPoll) {
         auto poll = r.get<neighbour::Poll>();
         if (!r.done()) continue;
@@ -158,10 +158,10 @@
     }
     const auto& held = follower.held();
     for (auto& [to, feed] : toProxy.give(*held.frame, held.asOfMs, nowMs))
-      inner->send(to, neighbour::kFeed, Writer().put(feed).take());
+      inner->sendWhenUp(to, neighbour::kFeed, Writer().put(feed).take());
     for (auto& [to, feed] : toNeighbours.give(*held.frame, held.asOfMs, nowMs)) {
       feed.registries = registries;
-      outer->send(to, neighbour::kFeed, Writer().put(feed).take());
+      outer->sendWhenUp(to, neighbour::kFeed, Writer().put(feed).take());
     }
     if (proxyMs >= 0 && nowMs - proxyMs < boundMs) {
       auto targets = order;
--- a/lib/program/registry.cpp
+++ b/lib/program/registry.cpp
@@ -283,8 +283,12 @@
     auto out = registry.output();
     for (auto& job : out.jobs)
       if (!jobs.push(std::move(job))) isBroken = true;
-    for (auto& letter : out.letters)
-      post->send(letter.to, letter.kind, letter.body);
+    for (auto& letter : out.letters) {
+      if (letter.isAnswer)
+        post->sendWhenUp(letter.to, letter.kind, letter.body);
+      else
+        post->send(letter.to, letter.kind, letter.body);
+    }
     for (auto& a : out.answers) {
       a.stream->answer(door.leave(a.token, std::move(a.answer)), a.method, a.keep);
       writing.push_back(a.stream);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -338,6 +338,68 @@
     }
 }
 
+TEST_CASE("The first answer of a process that has just started reaches whoever asked") {
+  std::string reason;
+  neighbour::Inbox<neighbour::Letter> answers(16), questions(16);
+  auto asker = neighbour::Post::open(
+      {"127.0.0.1:0"}, [&](neighbour::Letter l) { answers.push(std::move(l)); }, reason);
+  auto started = neighbour::Post::open(
+      {"127.0.0.1:0"}, [&](neighbour::Letter l) { questions.push(std::move(l)); }, reason);
+  REQUIRE(asker);
+  REQUIRE(started);
+  auto untilMs = neighbour::steadyMs() + 20000;
+  while (!asker->send(started->address(), neighbour::kPoll, "question") && neighbour::steadyMs() < untilMs)
+    ::usleep(1000);
+  auto next = [&](auto& inbox) {
+    std::vector<neighbour::Letter> got;
+    while (got.empty() && neighbour::steadyMs() < untilMs) {
+      pollfd fd{inbox.fd(), POLLIN, 0};
+      ::poll(&fd, 1, 20);
+      got = inbox.take();
+    }
+    return got;
+  };
+  auto asked = next(questions);
+  REQUIRE(asked.size() == 1);
+  // There is no line back yet: it is opened by the answer itself.
+  REQUIRE_FALSE(started->isUp(asked[0].from));
+  started->sendWhenUp(asked[0].from, neighbour::kFeed, "answer");
+  auto answered = next(answers);
+  REQUIRE(answered.size() == 1);
+  CHECK(answered[0].body == "answer");
+}
+
+TEST_CASE("An answer waits for its line no longer than until that is dialled anew") {
+  std::atomic<int64_t> nowMs{0};
+  std::string reason;
+  neighbour::Inbox<neighbour::Letter> inbox(16);
+  neighbour::Post::Props props{"127.0.0.1:0"};
+  props.nowMs = [&nowMs] { return nowMs.load(); };
+  auto post = neighbour::Post::open(
+      props, [](neighbour::Letter) {}, reason);
+  REQUIRE(post);
+  auto gone = neighbour::Post::open(
+      {"127.0.0.1:0"}, [](neighbour::Letter) {}, reason);
+  REQUIRE(gone);
+  auto peer = gone->address();
+  gone.reset();
+  post->sendWhenUp(peer, neighbour::kFeed, "old");
+  nowMs = 1000;
+  post->warm(peer);
+  auto back = neighbour::Post::open(
+      {peer}, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
+  REQUIRE(back);
+  post->sendWhenUp(peer, neighbour::kFeed, "new");
+  std::vector<neighbour::Letter> got;
+  for (auto untilMs = neighbour::steadyMs() + 20000; got.empty() && neighbour::steadyMs() < untilMs;) {
+    pollfd fd{inbox.fd(), POLLIN, 0};
+    ::poll(&fd, 1, 20);
+    got = inbox.take();
+  }
+  REQUIRE(got.size() == 1);
+  CHECK(got[0].body == "new");
+}
+
 TEST_CASE("Letters and records of another version are turned away, and nothing of them is read") {
   neighbour::Inbox<neighbour::Letter> inbox(16);
   std::string reason;
@@ -890,8 +952,12 @@
     sendAll(slow, std::to_string(i));
   }
   CHECK(readSome(slow, 1u << 20).find("[01234567]") != std::string::npos);
-  CHECK(readSome(half).empty());
-  CHECK(readSome(stalled).empty());
+  // A request that is given up on gets its final answer.
+  for (const auto* fd : {&half, &stalled}) {
+    auto refusal = readSome(*fd, 1u << 20);
+    CHECK(refusal.rfind("HTTP/1.1 408 ", 0) == 0);
+    CHECK(refusal.find("\r\nConnection: close\r\n") != std::string::npos);
+  }
   CHECK(readSome(idle).empty());
   CHECK(readSome(served).empty());
   CHECK(neighbour::steadyMs() - startMs >= 2900);
@@ -986,6 +1052,67 @@
   CHECK(waitUntil([&] { return server.face.streams() == 0; }));
 }
 
+TEST_CASE("A request that crosses the end of an idle stream is left unread, so that its caller may send it again") {
+  std::atomic<int> taken{0};
+  Server server([&](const Request&) {
+    ++taken;
+    return Answer{200, {}, "ok"};
+  });
+  server.face.limit(64 << 10, 8 << 20, 1000, 50);
+  auto idle = connectTo(server.at());
+  CHECK(readSome(idle).empty());
+  sendAll(idle, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(waitUntil([&] {
+    pollfd fd{idle.get(), POLLERR, 0};
+    ::poll(&fd, 1, 0);
+    return (fd.revents & POLLERR) != 0;  // bytes that nobody has read end a connection with a reset
+  }));
+  CHECK(taken == 0);
+}
+
+TEST_CASE("Limits of time leave room for what is under way") {
+  std::atomic<int> taken{0};
+  auto take = [&](Request r) {
+    ++taken;
+    r.stream->answer({200, {}, "ok"}, r.method, r.keep);
+  };
+  Face face({"127.0.0.1", 0, 1, 1 << 16, nullptr, 5000}, take);
+  face.limit(64 << 10, 8 << 20, 50, 50);
+  auto at = "127.0.0.1:" + std::to_string(face.port());
+  auto idle = connectTo(at);
+  auto half = connectTo(at);
+  sendAll(half, "GET / HTTP/1.1\r\nHost:");
+  for (auto i = 0; i < 4; ++i) {
+    sleepMs(100);
+    face.limit(64 << 10, 8 << 20, 50, 50);  // streams are looked at anew
+  }
+  sendAll(idle, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  sendAll(half, " a\r\n\r\n");
+  for (const auto* fd : {&idle, &half})
+    CHECK(readSome(*fd).rfind("HTTP/1.1 200 ", 0) == 0);
+  CHECK(taken == 2);
+}
+
+TEST_CASE("A face that refuses answers each request itself, and hands over none") {
+  std::atomic<int> taken{0};
+  auto take = [&](Request r) {
+    ++taken;
+    r.stream->answer({200, {}, "ok"}, r.method, r.keep);
+  };
+  Face face({"127.0.0.1", 0, 1, 1 << 16}, take);
+  auto at = "127.0.0.1:" + std::to_string(face.port());
+  auto kept = connectTo(at);
+  sendAll(kept, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(readSome(kept).rfind("HTTP/1.1 200 ", 0) == 0);
+  face.refuse();
+  sendAll(kept, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  auto refusal = readSome(kept, 1u << 20);
+  CHECK(refusal.rfind("HTTP/1.1 503 ", 0) == 0);
+  CHECK(refusal.find("\r\nRetry-After: ") != std::string::npos);
+  CHECK(refusal.find("\r\nConnection: close\r\n") != std::string::npos);
+  CHECK(taken == 1);
+}
+
 TEST_CASE("What a slow reader leaves is counted, and is whole in the end") {
   std::string body(24u << 20, 'x');
   for (size_t i = 0; i < body.size(); i += 997)
--- a/tests/sim/control_sim.cpp
+++ b/tests/sim/control_sim.cpp
@@ -16,6 +16,9 @@
 constexpr int64_t kNewsMs = kBoundMs * 3 / 4;    // a data node is current within this
 constexpr int64_t kAcknowledgedWithinMs = 4000;  // of calm
 constexpr int64_t kFirstOrderMs = 2000, kCalmMs = 3000;
+constexpr int64_t kNewsAgainMs = kBoundMs / 2;  // after a restart of all registries, from the first one in contact
+constexpr int64_t kHeardMs = kBoundMs / 2;      // a node that reaches the registries for so long is heard
+constexpr int64_t kSlowWayMs = 300;
 constexpr int64_t kMark = 10000;  // idleMs of the limits is this and the number of the order
 const std::vector<std::string> kRegistries = {"r1", "r2", "r3"};
 
@@ -55,6 +58,8 @@
     made.syncMs = 8;
     made.hasProxies = true;  // lines keep their order
     made.keepHistory = props.keepHistory;
+    made.dials = true;
+    made.dropsAnswers = props.mutation == ControlMutation::kAnswersDropped;
     if (props.mutation == ControlMutation::kNoRedial) made.silenceMs = 0;
     return made;
   }
@@ -93,6 +98,8 @@
   auto told(size_t index, const caller::Answer& answer) -> void;
   auto read(const std::string& registry) -> void;
   auto lookAtNews() -> void;
+  auto lookAtReturn() -> void;
+  auto judgeAcknowledgement(const std::string& name, uint64_t version) -> void;
   auto feelContact() -> void;
   auto begin(const ControlTrouble& trouble) -> void;
   auto end() -> void;
@@ -112,6 +119,8 @@
   std::map<std::string, caller::Answer> firstReads_;
   std::string lastAcknowledger_ = "r1", troubled_;
   int64_t troubleMs_ = 0;
+  bool isReturning_ = false;     // all registries were killed, and some node has had no news since
+  int64_t contactAgainMs_ = -1;  // since when one of them is in contact again
 };
 
 // ---- contact ---------------------------------------------------------------------------------------------
@@ -156,6 +165,38 @@
   }
 }
 
+// After a restart of all registries every data node has news soon after the first of them is in contact.
+auto ControlSim::lookAtReturn() -> void {
+  if (!isReturning_) return;
+  auto isBack = std::any_of(cores_.begin(), cores_.end(), [&](const auto& one) {
+    return one.second->isUp && one.second->registry->hasContact(nowMs_);
+  });
+  if (isBack && contactAgainMs_ < 0) contactAgainMs_ = nowMs_;
+  if (contactAgainMs_ < 0) return;
+  auto lacks = std::find_if(nodes_.begin(), nodes_.end(),
+                            [&](const auto& one) { return one.second->agentFollows->held().asOfMs < contactAgainMs_; });
+  if (lacks == nodes_.end()) {
+    isReturning_ = false;
+    return;
+  }
+  verdictOf_.newsAgainMs = std::max(verdictOf_.newsAgainMs, nowMs_ - contactAgainMs_);
+  if (nowMs_ - contactAgainMs_ <= kNewsAgainMs) return;
+  isReturning_ = false;
+  fault(lacks->first + " has had no news for " + std::to_string(kNewsAgainMs) +
+        " ms since a registry is in contact again");
+}
+
+// Data nodes that go on with what they know are bound by an acknowledgement: whoever is heard has it in force by then.
+auto ControlSim::judgeAcknowledgement(const std::string& name, uint64_t version) -> void {
+  for (auto& [node, one] : nodes_) {
+    if (nowMs_ - newsSinceMs_[node] < kHeardMs) continue;
+    auto inForce = one->inForce.frame->routing.version;
+    if (inForce < version)
+      fault(name + " was acknowledged while " + node + ", which the registries hear, acts on version " +
+            std::to_string(inForce));
+  }
+}
+
 // ---- calls -----------------------------------------------------------------------------------------------
 
 // What reaches a frozen process is worked on when it thaws; what reaches none is lost.
@@ -291,7 +332,11 @@
   auto [winner, isFirst] = winners_.emplace(one.base, index);
   if (!isFirst && winner->second != index)
     fault(name + " and order " + std::to_string(winner->second) + " were both acknowledged");
-  if (!one.isAcknowledged) ++verdictOf_.acknowledged;
+  if (!one.isAcknowledged) {
+    ++verdictOf_.acknowledged;
+    verdictOf_.longestAckMs = std::max(verdictOf_.longestAckMs, nowMs_ - one.sentMs);
+    judgeAcknowledgement(name, one.version);
+  }
   one.isAcknowledged = true;
   acknowledged_ = std::max(acknowledged_, one.version);
   known_ = std::max(known_, one.version);
@@ -381,6 +426,17 @@
       at(nowMs_ + trouble.forMs / 3, [this, name] { stopCore(name, pick(0, 1) == 1); });
       at(nowMs_ + trouble.forMs / 2, [this, name] { startCore(name); });
       break;
+    case Trouble::kAllKilled:
+      isReturning_ = true;
+      contactAgainMs_ = -1;
+      for (const auto& registry : kRegistries) {
+        stopCore(registry, false);
+        at(untilMs, [this, registry] { startCore(registry); });
+      }
+      break;
+    case Trouble::kSlowNode:
+      slowMs_[name] = kSlowWayMs;
+      break;
     case Trouble::kPowerLoss:
     case Trouble::kWipe:
       stopCore(name);
@@ -398,6 +454,7 @@
   say("healed");
   cuts_.clear();
   downLines_.clear();
+  slowMs_.clear();
   for (const auto& name : kRegistries)
     startCore(name);
 }
@@ -407,6 +464,8 @@
     at(ms, [this] { feelContact(); });
   for (int64_t ms = 6000; ms < control_.endMs; ms += 50)
     at(ms, [this] { lookAtNews(); });
+  for (int64_t ms = 6000; ms < control_.endMs; ms += 10)
+    at(ms, [this] { lookAtReturn(); });
   at(kFirstOrderMs, [this] { newOrder(0, 1); });
   for (auto ms = kFirstOrderMs + 1000; ms < control_.endMs - 6000; ms += control_.orderEveryMs)
     at(ms, [this] { order(); });
--- a/tests/sim/control_sim.hpp
+++ b/tests/sim/control_sim.hpp
@@ -22,7 +22,9 @@
   kRestartInCut,  // a silent cut, and its process is restarted in the middle of it
   kPowerLoss,     // it is down, and comes back with what it had synced
   kWipe,          // it is down, and comes back with an empty disk
-  kNodeCut        // a silent cut of a data node from all registries
+  kNodeCut,       // a silent cut of a data node from all registries
+  kAllKilled,     // all registries are killed at once, and come back with their disks
+  kSlowNode       // each message to and from a data node takes kSlowWayMs longer
 };
 
 struct ControlTrouble {
@@ -39,7 +41,8 @@
   kRepeatRefused,    // who repeats a change that was taken is told that it lost
   kSilence,          // a registry out of contact holds its calls instead of turning them away
   kAcknowledgesAll,  // a registry acknowledges orders at once, without the others
-  kNoRedial          // silent connections are kept, and stay stuck after a cut
+  kNoRedial,         // silent connections are kept, and stay stuck after a cut
+  kAnswersDropped    // the first answer on a line that is still coming up is lost
 };
 
 struct ControlProps {
@@ -59,6 +62,8 @@
   int64_t longestHeldMs = 0;   // a call at a registry out of contact
   int64_t noticedMs = 0;       // the longest from a cut until calls are turned away at once
   int64_t oldestNewsMs = 0;    // at a data node that reaches a majority of the registries
+  int64_t newsAgainMs = 0;     // from the first contact after a restart of all registries until all nodes have news
+  int64_t longestAckMs = 0;    // of an order, from its first sending
   uint64_t heldInContact = 0;  // calls turned away by a registry that is in contact with all others
 };
 
--- a/tests/sim/system_sim.cpp
+++ b/tests/sim/system_sim.cpp
@@ -107,8 +107,25 @@
 
 // ---- the wire -----------------------------------------------------------------------------------------
 
+auto SystemSim::lifeOf(const std::string& machine) const -> uint64_t {
+  if (auto core = cores_.find(machine); core != cores_.end()) return core->second->isUp ? core->second->life : 0;
+  auto node = nodes_.find(machine);
+  return node != nodes_.end() && node->second->isUp ? node->second->life : 0;
+}
+
+auto SystemSim::openLine(const std::string& from, const std::string& to) -> std::optional<int64_t> {
+  auto fromMachine = machineOf(from), toMachine = machineOf(to);
+  auto fromLife = lifeOf(fromMachine), toLife = lifeOf(toMachine);
+  auto& line = lines_[{from, to}];
+  if (line.fromLife == fromLife && line.toLife == toLife && toLife != 0) return line.upMs;
+  if (toLife == 0 || isCut(fromMachine, toMachine) || isCut(toMachine, fromMachine)) return std::nullopt;
+  line = {fromLife, toLife, nowMs_ + pick(2, 2 * props_.wayMs)};
+  stuckSinceMs_.erase({from, to});  // of the connection before
+  return line.upMs;
+}
+
 auto SystemSim::send(const std::string& fromMachine, const std::string& from, const std::string& to, uint8_t kind,
-                     const std::string& body) -> bool {
+                     const std::string& body, bool isAnswer) -> bool {
   auto machine = machineOf(to);
   auto core = cores_.find(machine);
   auto node = nodes_.find(machine);
@@ -117,6 +134,16 @@
   auto life = core != cores_.end() ? core->second->life : node->second->life;
   auto isLocal = machine == fromMachine;
   auto arrivesMs = nowMs_ + (isLocal ? 0 : pick(1, props_.wayMs));
+  if (!isLocal) {
+    for (const auto& end : {fromMachine, machine})
+      if (auto slow = slowMs_.find(end); slow != slowMs_.end()) arrivesMs += slow->second;
+  }
+  if (props_.dials && !isLocal) {
+    auto upMs = openLine(from, to);
+    auto mayWait = isAnswer && !props_.dropsAnswers;
+    if (!upMs || (*upMs > nowMs_ && !mayWait)) return false;
+    arrivesMs += std::max<int64_t>(0, *upMs - nowMs_);
+  }
   // On one line nothing overtakes what was sent before it; where ways are short the histories do without that.
   if (props_.hasProxies && !isLocal) {
     auto& last = lastArrivalsMs_[{fromMachine, machine}];
@@ -167,6 +194,7 @@
     auto& core = *it->second;
     if (!core.isUp) return;
     if (isBefore(core.frozenUntilMs, [this, to, from, kind, body] { take(to, from, kind, body); })) return;
+    if (props_.dials) openLine(to, from);  // for the answer
     core.registry->take(from, kind, body, nowMs_);
     flush(core);
     return;
@@ -179,6 +207,7 @@
   if (part == "agent" && kind == neighbour::kFeed) {
     node.agentFollows->take(r.get<neighbour::Feed>(), nowMs_);
   } else if (part == "agent" && kind == neighbour::kPoll) {
+    if (props_.dials) openLine(to, from);
     node.toNeighbours->take(from, r.get<neighbour::Poll>(), nowMs_);
   } else if (part == "loop" && kind == neighbour::kPoll) {
     auto poll = r.get<neighbour::Poll>();
@@ -314,7 +343,7 @@
     });
   }
   for (auto& letter : out.letters)
-    send(machine, "core:" + machine, letter.to, letter.kind, letter.body);
+    send(machine, "core:" + machine, letter.to, letter.kind, letter.body, letter.isAnswer);
   for (auto& a : out.answers) {
     auto it = pages_.find(a.stream.get());
     if (it == pages_.end()) continue;
@@ -328,6 +357,9 @@
   auto& core = *cores_.at(name);
   if (!core.isUp || core.life != life) return;
   if (isBefore(core.frozenUntilMs, [this, name, life] { coreTick(name, life); })) return;
+  if (props_.dials)
+    for (const auto& [other, c] : cores_)
+      if (other != name) openLine("core:" + name, "core:" + other);
   core.registry->tick(nowMs_);
   flush(core);
   at(nowMs_ + 5, [this, name, life] { coreTick(name, life); });
@@ -426,7 +458,7 @@
   for (auto& [to, feed] : node.toProxy->give(*held.frame, held.asOfMs, nowMs_))
     send(node.name, loopAt, to, neighbour::kFeed, pack(feed));
   for (auto& [to, feed] : node.toNeighbours->give(*held.frame, held.asOfMs, nowMs_))
-    send(node.name, agentAt, to, neighbour::kFeed, pack(feed));
+    send(node.name, agentAt, to, neighbour::kFeed, pack(feed), true);
   if (node.edge && node.shield) {
     flushBoth(node);
   } else if (node.edge) {
@@ -507,6 +539,9 @@
       if (other != name && !member.agent.empty()) others.push_back(member.agent);
     for (auto& other : neighbour::rendezvous(name, others))
       targets.push_back(other);
+    if (props_.dials)
+      for (const auto& target : targets)
+        openLine("agent:" + name, target);
     if (auto poll = node.agentFollows->tick(targets, 3, node.agentTold, nowMs_)) {
       poll->second.isNeighbour = poll->first.starts_with("agent:");
       if (!send(name, "agent:" + name, poll->first, neighbour::kPoll, pack(poll->second)))
--- a/tests/sim/system_sim.hpp
+++ b/tests/sim/system_sim.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -77,6 +78,8 @@
     bool rolling = false;         // machines are restarted in turn
     bool longCuts = false;        // one registry is cut off from the others for 18 to 21 s, also one way
     int lostAnswerPercent = 0;    // of answers to operators, who then send the same order again
+    bool dials = false;           // a line between two machines takes a way there and back to come up
+    bool dropsAnswers = false;    // a seeded defect: answers do not wait for their line
     int64_t changeEveryMs = 600;  // between changes of the routing
     bool upstreams = false;       // upstreams start, empty, crash, and their addresses pass to another pool
   };
@@ -135,8 +138,13 @@
   auto fault(const std::string& what) -> void;
   auto say(const std::string& what) -> void;
   auto isCut(const std::string& from, const std::string& to) const -> bool { return cuts_.count({from, to}) != 0; }
+  /// False when the message surely did not leave. An answer waits for a line that is still coming up.
   auto send(const std::string& fromMachine, const std::string& from, const std::string& to, uint8_t kind,
-            const std::string& body) -> bool;
+            const std::string& body, bool isAnswer = false) -> bool;
+  auto lifeOf(const std::string& machine) const -> uint64_t;
+  /// When the line from one address to another is up; it is opened if it is not. Both ends must run and reach each
+  /// other; none: nobody is there.
+  auto openLine(const std::string& from, const std::string& to) -> std::optional<int64_t>;
   auto arrival(const std::string& from, const std::string& to, int64_t arrivesMs) -> int64_t;
   auto take(const std::string& to, const std::string& from, uint8_t kind, const std::string& body) -> void;
   auto startCore(const std::string& name) -> void;
@@ -169,6 +177,12 @@
   std::set<std::pair<std::string, std::string>> cuts_;
   std::set<std::pair<std::string, std::string>> downLines_;  // of the cuts: senders see that the line is down
   std::map<std::pair<std::string, std::string>, int64_t> lastArrivalsMs_;  // by line
+  struct Line {
+    uint64_t fromLife = 0, toLife = 0;
+    int64_t upMs = 0;
+  };
+  std::map<std::pair<std::string, std::string>, Line> lines_;  // by the addresses of both ends
+  std::map<std::string, int64_t> slowMs_;  // machine → what its link adds to the way of each message
   // Connections in the middle of a cut, by the addresses of both ends → since when. They try again after pauses that
   // double, and pass nothing on before a try gets through.
   std::map<std::pair<std::string, std::string>, int64_t> stuckSinceMs_;
