Clients' connections: what crosses their end is left unread, late requests are answered 408

Cause: a connection that was ended for idleness was read on. A request that crossed its end was read whole and dropped: neither an answer nor a refusal, and its client could not know that it had not run. Over a congested link that takes longer than the slack of the users' rule. A request whose rest came too late was cut without an answer as well. Limits of time left no room for what is under way, and a request that had run for longer than the idle time could be taken for idle in the moment of its answer, by the thread that looks after streams.

Change: an ended idle connection is not read any more (its descriptor stays for a second, so that the end is no reset); a request that is given up on is answered 408 with code 3021; limits of time get a slack; the moment of an answer is noted before the stream counts as idle; a face can refuse whatever it still reads.

--- a/lib/caller/codes.cpp
+++ b/lib/caller/codes.cpp
@@ -39,6 +39,7 @@
     {kRefused, {403, "the path's policy refuses the request", false}},
     {kPolicyFailed, {500, "the path's policy failed", false}},
     {kNoClaim, {503, "the key could not be claimed in time", true}},
+    {kRequestTimeout, {408, "the rest of the request did not come in time", true}},
     {kUpstreamLost, {503, "the upstream failed", true}},
 };
 }  // namespace
--- a/lib/caller/codes.hpp
+++ b/lib/caller/codes.hpp
@@ -32,10 +32,11 @@
   kKeyReused = 3014,    // the Idempotency-Key came with another request before
   kEmptying = 3015,     // this process is about to stop
   kBadRequest = 3016,
-  kRefused = 3018,       // the path's policy refuses the request
-  kNoClaim = 3020,       // the key of a write could not be claimed in time; it did not leave
-  kPolicyFailed = 3019,  // the path's policy failed, and the path's own settings held; a header, not an answer
-  kUpstreamLost = 3017,  // a read's upstream failed and no further try was allowed
+  kRefused = 3018,         // the path's policy refuses the request
+  kNoClaim = 3020,         // the key of a write could not be claimed in time; it did not leave
+  kPolicyFailed = 3019,    // the path's policy failed, and the path's own settings held; a header, not an answer
+  kRequestTimeout = 3021,  // the rest of the request did not come in time; nothing was done
+  kUpstreamLost = 3017,    // a read's upstream failed and no further try was allowed
 };
 
 /// Every code that there is. Example: `for (auto code : allCodes()) table += textOf(code);`
--- a/lib/caller/face.cpp
+++ b/lib/caller/face.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <optional>
 #include <system_error>
 
 #include "caller/codes.hpp"
@@ -238,7 +239,8 @@
   head.append("\r\n");
   if (!keep) mustClose.store(true);
   closesAfter_ = !keep;
-  isOpen.store(false);  // the next request may come before the last byte is taken
+  answeredMs_.store(neighbour::steadyMs());  // before the stream counts as idle: the sweep runs on another thread
+  isOpen.store(false);                       // the next request may come before the last byte is taken
   auto sent = waiting_.empty() ? writeNow(head, hasBody ? std::string_view(answer.body) : std::string_view()) : 0;
   if (sent < head.size()) {
     waiting_.append(head, sent);
@@ -370,6 +372,14 @@
   PROTOTYPE_OF(Pistache::Tcp::Handler, Handler)
   explicit Handler(std::shared_ptr<Shared> shared) : shared_(std::move(shared)) {}
 
+  // Answers a request that is not taken any further, and ends its stream.
+  static auto refuse(Reading& reading, uint32_t code) -> void {
+    auto& stream = *reading.stream;
+    stream.mustClose.store(true);
+    stream.isOpen.store(true);
+    stream.answer(codeAnswerMs(code, 0), "GET", false);
+  }
+
  private:
   void onConnection(const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
     ++shared_->streams;
@@ -394,13 +404,6 @@
     }
   }
 
-  auto refuse(Reading& reading, uint32_t code) -> void {
-    auto& stream = *reading.stream;
-    stream.mustClose.store(true);
-    stream.isOpen.store(true);
-    stream.answer(codeAnswerMs(code, 0), "GET", false);
-  }
-
   auto read(Reading& reading, std::string_view bytes, int fd) -> void {
     if (reading.part != Reading::Part::kHead) return readBody(reading, bytes, fd, bytes.size());
     if (reading.head.empty()) reading.sinceMs = reading.lastMs;
@@ -487,6 +490,7 @@
     request.stream = reading.stream;
     reading.part = Reading::Part::kHead;
     reading.chunks = {};
+    if (shared_->limits->isRefusing.load()) return refuse(reading, kEmptying);
     reading.stream->isOpen.store(true);
     shared_->take(std::move(request));
   }
@@ -574,61 +578,101 @@
   auto sweep() -> void {
     uint64_t count = 0;
     (void)!::read(timer_.get(), &count, sizeof count);
-    const auto& limits = *shared_->limits;
-    auto isDraining = limits.isDraining.load();
-    if (isDraining && isAccepting_) {
-      accept();
-      isAccepting_ = false;
-      reactor()->removeFd(key(), shared_->listening.get());
-      if (--shared_->accepting == 0) ::shutdown(shared_->listening.get(), SHUT_RDWR);  // others are refused
-    }
+    if (shared_->limits->isDraining.load() && isAccepting_) stopAccepting();
     auto nowMs = neighbour::steadyMs();
-    auto headerMs = limits.headerMs.load(), idleMs = limits.idleMs.load();
-    if (isDraining) idleMs = idleMs > 0 ? std::min(idleMs, limits.drainIdleMs.load()) : limits.drainIdleMs.load();
-    auto mayIdle = idleMs > 0 || isDraining;
-    auto nextMs = isDraining ? 0 : headerMs > 0 ? headerMs / 2 : int64_t{60000};
+    std::erase_if(lingering_, [&](const Lingering& one) { return nowMs >= one.untilMs; });
+    auto nextMs = longestSweepMs();
     std::vector<std::shared_ptr<Pistache::Tcp::Peer>> ended;
     for (const auto& [fd, peer] : peers) {
-      auto reading = std::static_pointer_cast<Reading>(peer->getData(kStreamData));
-      auto& stream = *reading->stream;
-      if (auto closedMs = stream.closedMs(); closedMs >= 0) {
-        if (nowMs >= std::max(closedMs, reading->lastMs) + kLingerMs || nowMs >= closedMs + kMostLingerMs)
-          ended.push_back(peer);
-        nextMs = 0;
-        continue;
-      }
-      if (stream.isOpen.load() || stream.pending() > 0) continue;
-      auto sinceMs = std::max(reading->openedMs, stream.answeredMs());
-      auto limitMs = mayIdle ? idleMs : int64_t{-1};
-      // A limit that was lowered meanwhile does not take back what the caller was told.
-      auto toldMs = stream.toldIdleMs();
-      if (limitMs >= 0 && !isDraining && toldMs > 0) limitMs = std::max(limitMs, toldMs + kToldSlackMs);
-      if (!reading->isIdle()) {
-        sinceMs = reading->part == Reading::Part::kHead ? reading->sinceMs : reading->lastMs;
-        limitMs = headerMs > 0 ? headerMs : -1;
-      }
-      if (limitMs < 0) continue;
-      if (nowMs < sinceMs + limitMs) {
-        nextMs = std::min(nextMs, sinceMs + limitMs - nowMs);
-        continue;
-      }
-      // What has come but is not read yet will be, in this thread's next round.
-      auto unread = 0;
-      if (::ioctl(fd, FIONREAD, &unread) == 0 && unread > 0) continue;
-      stream.close(nowMs);
-      nextMs = 0;
+      auto dueMs = look(fd, peer, nowMs);
+      if (dueMs < 0) ended.push_back(peer);
+      nextMs = std::min(nextMs, std::max<int64_t>(0, dueMs));
     }
     for (const auto& peer : ended) {
       --shared_->streams;
       removePeer(peer);
     }
     isArmed_ = false;
-    if (!peers.empty()) arm(std::max(nextMs, isDraining ? kDrainSweepMs : kSweepMs));
+    if (!peers.empty() || !lingering_.empty())
+      arm(std::max(nextMs, shared_->limits->isDraining.load() ? kDrainSweepMs : kSweepMs));
   }
 
+  auto stopAccepting() -> void {
+    accept();
+    isAccepting_ = false;
+    reactor()->removeFd(key(), shared_->listening.get());
+    if (--shared_->accepting == 0) ::shutdown(shared_->listening.get(), SHUT_RDWR);  // others are refused
+  }
+
+  auto longestSweepMs() const -> int64_t {
+    if (shared_->limits->isDraining.load()) return 0;
+    auto headerMs = shared_->limits->headerMs.load();
+    return headerMs > 0 ? headerMs / 2 : int64_t{60000};
+  }
+
+  // Ends a stream whose time is over. Returns how long until it has to be looked at again; below 0: it is to be
+  // removed.
+  auto look(int fd, const std::shared_ptr<Pistache::Tcp::Peer>& peer, int64_t nowMs) -> int64_t {
+    constexpr int64_t kNever = 60000, kRemove = -1;
+    auto reading = std::static_pointer_cast<Reading>(peer->getData(kStreamData));
+    auto& stream = *reading->stream;
+    if (auto closedMs = stream.closedMs(); closedMs >= 0) {
+      auto isOver = nowMs >= std::max(closedMs, reading->lastMs) + kLingerMs || nowMs >= closedMs + kMostLingerMs;
+      return isOver ? kRemove : 0;
+    }
+    if (stream.isOpen.load() || stream.pending() > 0) return kNever;
+    auto untilMs = reading->isIdle() ? idleUntilMs(*reading) : wholeUntilMs(*reading);
+    if (!untilMs) return kNever;
+    if (nowMs < *untilMs) return *untilMs - nowMs;
+    // What has come but is not read yet will be, in this thread's next round.
+    auto unread = 0;
+    if (::ioctl(fd, FIONREAD, &unread) == 0 && unread > 0) return kNever;
+    if (!reading->isIdle()) {
+      Face::Handler::refuse(*reading, kRequestTimeout);
+      return 0;
+    }
+    stream.close(nowMs);
+    if (stream.closedMs() < 0) return 0;
+    // A request that crosses the end is not read: its caller may then send it again elsewhere. The descriptor stays for
+    // a while, so that the end does not become a reset.
+    lingering_.push_back({reading->stream, nowMs + kLingerMs});
+    return kRemove;
+  }
+
+  // Until when a stream without a request may rest.
+  auto idleUntilMs(const Reading& reading) const -> std::optional<int64_t> {
+    const auto& limits = *shared_->limits;
+    const auto& stream = *reading.stream;
+    auto sinceMs = std::max(reading.openedMs, stream.answeredMs());
+    auto idleMs = limits.idleMs.load();
+    if (limits.isDraining.load()) {
+      auto drainMs = limits.drainIdleMs.load();
+      return sinceMs + (idleMs > 0 ? std::min(idleMs, drainMs) : drainMs);
+    }
+    if (idleMs <= 0) return std::nullopt;
+    // A limit that was lowered meanwhile does not take back what the caller was told.
+    auto toldMs = stream.toldIdleMs();
+    if (toldMs > 0) idleMs = std::max(idleMs, toldMs + kToldSlackMs);
+    return sinceMs + idleMs + limits.slackMs;
+  }
+
+  // Until when a request whose first bytes have come must be whole, or its body go on.
+  auto wholeUntilMs(const Reading& reading) const -> std::optional<int64_t> {
+    auto headerMs = shared_->limits->headerMs.load();
+    if (headerMs <= 0) return std::nullopt;
+    auto sinceMs = reading.part == Reading::Part::kHead ? reading.sinceMs : reading.lastMs;
+    return sinceMs + headerMs + shared_->limits->slackMs;
+  }
+
+  struct Lingering {  // a stream that has ended, and is read no more
+    std::shared_ptr<Stream> stream;
+    int64_t untilMs;
+  };
+
   std::shared_ptr<Shared> shared_;
   std::shared_ptr<Face::Handler> handler_;
   disk::Fd timer_;
+  std::vector<Lingering> lingering_;
   bool isArmed_ = false, isAccepting_ = true;
 };
 
@@ -642,6 +686,7 @@
   shared_->takeGone = std::move(takeGone);
   shared_->limits->bodyBytes.store(props.bodyBytes);
   shared_->limits->link = props.link;
+  shared_->limits->slackMs = props.slackMs;
   shared_->listening = disk::Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   auto listening = shared_->listening.get();
   auto on = 1;
@@ -685,6 +730,10 @@
   shared_->sweepNow();
 }
 
+auto Face::refuse() -> void {
+  shared_->limits->isRefusing.store(true);
+}
+
 auto Face::streams() const -> size_t {
   return shared_->streams.load();
 }
--- a/lib/caller/face.hpp
+++ b/lib/caller/face.hpp
@@ -46,8 +46,9 @@
 struct Limits {
   std::atomic<size_t> headerBytes{64u << 10}, bodyBytes{8u << 20};
   std::atomic<int64_t> headerMs{60000}, idleMs{60000};
-  std::atomic<bool> isDraining{false};
+  std::atomic<bool> isDraining{false}, isRefusing{false};
   std::atomic<int64_t> drainIdleMs{0};
+  int64_t slackMs = 0;                      // beyond each limit of time, for what is under way. Set before streams come
   std::shared_ptr<policy::LinkShare> link;  // that answers may take; null: no limit. Set before streams come
 };
 
@@ -123,6 +124,7 @@
     int threads = 2;
     size_t bodyBytes = 8u << 20;
     std::shared_ptr<policy::LinkShare> link = nullptr;  // that answers may take; null: no limit
+    int64_t slackMs = 0;  // beyond each limit of time: how long bytes may be under way to or from a caller
   };
   using TakeGone = std::function<void(std::shared_ptr<Stream>)>;
   Face(Props props, std::function<void(Request)> take, TakeGone takeGone = {});
@@ -133,11 +135,15 @@
   auto port() const -> uint16_t;
   /// Sets limits for what comes from now on: the most bytes of a request's head and body; how long a head may take,
   /// and a body may pause; how long a stream may be idle (callers are told a second less, in Keep-Alive). 0 ms: no
-  /// limit of time. Example: `face.limit(16 << 10, 64 << 20, 3000, 15000);`
+  /// limit of time. A request that is not whole in time is answered 408. Example: `face.limit(16 << 10, 64 << 20, 3000,
+  /// 15000);`
   auto limit(size_t headerBytes, size_t bodyBytes, int64_t headerMs, int64_t idleMs) -> void;
   /// Stops accepting. Answers say from now on that the stream ends, and streams without a request end when they have
   /// been idle for `idleMs`. Not undone. Example: `face.drain(1000);`
   auto drain(int64_t idleMs = 1000) -> void;
+  /// The face answers whatever it reads from now on itself, with kEmptying: nobody takes requests any more. Not undone.
+  /// Example: `face.refuse(); answerAll(inbox.take()); exit();`
+  auto refuse() -> void;
   /// Streams that are still there. Example: `if (face.streams() == 0) stop();`
   auto streams() const -> size_t;
 
