Edges that stop begin nothing late; requests of an older configuration are not run

Cause 1: an edge that was told to stop took requests up to the end and answered whatever was under way after 85% of the grace. A request that came after its third second was broken off with its upstream at work; what came in the last round was read and never answered.

Change: from half of the grace on (3 s at most) only the cache answers, the rest is turned away with when to come back; what came before is worked on until 92% of the grace, the process ends at 97% at the latest, and its last round is refused by the face.

--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -155,6 +155,7 @@
   Waiting w;
   w.service = service;
   w.pool = found->pool;
+  w.configuration = held_.frame->revision.configuration;
   w.path = path;
   w.startMs = nowMs;
   w.untilMs = nowMs + found->deadlineMs;
@@ -202,6 +203,7 @@
     }
     if (!isRangePastEnd) w.joinKey = service + "\n" + request.target + "\n" + w.pool;
   }
+  if (nowMs >= turnAwayFromMs_) return turnAway(request, kEmptying, 0);
   w.purges = cache_->purges();
   auto joinKey = w.joinKey;
   if (waiting_.size() >= props_.requests) return turnAway(request, kEdgeFull, 0);
@@ -313,6 +315,7 @@
   ask.life = props_.life;
   ask.service = w.service;
   ask.pool = w.pool;
+  ask.configuration = w.configuration;
   ask.kind = w.path.kind;
   ask.method = w.request.method;
   ask.target = w.request.target;
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -140,6 +140,9 @@
   /// This process ends soon: whatever is under way, and whatever still comes, has its answer by then.
   /// Example: on SIGTERM `edge.endBy(nowMs + graceMs * 85 / 100);`
   auto endBy(int64_t untilMs) -> void;
+  /// What can't be answered from the cache is turned away from a moment on: a process that ends soon begins nothing
+  /// that it may have to break off. Example: on SIGTERM `edge.turnAwayFrom(nowMs + 3000);`
+  auto turnAwayFrom(int64_t fromMs) -> void { turnAwayFromMs_ = fromMs; }
   /// Hands over answers and asks. Example: `auto out = edge.output();`
   auto output() -> Output { return std::exchange(out_, {}); }
   /// What is left of an answer at the moment at which it leaves: a process that was held up since it decided does
@@ -173,7 +176,8 @@
     std::string service, pool;
     core::Path path;
     std::optional<Range> range;
-    std::string routeKey;  // host and prefix, for the size of its answers
+    std::string routeKey;        // host and prefix, for the size of its answers
+    uint64_t configuration = 0;  // the revision by which its pool was chosen
     int64_t rank = 0, retryMs = 0;
     policy::SendAccount sends{kServiceTries};
     std::vector<std::string> attemptAddresses;  // of the shields asked, by attempt
@@ -234,6 +238,7 @@
   Figures figures_;
   std::map<uint32_t, uint64_t> refusals_;
   int64_t endMs_ = std::numeric_limits<int64_t>::max();
+  int64_t turnAwayFromMs_ = std::numeric_limits<int64_t>::max();
 };
 
 /// True for methods that change something. Example: `isWrite("POST")`
--- a/lib/neighbour/messages.hpp
+++ b/lib/neighbour/messages.hpp
@@ -134,8 +134,10 @@
   int64_t rank = 0;                    // 0 is highest
   std::string tryId;                   // the caller's name for this try; upstreams answer with it
   bool mayWait = false;                // for its turn within a pool's rate: no other node is asked after this one
+  uint64_t configuration = 0;          // the revision by which the edge chose the pool
   DYKESTAGE_FIELDS(id, attempt, life, service, kind, method, target, headers, body, remainingMs, keepMs, purges,
-                   isShared, isExtra, isWrite, key, pool, tries, reserve, upstreams, rank, tryId, mayWait)
+                   isShared, isExtra, isWrite, key, pool, tries, reserve, upstreams, rank, tryId, mayWait,
+                   configuration)
 };
 
 /// A shield's answer to an Ask.
--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -53,6 +53,22 @@
   return page.take() + "\n";
 }
 
+// When a process that was told to stop does what. A request that has come before the drain is worked on until shortly
+// before the process is killed; later ones would have to be broken off too soon, and are turned away.
+struct StopTimes {
+  int64_t drainMs;        // nobody new is accepted, and nothing new is begun
+  int64_t earliestEndMs;  // the process ends once nothing is left to be done
+  int64_t lastAnswerMs;   // whatever is under way is answered
+  int64_t latestEndMs;    // it ends, whatever is left
+};
+
+constexpr int64_t kMostDrainDelayMs = 3000;
+
+auto stopTimesOf(int64_t nowMs, int64_t graceMs) -> StopTimes {
+  return {nowMs + std::min(graceMs / 2, kMostDrainDelayMs), nowMs + graceMs * 2 / 3, nowMs + graceMs * 92 / 100,
+          nowMs + graceMs * 97 / 100};
+}
+
 // Bulk answers take four fifths of the link, and leave in bursts of at most 1/100 of the bound: what is written in
 // between (heartbeats, news, acknowledgements) then waits about as long, and not for every answer before it.
 constexpr double kBulkPart = 0.8;
@@ -191,21 +207,21 @@
                      [&](const neighbour::SendRequest& r) { edge.takeSendRequest(post->address(), r); }});
   auto open = [&](const std::string& at, int count, std::shared_ptr<policy::LinkShare> share, auto wrap) {
     auto [ip, port] = op::splitAddress(at);
-    return std::make_unique<caller::Face>(caller::Face::Props{ip, port, count, static_cast<size_t>(bodyBytes), share},
-                                          [&inbox, wrap](caller::Request r) {
-                                            auto stream = r.stream;
-                                            auto method = r.method;
-                                            if (!inbox.push(wrap(std::move(r))))
-                                              stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
-                                          });
+    return std::make_unique<caller::Face>(
+        caller::Face::Props{ip, port, count, static_cast<size_t>(bodyBytes), share, 2 * boundMs},
+        [&inbox, wrap](caller::Request r) {
+          auto stream = r.stream;
+          auto method = r.method;
+          if (!inbox.push(wrap(std::move(r)))) stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
+        });
   };
   auto face = open(http, static_cast<int>(threads), linkShare, [](caller::Request r) { return Input(std::move(r)); });
   auto pages = open(status, 1, nullptr, [](caller::Request r) { return Input(Page{std::move(r)}); });
   LOG(INFO) << "edge: " << props.name << " serves port " << face->port() << ", status at port " << pages->port() << ".";
 
   std::vector<std::shared_ptr<caller::Stream>> writing;
-  auto stopAtMs = int64_t{-1};
-  auto isDraining = false;
+  std::optional<StopTimes> stopping;
+  auto isDraining = false, isRefusing = false;
   int64_t warmedMs = 0, toldMs = 0;
   for (;;) {
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
@@ -226,7 +242,7 @@
     auto nowMs = neighbour::steadyMs();
     for (auto& fetched : ended)
       shield->takeFetched(fetched, nowMs);
-    auto isReady = edge.isCurrent(nowMs) && stopAtMs < 0;
+    auto isReady = edge.isCurrent(nowMs) && !stopping;
     for (auto& input : inbox.take()) {
       if (auto* request = std::get_if<caller::Request>(&input)) {
         if (recorder &&
@@ -253,7 +269,8 @@
       }
       if (auto* held = std::get_if<caller::HeldFrame>(&input)) {
         if (held->frame->revision.configuration != edge.revision().configuration)
-          LOG(INFO) << "edge: Configuration " << held->frame->revision.configuration << " is in force.";
+          LOG(INFO) << "edge: Configuration " << held->frame->revision.configuration
+                    << " is in force; idle connections end after " << held->frame->routing.limits.idleMs << " ms.";
         edge.takeFrame(*held, nowMs);
         if (shield) shield->takeFrame(*held, nowMs);
         const auto& limits = edge.limits();
@@ -263,7 +280,7 @@
       }
       if (auto* page = std::get_if<Page>(&input)) {
         auto& r = page->request;
-        auto refusal = isReady ? caller::kOk : stopAtMs >= 0 ? caller::kEmptying : caller::kNotCurrent;
+        auto refusal = isReady ? caller::kOk : stopping ? caller::kEmptying : caller::kNotCurrent;
         auto target = r.target == readyPath ? "/ready" : r.target;
         auto answer = caller::pageAnswer(target, refusal,
                                          [&] { return statusPage(edge, shield ? &*shield : nullptr, isReady, nowMs); });
@@ -290,7 +307,7 @@
           post->send(g.to, neighbour::kSendGrant, Writer().put(g.grant).take());
       }
       for (auto& a : out.answers) {
-        a.stream->answer(caller::Edge::atLast(a, neighbour::steadyMs()), a.method, a.keep && stopAtMs < 0);
+        a.stream->answer(caller::Edge::atLast(a, neighbour::steadyMs()), a.method, a.keep && !stopping);
         writing.push_back(a.stream);
       }
       isMore = (desk && desk->flush(nowMs)) || isMore || !out.answers.empty();
@@ -322,22 +339,28 @@
         return a->pending() < b->pending();
       }))->cut();
     if (program.reread(nowMs)) LOG(INFO) << "edge: Settings have changed; they take effect at the next start.";
-    if (op::Program::isStopping() && stopAtMs < 0) {
+    if (op::Program::isStopping() && !stopping) {
       // Not ready from now on; whoever still comes is served while the platform looks elsewhere.
       LOG(INFO) << "edge: Emptying.";
       if (shield) shield->empty();  // other nodes ask elsewhere; its own callers are served on
-      stopAtMs = nowMs + graceMs * 2 / 3;
-      edge.endBy(nowMs + graceMs * 85 / 100);
+      stopping = stopTimesOf(nowMs, graceMs);
+      edge.turnAwayFrom(stopping->drainMs);
+      edge.endBy(stopping->lastAnswerMs);
     }
+    if (!stopping) continue;
     // The platform has found it not ready by now, or ends it soon: nobody new is taken.
-    if (stopAtMs >= 0 && !isDraining && nowMs >= stopAtMs - graceMs / 6) {
+    if (!isDraining && nowMs >= stopping->drainMs) {
       isDraining = true;
       face->drain(boundMs / 4);
     }
     // What the process still holds when it ends is lost. Not sooner: the ends of idle connections would wait behind it.
-    if (stopAtMs >= 0 && nowMs >= stopAtMs && linkShare) linkShare->lift();
+    if (nowMs >= stopping->earliestEndMs && linkShare) linkShare->lift();
     auto isDone = edge.open() == 0 && writing.empty() && (!desk || desk->isIdle());
-    if (stopAtMs >= 0 && (nowMs >= stopAtMs + graceMs / 4 + graceMs / 60 || (nowMs >= stopAtMs && isDone))) break;
+    if (nowMs < stopping->latestEndMs && (nowMs < stopping->earliestEndMs || !isDone)) continue;
+    // One more round answers what the face has handed over; what it still reads it refuses itself.
+    if (isRefusing) break;
+    isRefusing = true;
+    face->refuse();
   }
   LOG(INFO) << "edge: Stopped.";
   return 0;
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -46,6 +46,19 @@
   give(from, ask, std::move(reply));
 }
 
+// A request that was held up on its way here, or comes from an edge that is behind, may have been given to its pool by
+// a configuration that is over. Where the present one sends it elsewhere it is left untouched.
+auto Shield::isOverruled(const Ask& ask) -> bool {
+  auto isRoutes = ask.kind == core::UpstreamKind::kAny;
+  if (!isRoutes || ask.configuration >= held_.frame->revision.configuration) return false;
+  if (!paths_) paths_.emplace(held_.frame);
+  auto found = paths_->find(ask.service, ask.target);
+  if (!found || !found->route) return true;
+  const auto& shares = found->route->shares;
+  return std::none_of(shares.begin(), shares.end(),
+                      [&](const auto& share) { return share.pool == ask.pool && share.weight > 0; });
+}
+
 auto Shield::take(const std::string& from, Ask ask, int64_t nowMs) -> void {
   ++figures_.asks;
   if (!mayAct(nowMs)) return refuse(from, ask, kNotCurrent);
@@ -53,6 +66,7 @@
   if (ask.pool.empty()) ask.pool = ask.service;
   auto* view = viewOf(ask);
   if (!view) return refuse(from, ask, kNoService);
+  if (from != props_.address && isOverruled(ask)) return refuse(from, ask, kNotCurrent);
   // Before the other shields have made room, a new one has no part in any origin's rate.
   if (view->ratePerS > 0 && !split_.isSettled(nowMs)) return refuse(from, ask, kNotCurrent);
   if (ask.remainingMs <= kLeastMs) return refuse(from, ask, kDeadline);
@@ -739,6 +753,7 @@
   auto before = held_.frame;
   held_ = held;
   if (before == held_.frame) return;
+  paths_.reset();
   cache_->purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor);
   if (auto own = held_.frame->members.find(props_.name); own != held_.frame->members.end())
     split_.set(static_cast<size_t>(core::countOf(*held_.frame, props_.kind)), own->second.replaced != 0, nowMs);
--- a/lib/upstream/shield.hpp
+++ b/lib/upstream/shield.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -175,6 +176,7 @@
     int64_t connections = 0;
     double ratePerS = 0;
   };
+  auto isOverruled(const neighbour::Ask& ask) -> bool;
   auto viewOf(const neighbour::Ask& ask) -> PoolView*;
   auto budgetOf(const neighbour::Ask& ask) -> policy::TryBudget&;
   auto mayHedgeNow(const Waiting& waiting, int64_t nowMs) -> bool;
@@ -204,6 +206,7 @@
 
   Props props_;
   caller::HeldFrame held_;
+  std::optional<caller::Paths> paths_;  // of it, once they are needed
   bool isEmptying_ = false;
   policy::Slab<Waiting> waiting_;
   std::shared_ptr<policy::Cache> cache_;
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -433,6 +433,65 @@
   CHECK(n.answers.size() == 2);
 }
 
+TEST_CASE("A process that ends soon begins nothing new, and still answers from its cache") {
+  Node n;
+  n.edge.turnAwayFrom(10200);
+  n.ask("GET", "/pay/1", {}, 10199);
+  CHECK(n.answers.empty());
+  auto under = n.fetches.size() + n.asked.size();
+  CHECK(under == 1);
+  n.ask("GET", "/list/1", {}, 10200);
+  REQUIRE(n.answers.size() == 1);
+  CHECK(n.answers[0].answer.status == 503);
+  CHECK(header(n.answers[0].answer.headers, "Dykestage-Code") == std::to_string(kEmptying));
+  CHECK_FALSE(header(n.answers[0].answer.headers, "Retry-After").empty());
+  CHECK(n.fetches.size() + n.asked.size() == under);
+  auto copy = std::make_shared<const policy::Copy>(policy::Copy{200, {}, "kept", 10000, 10000, 0, {}});
+  n.cache->put("shop.test", "/covers/1", {}, copy, {}, "store");
+  n.ask("GET", "/covers/1", {}, 10300);
+  REQUIRE(n.answers.size() == 2);
+  CHECK(n.answers[1].answer.body == "kept");
+}
+
+TEST_CASE("What was given to a pool by a configuration that is over is not run there any more") {
+  auto moved = [] {
+    auto frame = frameOf();
+    frame->routing.routes["list"].shares = {{"spare", 1}};
+    frame->revision.configuration = 2;
+    return frame;
+  };
+  auto askedOf = [](uint64_t configuration) {
+    neighbour::Ask ask;
+    ask.id = 7, ask.life = 1, ask.service = "shop.test", ask.method = "GET", ask.target = "/list/1", ask.pool = "till";
+    ask.kind = core::UpstreamKind::kAny, ask.remainingMs = 500, ask.tries = 1, ask.configuration = configuration;
+    return ask;
+  };
+  struct Case {
+    std::shared_ptr<core::Frame> held;
+    uint64_t configuration;
+    bool isRun;
+  };
+  // Held up on the way, it meets a node that knows better; a node that is behind itself runs what it is given.
+  for (const auto& [held, configuration, isRun] :
+       {Case{moved(), 1, false}, Case{moved(), 2, true}, Case{frameOf(), 1, true}, Case{frameOf(), 2, true}}) {
+    INFO("held " << held->revision.configuration << ", chosen by " << configuration);
+    Node n("e1", held);
+    n.shield.take("at-e2", askedOf(configuration), 10000);
+    auto out = n.shield.output();
+    CHECK(out.fetches.size() == (isRun ? 1 : 0));
+    REQUIRE(out.replies.size() == (isRun ? 0 : 1));
+    if (isRun) continue;
+    CHECK(out.replies[0].reply.code == kNotCurrent);
+    CHECK(out.replies[0].reply.isUntouched);
+  }
+  // A route that is gone is no reason to run what came by it either.
+  auto without = moved();
+  without->routing.routes.erase("list");
+  Node n("e1", without);
+  n.shield.take("at-e2", askedOf(1), 10000);
+  CHECK(n.shield.output().fetches.empty());
+}
+
 TEST_CASE("Out of touch with the core a node goes on with what it knows, if it is set so") {
   Node n;
   n.ask("GET", "/list/1", {}, 900000);
--- a/tests/sim/proxy_sim.cpp
+++ b/tests/sim/proxy_sim.cpp
@@ -761,7 +761,9 @@
       });
     };
     if (isInTouch(node) && isInTouch(call->node) && !mayRule(sentMs, says))
-      fault("a request of " + node + " to " + prefix + " was run by " + u.name + " as only an older routing allows");
+      fault("a request of " + node + " to " + prefix + ", sent at " + std::to_string(sentMs) + " ms, was run by " +
+            u.name + " of pool " + u.pool + " for " + call->node + ", which sent it at " +
+            std::to_string(call->sentMs) + " ms, as only an older routing allows; target " + fetch.target);
   }
   if (!allowed_[prefix].count(u.pool))
     fault("a request to " + prefix + " was run by " + u.name + ", whose pool no routing allowed");
