Routes: two routes at one host and prefix are refused

Cause: of two routes at one place the one that came second by name was never served, though the change was acknowledged. Change: such a routing is invalid, with the place of both. Test: routing, "A routing that can't hold together is refused".

--- a/lib/operator/routing.cpp
+++ b/lib/operator/routing.cpp
@@ -1,4 +1,5 @@
 // Admin formats: the routing, that is routes, pools and limits.
+#include "caller/face.hpp"
 #include "operator/changes.hpp"
 
 namespace dykestage::op {
@@ -122,6 +123,15 @@
   }
 }
 
+// A host and prefix belong to one route: of two, one would never be served.
+auto checkPlaces(const std::map<std::string, core::Route>& routes, std::vector<Fault>& faults) -> void {
+  std::map<std::string, std::string> nameByPlace;
+  for (const auto& [name, route] : routes) {
+    auto [first, isFirst] = nameByPlace.try_emplace(caller::lower(route.host) + route.prefix, name);
+    if (!isFirst) faults.push_back({"routes." + name, "has the host and prefix of " + first->second});
+  }
+}
+
 auto addSource(cJSON* to, const std::string& source) -> void {
   if (!source.empty()) cJSON_AddRawToObject(to, "source", source.c_str());
 }
@@ -186,6 +196,7 @@
     for (const auto& share : route.shares)
       if (!merged.pools.count(share.pool))
         faults.push_back({"routes." + name + ".shares", "no pool is named " + share.pool});
+  checkPlaces(merged.routes, faults);
   return faults.empty();
 }
 
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -111,6 +111,7 @@
   refused("\"kind\": \"writing\"", "\"kind\": \"other\"", "routes.b.kind");
   refused("\"idleMs\": 15000}}", "\"idleMs\": 15000}", "the whole is not JSON");
   refused("\"rank\": 2", "\"grade\": 2", "routes.a.grade is not known");
+  refused("\"prefix\": \"/b/\"", "\"prefix\": \"/a/\"", "routes.b has the host and prefix of a");
 
   // A partial change is judged together with what stays.
   State state;
@@ -295,12 +296,13 @@
 // Three registries in virtual time, each with a disk that syncs at once and lines that take 1 ms.
 class Core {
  public:
-  explicit Core(bool mayForm = true) {
+  explicit Core(bool mayForm = true, bool servesStale = false) : servesStale_(servesStale) {
     for (tempo::Slot slot = 1; slot <= 3; ++slot)
       start(slot, mayForm);
   }
   auto start(tempo::Slot slot, bool mayForm) -> void {
     Registry::Props props;
+    props.servesStale = servesStale_;
     props.core.replicas = 3;
     props.core.faults = 1;
     props.slot = slot;
@@ -350,13 +352,18 @@
     REQUIRE(answers[which]);
     return *answers[which];
   }
-  // A data node that is listed and has nothing in force: it asked once and is silent.
-  auto addSilentNode() -> void {
+  // A data node asks a registry for news, and says what it has in force.
+  auto poll(tempo::Slot slot, const Revision& inForce) -> void {
     neighbour::Poll poll;
     poll.name = "edge-1";
     poll.member = {"edge", "north", "e", "a", 1};
-    registries.at(1)->take("e", neighbour::kPoll, Writer().put(poll).take(), nowMs);
-    hasInput_.insert(1);
+    poll.revision = inForce;
+    registries.at(slot)->take("e", neighbour::kPoll, Writer().put(poll).take(), nowMs);
+    hasInput_.insert(slot);
+  }
+  // A data node that is listed and has nothing in force: it asked once and is silent.
+  auto addSilentNode() -> void {
+    poll(1, {});
     pass(300);
   }
   auto executed(tempo::Slot slot) -> int64_t {
@@ -391,6 +398,7 @@
         registries.at(slot)->synced(job.number, 0.1, 1, nowMs);
     }
   }
+  bool servesStale_;
   uint64_t nextLife_ = 11;
   std::vector<Letter> lines_;
   std::set<tempo::Slot> hasInput_;
@@ -450,6 +458,51 @@
   CHECK(core.ask(1, "POST", "/routing", kFirst).status == 200);
 }
 
+TEST_CASE("Whoever leaves is acknowledged once each node that is heard has stopped sending to it") {
+  Core core(true, true);
+  core.pass(2000);
+  core.addSilentNode();
+  auto announce = [&](const std::string& more) {
+    return core.http(1, "POST", "/announce",
+                     R"({"instance": "u1", "service": "p", "address": "127.0.0.1:9", "site": "n", )" + more + "}");
+  };
+  announce(R"("number": 1)");
+  core.pass(50);
+  const Revision kBefore{0, 0, 1, 1}, kAfter{0, 0, 2, 1};
+  // Another registry hears the node; the one that is asked learns of it.
+  auto passHeard = [&](int64_t ms, const Revision& inForce) {
+    for (int64_t passedMs = 0; passedMs < ms; passedMs += 50) {
+      core.poll(2, inForce);
+      core.pass(50);
+    }
+  };
+  passHeard(200, kBefore);
+  const std::string kLeaves = GENERATE(R"("number": 2, "state": "emptying")", R"("number": 2, "state": "gone")");
+  SECTION("it has, a little later") {
+    auto left = announce(kLeaves);
+    passHeard(300, kBefore);
+    CHECK_FALSE(core.answers[left]);
+    passHeard(100, kAfter);
+    REQUIRE(core.answers[left]);
+    CHECK(core.answers[left]->status == 200);
+  }
+  SECTION("it is heard and never has: its upstream is not kept waiting beyond its call") {
+    auto left = announce(kLeaves);
+    passHeard(700, kBefore);
+    CHECK_FALSE(core.answers[left]);
+    passHeard(100, kBefore);
+    REQUIRE(core.answers[left]);
+    CHECK(core.answers[left]->status == 200);
+  }
+  SECTION("it is out of contact: nobody waits for it") {
+    core.pass(1100);
+    auto left = announce(kLeaves);
+    core.pass(50);
+    REQUIRE(core.answers[left]);
+    CHECK(core.answers[left]->status == 200);
+  }
+}
+
 TEST_CASE("Beats are no commands, late ones neither, and what is gone stays gone") {
   Core core;
   core.pass(2000);
