Acknowledgements wait for heard nodes for the bound at most, not 3/2 of it

Cause: an operator's calls end after 9/20 of the bound, and its pauses grow; a wait of 3 s left the call that meets its end to the fourth second, in which the users' gate counts an order as unacknowledged. Tests: news and routing as before, passed.

--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -214,7 +214,7 @@
   // How long acknowledgements wait for nodes that are heard and still lack what is acknowledged. A change of the
   // configuration that is sent again goes on waiting where it was; each copy of a purge or of an upstream's call is
   // waited for anew, so that its wait ends within one call.
-  auto longestAckMs() const -> int64_t { return props_.servesStale ? props_.boundMs * 3 / 2 : heldMs(); }
+  auto longestAckMs() const -> int64_t { return props_.servesStale ? props_.boundMs : heldMs(); }
   auto callAckMs() const -> int64_t { return props_.servesStale ? props_.boundMs * 3 / 8 : heldMs(); }
   auto silentMs() const -> int64_t { return props_.boundMs / 2; }  // then a node counts as out of contact
   auto haveEveryMs() const -> int64_t { return hasNewsOfMembers_ ? props_.batchMs : props_.boundMs / 10; }
