Fetcher: ends only connections that still lead to the address that passed on

The users see it beside changes since upstreams leave in the same seconds. Ruled out: ends for idleness (none open at that moment), the memory limit (pending 0), clients that give up (they close after 1 s).

Change: the other end of a connection is looked at before it is ended; a number that leads elsewhere is forgotten.

--- a/lib/upstream/fetcher.cpp
+++ b/lib/upstream/fetcher.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <set>
 
 #include "caller/face.hpp"
 #include "neighbour/post.hpp"
@@ -40,6 +41,16 @@
   return -1;
 }
 
+// The other end of a connection, as ip:port; empty where there is none.
+auto peerOf(int socket) -> std::string {
+  sockaddr_in peer{};
+  socklen_t size = sizeof peer;
+  char ip[INET_ADDRSTRLEN] = {};
+  if (::getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &size) != 0 || peer.sin_family != AF_INET) return "";
+  if (!::inet_ntop(AF_INET, &peer.sin_addr, ip, sizeof ip)) return "";
+  return std::string(ip) + ":" + std::to_string(ntohs(peer.sin_port));
+}
+
 // What a 2xx must be beyond its length: framed as libcurl read it, in the encoding asked for, sealed.
 auto isSound(const Fetch& fetch, const Fetched& result) -> bool {
   std::string length;
@@ -457,15 +468,22 @@
 
 auto Fetcher::drop(const std::string& address) -> void {
   keepMs_.erase(address);
-  std::vector<curl_socket_t> busy;
+  std::set<curl_socket_t> busy;
   for (auto& [easy, call] : calls_) {
     curl_socket_t active = CURL_SOCKET_BAD;
     curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &active);
-    busy.push_back(active);
+    busy.insert(active);
   }
-  for (const auto& [socket, one] : sockets_)
-    if (one.address == address && std::find(busy.begin(), busy.end(), socket) == busy.end())
-      ::shutdown(socket, SHUT_RDWR);
+  // libcurl does not tell of every connection that it ends. The number of one that it has ended may belong to anybody
+  // by now, a client's connection above all: only what is still connected to the address is ended, the rest is
+  // forgotten.
+  std::erase_if(sockets_, [&](const auto& known) {
+    const auto& [socket, one] = known;
+    if (one.address != address || busy.count(socket)) return false;
+    if (peerOf(socket) != address) return true;
+    ::shutdown(socket, SHUT_RDWR);
+    return false;
+  });
 }
 
 auto fetchOnce(Fetch fetch) -> Fetched {
