--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include <mutex>
+#include <optional>
 #include <thread>
 
 #include "caller/codes.hpp"
@@ -1113,6 +1114,84 @@
   CHECK(taken == 1);
 }
 
+namespace {
+// A machine that answers no attempt to connect: its queue of new connections is full.
+struct SilentMachine {
+  SilentMachine() : listening(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    address.sin_family = AF_INET;
+    ::inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    auto* at = reinterpret_cast<sockaddr*>(&address);
+    socklen_t size = sizeof address;
+    REQUIRE(::bind(listening.get(), at, size) == 0);
+    REQUIRE(::listen(listening.get(), 0) == 0);
+    REQUIRE(::getsockname(listening.get(), at, &size) == 0);
+    for (auto i = 0; i < 4; ++i) {
+      waiting.emplace_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+      ::connect(waiting.back().get(), at, sizeof address);
+    }
+  }
+  auto at() const -> std::string { return "127.0.0.1:" + std::to_string(ntohs(address.sin_port)); }
+
+  sockaddr_in address{};
+  disk::Fd listening;
+  std::vector<disk::Fd> waiting;
+};
+
+// Runs one fetch to its end.
+auto fetchFrom(upstream::Fetcher& fetcher, const std::string& address, int64_t timeoutMs, bool isWrite) -> void {
+  upstream::Fetch fetch;
+  fetch.id = 1, fetch.address = address, fetch.target = "/", fetch.timeoutMs = fetch.connectMs = timeoutMs;
+  fetch.method = isWrite ? "POST" : "GET";
+  fetch.isWrite = isWrite;
+  fetcher.start(std::move(fetch));
+  std::vector<pollfd> none;
+  for (auto untilMs = neighbour::steadyMs() + 10000; neighbour::steadyMs() < untilMs;)
+    if (!fetcher.run(none, 20).empty()) return;
+  FAIL("the fetch has not ended");
+}
+}  // namespace
+
+TEST_CASE("Ending connections to an upstream that left ends no connection of anybody else") {
+  enum class End { kAnnounced, kKept, kCut, kTimeout, kRefused, kUnreached, kCancelled, kWritten };
+  auto end = GENERATE(End::kAnnounced, End::kKept, End::kCut, End::kTimeout, End::kRefused, End::kUnreached,
+                      End::kCancelled, End::kWritten);
+  INFO("end " << static_cast<int>(end));
+  std::optional<Upstream> left(std::in_place, [&](int, int, const std::string&) -> std::string {
+    if (end == End::kTimeout || end == End::kCancelled) sleepMs(300);
+    if (end == End::kCut) return "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut";
+    return std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n") +
+           (end == End::kAnnounced ? "Connection: close\r\n" : "") + "\r\nok";
+  });
+  auto address = left->at();
+  SilentMachine silent;
+  if (end == End::kUnreached) address = silent.at();
+  Server server([](const Request&) { return Answer{200, {}, "ok"}; });
+  upstream::Fetcher fetcher;
+  if (end == End::kRefused) left.reset();
+  if (end == End::kCancelled) {
+    upstream::Fetch fetch;
+    fetch.id = 1, fetch.address = address, fetch.target = "/", fetch.timeoutMs = fetch.connectMs = 5000;
+    fetch.method = "GET";
+    fetcher.start(std::move(fetch));
+    std::vector<pollfd> none;
+    for (auto i = 0; i < 5; ++i)
+      fetcher.run(none, 20);
+    fetcher.cancel(1);
+  } else {
+    fetchFrom(fetcher, address, end == End::kTimeout || end == End::kUnreached ? 100 : 5000, end == End::kWritten);
+  }
+  left.reset();  // the upstream has gone, with its connections
+  // Clients take whatever numbers are free.
+  std::vector<disk::Fd> clients;
+  for (auto i = 0; i < 8; ++i)
+    clients.push_back(connectTo(server.at()));
+  fetcher.drop(address);
+  for (const auto& client : clients) {
+    sendAll(client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(readSome(client).rfind("HTTP/1.1 200 ", 0) == 0);
+  }
+}
+
 TEST_CASE("What a slow reader leaves is counted, and is whole in the end") {
   std::string body(24u << 20, 'x');
   for (size_t i = 0; i < body.size(); i += 997)
