--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -130,6 +130,7 @@
         self.inner = base + 3
         self.forwarders = []
         self.stopped = False
+        self.watcher = None
 
     def address(self, host):
         return "%s.%d" % (self.subnet, host)
@@ -212,12 +213,39 @@
             time.sleep(0.1)
         return False
 
+    def limit_memory(self, ram_mb, every_s=0.01):
+        """Ends a process that goes over its memory, and starts it again after a short delay, as the platform does."""
+        self.kills = []  # (time, machine, role, megabytes)
+
+        def look():
+            while not self.stopped:
+                for machine in self.edges:
+                    for role, process in list(machine.processes.items()):
+                        used = megabytes(process.pid)
+                        if used <= ram_mb or process.poll() is not None:
+                            continue
+                        process.kill()
+                        process.wait()
+                        self.kills.append((now(), machine.name, role, used))
+                        self.record.add("platform: ends %s on %s, which holds %d MB of %d" % (role, machine.name, used,
+                                                                                           ram_mb))
+                        time.sleep(0.3)
+                        if not self.stopped:
+                            self.launch(machine, role, os.path.join(self.folder, machine.name, role + ".conf"))
+                time.sleep(every_s)
+
+        self.watcher = threading.Thread(target=look, daemon=True)
+        self.watcher.start()
+
     def ended(self):
         """Processes that ended by themselves."""
         return ["%s on %s: %s" % (role, m.name, p.poll()) for m in self.core + self.edges
                 for role, p in m.processes.items() if p.poll() is not None]
 
     def stop(self, keep=False):
+        self.stopped = True
+        if self.watcher:
+            self.watcher.join()
         for machine in self.core + self.edges:
             for process in machine.processes.values():
                 if process.poll() is None:
@@ -230,6 +258,15 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def megabytes(pid):
+    """Resident memory of a process; 0 if it is gone."""
+    try:
+        with open("/proc/%d/statm" % pid) as file:
+            return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") // (1 << 20)
+    except OSError:
+        return 0
+
+
 def call(ip, port, method, path, body=None, headers=None, timeout=1.0):
     connection = http.client.HTTPConnection(ip, port, timeout=timeout)
     try:
