One canonical form of a host's name; purges of names with capital letters are in force

Cause: copies, owners and keys went by the host in small letters, purges by the host as it was written, compared byte by byte. Ruled out: a purge that is late or lost, an owner that hands old copies on (one node without a wire fails as well).

Records keep their form. A purge of a host also counts for the service that has the host; it named nothing before. Hosts have one owner whatever their letters; two that were stored don't stand in the way of changes that name neither. Policies see the canonical host. A routing's print is taken over the names as written, as before, so that what was acknowledged before the upgrade is known again.

Why it works: behind the borders there is one name, so nothing compares two spellings.

--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 
+#include "base/host_name.hpp"
 #include "neighbour/post.hpp"
 
 namespace dykestage::caller {
@@ -27,13 +28,13 @@
 Paths::Paths(std::shared_ptr<const core::Frame> frame) : frame_(std::move(frame)) {
   for (auto it = frame_->services.begin(); it != frame_->services.end(); ++it)
     for (const auto& host : it->second.hosts)
-      byHost_.try_emplace(lower(host), it);
+      byHost_.try_emplace(canonicalHost(host), it);
   for (const auto& [name, route] : frame_->routing.routes)
-    routes_.try_emplace(lower(route.host) + route.prefix, &route);
+    routes_.try_emplace(canonicalHost(route.host) + route.prefix, &route);
 }
 
 auto Paths::find(const std::string& host, const std::string& target) const -> std::optional<Found> {
-  auto name = lower(host.substr(0, host.find(':')));
+  auto name = canonicalHost(host);
   // The longest prefix first: prefixes end with a slash.
   auto path = target.substr(0, target.find('?'));
   for (auto end = path.rfind('/'); !routes_.empty() && end != std::string::npos;
@@ -436,7 +437,7 @@
   held_ = held;
   if (!isNew) return;
   if (hasNewPaths) paths_ = Paths(held_.frame);
-  cache_->purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor);
+  cache_->purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor, held_.frame->services);
   if (hasNewMembers) {
     fetchers_.clear();
     fetcherHashes_.clear();
@@ -594,8 +595,8 @@
   std::string reason;
   auto it = scripts_.find(text);
   if (it == scripts_.end()) it = scripts_.emplace(text, policy::Script::compile(text, reason)).first;
-  auto ruling = it->second ? it->second->run(request.method, header(request.headers, "host"), request.target, reason)
-                           : std::nullopt;
+  auto host = canonicalHost(header(request.headers, "host"));
+  auto ruling = it->second ? it->second->run(request.method, host, request.target, reason) : std::nullopt;
   if (!ruling) {
     ++figures_.policyFailures;
     if (it->second) scripts_.erase(it);  // what it left behind goes too
--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -344,7 +344,6 @@
   std::vector<op::Fault> faults;
   auto op = op::readRouting(body, faults);
   if (!op) return invalid(who, faults);
-  op->print = neighbour::hash(Writer().put(*op).take());
   auto version = op->routing.version;
   auto reply =
       joined("routing " + std::to_string(version) + " " + std::to_string(op->print), who, versionDetail(version));
--- a/lib/core/state.cpp
+++ b/lib/core/state.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/canonical_hosts.hpp"
+
 namespace dykestage::core {
 
 namespace {
@@ -66,7 +68,10 @@
     log.floor = news.log.floor;
   }
   log.services = news.log.services, log.pools = news.log.pools, log.limits = news.log.limits;
-  if (news.services) frame.services = *news.services;
+  if (news.services) {
+    frame.services = *news.services;
+    canonicalizeHosts(frame.services);
+  }
   if (news.pools) pools = *news.pools;
   if (news.limits) limits = *news.limits;
   // A route may have been removed and set again since: what is set now counts.
@@ -74,8 +79,10 @@
     routes.erase(removal.route);
     if (removal.revision > had) log.add(removal);
   }
-  for (const auto& [name, route] : news.routes)
-    routes[name] = route;
+  auto changed = news.routes;
+  canonicalizeHosts(changed);
+  for (auto& [name, route] : changed)
+    routes[name] = std::move(route);
   version = news.version;
 }
 }  // namespace
@@ -152,7 +159,10 @@
 }
 
 auto readOps(const std::string& payload) -> std::vector<Op> {
-  return Reader(payload).get<std::vector<Op>>();
+  auto ops = Reader(payload).get<std::vector<Op>>();
+  for (auto& op : ops)
+    canonicalizeHosts(op);
+  return ops;
 }
 
 auto State::apply(const tempo::Command& command, tempo::Stamp) -> std::string {
@@ -696,14 +706,18 @@
   Reader r(frame);
   auto readAll = [&](auto&... fields) { (r.read(fields), ...); };
   auto& f = frame_;
-  if (part == tempo::kConfiguration)
+  if (part == tempo::kConfiguration) {
     readAll(f.revision.configuration, f.revision.purges, f.services, f.routing, f.log, sources_, taken_, takenFloor_,
             f.purges, f.purgeFloor, changes_, changeOrder_, templates_, lastRevisions_, tenants_, rollouts_,
             rolloutOrder_);
-  else if (part == tempo::kUpstreams)
+    canonicalizeHosts(f.services);
+    canonicalizeHosts(f.routing.routes);
+    canonicalizeHosts(tenants_);
+  } else if (part == tempo::kUpstreams)
     readAll(f.revision.upstreams, f.upstreams, owners_, gone_, goneOrder_);
   else if (part == tempo::kKeys) {
     readAll(keys_, clockMs_, clockSeenMs_, clockLife_);
+    canonicalizeKeys(keys_);
     keyEnds_.clear();
     for (const auto& [key, held] : keys_)
       keyEnds_.emplace(held.untilMs, key);
--- a/lib/core/state.hpp
+++ b/lib/core/state.hpp
@@ -453,7 +453,11 @@
   uint64_t clockLife_ = 0;
 };
 
-/// The ops of a command's payload. Example: `auto ops = readOps(command.payload);`
+/// Brings the names of hosts in an operation into their canonical form. What a purge names stays: it may be a
+/// service, whose name is kept as it is. Example: `canonicalizeHosts(op);`
+auto canonicalizeHosts(Op& op) -> void;
+
+/// The ops of a command's payload, hosts in their canonical form. Example: `auto ops = readOps(command.payload);`
 auto readOps(const std::string& payload) -> std::vector<Op>;
 
 }  // namespace dykestage::core
--- a/lib/operator/announcements.cpp
+++ b/lib/operator/announcements.cpp
@@ -17,7 +17,7 @@
   std::string host;
   fields.text("change", op.changeId);
   fields.text("service", purge.service);
-  fields.text("host", host);
+  fields.host("host", host);
   fields.text("path", purge.path);
   fields.text("label", purge.label);
   fields.close();
--- a/lib/operator/json.cpp
+++ b/lib/operator/json.cpp
@@ -6,6 +6,9 @@
 #include <cctype>
 #include <cmath>
 #include <set>
+#include <utility>
+
+#include "base/host_name.hpp"
 
 namespace dykestage::op {
 
@@ -115,6 +118,22 @@
   return true;
 }
 
+auto Fields::host(const std::string& key, std::string& into) -> bool {
+  if (!text(key, into)) return false;
+  auto written = std::exchange(into, canonicalHost(into));
+  if (into.empty() && !written.empty()) fault(key, kHostRule);
+  return true;
+}
+
+auto Fields::hosts(const std::string& key, std::vector<std::string>& into) -> bool {
+  if (!texts(key, into)) return false;
+  for (size_t i = 0; i < into.size(); ++i) {
+    into[i] = canonicalHost(into[i]);
+    if (into[i].empty()) fault(key + "[" + std::to_string(i) + "]", kHostRule);
+  }
+  return true;
+}
+
 auto Fields::neededInteger(const std::string& key, int64_t low, int64_t high, int64_t& into) -> void {
   if (!integer(key, low, high, into)) fault(key, "is missing");
 }
--- a/lib/operator/json.hpp
+++ b/lib/operator/json.hpp
@@ -41,6 +41,9 @@
   auto text(const std::string& key, std::string& into, bool needed = false) -> bool;
   auto flag(const std::string& key, bool& into) -> bool;
   auto texts(const std::string& key, std::vector<std::string>& into) -> bool;
+  /// Names of hosts, in their canonical form whatever they were written like. Example: `f.host("host", host);`
+  auto host(const std::string& key, std::string& into) -> bool;
+  auto hosts(const std::string& key, std::vector<std::string>& into) -> bool;
   /// A field that must be there: its absence is a fault. Example: `f.neededInteger("low", 0, 100, parameter.low);`
   auto neededInteger(const std::string& key, int64_t low, int64_t high, int64_t& into) -> void;
   /// The raw value, for objects and lists. Example: `if (auto* list = f.raw("paths")) ...`
@@ -70,6 +73,9 @@
 /// What a fault says of a name that is none.
 inline constexpr auto kNameRule = "a name has letters, digits, - _ . only, at most 64";
 
+/// What a fault says of a host without a name, as in ":80".
+inline constexpr auto kHostRule = "must name a host";
+
 /// The name of an enumerator, of which the first is 0. Example: `addText(json, "kind", nameOf(route.kind,
 /// kKindNames));`
 template <typename Enum, size_t count>
--- a/lib/operator/routing.cpp
+++ b/lib/operator/routing.cpp
@@ -1,5 +1,6 @@
 // Admin formats: the routing, that is routes, pools and limits.
-#include "caller/face.hpp"
+#include "base/host_name.hpp"
+#include "neighbour/post.hpp"
 #include "operator/changes.hpp"
 
 namespace dykestage::op {
@@ -50,7 +51,7 @@
     -> core::Route {
   core::Route route;
   Fields fields(json, place, faults);
-  fields.text("host", route.host, true);
+  if (fields.text("host", route.host, true) && canonicalHost(route.host).empty()) fields.fault("host", kHostRule);
   if (fields.text("prefix", route.prefix, true) && !route.prefix.starts_with('/'))
     fields.fault("prefix", "must start with /");
   route.kind = readRouteKind(fields);
@@ -123,12 +124,15 @@
   }
 }
 
-// A host and prefix belong to one route: of two, one would never be served.
-auto checkPlaces(const std::map<std::string, core::Route>& routes, std::vector<Fault>& faults) -> void {
+// A host and prefix belong to one route: of two, one would never be served. Two that were taken when spellings counted
+// as different hosts don't stand in the way of a change that names neither.
+auto checkPlaces(const std::map<std::string, core::Route>& routes, const core::RoutingChange& change,
+                 std::vector<Fault>& faults) -> void {
   std::map<std::string, std::string> nameByPlace;
   for (const auto& [name, route] : routes) {
-    auto [first, isFirst] = nameByPlace.try_emplace(caller::lower(route.host) + route.prefix, name);
-    if (!isFirst) faults.push_back({"routes." + name, "has the host and prefix of " + first->second});
+    auto [first, isFirst] = nameByPlace.try_emplace(route.host + route.prefix, name);
+    auto isOfChange = change.routes.count(name) != 0 || change.routes.count(first->second) != 0;
+    if (!isFirst && isOfChange) faults.push_back({"routes." + name, "has the host and prefix of " + first->second});
   }
 }
 
@@ -185,6 +189,9 @@
     readItems(fields, "pools", faults, change.pools, change.sources.pools, readPool);
     if (const auto* limits = fields.raw("limits")) change.limits = readLimits(limits, faults, change.sources.limits);
     fields.close();
+    // Over the names as they were written: by it registries know again what was taken before they kept canonical ones.
+    op.print = neighbour::hash(Writer().put(op).take());
+    core::canonicalizeHosts(op);
   });
 }
 
@@ -196,7 +203,7 @@
     for (const auto& share : route.shares)
       if (!merged.pools.count(share.pool))
         faults.push_back({"routes." + name + ".shares", "no pool is named " + share.pool});
-  checkPlaces(merged.routes, faults);
+  checkPlaces(merged.routes, op.routing, faults);
   return faults.empty();
 }
 
--- a/lib/operator/services.cpp
+++ b/lib/operator/services.cpp
@@ -26,7 +26,7 @@
 auto readService(const cJSON* json, const std::string& place, std::vector<Fault>& faults) -> Service {
   Service service;
   Fields fields(json, place, faults);
-  fields.texts("hosts", service.hosts);
+  fields.hosts("hosts", service.hosts);
   for (const auto& number : kServiceNumbers)
     fields.integer(number.key, number.low, number.high, service.*number.inService);
   readPaths(fields, faults, [&](Fields& path, const PathHead& head) {
@@ -72,15 +72,17 @@
   return services;
 }
 
-// A host belongs to one service.
-auto checkHosts(const Services& services, std::vector<Fault>& faults) -> void {
+// A host belongs to one service. Two that were taken when spellings counted as different hosts don't stand in the way
+// of a change that names neither.
+auto checkHosts(const Services& services, const core::Op& op, std::vector<Fault>& faults) -> void {
   std::map<std::string, std::string> owners;
   for (const auto& [name, service] : services) {
     auto place = "services." + name + ".hosts";
     if (service.hosts.empty()) faults.push_back({place, "must name at least one host"});
     for (const auto& host : service.hosts) {
       auto [owner, isNew] = owners.try_emplace(host, name);
-      if (!isNew) faults.push_back({place, host + " belongs to " + owner->second});
+      auto isOfChange = op.services.count(name) != 0 || op.services.count(owner->second) != 0;
+      if (!isNew && isOfChange) faults.push_back({place, host + " belongs to " + owner->second});
     }
   }
 }
@@ -133,7 +135,7 @@
     else
       readServices(services, now, tenants, faults, op);
     fields.close();
-    checkHosts(servicesAfter(op, now, tenants), faults);
+    checkHosts(servicesAfter(op, now, tenants), op, faults);
   });
 }
 
--- a/lib/operator/templates.cpp
+++ b/lib/operator/templates.cpp
@@ -128,7 +128,7 @@
   core::Tenant tenant;
   Fields fields(json, "tenants." + name, faults);
   fields.text("template", tenant.shape, true);
-  fields.texts("hosts", tenant.hosts);
+  fields.hosts("hosts", tenant.hosts);
   if (tenant.hosts.empty()) fields.fault("hosts", "must name at least one host");
   for (const auto& host : tenant.hosts) {
     auto [owner, isNew] = owners.try_emplace(host, name);
--- a/lib/policy/cache.cpp
+++ b/lib/policy/cache.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/host_name.hpp"
 #include "caller/face.hpp"
 
 namespace dykestage::policy {
@@ -178,7 +179,27 @@
   return true;
 }
 
-auto Cache::purge(const std::vector<core::Purge>& purges, uint64_t upTo, uint64_t floor) -> void {
+namespace {
+// Purges that were ordered before names of hosts were canonical name them as they were written.
+auto scopesOf(const core::Purge& purge, const core::Services& services) -> std::vector<std::string> {
+  if (purge.service.empty()) return {};
+  auto host = canonicalHost(purge.service);
+  std::vector<std::string> scopes = {purge.service};
+  if (host != purge.service) scopes.push_back(host);
+  for (const auto& [name, service] : services) {
+    auto hasHost = std::find(service.hosts.begin(), service.hosts.end(), host) != service.hosts.end();
+    if (hasHost && std::find(scopes.begin(), scopes.end(), name) == scopes.end()) scopes.push_back(name);
+  }
+  return scopes;
+}
+}  // namespace
+
+auto Cache::PurgeInForce::counts(const std::string& service) const -> bool {
+  return scopes.empty() || std::find(scopes.begin(), scopes.end(), service) != scopes.end();
+}
+
+auto Cache::purge(const std::vector<core::Purge>& purges, uint64_t upTo, uint64_t floor, const core::Services& services)
+    -> void {
   if (floor > purges_) {  // some purges can no longer be known: no entry is sure
     while (!items_.empty())
       drop(items_.begin());
@@ -186,43 +207,44 @@
   }
   for (const auto& purge : purges) {
     if (purge.number <= purges_) continue;
+    log_.push_back({purge, scopesOf(purge, services)});
     if (purge.label.empty())
-      purgePath(purge);
+      purgePath(log_.back());
     else
-      purgeLabel(purge);
-    log_.push_back(purge);
+      purgeLabel(log_.back());
   }
   purges_ = std::max(purges_, upTo);
   forgetOldPurges();
 }
 
-auto Cache::purgeLabel(const core::Purge& purge) -> void {
-  auto labelled = labelled_.find(lower(purge.label));
+auto Cache::purgeLabel(const PurgeInForce& inForce) -> void {
+  auto labelled = labelled_.find(lower(inForce.purge.label));
   if (labelled == labelled_.end()) return;
   auto keys = labelled->second;  // dropping an item changes the set
   for (const auto& key : keys) {
     auto item = items_.get<ByKey>().find(key);
     if (item == items_.get<ByKey>().end()) continue;
-    auto isOfService = purge.service.empty() || item->base.starts_with(purge.service + "\n");
-    if (isOfService) drop(items_.project<0>(item));
+    if (inForce.counts(item->base.substr(0, item->base.find('\n')))) drop(items_.project<0>(item));
   }
 }
 
-auto Cache::purgePath(const core::Purge& purge) -> void {
+auto Cache::purgePath(const PurgeInForce& inForce) -> void {
   auto& byBase = items_.get<ByBase>();
-  for (const auto& from : {baseOf(purge.service, purge.path), baseOf(purge.service, purge.path + "?")}) {
-    for (auto it = byBase.lower_bound(from); it != byBase.end() && it->base.starts_with(from);) {
-      auto next = std::next(it);
-      if (isAt(it->base.substr(purge.service.size() + 1), purge.path)) drop(items_.project<0>(it));
-      it = next;
+  const auto& path = inForce.purge.path;
+  for (const auto& scope : inForce.scopes)
+    for (const auto& from : {baseOf(scope, path), baseOf(scope, path + "?")}) {
+      for (auto it = byBase.lower_bound(from); it != byBase.end() && it->base.starts_with(from);) {
+        auto next = std::next(it);
+        if (isAt(it->base.substr(scope.size() + 1), path)) drop(items_.project<0>(it));
+        it = next;
+      }
     }
-  }
 }
 
 auto Cache::forgetOldPurges() -> void {
   if (log_.size() <= kMaxPurges) return;
   auto half = kMaxPurges / 2;
-  floor_ = log_[half].number;
+  floor_ = log_[half].purge.number;
   log_.erase(log_.begin(), log_.begin() + static_cast<std::ptrdiff_t>(half) + 1);
 }
 
@@ -230,8 +252,8 @@
                      const std::function<bool(const core::Purge&)>& concerns) const -> bool {
   if (since >= purges_) return false;
   if (since < floor_) return true;
-  for (auto it = log_.rbegin(); it != log_.rend() && it->number > since; ++it)
-    if ((it->service.empty() || it->service == service) && concerns(*it)) return true;
+  for (auto it = log_.rbegin(); it != log_.rend() && it->purge.number > since; ++it)
+    if (it->counts(service) && concerns(it->purge)) return true;
   return false;
 }
 
--- a/lib/policy/cache.hpp
+++ b/lib/policy/cache.hpp
@@ -72,9 +72,11 @@
            const std::vector<std::string>& labels) -> bool {
     return put(service, target, request, std::make_shared<const Copy>(std::move(copy)), labels);
   }
-  /// Brings purges in force, in order; a gap in their numbers empties the cache.
-  /// Example: `cache.purge(frame.purges, frame.revision.purges, frame.purgeFloor);`
-  auto purge(const std::vector<core::Purge>& purges, uint64_t upTo, uint64_t floor) -> void;
+  /// Brings purges in force, in order; a gap in their numbers empties the cache. A purge of a host also counts for the
+  /// service that has this host.
+  /// Example: `cache.purge(frame.purges, frame.revision.purges, frame.purgeFloor, frame.services);`
+  auto purge(const std::vector<core::Purge>& purges, uint64_t upTo, uint64_t floor, const core::Services& services = {})
+      -> void;
   /// True when a fill begun at `since` may have read what a purge meant to remove.
   auto isPurgedSince(uint64_t since, const std::string& service, const std::string& target,
                      const std::vector<std::string>& labels) const -> bool;
@@ -92,6 +94,11 @@
     std::vector<std::string> labels;
     size_t bytes = 0;
   };
+  struct PurgeInForce {
+    core::Purge purge;
+    std::vector<std::string> scopes;  // the services and hosts under which it counts; none: all
+    auto counts(const std::string& service) const -> bool;
+  };
   struct ByKey {};
   struct ByBase {};
   struct ByUse {};
@@ -104,8 +111,8 @@
                 boost::multi_index::sequenced<boost::multi_index::tag<ByUse>>>>;
   auto drop(Items::iterator it) -> void;
   auto dropBase(const std::string& base) -> void;
-  auto purgeLabel(const core::Purge& purge) -> void;
-  auto purgePath(const core::Purge& purge) -> void;
+  auto purgeLabel(const PurgeInForce& inForce) -> void;
+  auto purgePath(const PurgeInForce& inForce) -> void;
   auto forgetOldPurges() -> void;
   auto isPurged(uint64_t since, const std::string& service,
                 const std::function<bool(const core::Purge&)>& concerns) const -> bool;
@@ -115,7 +122,7 @@
   Items items_;
   std::map<std::string, std::vector<std::string>> vary_;   // base → names
   std::map<std::string, std::set<std::string>> labelled_;  // label → keys
-  std::vector<core::Purge> log_;                           // purges still known by number
+  std::vector<PurgeInForce> log_;                          // purges still known by number
   uint64_t purges_ = 0, floor_ = 0;
 };
 
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <optional>
 
+#include "base/host_name.hpp"
 #include "caller/codes.hpp"
 #include "neighbour/post.hpp"
 
@@ -64,6 +65,7 @@
   ++figures_.asks;
   if (!mayAct(nowMs)) return refuse(from, ask, kNotCurrent);
   if (isEmptying_ && from != props_.address) return refuse(from, ask, kEmptying);
+  if (ask.kind == core::UpstreamKind::kAny) ask.service = canonicalHost(ask.service);  // an older edge's is as it came
   if (ask.pool.empty()) ask.pool = ask.service;
   auto* view = viewOf(ask);
   if (!view) return refuse(from, ask, kNoService);
@@ -649,7 +651,7 @@
   if (before == held_.frame) return;
   paths_.reset();
   withdrawOfEndedEdges(*before, nowMs);
-  cache_->purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor);
+  cache_->purge(held_.frame->purges, held_.frame->revision.purges, held_.frame->purgeFloor, held_.frame->services);
   if (auto own = held_.frame->members.find(props_.name); own != held_.frame->members.end())
     split_.set(static_cast<size_t>(core::countOf(*held_.frame, props_.kind)), own->second.replaced != 0, nowMs);
   peers_ = core::addressesOf(*held_.frame, props_.kind, props_.name);
--- a/tests/tools/includes.sh
+++ b/tests/tools/includes.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 
 # From the lowest layer to the highest.
-layers=(tempo disk neighbour policy caller operator agent core upstream program)
+layers=(base tempo disk neighbour policy caller operator agent core upstream program)
 
 # Arrows from a lower package to a higher one that stood when this check was written, each with its reason. None may be
 # added: whoever mends one takes its line out.
