A route's request names the service of its upstream, not its host

Seen: a fleet of the product's own programs that serves by routes answers 503 (3006) to everything; upstreams' accounts are empty. Cause: Dykestage-Service held what copies are kept under, for a route its host; upstreams compare it with the service that they have announced, and answer 421. Ruled out: upstreams that are not listed (the roster has them), no knowledge (nodes were current). Change: the header names the pool. The users' upstreams don't read it.

--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -400,7 +400,7 @@
     std::erase_if(fetch.headers, [&](const auto& h) { return lower(h.first) == lower(name); });
     fetch.headers.emplace_back(name, value);
   };
-  add(names.service, w.ask.service);
+  add(names.service, w.ask.pool);
   add(names.instance, *candidate.name);
   add(names.timeLeft, std::to_string(left));
   if (isExtra || w.ask.isExtra) add(names.extra, "1");
--- a/tests/host_names_test.cpp
+++ b/tests/host_names_test.cpp
@@ -131,6 +131,8 @@
     return settle(version);
   }
   auto fetches() const -> size_t { return fetches_; }
+  /// For which service the last request went to its upstream.
+  auto serviceMeant() const -> const std::string& { return serviceMeant_; }
   auto claimed() const -> const std::vector<std::string>& { return claimed_; }
   auto cached() const -> size_t { return cache_->size(); }
 
@@ -173,6 +175,7 @@
           claimed_.push_back(claim.key);
       for (const auto& fetch : fromShield.fetches) {
         ++fetches_;
+        serviceMeant_ = header(fetch.headers, "Dykestage-Service");
         upstream::Fetched fetched;
         fetched.id = fetch.id;
         fetched.status = 200;
@@ -195,6 +198,7 @@
   Edge edge_;
   upstream::Shield shield_;
   size_t fetches_ = 0;
+  std::string serviceMeant_;
   std::vector<std::string> claimed_;
 };
 
@@ -266,6 +270,18 @@
   CHECK(node.cached() == 1);
 }
 
+// Guards against upstreams that turn a route's requests away (421), since these name the host in place of the service.
+TEST_CASE("A request names the service that its upstream has announced, whatever its host") {
+  Node node;
+  order(node.state, configuration(R"({"services": {"shop": )" + serviceBody(R"("b.example")") + "}}"));
+  order(node.state, routing("Ficu95.Example"));
+  node.follow();
+  CHECK(node.get("ficu95.example", "body").body == "body");
+  CHECK(node.serviceMeant() == "store");
+  CHECK(node.get("b.example", "body").body == "body");
+  CHECK(node.serviceMeant() == "shop");
+}
+
 // Guards against a write with a key that runs twice because its host was written in another way.
 TEST_CASE("An Idempotency-Key is claimed under one name of its host") {
   for (const auto& spelling : kSpellings) {
