SIGHUP ends no process that still reads its settings

Cause: SIGHUP was caught only once the settings had been read; until then its default ends the process. Change: it is caught first of all. SIGTERM before that still ends the process at once.

--- a/lib/operator/program.cpp
+++ b/lib/operator/program.cpp
@@ -38,6 +38,13 @@
   mustReread.store(true);
 }
 
+// The default of SIGHUP ends a process: it may come before the settings are read.
+auto catchHangup() -> void {
+  struct sigaction action {};
+  action.sa_handler = onHangup;
+  ::sigaction(SIGHUP, &action, nullptr);
+}
+
 auto where() -> std::string {
   auto path = absl::GetFlag(FLAGS_settings);
   return path.empty() ? "what there is" : path;
@@ -59,6 +66,7 @@
 }
 
 auto Program::startWith(int argc, char** argv, const std::string& about, Source source) -> Program {
+  catchHangup();
   Program program;
   program.name_ = argv[0];
   absl::SetProgramUsageMessage(about + "\nSettings are listed in docs/settings.md.");
@@ -156,8 +164,6 @@
   action.sa_handler = onSignal;
   ::sigaction(SIGTERM, &action, nullptr);
   ::sigaction(SIGINT, &action, nullptr);
-  action.sa_handler = onHangup;
-  ::sigaction(SIGHUP, &action, nullptr);
   ::signal(SIGPIPE, SIG_IGN);
 }
 
--- a/lib/operator/program.hpp
+++ b/lib/operator/program.hpp
@@ -35,7 +35,8 @@
   auto address(const std::string& key, std::string& into, bool needed = true) -> void;
   /// A needed list of them. Example: `program.addresses("seeds", props.seeds, 3);`
   auto addresses(const std::string& key, std::vector<std::string>& into, size_t least) -> void;
-  /// Ends the checking: exits with 2 on any fault, with 0 after --check; then logs and signals are set up.
+  /// Ends the checking: exits with 2 on any fault, with 0 after --check; then logs and signals are set up. SIGHUP is
+  /// caught from the start on.
   auto ready() -> void;
   /// Looks for other settings about every second, and at once after SIGHUP; true when there are some: settings() is
   /// then to be asked again, and isWell() tells whether what was asked has no fault; faults are logged. Example: `if
