--- a/tests/sim/fleet.cpp
+++ b/tests/sim/fleet.cpp
@@ -382,6 +382,13 @@
   return false;
 }
 
+auto Fleet::catches(const std::string& name, int signal) const -> bool {
+  std::ifstream status("/proc/" + std::to_string(nodes_.at(name).pid) + "/status");
+  for (std::string key, value; status >> key && std::getline(status, value);)
+    if (key == "SigCgt:") return ((std::stoull(value, nullptr, 16) >> (signal - 1)) & 1) != 0;
+  return false;
+}
+
 auto Fleet::mishap(const std::string& name, const std::string& orders) const -> void {
   auto path = props_.folder + "/" + name + ".mishap";
   std::ofstream(path + ".new") << orders;
--- a/tests/sim/fleet.hpp
+++ b/tests/sim/fleet.hpp
@@ -85,6 +85,8 @@
   auto kill(const std::string& name, int signal = 9) -> void;
   auto signal(const std::string& name, int signal) -> void;
   auto isRunning(const std::string& name) -> bool;
+  /// True once a process has a handler for a signal. Example: `if (fleet.catches(name, SIGHUP)) ...`
+  auto catches(const std::string& name, int signal) const -> bool;
   /// Empties a registry's data folder. Example: `fleet.wipe("registry-3");`
   auto wipe(const std::string& name) const -> void;
   /// Makes the machine under a process fail, from now on (tests/mishap); no orders end it.
--- a/tests/sim/load.cpp
+++ b/tests/sim/load.cpp
@@ -223,6 +223,30 @@
   return report;
 }
 
+namespace {
+/// A line of an origin's account.
+struct Run {
+  int64_t atMs = 0;
+  std::string service, method, target, id, what;
+};
+
+auto readRuns(const std::string& account) -> std::vector<Run> {
+  std::vector<Run> runs;
+  std::istringstream lines(account);
+  Run run;
+  while (lines >> run.atMs >> run.service >> run.method >> run.target >> run.id >> run.what)
+    runs.push_back(run);
+  return runs;
+}
+}  // namespace
+
+auto runsOf(const std::string& account) -> std::map<std::string, int> {
+  std::map<std::string, int> counts;
+  for (const auto& run : readRuns(account))
+    if (run.id != "-") ++counts[run.id];
+  return counts;
+}
+
 auto judgeAccounts(Report& report, const std::map<std::string, End>& writes, const std::vector<std::string>& accounts,
                    const std::map<std::string, int64_t>& agreedRates) -> void {
   std::map<std::string, int> ran;
@@ -230,16 +254,12 @@
     std::vector<int64_t> all, extra;
   };
   std::map<std::string, Times> services;
-  for (const auto& account : accounts) {
-    std::istringstream lines(account);
-    int64_t atMs = 0;
-    std::string service, method, target, id, what;
-    while (lines >> atMs >> service >> method >> target >> id >> what) {
-      if (id != "-") ++ran[id];
-      services[service].all.push_back(atMs);
-      if (what == "extra") services[service].extra.push_back(atMs);
+  for (const auto& account : accounts)
+    for (const auto& run : readRuns(account)) {
+      if (run.id != "-") ++ran[run.id];
+      services[run.service].all.push_back(run.atMs);
+      if (run.what == "extra") services[run.service].extra.push_back(run.atMs);
     }
-  }
   report.writes = writes.size();
   for (const auto& [id, end] : writes) {
     auto it = ran.find(id);
--- a/tests/sim/load.hpp
+++ b/tests/sim/load.hpp
@@ -52,6 +52,9 @@
 /// How a write ended for its caller.
 enum class End { kWell, kBusy, kUnknown };
 
+/// How often each request that has an id ran, by an origin's account. Example: `if (runsOf(text).count("w1")) ...`
+auto runsOf(const std::string& account) -> std::map<std::string, int>;
+
 /// Judges a report by origins' accounts (one line a request: when, service, method, target, id, first or extra).
 /// Example: `judgeAccounts(report, {{"w1", End::kBusy}}, {text}, {{"shop", 200}});`
 auto judgeAccounts(Report& report, const std::map<std::string, End>& writes, const std::vector<std::string>& accounts,
