--- a/tests/sim/membership_sim.cpp
+++ b/tests/sim/membership_sim.cpp
@@ -132,6 +132,10 @@
 
 auto MembershipSim::wipe(const std::string& address) -> void {
   powerOff(address);
+  wipeOff(address);
+}
+
+auto MembershipSim::wipeOff(const std::string& address) -> void {
   say("wipe " + address);
   auto& m = machine(address);
   m.frame.clear();
@@ -139,6 +143,13 @@
   m.slot = 0;  // the platform says that it is no first start
 }
 
+auto MembershipSim::addresses() const -> std::vector<std::string> {
+  std::vector<std::string> list;
+  for (const auto& [address, m] : machines_)
+    if (!m->isGone) list.push_back(address);
+  return list;
+}
+
 auto MembershipSim::remove(const std::string& address) -> void {
   powerOff(address);
   say("gone " + address);
--- a/tests/sim/membership_sim.hpp
+++ b/tests/sim/membership_sim.hpp
@@ -52,6 +52,10 @@
   auto remove(const std::string& address) -> void;
   /// Loses power and its disk; it stays off until `start`.
   auto wipe(const std::string& address) -> void;
+  /// Loses its disk while it is off, or at the same moment as its power.
+  auto wipeOff(const std::string& address) -> void;
+  /// All machines that are not gone. Example: `for (const auto& address : sim.addresses()) sim.powerOff(address);`
+  auto addresses() const -> std::vector<std::string>;
   /// Is asked to stop: it hands over within the grace, and is then gone for good, or off until `start`.
   auto terminate(const std::string& address, bool isForGood) -> void;
   auto cutOff(const std::string& address, bool isOneWay = false) -> void;
