A log's file that holds nothing is room: no registry is kept from returning by it

Seen: after a loss of power a registry could refuse to write on ("the ring is full") and end with code 3, at each start again, with three of four files free.

Cause: whether a file of the ring may be begun anew was read off its head and the highest record seen in it. (1) A file that had just been begun when power was lost, and holds no record, counts its last one as the one before its first, which no checkpoint covers. (2) A file whose new head was lost has that of an earlier round, and what was wiped as a torn tail was still counted as its last record.

Change: a file is needed only if it holds a kept record that no checkpoint covers (Ring::isNeeded, used for room and fill alike); what it holds is counted from the records that were kept.

--- a/lib/disk/ring.cpp
+++ b/lib/disk/ring.cpp
@@ -83,13 +83,10 @@
   std::sort(records_.begin(), records_.end(), [](const auto& a, const auto& b) { return a.sequence < b.sequence; });
   auto last = lastRecord();
   if (!collectRecords() || !wipeTornTail()) return false;
+  noteKeptRecords();
   records_.clear();
   if (!found_.writes.empty()) found_.isBlank = false;
   synced_ = next_ - 1;
-  for (auto& file : files_) {
-    if (file.first > next_) file.first = file.last = 0;
-    file.last = std::min(file.last, next_ - 1);
-  }
   // Without any record writing may go on in any file.
   if (!last) return startFile(0);
   at_ = last->file;
@@ -154,6 +151,18 @@
   return true;
 }
 
+// A file's head may be of an earlier round, and what was wiped does not count: its kept records tell up to where it reaches.
+auto Ring::noteKeptRecords() -> void {
+  for (auto& file : files_) {
+    if (file.first > next_) file.first = 0;
+    file.last = file.first == 0 ? 0 : file.first - 1;
+  }
+  for (const auto& record : records_) {
+    auto& file = files_[record.file];
+    if (record.sequence < next_) file.last = std::max(file.last, record.sequence);
+  }
+}
+
 auto Ring::loadCheckpoint() -> bool {
   uint64_t best = 0;
   auto sawAny = false;
@@ -191,7 +200,6 @@
   auto sum = head.get<uint32_t>();
   if (magic != kFileMagic || sum != crc(Writer().put(first).take())) return;
   file.first = first;
-  file.last = first - 1;
   // Every offset is tried, so that records behind a damaged one are still seen.
   for (auto at = kFileHead; at + kRecordHead <= bytes.size();) {
     Reader r(std::string_view(bytes).substr(at, kRecordHead));
@@ -204,7 +212,6 @@
     if (isPlausible) {
       auto body = bytes.substr(at + kRecordHead, size);
       if (check == crc(Writer().put(sequence).put(syncedBefore).take() + body)) {
-        file.last = std::max(file.last, sequence);
         records_.push_back({sequence, syncedBefore, std::move(body), index, at});
         at += kRecordHead + size;
         continue;
@@ -253,7 +260,7 @@
       if (!writeRun()) return isBroken_ = true, fail("cannot write to the ring");
       if (::fdatasync(files_[at_].fd.get()) != 0) return isBroken_ = true, fail("cannot sync the ring");
       auto next = (at_ + 1) % props_.files;
-      if (files_[next].first != 0 && files_[next].last >= checkpointNext_) return fail("the ring is full");
+      if (isNeeded(files_[next])) return fail("the ring is full");
       if (!startFile(next)) return isBroken_ = true, false;
       runAt = offset_;
     }
@@ -292,10 +299,15 @@
   return true;
 }
 
+// A file that was begun when power was lost may hold no record at all: its last one is then the one before its first.
+auto Ring::isNeeded(const File& file) const -> bool {
+  return file.first != 0 && file.last >= std::max(file.first, checkpointNext_);
+}
+
 auto Ring::fill() const -> double {
   auto held = 0u;
   for (uint32_t i = 0; i < props_.files; ++i)
-    if (i != at_ && files_[i].first != 0 && files_[i].last >= checkpointNext_) ++held;
+    if (i != at_ && isNeeded(files_[i])) ++held;
   return (held * static_cast<double>(props_.fileBytes) + static_cast<double>(offset_)) /
          (static_cast<double>(props_.files) * static_cast<double>(props_.fileBytes));
 }
--- a/lib/disk/ring.hpp
+++ b/lib/disk/ring.hpp
@@ -88,6 +88,7 @@
   auto lastRecord() const -> std::optional<Place>;
   auto collectRecords() -> bool;
   auto wipeTornTail() -> bool;
+  auto noteKeptRecords() -> void;
   auto fail(const std::string& what) -> bool;
   auto path(const std::string& name) const -> std::string { return props_.folder + "/" + name; }
   auto startFile(uint32_t index) -> bool;
@@ -104,6 +105,8 @@
     uint64_t first = 0;  // sequence of its first record, 0 when free
     uint64_t last = 0;
   };
+  auto isNeeded(const File& file) const -> bool;
+
   Props props_;
   std::vector<File> files_;
   std::vector<Record> records_;  // while the log is opened
