--- a/lib/disk/ring.cpp
+++ b/lib/disk/ring.cpp
@@ -151,7 +151,8 @@
   return true;
 }
 
-// A file's head may be of an earlier round, and what was wiped does not count: its kept records tell up to where it reaches.
+// A file's head may be of an earlier round, and what was wiped does not count: its kept records tell up to where it
+// reaches.
 auto Ring::noteKeptRecords() -> void {
   for (auto& file : files_) {
     if (file.first > next_) file.first = 0;
