A registry that finds its log full begins with a checkpoint

Seen by reading, a twin of the file that holds nothing: a registry whose log is full ends with code 3 ("the ring is full"); at its next start what it writes first came before the checkpoint that would have made room, so that it ended again, at each start.

Cause: the checkpoint that a log over half full asks for was taken only by a member, behind the first write.

Change: a registry that finds its log over half full at its start saves a checkpoint as its first job.

Before: the new case of disk_loss failed (no job at all after the start). After: it passes.

--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 constexpr size_t kFiguresKept = 512;
+constexpr double kCheckpointFill = 0.5;  // of the log, from which on a checkpoint is wanted
 
 auto keep(std::deque<int64_t>& list, int64_t value) -> void {
   list.push_back(value);
@@ -172,7 +173,13 @@
     snapshotJob_ = 0;
     membership_.onSnapshotSynced(snapshotEpoch_, nowMs);
   }
-  if (fill > 0.5 && (number == 0 || number >= frameJob_)) wantsFrame_ = true;
+  auto isStart = number == 0;
+  auto isWanted = fill > kCheckpointFill && (isStart || number >= frameJob_);
+  // A log that was found full takes no write before a checkpoint has freed it.
+  if (isStart && isWanted)
+    saveFrame(false);
+  else if (isWanted)
+    wantsFrame_ = true;
   release(nowMs);
 }
 
--- a/tests/disk_loss_test.cpp
+++ b/tests/disk_loss_test.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <random>
 
+#include "core/registry.hpp"
 #include "disk/ring.hpp"
 
 using namespace dykestage::disk;
@@ -160,3 +161,31 @@
   CHECK(ring->append({std::string(kRecordBytes, 'y')}));
   CHECK(ring->reason().empty());
 }
+
+TEST_CASE("A registry that finds its log full begins with a checkpoint, which makes room") {
+  LossyFolder folder(1);
+  std::string reason;
+  dykestage::core::Registry::Props props;
+  props.addresses = {{1, "127.0.0.1:1"}, {2, "127.0.0.1:2"}, {3, "127.0.0.1:3"}};
+  dykestage::core::Registry blank(props, "", {}, 7);
+  auto first = blank.output().jobs;
+  REQUIRE(first.size() == 1);
+  {
+    auto ring = Ring::open({folder.path(), kRingFiles, kFileBytes}, reason);
+    REQUIRE(ring);
+    REQUIRE(ring->saveFrame(first.front().frame));
+    while (ring->append({std::string(100, 'x')}) && ring->sync())
+      continue;
+    REQUIRE(ring->reason() == "the ring is full");
+  }
+  auto ring = Ring::open({folder.path(), kRingFiles, kFileBytes}, reason);
+  REQUIRE(ring);
+  dykestage::core::Registry again(props, ring->take().frame, {}, 8);
+  again.synced(0, ring->fill(), 0, 0);
+  again.tick(0);
+  auto jobs = again.output().jobs;
+  REQUIRE_FALSE(jobs.empty());
+  REQUIRE_FALSE(jobs.front().frame.empty());
+  REQUIRE(ring->saveFrame(jobs.front().frame));
+  CHECK(ring->append({std::string(1000, 'y')}));
+}
