--- a/tests/programs/soak.cpp
+++ b/tests/programs/soak.cpp
@@ -8,11 +8,12 @@
 using namespace dykestage;
 
 auto main(int argc, char** argv) -> int {
-  auto program =
-      op::Program::start(argc, argv,
-                         "soak: overlapping series of signals, restarts and changes, under kept connections\n"
-                         "  soak [--set=first=1,seeds=50,full=10]   every tenth seed with as many processes as\n"
-                         "  this machine bears");
+  auto program = op::Program::start(
+      argc, argv,
+      "soak: overlapping series of signals, restarts and changes, under kept connections\n"
+      "  soak [--set=first=1,seeds=50,full=10]   every tenth seed with as many processes as\n"
+      "  this machine bears\n"
+      "  soak --set=losesAll=true                a disk is lost, and everything ends at once, twice");
   auto& s = program.settings();
   sim::Soak::Props props;
   int64_t seeds = 1, first = 1, full = 0, most = sim::Soak::mostProcesses();
@@ -21,6 +22,7 @@
   s.integer("seeds", 1, 100000, seeds);
   s.integer("first", 0, 1LL << 50, first);
   s.integer("spanMs", 1000, 3600000, props.spanMs);
+  s.flag("losesAll", props.losesAll);
   s.integer("full", 0, 100000, full);
   s.integer("processes", 1, 1000, most);
   program.ready();
--- a/tests/sim/proxy_sim.cpp
+++ b/tests/sim/proxy_sim.cpp
@@ -14,6 +14,7 @@
 constexpr int64_t kSlowFactor = 8;             // of upstreams, where clients leave
 constexpr int64_t kBoundMs = 2000;             // for routings, purges, and upstreams that leave
 constexpr int64_t kTouchMs = 3000, kStretchMs = 5000;
+constexpr int64_t kWellMarginMs = 1500;
 constexpr int64_t kSyncMs = 4000;   // a registry whose disk was lost counts as lost for so long after its return
 constexpr int64_t kAckMs = 4000;    // within which a settled core acknowledges
 constexpr int64_t kReuseMs = 2000;  // after which an address may pass on
@@ -1053,9 +1054,15 @@
 // Everything loses power, or every process is killed; all is back within 1.5 s.
 auto ProxySim::blackout() -> void {
   auto isPower = pick(0, 1) == 1;
-  say(isPower ? "power off" : "kill all");
+  auto wiped = props_.wipedBlackouts && mayWipe() ? "r" + std::to_string(pick(1, 3)) : "";
+  say(std::string(isPower ? "power off" : "kill all") + (wiped.empty() ? "" : ", wipe " + wiped));
   for (auto& [name, core] : cores_) {
     stopCore(name, isPower);
+    if (name == wiped) {
+      core->frame.clear();
+      core->writes.clear();
+      wipedUntilMs_ = nowMs_ + 1500 + kSyncMs;
+    }
     revive(name, pick(100, 1500));
   }
   for (auto& [name, node] : nodes_) {
@@ -1093,7 +1100,11 @@
     node->isDraining = false;
     if (props_.broken != Broken::kGone) startNode(name);
   }
-  if (props_.blackouts) {
+  if (props_.wipedBlackouts) {
+    // No disk may be lost before the registries have been well for a while.
+    returnMs_ = nowMs_ + kSyncMs + kWellMarginMs;
+    at(returnMs_, [this] { blackout(); });
+  } else if (props_.blackouts) {
     blackout();
   } else if (props_.wipes) {
     wipe("r" + std::to_string(pick(1, 3)));
--- a/tests/sim/soak.cpp
+++ b/tests/sim/soak.cpp
@@ -29,6 +29,7 @@
 constexpr size_t kMostFaultsTold = 12;
 constexpr int64_t kReadyMs = 60000;
 constexpr int64_t kSettledMs = 1000;
+constexpr int64_t kAcknowledgedMs = 4000;  // for which a change is waited for
 
 struct Shape {
   int registries = 3, shields = 2, edges = 3, stores = 2, applications = 3;
@@ -126,11 +127,14 @@
   troubles.series = props_.processes > 0 ? 12 : 6;
   troubles.spared = "shop";
   troubles.hidesKills = props_.defect == SoakDefect::kHiddenKills;
+  if (props_.defect == SoakDefect::kLostMajority) troubles.disksLost = fleet_->names("registry").size() / 2 + 1;
   troubles_ = std::make_unique<SoakTroubles>(*fleet_, troubles);
-  while (neighbour::steadyMs() < startMs + kSettledMs + props_.spanMs) {
-    step();
-    troubles_->step(neighbour::steadyMs());
+  if (props_.losesAll) {
+    playTroubles(startMs + kSettledMs + props_.spanMs / 2);
+    troubles_->loseAll(neighbour::steadyMs());
   }
+  playTroubles(startMs + kSettledMs + props_.spanMs);
+  if (props_.losesAll) loseAllAtAcknowledgement();
   awaitService();
   operators_->finish();
   clients_->finish();
@@ -151,6 +155,28 @@
   verdict_.reads = operators_->reads();
 }
 
+auto Soak::playTroubles(int64_t untilMs) -> void {
+  while (neighbour::steadyMs() < untilMs) {
+    step();
+    troubles_->step(neighbour::steadyMs());
+  }
+}
+
+// Strikes as soon as one more change is acknowledged, and waits until everything has been started again.
+auto Soak::loseAllAtAcknowledgement() -> void {
+  auto changes = operators_->changes();
+  auto untilMs = neighbour::steadyMs() + kAcknowledgedMs;
+  while (operators_->changes() == changes && neighbour::steadyMs() < untilMs) {
+    step();
+    troubles_->step(neighbour::steadyMs());
+  }
+  troubles_->loseAll(neighbour::steadyMs());
+  while (troubles_->hasDown()) {
+    step();
+    troubles_->step(neighbour::steadyMs());
+  }
+}
+
 // All is well again once every request of a second was served; at the latest when the time for it is over a quarter is.
 auto Soak::awaitService() -> void {
   auto healedMs = neighbour::steadyMs();
--- a/tests/sim/soak.hpp
+++ b/tests/sim/soak.hpp
@@ -19,6 +19,7 @@
   kNone,
   kHiddenKills,   // processes are killed, and taken for untroubled
   kUnsentPurges,  // purges are taken for acknowledged, and never sent
+  kLostMajority,  // most of the registries' disks are lost at once
 };
 
 class Soak {
@@ -28,7 +29,8 @@
     uint64_t seed = 1;
     int64_t spanMs = 20000;  // of troubles; the return to service comes on top
     SoakDefect defect = SoakDefect::kNone;
-    int processes = 0;  // about so many in all; 0: a small fleet of a size that the seed picks
+    int processes = 0;      // about so many in all; 0: a small fleet of a size that the seed picks
+    bool losesAll = false;  // everything ends at once and a disk is lost: in the middle, and after an acknowledgement
   };
   struct Verdict {
     uint64_t seed = 0;
@@ -52,6 +54,8 @@
  private:
   explicit Soak(const Props& props);
   auto play() -> void;
+  auto playTroubles(int64_t untilMs) -> void;
+  auto loseAllAtAcknowledgement() -> void;
   auto awaitService() -> void;
   auto step() -> void;
   auto judge(const EndedAsk& ask) -> void;
--- a/tests/sim/soak_troubles.cpp
+++ b/tests/sim/soak_troubles.cpp
@@ -95,6 +95,43 @@
                      [&](const Trouble& trouble) { return trouble.fromMs <= untilMs && trouble.untilMs >= fromMs; });
 }
 
+auto SoakTroubles::isBack(const Process& process, int64_t nowMs) const -> bool {
+  auto hasRested = process.restedMs < 0 || nowMs - process.restedMs >= kSyncMs;
+  return process.condition == Condition::kUp && (process.kind != "registry" || hasRested);
+}
+
+// A registry that is not back yet is a loss already: its disk goes before another one's.
+auto SoakTroubles::registriesToWipe(int64_t nowMs) -> std::vector<std::string> {
+  auto names = fleet_.names("registry");
+  std::shuffle(names.begin(), names.end(), random_);
+  std::stable_partition(names.begin(), names.end(),
+                        [&](const auto& name) { return !isBack(processes_.at(name), nowMs); });
+  names.resize(std::min(names.size(), props_.disksLost));
+  return names;
+}
+
+auto SoakTroubles::loseAll(int64_t nowMs) -> void {
+  nowMs_ = nowMs;
+  ++counts_["loss of all"];
+  auto wiped = registriesToWipe(nowMs);
+  for (const auto& [name, process] : processes_)
+    if (process.kind != "origin") fleet_.signal(name, SIGKILL);
+  for (auto& [name, process] : processes_) {
+    if (process.kind == "origin") continue;
+    begin(name);
+    fleet_.kill(name);
+    process.condition = Condition::kDown;
+    process.changeMs = nowMs + between(50, kLongestDownMs);
+  }
+  for (const auto& name : wiped)
+    fleet_.wipe(name);
+}
+
+auto SoakTroubles::hasDown() const -> bool {
+  return std::any_of(processes_.begin(), processes_.end(),
+                     [](const auto& one) { return one.second.condition == Condition::kDown; });
+}
+
 // A majority of the registries is left in peace, and one process of each other kind.
 auto SoakTroubles::mayTrouble(const std::string& name, const Process& process, TroubleKind kind, int64_t nowMs) const
     -> bool {
@@ -106,9 +143,7 @@
     auto isAlike = one.kind == process.kind && fleet_.service(other) == fleet_.service(name);
     if (!isAlike) continue;
     ++all;
-    auto isBack = one.condition == Condition::kUp &&
-                  (one.kind != "registry" || one.restedMs < 0 || nowMs - one.restedMs >= kSyncMs);
-    if (!isBack && other != name) ++troubled;
+    if (!isBack(one, nowMs) && other != name) ++troubled;
   }
   auto most = process.kind == "registry" ? (all - 1) / 2 : all - 1;
   return troubled < most;
--- a/tests/sim/soak_troubles.hpp
+++ b/tests/sim/soak_troubles.hpp
@@ -35,11 +35,17 @@
     int64_t graceMs = 6000;
     std::string spared;       // origins of this service are neither killed nor stopped
     bool hidesKills = false;  // a defect on purpose: whoever judges is not told of kills
+    size_t disksLost = 1;     // when everything ends at once; more than a minority is a defect on purpose
   };
   SoakTroubles(Fleet& fleet, Props props);
 
   /// Does what is due. Example: `troubles.step(steadyMs());`
   auto step(int64_t nowMs) -> void;
+  /// Ends every process of the system at the same moment, and empties the disks of some registries; all are started
+  /// again, each after a time of its own. Example: `troubles.loseAll(steadyMs());`
+  auto loseAll(int64_t nowMs) -> void;
+  /// True while a process is down and waits for its start. Example: `while (troubles.hasDown()) step();`
+  auto hasDown() const -> bool;
   /// Ends all troubles: what is frozen goes on, what is down is started. Example: `troubles.heal(steadyMs());`
   auto heal(int64_t nowMs) -> void;
   /// True while a process could be cut off from its work by something unplanned, or was not long ago.
@@ -68,6 +74,8 @@
   auto act(const TroubleSeries& series, int64_t nowMs) -> void;
   auto follow(const std::string& name, Process& process, int64_t nowMs) -> void;
   auto mayTrouble(const std::string& name, const Process& process, TroubleKind kind, int64_t nowMs) const -> bool;
+  auto isBack(const Process& process, int64_t nowMs) const -> bool;
+  auto registriesToWipe(int64_t nowMs) -> std::vector<std::string>;
   auto begin(const std::string& name) -> void;
   auto over(const std::string& name, Process& process, int64_t nowMs) -> void;
   auto between(int64_t low, int64_t high) -> int64_t;
--- a/tests/sim/system_sim.cpp
+++ b/tests/sim/system_sim.cpp
@@ -48,6 +48,8 @@
     props.faultsMs = 32000;
     return props;
   };
+  auto wipedBlackouts = longProxies({.blackouts = true, .wipedBlackouts = true});
+  wipedBlackouts.healMs = 16000;
   static const std::map<std::string, Props> all = {
       {"none", {}},
       {"crashes", {.crashes = true}},
@@ -70,6 +72,7 @@
       {"proxies, wiped disk", proxies({.wipes = true})},
       {"proxies, stalled and full disks", proxies({.stalls = true, .fullDisks = true})},
       {"proxies, blackouts", proxies({.blackouts = true})},
+      {"proxies, blackouts with a lost disk", wipedBlackouts},
       {"proxies restarted in turn", proxies({.rolling = true})},
       {"proxies, answers lost", proxies({.lossyUpstreams = true})},
       {"proxies, upstreams come and go", proxies({.upstreams = true})},
--- a/tests/sim/system_sim.hpp
+++ b/tests/sim/system_sim.hpp
@@ -83,6 +83,7 @@
     bool dropsAnswers = false;    // a seeded defect: answers do not wait for their line
     int64_t changeEveryMs = 600;  // between changes of the routing
     bool clientsLeave = false;    // some clients close their connections before the answer, and upstreams are slow
+    bool wipedBlackouts = false;  // when all lose power, a registry's disk is lost at the same moment
     bool upstreams = false;       // upstreams start, empty, crash, and their addresses pass to another pool
   };
   explicit SystemSim(const Props& props);
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -12,22 +12,26 @@
 using namespace dykestage::sim;
 
 namespace {
-auto soak(uint64_t seed, int64_t spanMs, SoakDefect defect = SoakDefect::kNone) -> Soak::Verdict {
-  Soak::Props props;
-  props.seed = seed;
-  props.spanMs = spanMs;
-  props.defect = defect;
+auto soak(Soak::Props props) -> Soak::Verdict {
   props.folder = std::filesystem::temp_directory_path() / ("dykestage-soak-" + std::to_string(::getpid()));
   props.programs = std::filesystem::canonical("/proc/self/exe").parent_path();
   auto verdict = Soak::run(props);
   std::cout << verdict.line() << "\n";
-  if (verdict.faults.empty() || defect != SoakDefect::kNone) std::filesystem::remove_all(props.folder);
+  if (verdict.faults.empty() || props.defect != SoakDefect::kNone) std::filesystem::remove_all(props.folder);
   return verdict;
 }
 
-auto soakWell(uint64_t seed) -> Soak::Verdict {
+auto soakOf(uint64_t seed, SoakDefect defect = SoakDefect::kNone) -> Soak::Props {
   constexpr int64_t kSpanMs = 12000;
-  auto verdict = soak(seed, kSpanMs);
+  Soak::Props props;
+  props.seed = seed;
+  props.spanMs = kSpanMs;
+  props.defect = defect;
+  return props;
+}
+
+auto soakWell(const Soak::Props& props) -> Soak::Verdict {
+  auto verdict = soak(props);
   INFO(verdict.line());
   CHECK(verdict.faults.empty());
   CHECK(verdict.well > verdict.requests / 4);
@@ -36,30 +40,48 @@
   return verdict;
 }
 
+constexpr int64_t kLossSpanMs = 8000;
+
 auto hasFault(const Soak::Verdict& verdict, const std::string& what) -> bool {
   return std::any_of(verdict.faults.begin(), verdict.faults.end(),
                      [&](const auto& fault) { return fault.find(what) != std::string::npos; });
 }
-
-constexpr int64_t kDefectSpanMs = 12000;
 }  // namespace
 
 TEST_CASE("Kept connections, and troubles that overlap, at edges that fetch themselves") {
-  CHECK(soakWell(21).shape.find('p') != std::string::npos);
+  CHECK(soakWell(soakOf(21)).shape.find('p') != std::string::npos);
 }
 
 TEST_CASE("Kept connections, and troubles that overlap, at edges beside shields") {
-  CHECK(soakWell(11).shape.find('p') == std::string::npos);
+  CHECK(soakWell(soakOf(11)).shape.find('p') == std::string::npos);
 }
 
 TEST_CASE("The soak bites when processes are killed and nobody tells") {
-  auto verdict = soak(21, kDefectSpanMs, SoakDefect::kHiddenKills);
+  auto verdict = soak(soakOf(21, SoakDefect::kHiddenKills));
   INFO(verdict.line());
   CHECK(hasFault(verdict, "without an answer"));
 }
 
 TEST_CASE("The soak bites when purges are acknowledged and don't happen") {
-  auto verdict = soak(11, kDefectSpanMs, SoakDefect::kUnsentPurges);
+  auto verdict = soak(soakOf(11, SoakDefect::kUnsentPurges));
   INFO(verdict.line());
   CHECK(hasFault(verdict, "purged before edition"));
 }
+
+TEST_CASE("A disk is lost and everything else ends at the same moment, during troubles and after an acknowledgement") {
+  for (uint64_t seed : {31, 34}) {
+    auto props = soakOf(seed);
+    props.spanMs = kLossSpanMs;
+    props.losesAll = true;
+    soakWell(props);
+  }
+}
+
+TEST_CASE("The soak bites when most of the disks are lost") {
+  auto props = soakOf(34, SoakDefect::kLostMajority);
+  props.spanMs = kLossSpanMs / 2;
+  props.losesAll = true;
+  auto verdict = soak(props);
+  INFO(verdict.line());
+  CHECK(hasFault(verdict, "at the end"));
+}
--- a/tests/system_test.cpp
+++ b/tests/system_test.cpp
@@ -78,6 +78,7 @@
                                                      {"proxies, wiped disk", 96},
                                                      {"proxies, stalled and full disks", 96},
                                                      {"proxies, blackouts", 45},
+                                                     {"proxies, blackouts with a lost disk", 45},
                                                      {"proxies restarted in turn", 96},
                                                      {"proxies, answers lost", 80},
                                                      {"proxies, upstreams come and go", 96},
