--- a/tests/days/days_test.py
+++ b/tests/days/days_test.py
@@ -15,7 +15,7 @@
 leader (the one that acted last), reader (it read last) or seed. After these may stand meet (a change. and more), race \
 (two at once), hard, drain (soon after) and, for roll_term, busy (each (of them) while it answers). Cuts are silent \
 unless 'how' holds reset or refuse.
-closing = { kind = power_off_all | kill_all, down_s } strikes at the end (how timed: 5 ms; how taken: after work).
+closing = { kind = power_off_all | wipe_after_ack | kill_all, down_s } strikes at the end (how timed: 5 ms; how taken: after work).
 
 srv_crash: share (.15) of the servers are down for for_s; how: dark (silent), gone (for good)
 srv_grey: share (.15) fail x (.4) of their requests; how: errors hang, slow (x (8) times as long), + one_zone (only for some)
@@ -92,7 +92,7 @@
         self.assertEqual(self.text.cut_variants, ("reset", "refuse"))
 
     def test_reads_closing_faults(self):
-        self.assertEqual(self.text.closing_kinds, ("power_off_all", "kill_all"))
+        self.assertEqual(self.text.closing_kinds, ("power_off_all", "wipe_after_ack", "kill_all"))
         self.assertEqual(self.text.closing_variants, ("timed", "taken"))
 
 
@@ -157,8 +157,11 @@
 
     def test_draws_every_closing_fault(self):
         closings = [day["closing"] for day in self.days if "closing" in day]
-        self.assertEqual({closing["kind"] for closing in closings}, {"power_off_all", "kill_all"})
-        self.assertEqual({closing.get("how") for closing in closings}, {None, "timed", "taken", "aimed"})
+        self.assertEqual({closing["kind"] for closing in closings}, {"power_off_all", "wipe_after_ack", "kill_all"})
+        plain = [closing for closing in closings if closing["kind"] != "wipe_after_ack"]
+        self.assertEqual({closing.get("how") for closing in plain}, {None, "timed", "taken", "aimed"})
+        wiping = {closing.get("how") for closing in closings if closing["kind"] == "wipe_after_ack"}
+        self.assertEqual(wiping, {None, "timed", "taken", "all", "timed all", "taken all"})
         self.assertLess(len(closings), len(self.days))
 
     def test_leaves_out_what_it_is_told_to(self):
--- a/tests/days/draw_day.py
+++ b/tests/days/draw_day.py
@@ -47,6 +47,9 @@
 ZONE_SHARE = 0.15
 CLOSING_SHARE = 0.6
 CLOSING_DOWN_S = (0.5, 2.0)
+# When a disk is lost at the end, all other machines may lose power, also those that don't count.
+CLOSING_WIPE_KIND = "wipe_after_ack"
+CLOSING_POWER_OF_ALL_SHARE = 0.5
 # The users' letter: a control machine cut off for some twenty seconds.
 LONG_CUT_SHARE = 0.5
 LONG_CUT_S = (17.0, 23.0)
@@ -231,8 +234,14 @@
                      if day.get("closing", {}).get("kind") == closing["kind"] and "how" in day["closing"]]
         if variants and self.chance(0.6):
             closing["how"] = self.random.choice(variants)
+        if closing["kind"] == CLOSING_WIPE_KIND and self.loses_power_of_all():
+            closing["how"] = f"{closing.get('how', '')} all".strip()
         return closing
 
+    def loses_power_of_all(self) -> bool:
+        """Drawn apart, so that a seed's other choices stay what they were before there was this one."""
+        return random.Random(f"power of all {self.seed}").random() < CLOSING_POWER_OF_ALL_SHARE
+
     def tolerated(self) -> int:
         return int(self.site["tolerate"]["machines"])
 
