--- a/tests/sim/fleet.hpp
+++ b/tests/sim/fleet.hpp
@@ -85,6 +85,8 @@
   auto kill(const std::string& name, int signal = 9) -> void;
   auto signal(const std::string& name, int signal) -> void;
   auto isRunning(const std::string& name) -> bool;
+  /// Its process id; -1 while it does not run. Example: `readStatus(fleet.processId("edge-1"))`
+  auto processId(const std::string& name) const -> pid_t { return nodes_.at(name).pid; }
   /// True once a process has a handler for a signal. Example: `if (fleet.catches(name, SIGHUP)) ...`
   auto catches(const std::string& name, int signal) const -> bool;
   /// Empties a registry's data folder. Example: `fleet.wipe("registry-3");`
