One account of memory for whatever an edge holds for others; a body is held once

Crowds of clients that hold bodies, send without end or read slowly, heads of many small fields, and upstreams whose answers do not end each did it alone.

Cause: nothing bounded the sum. Each body had a limit of its own; one body stood in the request, the fetch request, the fetch, the reply, the cache and the pending answer at the same time; what a refused request held stayed until its connection was gone; a field of 3 bytes costs over 300; the kernel queued up to 4 MiB more for each connection; connections took two descriptors each, without a bound.

Change: MemoryAccount bounds what is held; whoever is about to hold something draws first, and larger holders leave a reserve to small ones. Body shares immutable bytes, and what was drawn for them goes back with the last reference: requests, fetches, replies, the cache and pending answers hold the same bytes. HTTP server: no room is answered 503 with Retry-After before the request is taken, and frees at once. Fetcher: no room pauses the answer. While there is none, requests and readers that hardly move are shed, the largest first; the cache gives way before. Connections are counted, the longest idle one makes room.

--- a/lib/caller/codes.cpp
+++ b/lib/caller/codes.cpp
@@ -41,6 +41,7 @@
     {kNoClaim, {503, "the key could not be claimed in time", true}},
     {kRequestTimeout, {408, "the rest of the request did not come in time", true}},
     {kClientLeft, {504, "the client has closed its half of the connection", false}},
+    {kOverloaded, {503, "this process holds as much as its memory allows", true}},
     {kUpstreamLost, {503, "the upstream failed", true}},
 };
 }  // namespace
--- a/lib/caller/codes.hpp
+++ b/lib/caller/codes.hpp
@@ -37,6 +37,7 @@
   kPolicyFailed = 3019,    // the path's policy failed, and the path's own settings held; a header, not an answer
   kRequestTimeout = 3021,  // the rest of the request did not come in time; nothing was done
   kClientLeft = 3022,      // its client closed the connection before the answer; nobody reads this, as a rule
+  kOverloaded = 3023,      // this process holds as much for clients as its memory allows; nothing was done
   kUpstreamLost = 3017,    // a read's upstream failed and no further try was allowed
 };
 
--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -12,7 +12,8 @@
 using neighbour::Reply;
 
 namespace {
-constexpr size_t kMostAsked = 3;  // fetchers, for one request
+constexpr size_t kMostAsked = 3;                   // fetchers, for one request
+constexpr size_t kMostForwardedBytes = 256 << 10;  // of a body that another node may fetch with
 
 // This node knows the service, since it asked: a fetcher that does not is behind in its configuration, and its refusal
 // says nothing about the request.
@@ -107,14 +108,14 @@
   if (range.first >= size) {
     whole.status = 416;
     whole.headers.emplace_back("Content-Range", "bytes */" + std::to_string(size));
-    whole.body.clear();
+    whole.body = {};
     return whole;
   }
   auto last = std::min(range.last.value_or(size - 1), size - 1);
   whole.status = 206;
   whole.headers.emplace_back("Content-Range", "bytes " + std::to_string(range.first) + "-" + std::to_string(last) +
                                                   "/" + std::to_string(size));
-  whole.body = whole.body.substr(range.first, last - range.first + 1);
+  whole.body = whole.body.slice(range.first, last - range.first + 1);
   return whole;
 }
 
@@ -248,6 +249,9 @@
   auto isSized = w.isShared && !w.routeKey.empty() && size != sizes_.end();
   auto isNearOnly = isSized && size->second > static_cast<double>(props_.zoneBytes);
   if (isForOwnLink(w) && self_ && !w.tried.count(props_.name)) return {*self_};
+  // A large body is not handed on: every node on its way would hold it too.
+  if (w.request.body.size() > kMostForwardedBytes && self_)
+    return w.tried.count(props_.name) ? std::vector<size_t>() : std::vector<size_t>{*self_};
   auto hashed =
       neighbour::hash(isOwned ? w.service + "\n" + (w.isShared ? w.request.target : key) : std::to_string(id));
   auto dispatch = dispatches_.find(w.pool);
--- a/lib/neighbour/messages.hpp
+++ b/lib/neighbour/messages.hpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/body.hpp"
 #include "core/state.hpp"
 #include "tempo/tempo.hpp"
 
@@ -132,7 +133,7 @@
   core::UpstreamKind kind = core::UpstreamKind::kApplication;
   std::string method, target;
   Headers headers;
-  std::string body;
+  Body body;
   int64_t remainingMs = 0;
   int64_t keepMs = 0;
   uint64_t purges = 0;                 // purge number in force at the edge when it asked
@@ -163,7 +164,7 @@
   bool isUntouched = true;  // no byte of the request went to an upstream
   uint32_t status = 0;
   Headers headers;
-  std::string body;
+  Body body;
   int64_t ageMs = 0;  // since the request to the upstream
   int64_t heldMs = 0;
   int64_t keepMs = 0;                  // 0: not to be kept
--- a/lib/neighbour/post.cpp
+++ b/lib/neighbour/post.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstring>
 
 namespace dykestage::neighbour {
 
@@ -134,11 +133,13 @@
 
 // A line that is not up keeps the letter in its queue until it is, or until it is closed.
 auto Post::pass(const Line& line, const std::string& to, uint8_t kind, const std::string& body) -> bool {
-  auto bytes = Writer().put(kWireVersion).put(Letter{kind, props_.advertise, body}).take();
-  if (bytes.size() > props_.maxBytes) return false;
+  // As a Letter is written; the body, which may be large, is copied once.
+  auto head = Writer().put(kWireVersion).put(kind).put(props_.advertise).put(static_cast<uint32_t>(body.size())).take();
+  if (head.size() + body.size() > props_.maxBytes) return false;
   nng_msg* raw = nullptr;
-  if (nng_msg_alloc(&raw, bytes.size()) != 0) return false;
-  std::memcpy(nng_msg_body(raw), bytes.data(), bytes.size());
+  if (nng_msg_alloc(&raw, head.size() + body.size()) != 0) return false;
+  auto* bytes = static_cast<char*>(nng_msg_body(raw));
+  std::copy(body.begin(), body.end(), std::copy(head.begin(), head.end(), bytes));
   silence_.sent(to, props_.nowMs());
   if (nng_sendmsg(line.socket, raw, NNG_FLAG_NONBLOCK) == 0) return true;
   nng_msg_free(raw);
@@ -163,10 +164,15 @@
 }
 }  // namespace
 
-auto hash(const std::string& text) -> uint64_t {
+auto hash(std::string_view text) -> uint64_t {
+  return hash({text});
+}
+
+auto hash(std::initializer_list<std::string_view> texts) -> uint64_t {
   uint64_t h = 14695981039346656037ull;
-  for (unsigned char c : text)
-    h = (h ^ c) * 1099511628211ull;
+  for (auto text : texts)
+    for (unsigned char c : text)
+      h = (h ^ c) * 1099511628211ull;
   return mix(h);  // since the plain sum keeps near names near
 }
 
--- a/lib/neighbour/post.hpp
+++ b/lib/neighbour/post.hpp
@@ -7,11 +7,13 @@
 
 #include <atomic>
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -110,6 +112,8 @@
 /// each. Example: `for (auto at : heaviest(hash("shop/cover/7"), nameHashes, 3)) ask(members[at]);`
 auto heaviest(uint64_t key, const std::vector<uint64_t>& names, size_t count) -> std::vector<size_t>;
 /// A stable 64-bit hash. Example: `hash("tenant-7") % 100`
-auto hash(const std::string& text) -> uint64_t;
+auto hash(std::string_view text) -> uint64_t;
+/// The hash of texts as if they stood in one. Example: `hash({method, "\n", body})`
+auto hash(std::initializer_list<std::string_view> texts) -> uint64_t;
 
 }  // namespace dykestage::neighbour
--- a/lib/policy/cache.cpp
+++ b/lib/policy/cache.cpp
@@ -174,11 +174,16 @@
   bytes_ += item.bytes;
   item.copy = std::move(kept);
   items_.insert(std::move(item));
-  while (bytes_ > boundBytes_)
-    drop(items_.project<0>(items_.get<ByUse>().begin()));
+  if (bytes_ > boundBytes_) evict(bytes_ - boundBytes_);
   return true;
 }
 
+auto Cache::evict(size_t bytes) -> void {
+  auto leastBytes = bytes_ - std::min(bytes, bytes_);
+  while (bytes_ > leastBytes)
+    drop(items_.project<0>(items_.get<ByUse>().begin()));
+}
+
 namespace {
 // Purges that were ordered before names of hosts were canonical name them as they were written.
 auto scopesOf(const core::Purge& purge, const core::Services& services) -> std::vector<std::string> {
--- a/lib/policy/cache.hpp
+++ b/lib/policy/cache.hpp
@@ -27,7 +27,7 @@
 struct Copy {
   int status = 200;
   Headers headers;
-  std::string body;
+  Body body;
   int64_t bornMs = 0;             // when the request to the origin left, on this node's steady clock
   int64_t keepMs = 0;             // its TTL, from then on
   uint64_t purges = 0;            // purge number when the fetch that filled it began
@@ -83,6 +83,9 @@
   /// The same before the answer is there: its labels are not known, so that any label of the service counts.
   /// Example: `if (cache.mayBePurgedSince(leader.purges, service, target)) fetchAnew();`
   auto mayBePurgedSince(uint64_t since, const std::string& service, const std::string& target) const -> bool;
+  /// Drops the entries that were least recently used, until at least so many bytes went. Example: `cache.evict(1 <<
+  /// 20);`
+  auto evict(size_t bytes) -> void;
   auto purges() const -> uint64_t { return purges_; }
   auto bytes() const -> size_t { return bytes_; }
   auto size() const -> size_t { return items_.size(); }
--- /dev/null
+++ b/lib/policy/process_limits.cpp
@@ -0,0 +1,45 @@
+#include "policy/process_limits.hpp"
+
+#include <algorithm>
+
+namespace dykestage::policy {
+
+namespace {
+// Of the memory.
+constexpr double kAccountPart = 0.55;
+constexpr double kReservePart = 0.2;  // of the account
+constexpr size_t kSocketsPart = 5;    // a fifth may be queued in the kernel for clients
+
+// Of the descriptors.
+constexpr size_t kUpstreamsPart = 4;
+constexpr size_t kOwnPart = 8;  // for files, peers and the status port, and so many more:
+constexpr size_t kLeastOwn = 64;
+constexpr size_t kMostOwn = 512;
+constexpr size_t kDescriptorsPerConnection = 2;
+
+constexpr size_t kLeastConnections = 8;
+}  // namespace
+
+auto processLimitsOf(const MachineLimits& machine) -> ProcessLimits {
+  ProcessLimits limits;
+  limits.accountBytes = static_cast<size_t>(static_cast<double>(machine.memoryBytes) * kAccountPart);
+  limits.reserveBytes = static_cast<size_t>(static_cast<double>(limits.accountBytes) * kReservePart);
+  auto smallBytes = MemoryAccount::Options().smallBytes;
+  limits.bodyBytes = std::min(machine.bodyBytes, limits.accountBytes - limits.reserveBytes - smallBytes);
+  limits.upstreams = machine.openFiles / kUpstreamsPart;
+  auto own = std::min(kMostOwn, kLeastOwn + machine.openFiles / kOwnPart);
+  auto taken = std::min(machine.openFiles, limits.upstreams + own);
+  auto byDescriptors = (machine.openFiles - taken) / kDescriptorsPerConnection;
+  auto byMemory = machine.memoryBytes / kSocketsPart / kSocketBufferBytes;
+  limits.connections = std::max(kLeastConnections, std::min(byDescriptors, byMemory));
+  return limits;
+}
+
+auto accountOf(const ProcessLimits& limits) -> std::shared_ptr<MemoryAccount> {
+  MemoryAccount::Options options;
+  options.totalBytes = limits.accountBytes;
+  options.reserveBytes = limits.reserveBytes;
+  return std::make_shared<MemoryAccount>(options);
+}
+
+}  // namespace dykestage::policy
--- a/lib/program/agent.cpp
+++ b/lib/program/agent.cpp
@@ -137,11 +137,13 @@
   LOG(INFO) << "agent: " << settings_.name << " at " << outer_->address() << ", feeding at " << inner_->address()
             << ".";
   auto [ip, port] = op::splitAddress(settings_.status);
-  face_ = std::make_unique<caller::Face>(caller::Face::Props{ip, port, 1, 1 << 16}, [this](caller::Request request) {
-    auto stream = request.stream;
-    auto method = request.method;
-    if (!pages_.push(std::move(request))) stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
-  });
+  face_ = std::make_unique<caller::Face>(
+      caller::Face::Props{ip, port, 1, caller::kPageBodyBytes, nullptr, 0, nullptr, caller::kPageConnections},
+      [this](caller::Request request) {
+        auto stream = request.stream;
+        auto method = request.method;
+        if (!pages_.push(std::move(request))) stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
+      });
   return true;
 }
 
--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -10,10 +10,12 @@
 
 #include "agent/link.hpp"
 #include "caller/edge.hpp"
+#include "caller/pending_answers.hpp"
 #include "caller/record.hpp"
 #include "neighbour/inbox.hpp"
 #include "neighbour/post.hpp"
 #include "policy/link_share.hpp"
+#include "policy/process_limits.hpp"
 #include "upstream/desk.hpp"
 
 namespace dykestage::program {
@@ -24,7 +26,27 @@
 };
 using Input = std::variant<caller::Request, Page, neighbour::Letter, caller::HeldFrame>;
 
-auto statusPage(const caller::Edge& edge, const upstream::Shield* shield, bool isReady, int64_t nowMs) -> std::string {
+// Who holds how much, and what clients were told or done to because of it.
+auto addMemory(op::StatusPage& page, const MemoryAccount& memory, const caller::Face& face,
+               const caller::PendingAnswers& pending) -> void {
+  auto number = [&](const char* key, uint64_t value) { page.number(key, static_cast<double>(value)); };
+  number("memoryBytes", memory.totalBytes());
+  number("memoryUsed", memory.usedBytes());
+  number("memoryConnections", memory.usedBytes(MemoryUse::kConnections));
+  number("memoryRequests", memory.usedBytes(MemoryUse::kRequests));
+  number("memoryAnswers", memory.usedBytes(MemoryUse::kAnswers));
+  number("memoryPeers", memory.usedBytes(MemoryUse::kPeers));
+  auto f = face.figures();
+  number("connections", face.streams());
+  number("overloaded", f.overloaded);
+  number("shedRequests", f.shed);
+  number("shedReaders", pending.shed());
+  number("idleClosed", f.idleClosed);
+  number("closedAtOnce", f.closedAtOnce);
+}
+
+auto statusPage(const caller::Edge& edge, const upstream::Shield* shield, bool isReady, int64_t nowMs,
+                const std::function<void(op::StatusPage&)>& addMore) -> std::string {
   auto f = edge.figures();
   op::StatusPage page("edge");
   auto number = [&](const char* key, uint64_t value) { page.number(key, static_cast<double>(value)); };
@@ -51,6 +73,7 @@
     number("rateTurnedAway", s.rateTurnedAway);
     number("fetchesOpen", shield->open());
   }
+  addMore(page);
   return page.take() + "\n";
 }
 
@@ -86,11 +109,44 @@
   upstream::Shield::Figures shield_;
 };
 
-// Goes on writing answers, the one of which least is left first: none waits behind one that takes much longer.
-auto flushSmallestFirst(std::vector<std::shared_ptr<caller::Stream>>& writing) -> void {
-  std::stable_sort(writing.begin(), writing.end(),
-                   [](const auto& a, const auto& b) { return a->pending() < b->pending(); });
-  std::erase_if(writing, [](const auto& stream) { return stream->flush(); });
+// Tells in the log what was done about clients since it told last.
+class OverloadLog {
+ public:
+  auto tell(const caller::Face::Figures& now, uint64_t shedReaders) -> void {
+    auto refused = now.overloaded - last_.overloaded, shed = now.shed - last_.shed;
+    auto idle = now.idleClosed - last_.idleClosed, atOnce = now.closedAtOnce - last_.closedAtOnce;
+    auto readers = shedReaders - std::exchange(shedReaders_, shedReaders);
+    if (refused + idle + atOnce + readers > 0)
+      LOG(WARNING) << "edge: Short of memory or connections: " << refused << " requests refused, " << shed
+                   << " of them since they came too slowly; " << readers << " slow readers ended; " << idle
+                   << " idle connections ended early, " << atOnce << " closed at once.";
+    last_ = now;
+  }
+
+ private:
+  caller::Face::Figures last_;
+  uint64_t shedReaders_ = 0;
+};
+
+// The cache gives way to what clients send: it leaves room for the largest body, and what can't be had otherwise.
+auto makeRoom(policy::Cache& cache, const MemoryAccount& memory, size_t largestBodyBytes) -> void {
+  auto roomBytes = memory.largeRoomBytes();
+  if (cache.bytes() > 0 && roomBytes < largestBodyBytes) cache.evict(largestBodyBytes - roomBytes);
+}
+
+// Another node's answer for which there is no room is lost: whatever it answered may have run.
+auto takeReply(caller::Edge& edge, const neighbour::Letter& letter, const std::shared_ptr<MemoryAccount>& memory,
+               int64_t nowMs) -> void {
+  Reader r(letter.body);
+  auto reply = r.get<neighbour::Reply>();
+  if (!r.done()) return;
+  if (!reply.body.draw(memory, MemoryUse::kPeers)) {
+    reply.code = caller::kAnswerTooLarge;
+    reply.isUntouched = false;
+    reply.headers.clear();
+    reply.body = {};
+  }
+  edge.takeReply(letter.from, reply, nowMs);
 }
 
 // When a process that was told to stop does what. A request that has come before the drain is worked on until shortly
@@ -196,6 +252,12 @@
   if (linkMbps > 0) props.linkBytes = static_cast<size_t>(linkMbps * 125 * static_cast<double>(boundMs) / 100);
   rate.windowS = static_cast<double>(rateWindowMs) / 1000;
 
+  const auto limits = policy::processLimitsOf(
+      {static_cast<size_t>(memoryBytes), static_cast<size_t>(openFiles), static_cast<size_t>(bodyBytes)});
+  const auto memory = policy::accountOf(limits);
+  bodyBytes = static_cast<int64_t>(limits.bodyBytes);
+  returnLargeBlocks();
+
   neighbour::Inbox<Input> inbox(16000);
   std::string reason;
   neighbour::Post::Props postProps{listen.empty() ? address : listen, address};
@@ -211,8 +273,8 @@
   auto cache = std::make_shared<policy::Cache>(props.cacheBytes);
   caller::Edge edge(props, cache);
   upstream::Fetcher fetcher;
-  // Of the descriptors a quarter is for callers, as requests; as many may go to upstreams.
-  fetcher.limit(0, static_cast<size_t>(openFiles) / 4);
+  fetcher.limit(0, limits.upstreams);
+  fetcher.limitMemory(memory, policy::kSocketBufferBytes);
   std::optional<upstream::Shield> shield;
   if (fetches) {
     upstream::Shield::Props own;
@@ -232,6 +294,7 @@
     own.tries = props.tries;
     own.rate = rate;
     own.life = props.life;
+    own.keyBytes = std::min(own.keyBytes, limits.reserveBytes / 2);
     shield.emplace(own, cache);
   }
   agent::Link link(
@@ -244,22 +307,29 @@
                  upstream::Desk::Props{
                      post->address(), boundMs, linkShare,
                      [&](const neighbour::Reply& r) { edge.takeReply(post->address(), r, neighbour::steadyMs()); },
-                     [&](const neighbour::SendRequest& r) { edge.takeSendRequest(post->address(), r); }});
-  auto open = [&](const std::string& at, int count, std::shared_ptr<policy::LinkShare> share, auto wrap) {
+                     [&](const neighbour::SendRequest& r) { edge.takeSendRequest(post->address(), r); }, memory});
+  auto open = [&](const std::string& at, int count, std::shared_ptr<policy::LinkShare> share, size_t connections,
+                  size_t mostBodyBytes, auto wrap) {
     auto [ip, port] = op::splitAddress(at);
-    return std::make_unique<caller::Face>(
-        caller::Face::Props{ip, port, count, static_cast<size_t>(bodyBytes), share, 2 * boundMs},
-        [&inbox, wrap](caller::Request r) {
-          auto stream = r.stream;
-          auto method = r.method;
-          if (!inbox.push(wrap(std::move(r)))) stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
-        });
+    return std::make_unique<caller::Face>(caller::Face::Props{ip, port, count, mostBodyBytes, share, 2 * boundMs,
+                                                              memory, connections, policy::kSocketBufferBytes},
+                                          [&inbox, wrap](caller::Request r) {
+                                            auto stream = r.stream;
+                                            auto method = r.method;
+                                            if (!inbox.push(wrap(std::move(r))))
+                                              stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
+                                          });
   };
-  auto face = open(http, static_cast<int>(threads), linkShare, [](caller::Request r) { return Input(std::move(r)); });
-  auto pages = open(status, 1, nullptr, [](caller::Request r) { return Input(Page{std::move(r)}); });
+  auto face = open(http, static_cast<int>(threads), linkShare, limits.connections, limits.bodyBytes,
+                   [](caller::Request r) { return Input(std::move(r)); });
+  auto pages = open(status, 1, nullptr, caller::kPageConnections, caller::kPageBodyBytes,
+                    [](caller::Request r) { return Input(Page{std::move(r)}); });
   LOG(INFO) << "edge: " << props.name << " serves port " << face->port() << ", status at port " << pages->port() << ".";
 
-  std::vector<std::shared_ptr<caller::Stream>> writing;
+  caller::PendingAnswers writing(memory);
+  OverloadLog overloadLog;
+  uint64_t refusalsSeen = 0;
+  MemoryReturn memoryReturn(limits.accountBytes / 4);
   std::optional<StopTimes> stopping;
   auto isDraining = false, isRefusing = false;
   int64_t warmedMs = 0, toldMs = 0;
@@ -270,11 +340,9 @@
     auto isIdle = edge.open() == 0 && (!desk || desk->isIdle());
     auto waitMs = isIdle ? boundMs / 40 : boundMs / 200;
     // A socket that could take more is no reason to wake before the link has room for it.
-    auto roomMs = linkShare && !writing.empty() ? linkShare->waitMs(neighbour::steadyMs()) : 0;
+    auto roomMs = linkShare && !writing.isEmpty() ? linkShare->waitMs(neighbour::steadyMs()) : 0;
     if (roomMs > 0) waitMs = std::min(waitMs, roomMs);
-    if (roomMs == 0)
-      for (auto& stream : writing)
-        fds.push_back({stream->fd(), POLLOUT, 0});
+    if (roomMs == 0) writing.pollFor(fds);
     std::vector<upstream::Fetched> ended;
     if (fetches)
       ended = fetcher.run(fds, waitMs);
@@ -297,9 +365,7 @@
       }
       if (auto* letter = std::get_if<neighbour::Letter>(&input)) {
         if (letter->kind == neighbour::kReply) {
-          Reader r(letter->body);
-          auto reply = r.get<neighbour::Reply>();
-          if (r.done()) edge.takeReply(letter->from, reply, nowMs);
+          takeReply(edge, *letter, memory, nowMs);
         } else if (letter->kind == neighbour::kPong) {
           edge.heard(letter->from, nowMs);
         } else if (letter->kind == neighbour::kSendRequest) {
@@ -316,19 +382,21 @@
                     << " is in force; idle connections end after " << held->frame->routing.limits.idleMs << " ms.";
         edge.takeFrame(*held, nowMs);
         if (shield) shield->takeFrame(*held, nowMs);
-        const auto& limits = edge.limits();
-        face->limit(static_cast<size_t>(limits.headerBytes), static_cast<size_t>(std::min(limits.bodyBytes, bodyBytes)),
-                    limits.headerMs, limits.idleMs);
+        const auto& allowed = edge.limits();
+        face->limit(static_cast<size_t>(allowed.headerBytes),
+                    static_cast<size_t>(std::min(allowed.bodyBytes, bodyBytes)), allowed.headerMs, allowed.idleMs);
         link.tell({edge.revision(), {}, edge.samples()});
       }
       if (auto* page = std::get_if<Page>(&input)) {
         auto& r = page->request;
         auto refusal = isReady ? caller::kOk : stopping ? caller::kEmptying : caller::kNotCurrent;
         auto target = r.target == readyPath ? "/ready" : r.target;
-        auto answer = caller::pageAnswer(target, refusal,
-                                         [&] { return statusPage(edge, shield ? &*shield : nullptr, isReady, nowMs); });
+        auto answer = caller::pageAnswer(target, refusal, [&] {
+          return statusPage(edge, shield ? &*shield : nullptr, isReady, nowMs,
+                            [&](op::StatusPage& page) { addMemory(page, *memory, *face, writing); });
+        });
         r.stream->answer(answer, r.method, r.keep);
-        writing.push_back(r.stream);
+        writing.add(r.stream);
       }
     }
     edge.tick(nowMs);
@@ -357,7 +425,7 @@
       }
       for (auto& a : out.answers) {
         a.stream->answer(caller::Edge::atLast(a, neighbour::steadyMs()), a.method, a.keep && !stopping);
-        writing.push_back(a.stream);
+        writing.add(a.stream);
       }
       isMore = (desk && desk->flush(nowMs)) || isMore || !out.answers.empty();
     }
@@ -378,16 +446,12 @@
         list += (list.empty() ? "" : ", ") + std::to_string(code) + " " + std::to_string(count) + " times";
       if (!list.empty()) LOG(INFO) << "edge: Own answers: " << list << ".";
       if (shield) figureLog.tell(edge.figures(), shield->figures());
+      overloadLog.tell(face->figures(), writing.shed());
     }
-    flushSmallestFirst(writing);
-    // What callers read slowly is held in memory, up to a quarter of it; then the largest goes.
-    size_t pending = 0;
-    for (auto& stream : writing)
-      pending += stream->pending();
-    if (pending > static_cast<size_t>(memoryBytes) / 4)
-      (*std::max_element(writing.begin(), writing.end(), [](auto& a, auto& b) {
-        return a->pending() < b->pending();
-      }))->cut();
+    writing.flush(nowMs);
+    makeRoom(*cache, *memory, limits.bodyBytes);
+    memoryReturn.observe(memory->usedBytes());
+    if (std::exchange(refusalsSeen, memory->refusals()) != memory->refusals()) face->relieve();
     if (program.reread(nowMs)) LOG(INFO) << "edge: Settings have changed; they take effect at the next start.";
     if (op::Program::isStopping() && !stopping) {
       // Not ready from now on; whoever still comes is served while the platform looks elsewhere.
@@ -405,7 +469,7 @@
     }
     // What the process still holds when it ends is lost. Not sooner: the ends of idle connections would wait behind it.
     if (nowMs >= stopping->earliestEndMs && linkShare) linkShare->lift();
-    auto isDone = edge.open() == 0 && writing.empty() && (!desk || desk->isIdle());
+    auto isDone = edge.open() == 0 && writing.isEmpty() && (!desk || desk->isIdle());
     if (nowMs < stopping->latestEndMs && (nowMs < stopping->earliestEndMs || !isDone)) continue;
     // One more round answers what the face has handed over; what it still reads it refuses itself.
     if (isRefusing) break;
--- a/lib/tempo/bytes.hpp
+++ b/lib/tempo/bytes.hpp
@@ -32,7 +32,9 @@
     put(maybe.has_value());
     return maybe ? put(*maybe) : *this;
   }
-  auto put(const std::string& text) -> Writer& {
+  auto put(const std::string& text) -> Writer& { return putText(text); }
+  /// The same for text that is held elsewhere. Example: `w.putText(body.view());`
+  auto putText(std::string_view text) -> Writer& {
     put(static_cast<uint32_t>(text.size()));
     out_ += text;
     return *this;
--- a/lib/upstream/desk.cpp
+++ b/lib/upstream/desk.cpp
@@ -1,16 +1,15 @@
 #include "upstream/desk.hpp"
 
+#include "caller/codes.hpp"
+
 namespace dykestage::upstream {
 
 auto Desk::take(const neighbour::Letter& letter, int64_t nowMs) -> bool {
   Reader r(letter.body);
   switch (letter.kind) {
-    case neighbour::kAsk: {
-      post_.warm(letter.from);
-      auto ask = r.get<neighbour::Ask>();
-      if (r.done()) shield_.take(letter.from, std::move(ask), nowMs);
+    case neighbour::kAsk:
+      takeAsk(letter, nowMs);
       return true;
-    }
     case neighbour::kWithdrawal: {
       post_.warm(letter.from);
       auto withdrawal = r.get<neighbour::Withdrawal>();
@@ -61,6 +60,21 @@
   return false;
 }
 
+// A fetch request for whose body there is no room goes elsewhere: nothing of it has left this process.
+auto Desk::takeAsk(const neighbour::Letter& letter, int64_t nowMs) -> void {
+  post_.warm(letter.from);
+  Reader r(letter.body);
+  auto ask = r.get<neighbour::Ask>();
+  if (!r.done()) return;
+  if (ask.body.draw(props_.memory, MemoryUse::kPeers)) return shield_.take(letter.from, std::move(ask), nowMs);
+  neighbour::Reply refusal;
+  refusal.id = ask.id;
+  refusal.attempt = ask.attempt;
+  refusal.life = ask.life;
+  refusal.code = caller::kShieldFull;
+  replies_.add(letter.from, refusal, nowMs);
+}
+
 auto Desk::flush(int64_t nowMs) -> bool {
   auto out = shield_.outputAfter([&](const auto& l) { return post_.send(l.to, l.kind, l.body); }, nowMs);
   for (auto& claims : out.claims)
--- a/lib/upstream/desk.hpp
+++ b/lib/upstream/desk.hpp
@@ -24,6 +24,8 @@
     std::shared_ptr<policy::LinkShare> link = nullptr;   // that replies to other processes may take; null: no limit
     std::function<void(const neighbour::Reply&)> reply;  // takes those
     std::function<void(const neighbour::SendRequest&)> sendRequest;  // and those
+    std::shared_ptr<MemoryAccount> memory =
+        nullptr;  // from which the bodies of fetch requests are drawn; null: no limit
   };
   Desk(Shield& shield, Fetcher& fetcher, neighbour::Post& post, agent::Link& link, Props props)
       : shield_(shield),
@@ -41,6 +43,7 @@
   auto isIdle() const -> bool { return shield_.open() == 0 && replies_.isEmpty(); }
 
  private:
+  auto takeAsk(const neighbour::Letter& letter, int64_t nowMs) -> void;
   auto cancel(const Shield::Output::Cancelled& cancelled, int64_t nowMs) -> void;
   auto sendReplies(int64_t nowMs) -> void;
 
--- a/lib/upstream/fetcher.cpp
+++ b/lib/upstream/fetcher.cpp
@@ -17,6 +17,8 @@
 namespace {
 constexpr size_t kHeadBytes = 64u << 10;
 constexpr size_t kSpare = 64;
+constexpr size_t kSmallUploadBytes = 16u << 10;  // the least that libcurl allows for its buffer
+constexpr size_t kResumeBytes = 32u << 10;       // for which there must be room before a paused answer is read on
 struct List {
   curl_slist* head = nullptr;
   ~List() { curl_slist_free_all(head); }
@@ -68,12 +70,14 @@
 }  // namespace
 
 struct Fetcher::Call {
-  Call(Fetcher* of, Easy handle) : fetcher(of), easy(std::move(handle)) {}
+  Call(Fetcher* of, Easy handle) : fetcher(of), easy(std::move(handle)), grant(of->memory_, MemoryUse::kAnswers) {}
   Fetcher* fetcher;
   Easy easy;
   Fetch fetch;
   List lines;
   Fetched result;
+  std::string body;
+  MemoryGrant grant;  // for it
   size_t headBytes = 0;
   bool hasStray = false, isProvisional = false, hasHead = false;
   bool isTooLarge = false, isMalformed = false, isMixed = false;
@@ -279,18 +283,7 @@
   };
   auto onBody = +[](char* data, size_t size, size_t count, void* at) -> size_t {
     auto& call = *static_cast<Call*>(at);
-    auto& body = call.result.body;
-    if (body.size() + size * count > call.fetch.answerBytes) {
-      call.isTooLarge = true;
-      return 0;
-    }
-    if (body.empty()) {
-      curl_off_t length = 0;
-      curl_easy_getinfo(call.easy.get(), CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
-      if (length > 0) body.reserve(std::min(static_cast<size_t>(length), call.fetch.answerBytes));
-    }
-    body.append(data, size * count);
-    return size * count;
+    return call.fetcher->take(call, {data, size * count});
   };
   // The last point before bytes leave: the stream is up, the request is not sent. A fetch that waited for its turn,
   // or whose process was frozen, goes no further once its time is over or what it rests on is too old. Nor does it go
@@ -315,11 +308,56 @@
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, call.get());
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, call.get());
+  limitSockets(easy, f);
   calls_[easy] = std::move(call);
   curl_multi_add_handle(multi_, easy);
 }
 
+// Few bytes are queued in the kernel for a connection, and few in libcurl for a small request.
+auto Fetcher::limitSockets(CURL* easy, const Fetch& fetch) -> void {
+  if (socketBytes_ <= 0) return;
+  auto onSocket = +[](void* at, curl_socket_t socket, curlsocktype) -> int {
+    ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, at, sizeof(int));
+    return CURL_SOCKOPT_OK;
+  };
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, onSocket);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &socketBytes_);
+  if (fetch.body.size() <= kSmallUploadBytes)
+    curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, static_cast<long>(kSmallUploadBytes));
+}
+
+// Takes a piece of an answer; what libcurl is to be told.
+auto Fetcher::take(Call& call, std::string_view piece) -> size_t {
+  if (call.body.size() + piece.size() > call.fetch.answerBytes) {
+    call.isTooLarge = true;
+    return 0;
+  }
+  if (!call.grant.grow(piece.size())) {
+    paused_.insert(call.easy.get());
+    return CURL_WRITEFUNC_PAUSE;
+  }
+  if (call.body.empty()) {
+    curl_off_t length = 0;
+    curl_easy_getinfo(call.easy.get(), CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+    if (length > 0) call.body.reserve(std::min(static_cast<size_t>(length), call.fetch.answerBytes));
+  }
+  appendTo(call.body, piece, call.fetch.answerBytes);
+  return piece.size();
+}
+
+// Goes on reading answers for which there is room again.
+auto Fetcher::resume() -> void {
+  for (auto* easy : std::exchange(paused_, {})) {
+    const auto& call = *calls_.at(easy);
+    if (memory_->hasRoom(call.grant.bytes(), kResumeBytes))
+      curl_easy_pause(easy, CURLPAUSE_CONT);  // may pause again
+    else
+      paused_.insert(easy);
+  }
+}
+
 auto Fetcher::remove(CURL* easy) -> Fetch {
+  paused_.erase(easy);
   auto node = calls_.extract(easy);
   auto& call = *node.mapped();
   curl_multi_remove_handle(multi_, easy);
@@ -391,6 +429,7 @@
   else
     result.fault = Fault::kLost;
   result.isUntouched = sent == 0;
+  result.body = Body(std::move(call.body), std::move(call.grant));
   if (code == CURLE_OK) {
     if (auto keepMs = keepMsOf(result.headers); keepMs >= 0)
       keepMs_[call.fetch.address] = keepMs;
@@ -447,6 +486,7 @@
 auto Fetcher::run(std::vector<pollfd>& extra, int64_t waitMs) -> std::vector<Fetched> {
   for (auto& one : extra)
     one.revents = 0;
+  if (!paused_.empty()) resume();
   if (dueMs_ >= 0 && neighbour::steadyMs() >= dueMs_) act(CURL_SOCKET_TIMEOUT, 0);
   auto list = ended();
   if (!list.empty()) return list;
--- a/lib/upstream/fetcher.hpp
+++ b/lib/upstream/fetcher.hpp
@@ -9,10 +9,12 @@
 #include <boost/multi_index_container.hpp>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "base/body.hpp"
 #include "disk/ring.hpp"
 #include "neighbour/messages.hpp"
 
@@ -25,7 +27,7 @@
   std::string address;  // ip:port
   std::string method = "GET", target = "/";
   Headers headers;
-  std::string body;
+  Body body;
   int64_t timeoutMs = 1000;
   int64_t connectMs = 250;
   bool isWrite = false;  // goes out once on a fresh stream, or not at all
@@ -52,7 +54,7 @@
   bool isUntouched = false;  // no byte of the request left
   int status = 0;
   Headers headers;
-  std::string body;
+  Body body;
   int64_t tookMs = 0;
   int sends = 0;  // how often the request was about to leave: again when a kept stream had died under a read
 };
@@ -78,6 +80,12 @@
   /// The most streams at a time to one address, and to all; 0: no limit. A fetch waits for its turn, and ends as
   /// kNotSent when its time runs out before. Example: `fetcher.limit(100, 900);`
   auto limit(size_t perHost, size_t total) -> void;
+  /// From where answers are drawn before they are read: one for which there is no room is not read on, so that its
+  /// upstream waits, until there is or its time runs out. Example: `fetcher.limitMemory(memory, 64 << 10);`
+  auto limitMemory(std::shared_ptr<MemoryAccount> memory, int socketBytes) -> void {
+    memory_ = std::move(memory);
+    socketBytes_ = socketBytes;
+  }
   /// How long a kept stream may have been idle to be used again, where the upstream doesn't tell (of what it tells,
   /// 80% are used); counts in whole seconds. Example: `fetcher.keepFor(5000);`
   auto keepFor(int64_t idleMs) -> void { idleMs_ = idleMs; }
@@ -125,6 +133,9 @@
   auto end(CURL* easy, CURLcode code) -> Fetched;
   auto remove(CURL* easy) -> Fetch;
   auto ended() -> std::vector<Fetched>;
+  auto limitSockets(CURL* easy, const Fetch& fetch) -> void;
+  auto take(Call& call, std::string_view piece) -> size_t;
+  auto resume() -> void;
 
   CURLM* multi_;
   disk::Fd events_;  // epoll(7), of the streams in use
@@ -139,6 +150,9 @@
       kept_;  // by address and own port: what libcurl tells of a stream
   std::unordered_map<CURL*, std::unique_ptr<Call>> calls_;
   std::vector<Easy> spare_;
+  std::shared_ptr<MemoryAccount> memory_;
+  int socketBytes_ = 0;     // that the kernel may queue of an answer; 0: as the system has it
+  std::set<CURL*> paused_;  // whose answers find no room
 };
 
 /// One fetch, waited for. Example: `auto answer = fetchOnce({.address = at, .target = "/ready"});`
--- a/lib/upstream/reply_queue.cpp
+++ b/lib/upstream/reply_queue.cpp
@@ -16,23 +16,32 @@
   refusal.retryMs = retryMs;
   return refusal;
 }
+
+// About what it measures as a letter.
+auto sizeOf(const neighbour::Reply& reply) -> size_t {
+  constexpr size_t kFixedBytes = 128;
+  constexpr size_t kLengthBytes = 4;
+  auto bytes = kFixedBytes + reply.body.size();
+  for (const auto& [name, value] : reply.headers)
+    bytes += name.size() + value.size() + 2 * kLengthBytes;
+  return bytes;
+}
 }  // namespace
 
 auto ReplyQueue::add(const std::string& to, const neighbour::Reply& reply, int64_t nowMs) -> void {
-  Waiting waiting{to, Writer().put(reply).take(), nowMs + props_.waitMs, "", {reply.id, reply.attempt, reply.life}};
-  if (reply.keepMs > 0) waiting.refusal = Writer().put(refusalOf(reply, props_.waitMs)).take();
-  waiting_.push_back(std::move(waiting));
+  waiting_.push_back({to, reply, nowMs + props_.waitMs});
   isSorted_ = waiting_.size() == 1;
 }
 
 auto ReplyQueue::sortBySize() -> void {
   if (std::exchange(isSorted_, true)) return;
   std::stable_sort(waiting_.begin(), waiting_.end(),
-                   [](const Waiting& a, const Waiting& b) { return a.body.size() < b.body.size(); });
+                   [](const Waiting& a, const Waiting& b) { return sizeOf(a.reply) < sizeOf(b.reply); });
 }
 
 auto ReplyQueue::withdraw(const std::string& to, const neighbour::Withdrawal& withdrawal) -> void {
-  std::erase_if(waiting_, [&](const Waiting& waiting) { return waiting.to == to && waiting.withdrawal == withdrawal; });
+  std::erase_if(waiting_,
+                [&](const Waiting& waiting) { return waiting.to == to && waiting.withdrawal() == withdrawal; });
 }
 
 auto ReplyQueue::flush(const Lines& lines, int64_t nowMs) -> void {
@@ -45,10 +54,12 @@
   auto isOver = nowMs >= waiting.untilMs;
   // A line that is just coming up is waited for; a process that has gone is not.
   if (!lines.isUp(waiting.to)) return isOver;
-  auto hasRoom = !props_.link || props_.link->admit(waiting.body.size(), nowMs);
-  if (hasRoom) return lines.send(waiting.to, waiting.body) || isOver;
+  const auto& reply = waiting.reply;
+  auto hasRoom = !props_.link || props_.link->admit(sizeOf(reply), nowMs);
+  if (hasRoom) return lines.send(waiting.to, Writer().put(reply).take()) || isOver;
   if (!isOver) return false;
-  lines.send(waiting.to, waiting.refusal.empty() ? waiting.body : waiting.refusal);
+  auto mayRefuse = reply.keepMs > 0;
+  lines.send(waiting.to, Writer().put(mayRefuse ? refusalOf(reply, props_.waitMs) : reply).take());
   return true;
 }
 
--- a/lib/upstream/reply_queue.hpp
+++ b/lib/upstream/reply_queue.hpp
@@ -37,10 +37,10 @@
 
  private:
   struct Waiting {
-    std::string to, body;
+    std::string to;
+    neighbour::Reply reply;
     int64_t untilMs;
-    std::string refusal;               // goes instead in the end; empty: the reply itself does
-    neighbour::Withdrawal withdrawal;  // by which it would be withdrawn
+    auto withdrawal() const -> neighbour::Withdrawal { return {reply.id, reply.attempt, reply.life}; }
   };
   auto sortBySize() -> void;
   auto flushOne(const Waiting& waiting, const Lines& lines, int64_t nowMs) -> bool;
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -96,7 +96,7 @@
   }
   if (w.isWrite && !ask.key.empty()) w.memoryKey = ask.service + "\n" + ask.key;
   auto joinKey = w.joinKey, memoryKey = w.memoryKey;
-  auto print = neighbour::hash(ask.method + "\n" + ask.target + "\n" + ask.body);
+  auto print = memoryKey.empty() ? 0 : neighbour::hash({ask.method, "\n", ask.target, "\n", ask.body});
   if (!memoryKey.empty()) {
     auto it = memory_.find(memoryKey);
     if (it != memory_.end()) {
--- a/programs/replay.cpp
+++ b/programs/replay.cpp
@@ -100,7 +100,7 @@
   fetch.headers = {{"Host", request.host}};
   if (fetch.isWrite) fetch.headers.emplace_back("X-Request-Id", name);
   if (request.hasKey) fetch.headers.emplace_back("Idempotency-Key", name);
-  fetch.body.assign(static_cast<size_t>(request.bodyBytes), 'r');
+  fetch.body = std::string(static_cast<size_t>(request.bodyBytes), 'r');
   return fetch;
 }
 
--- a/programs/shield.cpp
+++ b/programs/shield.cpp
@@ -96,8 +96,9 @@
       {props.name, {"shield", props.site, post->address(), "", props.life}, settings.agent, boundMs},
       [&](caller::HeldFrame f) { inbox.push(std::move(f)); }, [&](neighbour::Letter l) { inbox.push(std::move(l)); });
   auto [ip, port] = op::splitAddress(settings.status);
-  auto pages = std::make_unique<caller::Face>(caller::Face::Props{ip, port, 1, 1 << 16},
-                                              [&](caller::Request r) { inbox.push(std::move(r)); });
+  auto pages = std::make_unique<caller::Face>(
+      caller::Face::Props{ip, port, 1, caller::kPageBodyBytes, nullptr, 0, nullptr, caller::kPageConnections},
+      [&](caller::Request r) { inbox.push(std::move(r)); });
   LOG(INFO) << "shield: " << props.name << " at " << post->address() << ", status at port " << pages->port() << ".";
 
   upstream::Desk desk(shield, fetcher, *post, link, {"", boundMs, {}, {}});
--- a/tests/control_priority_test.cpp
+++ b/tests/control_priority_test.cpp
@@ -99,7 +99,7 @@
   reply.id = id;
   reply.status = 200;
   reply.keepMs = 5000;
-  reply.body.assign(kAnswerBytes, 'x');
+  reply.body = std::string(kAnswerBytes, 'x');
   return reply;
 }
 
@@ -196,7 +196,7 @@
   for (uint64_t id = 1; id <= 20; ++id)
     replies.add("edge-2", objectReply(id), 0);
   auto small = objectReply(21);
-  small.body.resize(kSmallBytes);
+  small.body = std::string(kSmallBytes, 'x');
   std::vector<uint64_t> order;
   for (int64_t nowMs = 0; nowMs < 10000; ++nowMs) {
     if (nowMs == 50) replies.add("edge-2", small, nowMs);
--- a/tests/sim/hollow.cpp
+++ b/tests/sim/hollow.cpp
@@ -449,7 +449,7 @@
   http(anyCore(), "/purge", body, [this, sentMs](const caller::Answer& a) {
     auto found = a.body.find("\"purge\":");
     if (a.status != 200 || found == std::string::npos) return;
-    auto& change = purges_[std::strtoull(a.body.c_str() + found + 8, nullptr, 10)];
+    auto& change = purges_[std::strtoull(a.body.substr(found + 8).c_str(), nullptr, 10)];
     change.sentMs = sentMs;
     change.ackMs = nowMs_;
   });
--- a/tests/sim/load.cpp
+++ b/tests/sim/load.cpp
@@ -203,7 +203,7 @@
         if (isRight && !isWrite) {
           auto mark = f.body.find("|e");
           if (mark != std::string::npos)
-            report.reads.push_back({open.atMs, open.target, std::atoll(f.body.c_str() + mark + 2)});
+            report.reads.push_back({open.atMs, open.target, std::atoll(f.body.substr(mark + 2).c_str())});
         }
         count.tookMs.push_back(nowMs - open.sinceMs);
         end = End::kWell;
--- a/tests/sim/misbehaving_clients.cpp
+++ b/tests/sim/misbehaving_clients.cpp
@@ -71,6 +71,13 @@
   return list;
 }
 
+auto MisbehavingClients::again() -> void {
+  for (auto& client : clients_) {
+    client.blocksLeft = client.behaviour.blocks;
+    client.isTailSent = false;
+  }
+}
+
 auto MisbehavingClients::beginRun(int64_t mostMs) -> int64_t {
   return neighbour::steadyMs() + mostMs;
 }
--- a/tests/sim/misbehaving_clients.hpp
+++ b/tests/sim/misbehaving_clients.hpp
@@ -48,6 +48,8 @@
   }
   /// The status of each client's first answer, in the order in which they were added; 0: none has come.
   auto statuses() const -> std::vector<int>;
+  /// Lets every client send its blocks and its tail once more.
+  auto again() -> void;
   /// Closes all connections.
   auto leave() -> void { clients_.clear(); }
 
--- a/tests/sim/proxy_sim.cpp
+++ b/tests/sim/proxy_sim.cpp
@@ -814,7 +814,7 @@
   } else {
     f.body = id;
   }
-  if (props_.broken == Broken::kCut && pick(1, 100) <= 5) f.body.pop_back();
+  if (props_.broken == Broken::kCut && pick(1, 100) <= 5) f.body = f.body.slice(0, f.body.size() - 1);
   auto tookMs =
       (props_.clientsLeave && !isHealed_ ? kSlowFactor : 1) * u.baseMs * (nowMs_ < u.startMs + u.coldMs ? 2 : 1) +
       pick(0, 10);
@@ -840,7 +840,7 @@
     if (f.fault != upstream::Fault::kNone) {
       f.status = 0;
       f.headers.clear();
-      f.body.clear();
+      f.body = {};
       if (props_.broken == Broken::kUntouched) f.fault = upstream::Fault::kNotSent, f.isUntouched = true;
     }
   }
@@ -962,7 +962,7 @@
     return;
   }
   auto mark = asked.target + "|";
-  if (answer.body.rfind(mark, 0) != 0 || answer.body.back() != '.')
+  if (!answer.body.startsWith(mark) || answer.body.back() != '.')
     return fault("a caller got another object, or part of one");
   auto rest = answer.body.substr(mark.size());
   auto version = static_cast<size_t>(std::atoll(rest.c_str()));
--- a/tests/sim/system_sim.cpp
+++ b/tests/sim/system_sim.cpp
@@ -617,7 +617,7 @@
     if (!id.empty()) ++ran_[id];
     if (!id.empty() && props_.broken == Broken::kSecondSend && pick(1, 100) <= 5) ++ran_[id];
     f.body = id.empty() ? "e" + std::to_string(edition_) + "." : id;
-    if (props_.broken == Broken::kCut && pick(1, 100) <= 5) f.body.pop_back();
+    if (props_.broken == Broken::kCut && pick(1, 100) <= 5) f.body = f.body.slice(0, f.body.size() - 1);
   }
   f.headers = {{"Content-Length", std::to_string(f.body.size())}};
   auto isLost = props_.lossyUpstreams && !isHealed_ && fetch.target != "/health" && pick(1, 100) <= 10;
@@ -684,7 +684,7 @@
       if (answer.body != open.id) fault("a caller got another's answer");
     } else {
       if (answer.body.empty() || answer.body.back() != '.') fault("a cut answer was passed as whole");
-      auto edition = std::atoll(answer.body.c_str() + 1);
+      auto edition = std::atoll(answer.body.substr(1).c_str());
       for (const auto& [ackMs, needed] : purged_[open.target])
         if (open.atMs > ackMs + kBoundMs) {
           ++verdict_.readsJudged;
@@ -719,7 +719,7 @@
     if (a.status == 409) ++verdict_.conflicts;
     if (a.status != 200 && !(a.status == 409 && props_.broken == Broken::kLoser)) return;
     auto mark = a.body.find("\"revision\":");
-    auto revision = std::strtoull(a.body.c_str() + mark + 11, nullptr, 10);
+    auto revision = std::strtoull(a.body.substr(mark + 11).c_str(), nullptr, 10);
     if (auto [it, isNew] = ackedDeadlines_.emplace(revision, deadlineMs); !isNew && it->second != deadlineMs)
       fault("two changes were acknowledged as one revision");
     acked_.emplace_back(nowMs_, revision);
