Registries draw what their callers send and read from an account, and bound JSON by its values

What callers saw: bodies held short of their end at the control port, one body of millions of values, or a configuration read slowly by many made a registry outgrow its machine.

Cause: as at edges, nothing bounded the sum; cJSON takes 64 bytes and more for a value of two; a page of state was written anew for each reader of one moment.

Change: the registry's HTTP server and its pending answers use the account of lib/base, from half of memoryBytes (new, 256 MiB); connections follow from openFiles (new, 4096). A text of over 200,000 values is no JSON (2001). A page of the frame is written once for all reads executed together, and pages for which there is no room are refused with 3023; acknowledgements are short and always pass.

--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -402,8 +402,21 @@
          });
 }
 
+// A large page is written once for all whose reads are executed together.
+auto Registry::showFrame(const std::string& path, const Who& who, std::function<std::string()> write) -> void {
+  afterRead(who, [this, path, write = std::move(write)] {
+    const auto& revision = state_.frame().revision;
+    auto known = pages_.find(path);
+    if (known == pages_.end() || known->second.revision != revision)
+      known = pages_.insert_or_assign(path, FramePage{revision, jsonAnswer(write()).body}).first;
+    auto answer = jsonAnswer("");
+    answer.body = known->second.body;
+    return answer;
+  });
+}
+
 auto Registry::showRouting(Who who) -> void {
-  afterRead(who, [this] { return jsonAnswer(op::writeRouting(state_.frame().routing, state_.sources())); });
+  showFrame("/routing", who, [this] { return op::writeRouting(state_.frame().routing, state_.sources()); });
 }
 
 // A purge with an id can be sent again and joins the first; one without is another purge each time.
@@ -491,9 +504,8 @@
 auto Registry::show(const std::string& path, const Who& who) -> void {
   const std::string rollouts = "/rollouts", changes = "/changes/";
   if (path == "/routing") return showRouting(who);
-  if (path == "/configuration")
-    return afterRead(who, [this] { return jsonAnswer(op::writeConfiguration(state_.frame())); });
-  if (path == "/roster") return afterRead(who, [this] { return jsonAnswer(op::writeRoster(state_.frame())); });
+  if (path == "/configuration") return showFrame(path, who, [this] { return op::writeConfiguration(state_.frame()); });
+  if (path == "/roster") return showFrame(path, who, [this] { return op::writeRoster(state_.frame()); });
   if (path == "/templates") return afterRead(who, [this] { return jsonAnswer(op::writeTemplates(state_)); });
   if (path.starts_with(rollouts)) {
     auto wanted = path.size() > rollouts.size() ? path.substr(rollouts.size() + 1) : "";
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -108,7 +108,10 @@
   /// When time has to pass here at the latest, if nothing comes in before. Example: `poll(fds, registry.dueMs() -
   /// nowMs)`
   auto dueMs() const -> int64_t;
-  auto output() -> Output { return std::exchange(out_, {}); }
+  auto output() -> Output {
+    pages_.clear();
+    return std::exchange(out_, {});
+  }
   /// Ready to serve operators, upstreams and agents. Example: `registry.isReady(nowMs)`
   auto isReady(int64_t nowMs) const -> bool;
   /// True while a majority is known to have ordered something of this registry within the contact bound, and is heard.
@@ -196,6 +199,7 @@
   auto configure(const std::string& body, Who who, int tries) -> void;
   auto setRouting(const std::string& body, Who who) -> void;
   auto orderRouting(Op op, Reply reply, bool hasRead) -> void;
+  auto showFrame(const std::string& path, const Who& who, std::function<std::string()> write) -> void;
   auto showRouting(Who who) -> void;
   auto afterRead(const Who& who, std::function<caller::Answer()> make) -> void;
   auto show(const std::string& path, const Who& who) -> void;
@@ -234,6 +238,11 @@
   std::unique_ptr<tempo::Node> node_;
   Membership membership_;
   Output out_;
+  struct FramePage {
+    Revision revision;
+    Body body;
+  };
+  std::map<std::string, FramePage> pages_;  // by path, written since the last output
 
   uint64_t nextJob_ = 1, lastJob_ = 0, syncedJob_ = 0, frameJob_ = 0;
   std::deque<Step> steps_;
--- a/lib/operator/json.cpp
+++ b/lib/operator/json.cpp
@@ -12,10 +12,26 @@
 
 namespace dykestage::op {
 
-auto parse(const std::string& text) -> Json {
+namespace {
+// Each value of a text takes far more memory than its text.
+constexpr std::ptrdiff_t kMostValues = 200000;
+
+auto hasTooManyValues(std::string_view text) -> bool {
+  auto isBeforeValue = [](char c) { return c == ',' || c == '[' || c == '{'; };
+  return std::count_if(text.begin(), text.end(), isBeforeValue) > kMostValues;
+}
+}  // namespace
+
+auto parse(std::string_view text) -> Json {
   // The library stops at the first NUL: a text that holds one is no JSON.
-  if (text.find('\0') != std::string::npos) return Json(nullptr, cJSON_Delete);
-  return Json(cJSON_ParseWithOpts(text.c_str(), nullptr, true), cJSON_Delete);
+  auto isBad = text.find('\0') != std::string_view::npos || hasTooManyValues(text);
+  if (isBad) return Json(nullptr, cJSON_Delete);
+  const char* end = nullptr;
+  Json json(cJSON_ParseWithLengthOpts(text.data(), text.size(), &end, false), cJSON_Delete);
+  if (!json) return json;
+  auto rest = std::string_view(end, static_cast<size_t>(text.data() + text.size() - end));
+  if (rest.find_first_not_of(" \t\r\n") != std::string_view::npos) json.reset();
+  return json;
 }
 
 auto print(const cJSON* json) -> std::string {
--- a/lib/operator/json.hpp
+++ b/lib/operator/json.hpp
@@ -12,8 +12,9 @@
 
 /// Owns a parsed JSON value. Example: `auto json = parse(text); if (!json) ...`
 using Json = std::unique_ptr<cJSON, decltype(&cJSON_Delete)>;
-/// Parses text; null when it is no JSON, or when something stands behind it. Example: `parse("{}")`
-auto parse(const std::string& text) -> Json;
+/// Parses text; null when it is no JSON, when something stands behind it, or when it holds more than 200,000 values.
+/// Example: `parse("{}")`
+auto parse(std::string_view text) -> Json;
 /// Prints compactly. Example: `print(json.get())`
 auto print(const cJSON* json) -> std::string;
 
--- a/lib/program/registry.cpp
+++ b/lib/program/registry.cpp
@@ -11,11 +11,13 @@
 #include <variant>
 
 #include "agent/link.hpp"
+#include "caller/pending_answers.hpp"
 #include "core/gathering.hpp"
 #include "core/registry.hpp"
 #include "disk/ring.hpp"
 #include "neighbour/inbox.hpp"
 #include "neighbour/post.hpp"
+#include "policy/process_limits.hpp"
 
 namespace dykestage::program {
 
@@ -27,6 +29,9 @@
 };
 using Input = std::variant<neighbour::Letter, caller::Request, Synced>;
 
+// Half of the memory is for the state itself, its snapshots and what is written to disk.
+constexpr size_t kStatePart = 2;
+
 constexpr uint32_t kMostFaults = 14;  // of 30 replicas, the most that there are slots for
 
 auto steadyUs() -> int64_t {
@@ -43,7 +48,7 @@
   std::string http, name, listen, address;
   std::vector<std::string> registries;
   int64_t slot = 0, beatMs = 0, faults = 0, graceMs = 0, boundMs = 2000, ringFiles = 4, ringBytes = 8 << 20,
-          bodyBytes = 8 << 20, threads = 2;
+          bodyBytes = 8 << 20, threads = 2, memoryBytes = 256 << 20, openFiles = 4096;
   s.text("name", name);
   auto hasSlot = s.integer("slot", 1, 30, slot);
   program.address("http", http);
@@ -73,6 +78,8 @@
   s.integer("ringBytes", 1 << 20, 1 << 30, ringBytes);
   s.integer("bodyBytes", 1 << 10, 64 << 20, bodyBytes);
   s.integer("threads", 1, 16, threads);
+  s.integer("memoryBytes", 1 << 24, 1LL << 40, memoryBytes);
+  s.integer("openFiles", 64, 1 << 24, openFiles);
   if (!hasSlot && !gathers) {
     // All registries sort the same list and so agree on the slots.
     std::sort(registries.begin(), registries.end());
@@ -136,24 +143,30 @@
     LOG(ERROR) << "post: " << reason;
     return 3;
   }
+  const auto limits = policy::processLimitsOf(
+      {static_cast<size_t>(memoryBytes) / kStatePart, static_cast<size_t>(openFiles), static_cast<size_t>(bodyBytes)});
+  const auto memory = policy::accountOf(limits);
+  returnLargeBlocks();
   auto [ip, port] = op::splitAddress(http);
-  auto face = std::make_unique<caller::Face>(
-      caller::Face::Props{ip, port, static_cast<int>(threads), static_cast<size_t>(bodyBytes)}, [&](caller::Request r) {
-        auto stream = r.stream;
-        auto method = r.method;
-        if (!inbox.push(std::move(r))) stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
-      });
+  auto face =
+      std::make_unique<caller::Face>(caller::Face::Props{ip, port, static_cast<int>(threads), limits.bodyBytes, nullptr,
+                                                         0, memory, limits.connections, policy::kSocketBufferBytes},
+                                     [&](caller::Request r) {
+                                       auto stream = r.stream;
+                                       auto method = r.method;
+                                       if (!inbox.push(std::move(r)))
+                                         stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
+                                     });
 
   // Until there is a list of all registries, operators and upstreams are turned away.
-  std::vector<std::shared_ptr<caller::Stream>> writing;
+  caller::PendingAnswers writing(memory);
   if (props.addresses.empty() && found.frame.empty() && props.mayForm) {
     LOG(INFO) << "registry: Gathering from " << registries.size() << " seeds.";
     core::Gathering gathering({own, registries, agent::freshIncarnation(), boundMs, props.mayForm},
                               neighbour::steadyMs());
     while (!gathering.addresses() && !gathering.isLeftOut()) {
       std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}, {op::Program::stopFd(), POLLIN, 0}};
-      for (auto& stream : writing)
-        fds.push_back({stream->fd(), POLLOUT, 0});
+      writing.pollFor(fds);
       ::poll(fds.data(), fds.size(),
              static_cast<int>(std::clamp<int64_t>(gathering.dueMs() - neighbour::steadyMs(), 0, boundMs / 8)));
       if (op::Program::isStopping()) {
@@ -176,13 +189,13 @@
           auto answer = asked ? door.leave(asked->token, caller::codeAnswer(caller::kNotMember, 1))
                               : std::get<caller::Answer>(entered);
           stream->answer(answer, method, keep);
-          writing.push_back(stream);
+          writing.add(stream);
         }
       }
       gathering.tick(nowMs);
       for (auto& sent : gathering.output())
         post->send(sent.to, neighbour::kGather, Writer().put(sent.letter).take());
-      std::erase_if(writing, [](auto& stream) { return stream->flush(); });
+      writing.flush(nowMs);
       post->prune(nowMs);
     }
     if (gathering.isLeftOut()) {
@@ -243,14 +256,14 @@
 
   LOG(INFO) << "registry: " << own << " serves " << ip << ":" << face->port() << ".";
 
+  MemoryReturn memoryReturn(limits.accountBytes / 4);
   std::vector<std::string> expected;  // the members that are to be heard regularly
   auto stopAtMs = int64_t{-1}, handOverUntilMs = int64_t{-1};
   for (;;) {
     std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
     // Once it is stopping, the signal's descriptor stays readable and tells nothing more.
     if (stopAtMs < 0) fds.push_back({op::Program::stopFd(), POLLIN, 0});
-    for (auto& stream : writing)
-      fds.push_back({stream->fd(), POLLOUT, 0});
+    writing.pollFor(fds);
     auto dueMs = std::min(registry.dueMs(), stopAtMs < 0 ? std::numeric_limits<int64_t>::max() : stopAtMs);
     ::poll(fds.data(), fds.size(),
            static_cast<int>(std::clamp<int64_t>(dueMs - neighbour::steadyMs(), 0, boundMs / 8)));
@@ -268,7 +281,7 @@
         if (auto* own = std::get_if<caller::Request>(&entered)) registry.take(*own, nowMs);
         if (auto* answer = std::get_if<caller::Answer>(&entered)) {
           stream->answer(*answer, method, keep);
-          writing.push_back(stream);
+          writing.add(stream);
         }
       }
       if (auto* synced = std::get_if<Synced>(&input))
@@ -290,10 +303,11 @@
         post->send(letter.to, letter.kind, letter.body);
     }
     for (auto& a : out.answers) {
-      a.stream->answer(door.leave(a.token, std::move(a.answer)), a.method, a.keep);
-      writing.push_back(a.stream);
+      a.stream->answer(caller::drawn(memory, door.leave(a.token, std::move(a.answer))), a.method, a.keep);
+      writing.add(a.stream);
     }
-    std::erase_if(writing, [](auto& stream) { return stream->flush(); });
+    writing.flush(nowMs);
+    memoryReturn.observe(memory->usedBytes());
     post->prune(nowMs);
     if (program.reread(nowMs)) {
       std::vector<std::string> fresh;
