--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -18,6 +18,7 @@
 #include "operator/program.hpp"
 #include "sim/fleet.hpp"
 #include "sim/misbehaving_clients.hpp"
+#include "sim/process_figures.hpp"
 #include "upstream/fetcher.hpp"
 
 using namespace dykestage;
@@ -44,23 +45,6 @@
   }
 };
 
-// The number behind a key of /proc/PID/status.
-auto statusNumber(pid_t process, const std::string& wanted) -> size_t {
-  std::ifstream status("/proc/" + std::to_string(process) + "/status");
-  for (std::string key, rest; status >> key && std::getline(status, rest);)
-    if (key == wanted) return std::stoull(rest);
-  return 0;
-}
-
-auto descriptorsOf(pid_t process) -> size_t {
-  std::error_code fault;
-  size_t count = 0;
-  for (std::filesystem::directory_iterator at("/proc/" + std::to_string(process) + "/fd", fault), end;
-       !fault && at != end; at.increment(fault))
-    ++count;
-  return count;
-}
-
 // What the kernel holds for the sockets of a machine: sent and not acknowledged, arrived and not read.
 auto queuedBytes(const std::string& machine) -> size_t {
   in_addr address{};
@@ -177,7 +161,7 @@
       : deployment_(deployment), name_(name), process_(deployment.fleet().processId(name)) {}
   auto sample() -> void {
     descriptors_ = std::max(descriptors_, descriptorsOf(process_));
-    auto residentBytes = statusNumber(process_, "VmRSS:") << 10;
+    auto residentBytes = residentMemoryOf(process_);
     usedBytes_ = std::max(usedBytes_, residentBytes + queuedBytes(deployment_.fleet().machine(name_)));
   }
   auto sampler() {
@@ -188,7 +172,7 @@
     sample();
     auto isServed = deployment_.isServed();
     auto isAlive = deployment_.fleet().isRunning(name_);
-    auto peakBytes = statusNumber(process_, "VmHWM:") << 10;
+    auto peakBytes = peakMemoryOf(process_);
     std::cout << Catch::getResultCapture().getCurrentTestName() << ": " << name_ << " at most " << peakBytes / kMb
               << " MiB, with the kernel's queues " << usedBytes_ / kMb << ", of " << memoryBytes / kMb << ", "
               << descriptors_ << " descriptors of " << openFiles << "\n";
@@ -201,7 +185,7 @@
   // What it holds falls to `bytes` once nobody is left.
   auto checkReleased(size_t bytes) const -> void {
     auto untilMs = neighbour::steadyMs() + kServedMs;
-    auto residentBytes = [&] { return statusNumber(process_, "VmRSS:") << 10; };
+    auto residentBytes = [&] { return residentMemoryOf(process_); };
     while (residentBytes() > bytes && neighbour::steadyMs() < untilMs)
       ::usleep(50000);
     std::cout << "  afterwards " << residentBytes() / kMb << " MiB\n";
--- a/tests/programs/soak.cpp
+++ b/tests/programs/soak.cpp
@@ -13,6 +13,7 @@
       "soak: overlapping series of signals, restarts and changes, under kept connections\n"
       "  soak [--set=first=1,seeds=50,full=10]   every tenth seed with as many processes as\n"
       "  this machine bears\n"
+      "  soak --set=crowds=true                  with crowds of clients that keep to no limit\n"
       "  soak --set=losesAll=true                a disk is lost, and everything ends at once, twice");
   auto& s = program.settings();
   sim::Soak::Props props;
@@ -23,6 +24,7 @@
   s.integer("first", 0, 1LL << 50, first);
   s.integer("spanMs", 1000, 3600000, props.spanMs);
   s.flag("losesAll", props.losesAll);
+  s.flag("crowds", props.hasCrowds);
   s.integer("full", 0, 100000, full);
   s.integer("processes", 1, 1000, most);
   program.ready();
--- a/tests/sim/misbehaving_clients.hpp
+++ b/tests/sim/misbehaving_clients.hpp
@@ -46,6 +46,8 @@
     while (stepUntil(untilMs))
       sample();
   }
+  /// Lets the clients do what they can at once.
+  auto actNow() -> void { act(0); }
   /// The status of each client's first answer, in the order in which they were added; 0: none has come.
   auto statuses() const -> std::vector<int>;
   /// Lets every client send its blocks and its tail once more.
--- a/tests/sim/soak.cpp
+++ b/tests/sim/soak.cpp
@@ -65,6 +65,7 @@
   fleet.shields = shape.shields;
   fleet.edges = shape.edges;
   if (fetchesItself) fleet.edgeExtra = R"(,"fetches":true)";
+  if (props.hasCrowds) fleet.edgeExtra += SoakCrowds::edgeExtra({});
   fleet.upstreams = {{"shop", "store", shape.stores, 8, 3, 800},
                      {"till", "application", shape.applications, 8, 60, 200}};
   return fleet;
@@ -129,6 +130,11 @@
   troubles.hidesKills = props_.defect == SoakDefect::kHiddenKills;
   if (props_.defect == SoakDefect::kLostMajority) troubles.disksLost = fleet_->names("registry").size() / 2 + 1;
   troubles_ = std::make_unique<SoakTroubles>(*fleet_, troubles);
+  if (props_.hasCrowds) {
+    SoakCrowds::Props crowds;
+    crowds.seed = props_.seed;
+    crowds_ = std::make_unique<SoakCrowds>(*fleet_, crowds);
+  }
   if (props_.losesAll) {
     playTroubles(startMs + kSettledMs + props_.spanMs / 2);
     troubles_->loseAll(neighbour::steadyMs());
@@ -150,6 +156,11 @@
   for (const auto& list : {operators_->faults(), troubles_->faults()})
     verdict_.faults.insert(verdict_.faults.end(), list.begin(), list.end());
   verdict_.troubles = troubles_->counts();
+  if (crowds_) {
+    verdict_.faults.insert(verdict_.faults.end(), crowds_->faults().begin(), crowds_->faults().end());
+    for (const auto& [kind, count] : crowds_->counts())
+      verdict_.troubles["crowd of " + kind] = count;
+  }
   verdict_.changes = operators_->changes();
   verdict_.purges = operators_->purges();
   verdict_.reads = operators_->reads();
@@ -159,6 +170,7 @@
   while (neighbour::steadyMs() < untilMs) {
     step();
     troubles_->step(neighbour::steadyMs());
+    if (crowds_) crowds_->step(neighbour::steadyMs());
   }
 }
 
@@ -179,6 +191,7 @@
 
 // All is well again once every request of a second was served; at the latest when the time for it is over a quarter is.
 auto Soak::awaitService() -> void {
+  if (crowds_) crowds_->finish();
   auto healedMs = neighbour::steadyMs();
   for (;;) {
     troubles_->heal(neighbour::steadyMs());
--- a/tests/sim/soak.hpp
+++ b/tests/sim/soak.hpp
@@ -9,6 +9,7 @@
 
 #include "sim/fleet.hpp"
 #include "sim/kept_clients.hpp"
+#include "sim/soak_crowds.hpp"
 #include "sim/soak_operators.hpp"
 #include "sim/soak_troubles.hpp"
 
@@ -29,8 +30,9 @@
     uint64_t seed = 1;
     int64_t spanMs = 20000;  // of troubles; the return to service comes on top
     SoakDefect defect = SoakDefect::kNone;
-    int processes = 0;      // about so many in all; 0: a small fleet of a size that the seed picks
-    bool losesAll = false;  // everything ends at once and a disk is lost: in the middle, and after an acknowledgement
+    int processes = 0;       // about so many in all; 0: a small fleet of a size that the seed picks
+    bool hasCrowds = false;  // of clients that keep to no limit, at edges and registries
+    bool losesAll = false;   // everything ends at once and a disk is lost: in the middle, and after an acknowledgement
   };
   struct Verdict {
     uint64_t seed = 0;
@@ -73,6 +75,7 @@
   std::unique_ptr<KeptClients> clients_;
   std::unique_ptr<SoakOperators> operators_;
   std::unique_ptr<SoakTroubles> troubles_;
+  std::unique_ptr<SoakCrowds> crowds_;
   std::vector<EndedAsk> cuts_;
   std::map<std::string, int> promised_, answered_;  // ids of writes
   uint64_t unansweredInTime_ = 0, late_ = 0;
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -56,6 +56,14 @@
   CHECK(soakWell(soakOf(11)).shape.find('p') == std::string::npos);
 }
 
+TEST_CASE("Clients that keep to no limit, beside kept connections and troubles that overlap") {
+  for (uint64_t seed : {41, 46}) {
+    auto props = soakOf(seed);
+    props.hasCrowds = true;
+    soakWell(props);
+  }
+}
+
 TEST_CASE("The soak bites when processes are killed and nobody tells") {
   auto verdict = soak(soakOf(21, SoakDefect::kHiddenKills));
   INFO(verdict.line());
