--- a/lib/caller/face.cpp
+++ b/lib/caller/face.cpp
@@ -45,6 +45,7 @@
   std::atomic<int> accepting{0};  // threads that do
   std::vector<int> timers;        // of all threads, set before they run
   Props props;
+  std::atomic<size_t> connections{0};  // at a time; 0: no limit
   std::atomic<uint64_t> overloaded{0}, shed{0}, idleClosed{0}, closedAtOnce{0};
   std::atomic<int64_t> relievedMs{0};
   std::atomic<uint64_t> reliefs{0};  // asked for so far
@@ -373,7 +374,7 @@
   auto makeRoom() -> bool {
     const auto& memory = shared_->props.memory;
     if (memory && !memory->hasRoom(0, kConnectionBytes)) return false;
-    auto most = shared_->props.connections;
+    auto most = shared_->connections.load();
     if (most == 0 || shared_->streams.load() < most) return true;
     auto idle = longestIdle(neighbour::steadyMs());
     if (!idle) return false;
@@ -536,6 +537,7 @@
   shared_->limits->link = props.link;
   shared_->limits->slackMs = props.slackMs;
   shared_->props = props;
+  shared_->connections.store(props.connections);
   shared_->listening = disk::Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   auto listening = shared_->listening.get();
   auto on = 1;
@@ -576,6 +578,10 @@
   shared_->sweepNow();
 }
 
+auto Face::limitConnections(size_t connections) -> void {
+  shared_->connections.store(connections);
+}
+
 auto Face::drain(int64_t idleMs) -> void {
   shared_->limits->drainIdleMs.store(idleMs);
   shared_->limits->isDraining.store(true);
--- a/lib/caller/face.hpp
+++ b/lib/caller/face.hpp
@@ -54,6 +54,9 @@
   /// limit of time. A request that is not whole in time is answered 408. Example: `face.limit(16 << 10, 64 << 20, 3000,
   /// 15000);`
   auto limit(size_t headerBytes, size_t bodyBytes, int64_t headerMs, int64_t idleMs) -> void;
+  /// Sets how many connections there may be from now on; those that are there stay. Example:
+  /// `face.limitConnections(800);`
+  auto limitConnections(size_t connections) -> void;
   /// Stops accepting. Answers say from now on that the stream ends, and streams without a request end when they have
   /// been idle for `idleMs`. Not undone. Example: `face.drain(1000);`
   auto drain(int64_t idleMs = 1000) -> void;
--- a/lib/policy/cache.cpp
+++ b/lib/policy/cache.cpp
@@ -178,6 +178,11 @@
   return true;
 }
 
+auto Cache::leaveRoom(const MemoryAccount& memory, size_t bytes) -> void {
+  auto roomBytes = memory.largeRoomBytes();
+  if (bytes_ > 0 && roomBytes < bytes) evict(bytes - roomBytes);
+}
+
 auto Cache::evict(size_t bytes) -> void {
   auto leastBytes = bytes_ - std::min(bytes, bytes_);
   while (bytes_ > leastBytes)
--- a/lib/policy/cache.hpp
+++ b/lib/policy/cache.hpp
@@ -86,6 +86,9 @@
   /// Drops the entries that were least recently used, until at least so many bytes went. Example: `cache.evict(1 <<
   /// 20);`
   auto evict(size_t bytes) -> void;
+  /// Gives way to what clients send: drops entries until large holders may draw so much, as far as that helps.
+  /// Example: `cache.leaveRoom(*memory, mostBodyBytes);`
+  auto leaveRoom(const MemoryAccount& memory, size_t bytes) -> void;
   auto purges() const -> uint64_t { return purges_; }
   auto bytes() const -> size_t { return bytes_; }
   auto size() const -> size_t { return items_.size(); }
--- a/lib/policy/process_limits.cpp
+++ b/lib/policy/process_limits.cpp
@@ -16,6 +16,7 @@
 constexpr size_t kLeastOwn = 64;
 constexpr size_t kMostOwn = 512;
 constexpr size_t kDescriptorsPerConnection = 2;
+constexpr size_t kDescriptorsPerPeer = 3;  // its line, ours, and what our line's socket needs
 
 constexpr size_t kLeastConnections = 8;
 }  // namespace
@@ -27,7 +28,8 @@
   auto smallBytes = MemoryAccount::Options().smallBytes;
   limits.bodyBytes = std::min(machine.bodyBytes, limits.accountBytes - limits.reserveBytes - smallBytes);
   limits.upstreams = machine.openFiles / kUpstreamsPart;
-  auto own = std::min(kMostOwn, kLeastOwn + machine.openFiles / kOwnPart);
+  auto own = std::max(std::min(kMostOwn, kLeastOwn + machine.openFiles / kOwnPart),
+                      kLeastOwn + kDescriptorsPerPeer * machine.peers);
   auto taken = std::min(machine.openFiles, limits.upstreams + own);
   auto byDescriptors = (machine.openFiles - taken) / kDescriptorsPerConnection;
   auto byMemory = machine.memoryBytes / kSocketsPart / kSocketBufferBytes;
--- a/lib/policy/process_limits.hpp
+++ b/lib/policy/process_limits.hpp
@@ -12,6 +12,7 @@
   size_t memoryBytes = 1 << 30;
   size_t openFiles = 4096;
   size_t bodyBytes = 8 << 20;  // the largest body that is asked for
+  size_t peers = 0;            // other nodes to which it has lines
 };
 
 /// How that is parted. The rest of the memory is for the program itself and for what the kernel queues.
--- a/lib/program/agent.cpp
+++ b/lib/program/agent.cpp
@@ -8,6 +8,7 @@
 #include "agent/link.hpp"
 #include "caller/codes.hpp"
 #include "caller/face.hpp"
+#include "caller/pending_answers.hpp"
 #include "neighbour/inbox.hpp"
 #include "neighbour/post.hpp"
 
@@ -112,7 +113,7 @@
   neighbour::Inbox<caller::Request> pages_{kPagesQueued};
   std::unique_ptr<Post> outer_, inner_;  // to other machines, and to the proxy over loopback
   std::unique_ptr<caller::Face> face_;
-  std::vector<std::shared_ptr<caller::Stream>> writing_;
+  caller::PendingAnswers writing_;
   agent::Follower follower_;
   agent::Giver toProxy_, toNeighbours_;
   agent::Told told_;
@@ -166,8 +167,7 @@
 auto AgentLoop::wait() -> void {
   std::vector<pollfd> fds = {{inbox_.fd(), POLLIN, 0}, {pages_.fd(), POLLIN, 0}};
   if (stopAtMs_ < 0) fds.push_back({op::Program::stopFd(), POLLIN, 0});
-  for (auto& stream : writing_)
-    fds.push_back({stream->fd(), POLLOUT, 0});
+  writing_.pollFor(fds);
   ::poll(fds.data(), fds.size(), static_cast<int>(settings_.boundMs / 40));
 }
 
@@ -185,9 +185,9 @@
     auto answer =
         caller::pageAnswer(request.target, refusal, [&] { return statusPage(held, target_, nowMs, isReady); });
     request.stream->answer(answer, request.method, request.keep);
-    writing_.push_back(request.stream);
+    writing_.add(request.stream);
   }
-  std::erase_if(writing_, [](auto& stream) { return stream->flush(); });
+  writing_.flush(nowMs);
 }
 
 auto AgentLoop::onMessage(const Letter& message, int64_t nowMs) -> void {
--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -128,12 +128,6 @@
   uint64_t shedReaders_ = 0;
 };
 
-// The cache gives way to what clients send: it leaves room for the largest body, and what can't be had otherwise.
-auto makeRoom(policy::Cache& cache, const MemoryAccount& memory, size_t largestBodyBytes) -> void {
-  auto roomBytes = memory.largeRoomBytes();
-  if (cache.bytes() > 0 && roomBytes < largestBodyBytes) cache.evict(largestBodyBytes - roomBytes);
-}
-
 // Another node's answer for which there is no room is lost: whatever it answered may have run.
 auto takeReply(caller::Edge& edge, const neighbour::Letter& letter, const std::shared_ptr<MemoryAccount>& memory,
                int64_t nowMs) -> void {
@@ -252,8 +246,9 @@
   if (linkMbps > 0) props.linkBytes = static_cast<size_t>(linkMbps * 125 * static_cast<double>(boundMs) / 100);
   rate.windowS = static_cast<double>(rateWindowMs) / 1000;
 
-  const auto limits = policy::processLimitsOf(
-      {static_cast<size_t>(memoryBytes), static_cast<size_t>(openFiles), static_cast<size_t>(bodyBytes)});
+  policy::MachineLimits machine{static_cast<size_t>(memoryBytes), static_cast<size_t>(openFiles),
+                                static_cast<size_t>(bodyBytes)};
+  const auto limits = policy::processLimitsOf(machine);
   const auto memory = policy::accountOf(limits);
   bodyBytes = static_cast<int64_t>(limits.bodyBytes);
   returnLargeBlocks();
@@ -382,6 +377,8 @@
                     << " is in force; idle connections end after " << held->frame->routing.limits.idleMs << " ms.";
         edge.takeFrame(*held, nowMs);
         if (shield) shield->takeFrame(*held, nowMs);
+        machine.peers = edge.shields().size();
+        face->limitConnections(policy::processLimitsOf(machine).connections);
         const auto& allowed = edge.limits();
         face->limit(static_cast<size_t>(allowed.headerBytes),
                     static_cast<size_t>(std::min(allowed.bodyBytes, bodyBytes)), allowed.headerMs, allowed.idleMs);
@@ -449,7 +446,7 @@
       overloadLog.tell(face->figures(), writing.shed());
     }
     writing.flush(nowMs);
-    makeRoom(*cache, *memory, limits.bodyBytes);
+    cache->leaveRoom(*memory, limits.bodyBytes);
     memoryReturn.observe(memory->usedBytes());
     if (std::exchange(refusalsSeen, memory->refusals()) != memory->refusals()) face->relieve();
     if (program.reread(nowMs)) LOG(INFO) << "edge: Settings have changed; they take effect at the next start.";
--- a/tests/memory_test.cpp
+++ b/tests/memory_test.cpp
@@ -241,6 +241,9 @@
   CHECK(edge.accountBytes + (edge.connections + edge.upstreams / 2) * policy::kSocketBufferBytes < 235 * kMb);
   // Each connection's small request finds room beside any large ones.
   CHECK(edge.reserveBytes >= edge.connections * 32 * kKb);
+  auto manyPeers = policy::processLimitsOf({260 * kMb, 4100, 64 * kMb, 800});
+  CHECK(2 * manyPeers.connections + manyPeers.upstreams + 2400 <= 4100);
+  CHECK(manyPeers.connections > 100);
   auto small = policy::processLimitsOf({16 * kMb, 64, 64 * kMb});
   CHECK(small.bodyBytes < 16 * kMb);
   CHECK(small.connections >= 8);
--- a/tests/sim/soak_crowds.hpp
+++ b/tests/sim/soak_crowds.hpp
@@ -40,7 +40,7 @@
  private:
   struct Crowd {
     MisbehavingClients clients;
-    int64_t untilMs;
+    int64_t untilMs = 0;
   };
   auto begin(int64_t nowMs) -> void;
   auto look() -> void;
