A read that may have run is not told that it has not

What callers saw: a read whose upstream broke off after it had been sent, or that had run once and was then turned away elsewhere, was answered 503 with Retry-After. The users' pages make 429, 503, 408 and 421 a promise, for any request; for writes it was kept already.

Cause: result code 3017 (a read's upstream failed) had status 503, and other refusals were passed on for reads whatever had been sent. Change: 3017 is 502 without Retry-After; an edge or a shield that gives up on a read of which anything was sent says 3017 in place of a promise. Tests: route_test and once_test expected 503 there, which is what the pages forbid; they now expect exactly 502, and a new case (a read that ran once and was then turned away) was 503 before. Ruled out: that clients come back later than before; PROTOCOL.md has them repeat reads after any failure.

--- a/lib/caller/codes.cpp
+++ b/lib/caller/codes.cpp
@@ -42,7 +42,7 @@
     {kRequestTimeout, {408, "the rest of the request did not come in time", true}},
     {kClientLeft, {504, "the client has closed its half of the connection", false}},
     {kOverloaded, {503, "this process holds as much as its memory allows", true}},
-    {kUpstreamLost, {503, "the upstream failed", true}},
+    {kUpstreamLost, {502, "the upstream failed; the read may have run", false}},
 };
 }  // namespace
 
@@ -68,4 +68,9 @@
   return it != kRows.end() && it->second.isTurnedAway;
 }
 
+auto promisesUnrun(uint32_t code) -> bool {
+  auto status = statusOf(code);
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 }  // namespace dykestage::caller
--- a/lib/caller/codes.hpp
+++ b/lib/caller/codes.hpp
@@ -49,5 +49,8 @@
 auto textOf(uint32_t code) -> std::string;
 /// True for codes that say "come back": they carry Retry-After. Example: `if (isTurnedAway(code)) ...`
 auto isTurnedAway(uint32_t code) -> bool;
+/// True for codes whose status promises that the request has not run and never will (408, 421, 429, 503).
+/// Example: `if (mayHaveRun && promisesUnrun(code)) code = kUpstreamLost;`
+auto promisesUnrun(uint32_t code) -> bool;
 
 }  // namespace dykestage::caller
--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -530,7 +530,9 @@
 auto Edge::giveUp(uint64_t id, uint32_t code, int64_t nowMs) -> void {
   auto& w = *waiting_.get(id);
   // A write that was handed on may have run, whatever became of the answer.
-  if (w.isWrite && w.wasSent && (isTurnedAway(code) || code == kDeadline)) code = kUnknown;
+  auto isOpen = isTurnedAway(code) || code == kDeadline || code == kUpstreamLost;
+  if (w.isWrite && w.wasSent && isOpen) code = kUnknown;
+  if (!w.isWrite && w.wasSent && promisesUnrun(code)) code = kUpstreamLost;
   ++refusals_[code];
   if (code == kUnknown)
     ++figures_.unknown;
--- a/lib/upstream/shield.cpp
+++ b/lib/upstream/shield.cpp
@@ -572,6 +572,7 @@
   auto& w = *waiting_.get(id);
   if (w.isWrite && w.wasTouched && code != kNotWhole && code != kAnswerTooLarge && code != kMisdirected)
     code = kUnknown;
+  if (!w.isWrite && (w.wasTouched || w.open > 0) && promisesUnrun(code)) code = kUpstreamLost;
   if (code == kUnknown)
     ++figures_.unknown;
   else
--- a/tests/once_test.cpp
+++ b/tests/once_test.cpp
@@ -181,7 +181,7 @@
 
 const std::vector<Row> kRows = {
     {{"refused, connect timeout, or reset before a byte left", Fault::kNotSent}, true, 503, true, 503},
-    {{"reset or closed after a byte left, with no answer", Fault::kLost}, true, 503, false, 504},
+    {{"reset or closed after a byte left, with no answer", Fault::kLost}, true, 502, false, 504},
     {{"an answer that is cut, malformed, without its seal", Fault::kNotWhole}, true, 502, false, 502},
     {{"an answer to another request", Fault::kMixed}, true, 502, false, 502},
     {{"an answer that is too large", Fault::kTooLarge}, false, 502, false, 502},
@@ -408,6 +408,18 @@
 };
 }  // namespace
 
+TEST_CASE("A read that ran once and was then turned away is not promised that it has not run") {
+  Node n;
+  n.ask("GET", "/list/1");
+  REQUIRE(n.fetches.size() == 1);
+  n.end(End{"lost", Fault::kLost}.fetched(n.fetches[0]), kStartMs + 20);
+  REQUIRE(n.fetches.size() == 2);
+  for (size_t i = 1; i < n.fetches.size() && i < 20; ++i)
+    n.end(End{"503, not run", Fault::kNone, 503, true}.fetched(n.fetches[i]), kStartMs + 30 + static_cast<int64_t>(i));
+  REQUIRE(n.answers.size() == 1);
+  CHECK(n.answers[0].answer.status == 502);
+}
+
 TEST_CASE("Each way a hand-over to another node can end: whether it goes again, and what the caller gets") {
   auto late = kStartMs + kDeadlineMs + 1;
   for (auto isWrite : {false, true}) {
@@ -440,7 +452,7 @@
       Asker a(isWrite);
       a.reply(0, code, false);
       CHECK(a.asked.size() == 1);
-      CHECK(a.status() == (isWrite ? 504 : 503));
+      CHECK(a.status() == (isWrite ? 504 : 502));
     }
     {
       INFO("the connection to the node is lost");
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -220,7 +220,7 @@
   n.fail(n.fetches[1], upstream::Fault::kLost);
   CHECK(n.fetches.size() == 2);
   REQUIRE(n.answers.size() == 1);
-  CHECK(n.answers[0].answer.status == 503);
+  CHECK(n.answers[0].answer.status == 502);
 }
 
 TEST_CASE("A slow read goes to another upstream beside the first, and the first answer counts") {
