A small machine's cache keeps its quarter until it is in the way; status and log tell overload

Cause: the cache left room for the largest body at any time, so that on a machine whose account hardly holds one there would have been no cache (seen by reading; the deployments at hand have 260 MiB). Change: until a request was refused the cache keeps a quarter of the account, then it leaves room for the largest body. Registries tell the account on their status page and overload in their log, as edges do, from one place (lib/program/overload).

--- a/lib/core/registry.cpp
+++ b/lib/core/registry.cpp
@@ -1064,6 +1064,7 @@
   number("keys", static_cast<double>(state_.keys()));
   number("conflicts", static_cast<double>(conflicts_));
   number("acknowledged", static_cast<double>(acked_));
+  if (props_.addToStatus) props_.addToStatus(page);
   return page.take();
 }
 
--- a/lib/core/registry.hpp
+++ b/lib/core/registry.hpp
@@ -50,6 +50,7 @@
  public:
   struct Props {
     tempo::Props core;
+    std::function<void(op::StatusPage&)> addToStatus = {};  // what the program around it has to tell
     tempo::Slot slot = 1;                          // among the initial replicas; 0: it joins a core that there is
     std::map<tempo::Slot, std::string> addresses;  // of the initial replicas
     std::string address;                           // its own; empty: as `addresses` has it
--- a/lib/policy/process_limits.cpp
+++ b/lib/policy/process_limits.cpp
@@ -8,6 +8,7 @@
 // Of the memory.
 constexpr double kAccountPart = 0.55;
 constexpr double kReservePart = 0.2;  // of the account
+constexpr size_t kCachePart = 4;      // a quarter of the account is the cache's until somebody is refused
 constexpr size_t kSocketsPart = 5;    // a fifth may be queued in the kernel for clients
 
 // Of the descriptors.
@@ -27,6 +28,8 @@
   limits.reserveBytes = static_cast<size_t>(static_cast<double>(limits.accountBytes) * kReservePart);
   auto smallBytes = MemoryAccount::Options().smallBytes;
   limits.bodyBytes = std::min(machine.bodyBytes, limits.accountBytes - limits.reserveBytes - smallBytes);
+  auto largeBytes = limits.accountBytes - limits.reserveBytes;
+  limits.roomBytes = std::min(limits.bodyBytes, largeBytes - limits.accountBytes / kCachePart);
   limits.upstreams = machine.openFiles / kUpstreamsPart;
   auto own = std::max(std::min(kMostOwn, kLeastOwn + machine.openFiles / kOwnPart),
                       kLeastOwn + kDescriptorsPerPeer * machine.peers);
--- a/lib/policy/process_limits.hpp
+++ b/lib/policy/process_limits.hpp
@@ -20,6 +20,7 @@
   size_t accountBytes = 0;  // held for others: requests, answers, the cache
   size_t reserveBytes = 0;  // of these, for small requests and answers
   size_t bodyBytes = 0;     // the largest body that fits while nothing else is held
+  size_t roomBytes = 0;     // that the cache leaves for large bodies while nobody is refused
   size_t connections = 0;   // of clients
   size_t upstreams = 0;     // connections to upstreams
 };
--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -16,6 +16,7 @@
 #include "neighbour/post.hpp"
 #include "policy/link_share.hpp"
 #include "policy/process_limits.hpp"
+#include "program/overload.hpp"
 #include "upstream/desk.hpp"
 
 namespace dykestage::program {
@@ -26,25 +27,6 @@
 };
 using Input = std::variant<caller::Request, Page, neighbour::Letter, caller::HeldFrame>;
 
-// Who holds how much, and what clients were told or done to because of it.
-auto addMemory(op::StatusPage& page, const MemoryAccount& memory, const caller::Face& face,
-               const caller::PendingAnswers& pending) -> void {
-  auto number = [&](const char* key, uint64_t value) { page.number(key, static_cast<double>(value)); };
-  number("memoryBytes", memory.totalBytes());
-  number("memoryUsed", memory.usedBytes());
-  number("memoryConnections", memory.usedBytes(MemoryUse::kConnections));
-  number("memoryRequests", memory.usedBytes(MemoryUse::kRequests));
-  number("memoryAnswers", memory.usedBytes(MemoryUse::kAnswers));
-  number("memoryPeers", memory.usedBytes(MemoryUse::kPeers));
-  auto f = face.figures();
-  number("connections", face.streams());
-  number("overloaded", f.overloaded);
-  number("shedRequests", f.shed);
-  number("shedReaders", pending.shed());
-  number("idleClosed", f.idleClosed);
-  number("closedAtOnce", f.closedAtOnce);
-}
-
 auto statusPage(const caller::Edge& edge, const upstream::Shield* shield, bool isReady, int64_t nowMs,
                 const std::function<void(op::StatusPage&)>& addMore) -> std::string {
   auto f = edge.figures();
@@ -109,25 +91,6 @@
   upstream::Shield::Figures shield_;
 };
 
-// Tells in the log what was done about clients since it told last.
-class OverloadLog {
- public:
-  auto tell(const caller::Face::Figures& now, uint64_t shedReaders) -> void {
-    auto refused = now.overloaded - last_.overloaded, shed = now.shed - last_.shed;
-    auto idle = now.idleClosed - last_.idleClosed, atOnce = now.closedAtOnce - last_.closedAtOnce;
-    auto readers = shedReaders - std::exchange(shedReaders_, shedReaders);
-    if (refused + idle + atOnce + readers > 0)
-      LOG(WARNING) << "edge: Short of memory or connections: " << refused << " requests refused, " << shed
-                   << " of them since they came too slowly; " << readers << " slow readers ended; " << idle
-                   << " idle connections ended early, " << atOnce << " closed at once.";
-    last_ = now;
-  }
-
- private:
-  caller::Face::Figures last_;
-  uint64_t shedReaders_ = 0;
-};
-
 // Another node's answer for which there is no room is lost: whatever it answered may have run.
 auto takeReply(caller::Edge& edge, const neighbour::Letter& letter, const std::shared_ptr<MemoryAccount>& memory,
                int64_t nowMs) -> void {
@@ -322,7 +285,7 @@
   LOG(INFO) << "edge: " << props.name << " serves port " << face->port() << ", status at port " << pages->port() << ".";
 
   caller::PendingAnswers writing(memory);
-  OverloadLog overloadLog;
+  OverloadLog overloadLog("edge");
   uint64_t refusalsSeen = 0;
   MemoryReturn memoryReturn(limits.accountBytes / 4);
   std::optional<StopTimes> stopping;
@@ -446,9 +409,10 @@
       overloadLog.tell(face->figures(), writing.shed());
     }
     writing.flush(nowMs);
-    cache->leaveRoom(*memory, limits.bodyBytes);
     memoryReturn.observe(memory->usedBytes());
-    if (std::exchange(refusalsSeen, memory->refusals()) != memory->refusals()) face->relieve();
+    auto wasRefused = std::exchange(refusalsSeen, memory->refusals()) != memory->refusals();
+    cache->leaveRoom(*memory, wasRefused ? limits.bodyBytes : limits.roomBytes);
+    if (wasRefused) face->relieve();
     if (program.reread(nowMs)) LOG(INFO) << "edge: Settings have changed; they take effect at the next start.";
     if (op::Program::isStopping() && !stopping) {
       // Not ready from now on; whoever still comes is served while the platform looks elsewhere.
--- a/lib/program/registry.cpp
+++ b/lib/program/registry.cpp
@@ -18,6 +18,7 @@
 #include "neighbour/inbox.hpp"
 #include "neighbour/post.hpp"
 #include "policy/process_limits.hpp"
+#include "program/overload.hpp"
 
 namespace dykestage::program {
 
@@ -220,6 +221,9 @@
     expect(address);
   for (const auto& contact : props.contacts)
     expect(contact);
+  props.addToStatus = [&](op::StatusPage& page) { addMemory(page, *memory, *face, writing); };
+  OverloadLog overloadLog("registry");
+  int64_t toldMs = 0;
   core::Registry registry(props, found.frame, found.writes, agent::freshIncarnation());
   registry.synced(0, ring->fill(), 0, neighbour::steadyMs());
 
@@ -308,6 +312,10 @@
     }
     writing.flush(nowMs);
     memoryReturn.observe(memory->usedBytes());
+    if (nowMs - toldMs > boundMs / 2) {
+      toldMs = nowMs;
+      overloadLog.tell(face->figures(), writing.shed());
+    }
     post->prune(nowMs);
     if (program.reread(nowMs)) {
       std::vector<std::string> fresh;
--- a/programs/shield.cpp
+++ b/programs/shield.cpp
@@ -111,6 +111,7 @@
   std::unique_ptr<agent::Link> link_;
   std::unique_ptr<caller::Face> pages_;
   std::optional<upstream::Desk> desk_;
+  uint64_t refusalsSeen_ = 0;
   int64_t stopAtMs_ = -1;
   int64_t warmedMs_ = 0;
 };
@@ -164,7 +165,8 @@
       onInput(input, nowMs);
     shield_->tick(nowMs);
     desk_->flush(nowMs);
-    cache_->leaveRoom(*memory_, limits_.bodyBytes);
+    auto wasRefused = std::exchange(refusalsSeen_, memory_->refusals()) != memory_->refusals();
+    cache_->leaveRoom(*memory_, wasRefused ? limits_.bodyBytes : limits_.roomBytes);
     memoryReturn_.observe(memory_->usedBytes());
     writing_.flush(nowMs);
     if (nowMs - warmedMs_ > boundMs / 20) {
--- a/tests/memory_test.cpp
+++ b/tests/memory_test.cpp
@@ -93,9 +93,22 @@
 template <typename Condition>
 auto holdsSoon(const Condition& condition) -> bool {
   auto untilMs = neighbour::steadyMs() + 10000;
-  while (!condition() && neighbour::steadyMs() < untilMs)
+  while (neighbour::steadyMs() < untilMs) {
+    if (condition()) return true;
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
-  return condition();
+  }
+  return false;
+}
+
+// The fetches that end first.
+auto endedOf(upstream::Fetcher& fetcher) -> std::vector<upstream::Fetched> {
+  std::vector<upstream::Fetched> ended;
+  std::vector<pollfd> none;
+  CHECK(holdsSoon([&] {
+    ended = fetcher.run(none, 10);
+    return !ended.empty();
+  }));
+  return ended;
 }
 
 constexpr auto kNothing = [] {};
@@ -241,6 +254,12 @@
   CHECK(edge.accountBytes + (edge.connections + edge.upstreams / 2) * policy::kSocketBufferBytes < 235 * kMb);
   // Each connection's small request finds room beside any large ones.
   CHECK(edge.reserveBytes >= edge.connections * 32 * kKb);
+  // In calm the largest body fits beside a full cache; on a small machine the cache keeps a quarter until it is in the
+  // way.
+  CHECK(edge.roomBytes == edge.bodyBytes);
+  auto half = policy::processLimitsOf({128 * kMb, 4100, 64 * kMb});
+  CHECK(half.roomBytes < half.bodyBytes);
+  CHECK(half.accountBytes - half.reserveBytes - half.roomBytes >= half.accountBytes / 4);
   auto manyPeers = policy::processLimitsOf({260 * kMb, 4100, 64 * kMb, 800});
   CHECK(2 * manyPeers.connections + manyPeers.upstreams + 2400 <= 4100);
   CHECK(manyPeers.connections > 100);
@@ -268,6 +287,23 @@
   CHECK(cache.bytes() == 0);
 }
 
+TEST_CASE("A cache leaves room for what clients send, and no more than that") {
+  auto memory = accountOf(1000, 200);
+  policy::Cache cache(1 << 20);
+  for (auto i = 0; i < 6; ++i) {
+    policy::Copy copy;
+    copy.body = std::string(100 * kKb, 'x');
+    REQUIRE(copy.body.draw(memory, MemoryUse::kAnswers));
+    copy.keepMs = 1000;
+    CHECK(cache.put("s", "/" + std::to_string(i), {}, copy, {}));
+  }
+  cache.leaveRoom(*memory, 200 * kKb);
+  CHECK(cache.size() == 6);
+  cache.leaveRoom(*memory, 400 * kKb);
+  CHECK(cache.size() == 4);
+  CHECK(memory->largeRoomBytes() == 400 * kKb);
+}
+
 TEST_CASE("A body for which there is no room is refused with when to come back, and frees what it held") {
   auto memory = accountOf(600, 200);
   std::atomic<int> taken{0};
@@ -432,12 +468,7 @@
     CHECK(fetcher.run(none, 10).empty());
   CHECK(memory->usedBytes() <= 400 * kKb);
   held.reset();
-  std::vector<upstream::Fetched> ended;
-  CHECK(holdsSoon([&] {
-    for (auto& one : fetcher.run(none, 10))
-      ended.push_back(std::move(one));
-    return !ended.empty();
-  }));
+  auto ended = endedOf(fetcher);
   REQUIRE(ended.size() == 1);
   CHECK(ended.front().fault == upstream::Fault::kNone);
   CHECK(ended.front().body.size() == 300 * kKb);
@@ -462,13 +493,7 @@
   fetch.isWrite = true;
   fetch.method = "POST";
   fetcher.start(fetch);
-  std::vector<pollfd> none;
-  std::vector<upstream::Fetched> ended;
-  CHECK(holdsSoon([&] {
-    for (auto& one : fetcher.run(none, 10))
-      ended.push_back(std::move(one));
-    return !ended.empty();
-  }));
+  auto ended = endedOf(fetcher);
   REQUIRE(ended.size() == 1);
   CHECK(ended.front().fault == upstream::Fault::kTimeout);
   CHECK_FALSE(ended.front().isUntouched);
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -513,6 +513,35 @@
   watch.checkReleased(kEdgeBytes * 2 / 3);
 }
 
+TEST_CASE("Crowds of all kinds at once") {
+  Deployment deployment{Limits{}, kAnswerBytes};
+  Watch watch(deployment, "edge-1");
+  MisbehavingClients crowd(deployment.edge());
+  Misbehaviour shortBody, smallFields;
+  shortBody.head = headOf("POST", "/buy/1", "till.test", "Content-Length: 300001\r\n");
+  shortBody.block = std::string(300000, 'x');
+  shortBody.blocks = 1;
+  smallFields.head = headOf("GET", "/pages/1", "till.test");
+  smallFields.head.resize(smallFields.head.size() - 2);
+  for (auto i = 0; i < 14000; ++i)
+    smallFields.head += "a:\r\n";
+  smallFields.head += "\r\n";
+  for (auto i = 0; i < 20; ++i) {
+    crowd.add(chunkedPost(64 << 10, 1, 56));
+    crowd.add(chunkedPost(16 << 10, 4, Misbehaviour::kEndless));
+    crowd.add(shortBody);
+    crowd.add(smallFields);
+    crowd.add(slowReader("/pages/" + std::to_string(i), "till.test"));
+    crowd.add(slowReader("/items/" + std::to_string(i), "shop.test"));
+    for (auto silent = 0; silent < 10; ++silent)
+      crowd.add({});
+  }
+  crowd.stay(8000, watch.sampler());
+  watch.check(kEdgeBytes, kEdgeFiles);
+  crowd.leave();
+  watch.checkReleased(kEdgeBytes * 2 / 3);
+}
+
 TEST_CASE("Bodies held short of their end at a registry") {
   Deployment deployment{Limits{}};
   Watch watch(deployment, "registry-1");
@@ -558,3 +587,44 @@
   crowd.leave();
   watch.checkReleased(kRegistryBytes / 2);
 }
+
+// The sizes of a machine of the users' site, by hand: `overload_test "[.full]"`.
+TEST_CASE("Crowds at the size of a machine", "[.full]") {
+  const Limits limits{260 * kMb, 4100, 64 * kMb};
+  Deployment deployment{limits, 2 * kMb};
+  Watch watch(deployment, "edge-1");
+  MisbehavingClients crowd(deployment.edge());
+  SECTION("60 chunked bodies of 24 MiB, held short of their end") {
+    for (auto i = 0; i < 60; ++i)
+      crowd.add(chunkedPost(64 << 10, 16, 24));
+    crowd.run(2 * kCrowdMs, watch.sampler());
+  }
+  SECTION("600 chunked bodies of 0.9 MB held") {
+    for (auto i = 0; i < 600; ++i)
+      crowd.add(chunkedPost(9000, 100, 1));
+    crowd.run(2 * kCrowdMs, watch.sampler());
+  }
+  SECTION("40 chunked bodies without end") {
+    for (auto i = 0; i < 40; ++i)
+      crowd.add(chunkedPost(64 << 10, 4, Misbehaviour::kEndless));
+    crowd.run(2 * kCrowdMs, watch.sampler());
+  }
+  SECTION("400 slow readers of objects of 2 MiB") {
+    for (auto i = 0; i < 400; ++i)
+      crowd.add(slowReader("/items/" + std::to_string(i), "shop.test"));
+    crowd.stay(kCrowdMs, watch.sampler());
+  }
+  SECTION("300 slow readers of a route that keeps nothing") {
+    for (auto i = 0; i < 300; ++i)
+      crowd.add(slowReader("/pages/" + std::to_string(i), "till.test"));
+    crowd.stay(kCrowdMs, watch.sampler());
+  }
+  SECTION("4,300 connections that say nothing") {
+    for (auto i = 0; i < 4300; ++i)
+      crowd.add({});
+    crowd.run(2 * kCrowdMs, watch.sampler());
+  }
+  watch.check(limits.memoryBytes, limits.openFiles);
+  crowd.leave();
+  watch.checkReleased(limits.memoryBytes / 2);
+}
