The edge's program is a class of short functions

Change: its settings, inputs, what it hands out, its lines, its log and its end are functions of EdgeLoop; the exception is gone. Nothing it does changes: readiness is looked at when a page is answered, not once a round before.

--- a/lib/program/edge.cpp
+++ b/lib/program/edge.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <variant>
 
 #include "agent/link.hpp"
@@ -22,11 +23,6 @@
 namespace dykestage::program {
 
 namespace {
-struct Page {
-  caller::Request request;
-};
-using Input = std::variant<caller::Request, Page, neighbour::Letter, caller::HeldFrame>;
-
 auto statusPage(const caller::Edge& edge, const upstream::Shield* shield, bool isReady, int64_t nowMs,
                 const std::function<void(op::StatusPage&)>& addMore) -> std::string {
   auto f = edge.figures();
@@ -91,21 +87,6 @@
   upstream::Shield::Figures shield_;
 };
 
-// Another node's answer for which there is no room is lost: whatever it answered may have run.
-auto takeReply(caller::Edge& edge, const neighbour::Letter& letter, const std::shared_ptr<MemoryAccount>& memory,
-               int64_t nowMs) -> void {
-  Reader r(letter.body);
-  auto reply = r.get<neighbour::Reply>();
-  if (!r.done()) return;
-  if (!reply.body.draw(memory, MemoryUse::kPeers)) {
-    reply.code = caller::kAnswerTooLarge;
-    reply.isUntouched = false;
-    reply.headers.clear();
-    reply.body = {};
-  }
-  edge.takeReply(letter.from, reply, nowMs);
-}
-
 // When a process that was told to stop does what. A request that has come before the drain is worked on until shortly
 // before the process is killed; later ones would have to be broken off too soon, and are turned away.
 struct StopTimes {
@@ -134,309 +115,464 @@
   props.burstBytes = props.bytesPerS * static_cast<double>(boundMs) / 1000 / 100;
   return std::make_shared<policy::LinkShare>(props);
 }
-}  // namespace
-
-// NOLINTNEXTLINE(readability-function-size): split with its module in issue 17
-auto runEdge(op::Program& program) -> int {
-  auto& s = program.settings();
-  caller::Edge::Props props;
-  std::string http, status, recordAt, address, listen, agentAt;
-  int64_t boundMs = 2000, requests = 4000, cacheBytes = 64 << 20, bodyBytes = 8 << 20, threads = 2;
-  s.text("name", props.name, true);
-  s.text("site", props.site, true);
-  program.address("http", http);
-  program.address("status", status);
-  program.address("address", address);
-  program.address("listen", listen, false);
-  program.address("agent", agentAt);
-  s.integer("boundMs", 400, 60000, boundMs);
-  s.integer("requests", 1, 1000000, requests);
-  s.integer("cacheBytes", 1 << 20, 1LL << 40, cacheBytes);
-  s.integer("bodyBytes", 1 << 10, 64 << 20, bodyBytes);
-  s.integer("threads", 1, 64, threads);
-  auto fetches = false;
-  int64_t graceMs = 3 * boundMs, rateWindowMs = 5000;
-  std::string readyPath = "/ready";
-  int64_t memoryBytes = 1 << 30, openFiles = 4096;
-  auto linkMbps = 0.0;
-  s.number("linkMbps", 0.01, 1e6, linkMbps);
+/// What the settings say.
+struct Settings {
+  caller::Edge::Props edge;
   policy::RateBounds rate;
-  s.integer("memoryBytes", 1 << 24, 1LL << 40, memoryBytes);
-  s.integer("openFiles", 64, 1 << 24, openFiles);
-  s.flag("fetches", fetches);
-  s.flag("servesStale", props.servesStale);
-  s.text("readyPath", readyPath);
-  s.integer("graceMs", 100, 600000, graceMs);
-  if (auto h = program.part("headers")) {
-    auto& names = props.names;
-    for (auto [key, name] : std::initializer_list<std::pair<const char*, std::string*>>{{"try", &names.tryId},
-                                                                                        {"timeLeft", &names.timeLeft},
-                                                                                        {"instance", &names.instance},
-                                                                                        {"service", &names.service},
-                                                                                        {"extra", &names.extra},
-                                                                                        {"load", &names.load},
-                                                                                        {"labels", &names.labels},
-                                                                                        {"notRun", &names.notRun},
-                                                                                        {"seal", &names.seal}})
-      h->text(key, *name);
-    h->close();
-  }
-  if (auto b = program.part("budget")) {
-    b->number("share", 0, 1, props.tries.share);
-    b->number("allowance", 0, 1e6, props.tries.allowance);
-    b->integer("windowMs", 100, 600000, props.tries.windowMs);
-    b->close();
+  policy::MachineLimits machine;
+  std::string http, status;     // addresses: where clients and pages are served,
+  std::string address, listen;  // towards other processes, as they are told and as it listens,
+  std::string agent;            // and of the agent beside it
+  std::string readyPath = "/ready";
+  std::string record;  // a file for the requests that come; empty: none
+  int64_t recordBytes = 64 << 20;
+  int64_t boundMs = 2000, graceMs = 6000;
+  int64_t threads = 2;
+  double linkMbps = 0;  // 0: no limit
+};
+
+auto readHeaderNames(op::Program& program, caller::HeaderNames& names) -> void {
+  auto fields = program.part("headers");
+  if (!fields) return;
+  fields->text("try", names.tryId);
+  fields->text("timeLeft", names.timeLeft);
+  fields->text("instance", names.instance);
+  fields->text("service", names.service);
+  fields->text("extra", names.extra);
+  fields->text("load", names.load);
+  fields->text("labels", names.labels);
+  fields->text("notRun", names.notRun);
+  fields->text("seal", names.seal);
+  fields->close();
+}
+
+auto readBudgets(op::Program& program, Settings& settings) -> void {
+  if (auto budget = program.part("budget")) {
+    auto& tries = settings.edge.tries;
+    budget->number("share", 0, 1, tries.share);
+    budget->number("allowance", 0, 1e6, tries.allowance);
+    budget->integer("windowMs", 100, 600000, tries.windowMs);
+    budget->close();
   }
-  if (auto c = program.part("ceiling")) {
-    c->integer("windowMs", 100, 600000, rateWindowMs);
-    c->number("over", 1, 10, rate.over);
-    c->number("slack", 0, 1e6, rate.slack);
-    c->close();
+  int64_t windowMs = 5000;
+  if (auto ceiling = program.part("ceiling")) {
+    ceiling->integer("windowMs", 100, 600000, windowMs);
+    ceiling->number("over", 1, 10, settings.rate.over);
+    ceiling->number("slack", 0, 1e6, settings.rate.slack);
+    ceiling->close();
   }
-  int64_t recordBytes = 64 << 20;
-  s.text("record", recordAt);
-  s.integer("recordBytes", 1 << 10, 1LL << 40, recordBytes);
+  settings.rate.windowS = static_cast<double>(windowMs) / 1000;
+}
+
+// What follows from the settings, above all from the freshness bound.
+auto derive(Settings& settings) -> void {
+  auto& edge = settings.edge;
+  edge.staleMs = settings.boundMs * 3 / 4;
+  edge.suspectMs = settings.boundMs / 8;
+  edge.retryMs = settings.boundMs / 20;
+  if (settings.linkMbps > 0)
+    edge.linkBytes = static_cast<size_t>(settings.linkMbps * 125 * static_cast<double>(settings.boundMs) / 100);
+}
+
+auto readSettings(op::Program& program) -> Settings {
+  Settings settings;
+  auto& fields = program.settings();
+  auto size = [&](const char* key, int64_t low, int64_t high, size_t& into) {
+    auto value = static_cast<int64_t>(into);
+    fields.integer(key, low, high, value);
+    into = static_cast<size_t>(value);
+  };
+  fields.text("name", settings.edge.name, true);
+  fields.text("site", settings.edge.site, true);
+  program.address("http", settings.http);
+  program.address("status", settings.status);
+  program.address("address", settings.address);
+  program.address("listen", settings.listen, false);
+  program.address("agent", settings.agent);
+  fields.integer("boundMs", 400, 60000, settings.boundMs);
+  size("requests", 1, 1000000, settings.edge.requests);
+  size("cacheBytes", 1 << 20, 1LL << 40, settings.edge.cacheBytes);
+  size("bodyBytes", 1 << 10, 64 << 20, settings.machine.bodyBytes);
+  size("memoryBytes", 1 << 24, 1LL << 40, settings.machine.memoryBytes);
+  size("openFiles", 64, 1 << 24, settings.machine.openFiles);
+  fields.integer("threads", 1, 64, settings.threads);
+  fields.number("linkMbps", 0.01, 1e6, settings.linkMbps);
+  fields.flag("fetches", settings.edge.fetches);
+  fields.flag("servesStale", settings.edge.servesStale);
+  fields.text("readyPath", settings.readyPath);
+  settings.graceMs = 3 * settings.boundMs;
+  fields.integer("graceMs", 100, 600000, settings.graceMs);
+  readHeaderNames(program, settings.edge.names);
+  readBudgets(program, settings);
+  fields.text("record", settings.record);
+  fields.integer("recordBytes", 1 << 10, 1LL << 40, settings.recordBytes);
   program.ready();
-  std::optional<caller::Recorder> recorder;
-  if (!recordAt.empty()) recorder.emplace(recordAt, recordBytes);
-  auto recordSinceMs = neighbour::steadyMs();
-  props.staleMs = boundMs * 3 / 4;
-  props.suspectMs = boundMs / 8;
-  props.requests = static_cast<size_t>(requests);
-  props.cacheBytes = static_cast<size_t>(cacheBytes);
-  props.fetches = fetches;
-  props.retryMs = boundMs / 20;
-  if (linkMbps > 0) props.linkBytes = static_cast<size_t>(linkMbps * 125 * static_cast<double>(boundMs) / 100);
-  rate.windowS = static_cast<double>(rateWindowMs) / 1000;
-
-  policy::MachineLimits machine{static_cast<size_t>(memoryBytes), static_cast<size_t>(openFiles),
-                                static_cast<size_t>(bodyBytes)};
-  const auto limits = policy::processLimitsOf(machine);
-  const auto memory = policy::accountOf(limits);
-  bodyBytes = static_cast<int64_t>(limits.bodyBytes);
-  returnLargeBlocks();
+  derive(settings);
+  return settings;
+}
+
+/// The program's one thread: requests, messages, frames and ended fetches go into the state machines, what follows goes
+/// out. An edge that fetches itself holds a shield's machine too; both share one cache.
+class EdgeLoop {
+ public:
+  EdgeLoop(op::Program& program, Settings settings);
+  /// False, with the reason in the log, when an address can't be had.
+  auto open() -> bool;
+  /// Returns once the process was told to stop and its time is over.
+  auto run() -> void;
+
+ private:
+  struct Page {
+    caller::Request request;
+  };
+  using Input = std::variant<caller::Request, Page, neighbour::Letter, caller::HeldFrame>;
+
+  auto openShield() -> void;
+  auto serve(const std::string& at, caller::Face::Props props, std::function<Input(caller::Request)> wrap)
+      -> std::unique_ptr<caller::Face>;
+  auto wait() -> std::vector<upstream::Fetched>;
+  auto onInput(Input& input, int64_t nowMs) -> void;
+  auto onRequest(caller::Request request, int64_t nowMs) -> void;
+  auto onMessage(const neighbour::Letter& message, int64_t nowMs) -> void;
+  auto onReply(const neighbour::Letter& message, int64_t nowMs) -> void;
+  auto onFrame(const caller::HeldFrame& held, int64_t nowMs) -> void;
+  auto answerPage(const caller::Request& request, int64_t nowMs) -> void;
+  auto handOut(int64_t nowMs) -> void;
+  auto handOutOnce(int64_t nowMs) -> bool;
+  auto keepLines(int64_t nowMs) -> void;
+  auto tell(int64_t nowMs) -> void;
+  auto relieve() -> void;
+  auto beginStop(int64_t nowMs) -> void;
+  auto mustStop(int64_t nowMs) -> bool;
+  auto isAtRest() const -> bool { return edge_->open() == 0 && (!desk_ || desk_->isIdle()); }
+
+  op::Program& program_;
+  Settings settings_;
+  policy::ProcessLimits limits_;
+  std::shared_ptr<MemoryAccount> memory_;
+  std::shared_ptr<policy::Cache> cache_;
+  std::shared_ptr<policy::LinkShare> linkShare_;
+  std::optional<caller::Recorder> recorder_;
+  int64_t recordSinceMs_ = 0;
+  caller::PendingAnswers writing_;
+  MemoryReturn memoryReturn_;
+  neighbour::Inbox<Input> inbox_{16000};
+  upstream::Fetcher fetcher_;
+  std::unique_ptr<neighbour::Post> post_;
+  std::optional<caller::Edge> edge_;
+  std::optional<upstream::Shield> shield_;
+  std::unique_ptr<agent::Link> link_;
+  std::optional<upstream::Desk> desk_;
+  std::unique_ptr<caller::Face> face_, pages_;
+  OverloadLog overloadLog_{"edge"};
+  FigureLog figureLog_;
+  uint64_t refusalsSeen_ = 0;
+  std::optional<StopTimes> stopping_;
+  bool isDraining_ = false, isRefusing_ = false;
+  int64_t warmedMs_ = 0, toldMs_ = 0;
+};
 
-  neighbour::Inbox<Input> inbox(16000);
+EdgeLoop::EdgeLoop(op::Program& program, Settings settings)
+    : program_(program),
+      settings_(std::move(settings)),
+      limits_(policy::processLimitsOf(settings_.machine)),
+      memory_(policy::accountOf(limits_)),
+      cache_(std::make_shared<policy::Cache>(settings_.edge.cacheBytes)),
+      linkShare_(linkShareOf(settings_.linkMbps, settings_.boundMs)),
+      writing_(memory_),
+      memoryReturn_(limits_.accountBytes / 4) {
+  if (!settings_.record.empty()) recorder_.emplace(settings_.record, settings_.recordBytes);
+  recordSinceMs_ = neighbour::steadyMs();
+}
+
+auto EdgeLoop::open() -> bool {
   std::string reason;
-  neighbour::Post::Props postProps{listen.empty() ? address : listen, address};
-  postProps.maxBytes = static_cast<size_t>(bodyBytes) * 2 + (1 << 20);
-  auto post = neighbour::Post::open(
-      postProps, [&](neighbour::Letter l) { inbox.push(std::move(l)); }, reason);
-  if (!post) {
+  neighbour::Post::Props postProps{settings_.listen.empty() ? settings_.address : settings_.listen, settings_.address};
+  postProps.maxBytes = limits_.bodyBytes * 2 + (1 << 20);
+  post_ = neighbour::Post::open(
+      postProps, [this](neighbour::Letter l) { inbox_.push(std::move(l)); }, reason);
+  if (!post_) {
     LOG(ERROR) << "edge: " << reason;
-    return 3;
+    return false;
   }
+  auto& props = settings_.edge;
   props.life = agent::freshIncarnation();
-  // An edge that fetches itself holds a shield's machine too; both share one cache.
-  auto cache = std::make_shared<policy::Cache>(props.cacheBytes);
-  caller::Edge edge(props, cache);
-  upstream::Fetcher fetcher;
-  fetcher.limit(0, limits.upstreams);
-  fetcher.limitMemory(memory, policy::kSocketBufferBytes);
-  std::optional<upstream::Shield> shield;
-  if (fetches) {
-    upstream::Shield::Props own;
-    own.name = props.name;
-    own.site = props.site;
-    own.address = post->address();
-    own.kind = "proxy";
-    own.boundMs = boundMs;
-    own.staleMs = boundMs * 3 / 4;
-    own.probeMs = 0;  // answers and their loads tell how upstreams do
-    own.easeMs = boundMs * 5 / 2;
-    own.connectMs = boundMs / 20;
-    own.requests = props.requests;
-    own.answerBytes = static_cast<size_t>(bodyBytes);
-    own.servesStale = props.servesStale;
-    own.names = props.names;
-    own.tries = props.tries;
-    own.rate = rate;
-    own.life = props.life;
-    own.keyBytes = std::min(own.keyBytes, limits.reserveBytes / 2);
-    shield.emplace(own, cache);
-  }
-  agent::Link link(
-      {props.name, {fetches ? "proxy" : "edge", props.site, post->address(), "", props.life}, agentAt, boundMs},
-      [&](caller::HeldFrame f) { inbox.push(std::move(f)); }, [&](neighbour::Letter l) { inbox.push(std::move(l)); });
-  auto linkShare = linkShareOf(linkMbps, boundMs);
-  std::optional<upstream::Desk> desk;
-  if (shield)
-    desk.emplace(*shield, fetcher, *post, link,
-                 upstream::Desk::Props{
-                     post->address(), boundMs, linkShare,
-                     [&](const neighbour::Reply& r) { edge.takeReply(post->address(), r, neighbour::steadyMs()); },
-                     [&](const neighbour::SendRequest& r) { edge.takeSendRequest(post->address(), r); }, memory});
-  auto open = [&](const std::string& at, int count, std::shared_ptr<policy::LinkShare> share, size_t connections,
-                  size_t mostBodyBytes, auto wrap) {
-    auto [ip, port] = op::splitAddress(at);
-    return std::make_unique<caller::Face>(caller::Face::Props{ip, port, count, mostBodyBytes, share, 2 * boundMs,
-                                                              memory, connections, policy::kSocketBufferBytes},
-                                          [&inbox, wrap](caller::Request r) {
-                                            auto stream = r.stream;
-                                            auto method = r.method;
-                                            if (!inbox.push(wrap(std::move(r))))
-                                              stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
-                                          });
-  };
-  auto face = open(http, static_cast<int>(threads), linkShare, limits.connections, limits.bodyBytes,
-                   [](caller::Request r) { return Input(std::move(r)); });
-  auto pages = open(status, 1, nullptr, caller::kPageConnections, caller::kPageBodyBytes,
-                    [](caller::Request r) { return Input(Page{std::move(r)}); });
-  LOG(INFO) << "edge: " << props.name << " serves port " << face->port() << ", status at port " << pages->port() << ".";
-
-  caller::PendingAnswers writing(memory);
-  OverloadLog overloadLog("edge");
-  uint64_t refusalsSeen = 0;
-  MemoryReturn memoryReturn(limits.accountBytes / 4);
-  std::optional<StopTimes> stopping;
-  auto isDraining = false, isRefusing = false;
-  int64_t warmedMs = 0, toldMs = 0;
-  FigureLog figureLog;
+  edge_.emplace(props, cache_);
+  fetcher_.limit(0, limits_.upstreams);
+  fetcher_.limitMemory(memory_, policy::kSocketBufferBytes);
+  auto kind = props.fetches ? "proxy" : "edge";
+  agent::Link::Props linkProps{
+      props.name, {kind, props.site, post_->address(), "", props.life}, settings_.agent, settings_.boundMs};
+  link_ = std::make_unique<agent::Link>(
+      linkProps, [this](caller::HeldFrame f) { inbox_.push(std::move(f)); },
+      [this](neighbour::Letter l) { inbox_.push(std::move(l)); });
+  if (props.fetches) openShield();
+  caller::Face::Props clients;
+  clients.threads = static_cast<int>(settings_.threads);
+  clients.bodyBytes = limits_.bodyBytes;
+  clients.link = linkShare_;
+  clients.connections = limits_.connections;
+  face_ = serve(settings_.http, clients, [](caller::Request r) { return Input(std::move(r)); });
+  caller::Face::Props pages;
+  pages.threads = 1;
+  pages.bodyBytes = caller::kPageBodyBytes;
+  pages.connections = caller::kPageConnections;
+  pages_ = serve(settings_.status, pages, [](caller::Request r) { return Input(Page{std::move(r)}); });
+  LOG(INFO) << "edge: " << props.name << " serves port " << face_->port() << ", status at port " << pages_->port()
+            << ".";
+  return true;
+}
+
+auto EdgeLoop::openShield() -> void {
+  const auto& props = settings_.edge;
+  upstream::Shield::Props own;
+  own.name = props.name;
+  own.site = props.site;
+  own.address = post_->address();
+  own.kind = "proxy";
+  own.boundMs = settings_.boundMs;
+  own.staleMs = props.staleMs;
+  own.probeMs = 0;  // answers and their loads tell how upstreams do
+  own.easeMs = settings_.boundMs * 5 / 2;
+  own.connectMs = settings_.boundMs / 20;
+  own.requests = props.requests;
+  own.answerBytes = limits_.bodyBytes;
+  own.servesStale = props.servesStale;
+  own.names = props.names;
+  own.tries = props.tries;
+  own.rate = settings_.rate;
+  own.life = props.life;
+  own.keyBytes = std::min(own.keyBytes, limits_.reserveBytes / 2);
+  shield_.emplace(own, cache_);
+  upstream::Desk::Props desk;
+  desk.self = post_->address();
+  desk.boundMs = settings_.boundMs;
+  desk.link = linkShare_;
+  desk.reply = [this](const neighbour::Reply& r) { edge_->takeReply(post_->address(), r, neighbour::steadyMs()); };
+  desk.sendRequest = [this](const neighbour::SendRequest& r) { edge_->takeSendRequest(post_->address(), r); };
+  desk.memory = memory_;
+  desk_.emplace(*shield_, fetcher_, *post_, *link_, desk);
+}
+
+auto EdgeLoop::serve(const std::string& at, caller::Face::Props props, std::function<Input(caller::Request)> wrap)
+    -> std::unique_ptr<caller::Face> {
+  std::tie(props.ip, props.port) = op::splitAddress(at);
+  props.slackMs = 2 * settings_.boundMs;
+  props.memory = memory_;
+  props.socketBytes = policy::kSocketBufferBytes;
+  return std::make_unique<caller::Face>(props, [this, wrap = std::move(wrap)](caller::Request r) {
+    auto stream = r.stream;
+    auto method = r.method;
+    if (!inbox_.push(wrap(std::move(r)))) stream->answer(caller::codeAnswer(caller::kEdgeFull, 1), method, false);
+  });
+}
+
+auto EdgeLoop::run() -> void {
   for (;;) {
-    std::vector<pollfd> fds = {{inbox.fd(), POLLIN, 0}};
-    // Deadlines are looked at every few ms while anything waits.
-    auto isIdle = edge.open() == 0 && (!desk || desk->isIdle());
-    auto waitMs = isIdle ? boundMs / 40 : boundMs / 200;
-    // A socket that could take more is no reason to wake before the link has room for it.
-    auto roomMs = linkShare && !writing.isEmpty() ? linkShare->waitMs(neighbour::steadyMs()) : 0;
-    if (roomMs > 0) waitMs = std::min(waitMs, roomMs);
-    if (roomMs == 0) writing.pollFor(fds);
-    std::vector<upstream::Fetched> ended;
-    if (fetches)
-      ended = fetcher.run(fds, waitMs);
-    else
-      ::poll(fds.data(), fds.size(), static_cast<int>(waitMs));
+    auto ended = wait();
     auto nowMs = neighbour::steadyMs();
     for (auto& fetched : ended)
-      shield->takeFetched(fetched, nowMs);
-    auto isReady = edge.isCurrent(nowMs) && !stopping;
-    for (auto& input : inbox.take()) {
-      if (auto* request = std::get_if<caller::Request>(&input)) {
-        if (recorder &&
-            !recorder->add({nowMs - recordSinceMs, request->method, caller::header(request->headers, "host"),
-                            request->target, static_cast<int64_t>(request->body.size()),
-                            caller::has(request->headers, "idempotency-key")})) {
-          LOG(INFO) << "edge: The record ends here.";
-          recorder.reset();
-        }
-        edge.take(std::move(*request), nowMs);
-      }
-      if (auto* letter = std::get_if<neighbour::Letter>(&input)) {
-        if (letter->kind == neighbour::kReply) {
-          takeReply(edge, *letter, memory, nowMs);
-        } else if (letter->kind == neighbour::kPong) {
-          edge.heard(letter->from, nowMs);
-        } else if (letter->kind == neighbour::kSendRequest) {
-          Reader r(letter->body);
-          auto sendRequest = r.get<neighbour::SendRequest>();
-          if (r.done()) edge.takeSendRequest(letter->from, sendRequest);
-        } else if (desk) {
-          desk->take(*letter, nowMs);
-        }
-      }
-      if (auto* held = std::get_if<caller::HeldFrame>(&input)) {
-        if (held->frame->revision.configuration != edge.revision().configuration)
-          LOG(INFO) << "edge: Configuration " << held->frame->revision.configuration
-                    << " is in force; idle connections end after " << held->frame->routing.limits.idleMs << " ms.";
-        edge.takeFrame(*held, nowMs);
-        if (shield) shield->takeFrame(*held, nowMs);
-        machine.peers = edge.shields().size();
-        face->limitConnections(policy::processLimitsOf(machine).connections);
-        const auto& allowed = edge.limits();
-        face->limit(static_cast<size_t>(allowed.headerBytes),
-                    static_cast<size_t>(std::min(allowed.bodyBytes, bodyBytes)), allowed.headerMs, allowed.idleMs);
-        link.tell({edge.revision(), {}, edge.samples()});
-      }
-      if (auto* page = std::get_if<Page>(&input)) {
-        auto& r = page->request;
-        auto refusal = isReady ? caller::kOk : stopping ? caller::kEmptying : caller::kNotCurrent;
-        auto target = r.target == readyPath ? "/ready" : r.target;
-        auto answer = caller::pageAnswer(target, refusal, [&] {
-          return statusPage(edge, shield ? &*shield : nullptr, isReady, nowMs,
-                            [&](op::StatusPage& page) { addMemory(page, *memory, *face, writing); });
-        });
-        r.stream->answer(answer, r.method, r.keep);
-        writing.add(r.stream);
-      }
-    }
-    edge.tick(nowMs);
-    if (shield) shield->tick(nowMs);
-    // An ask that did not leave, or that this very process answers, is a new input.
-    for (auto isMore = true; isMore;) {
-      auto out = edge.output();
-      isMore = !out.asks.empty() || !out.grants.empty() || !out.withdrawals.empty();
-      for (auto& a : out.asks) {
-        if (a.isSelf && shield)
-          shield->take(a.to, std::move(a.ask), nowMs);
-        else if (!post->send(a.to, neighbour::kAsk, Writer().put(a.ask).take()))
-          edge.unsent(a.ask, nowMs);
-      }
-      for (auto& w : out.withdrawals) {
-        if (w.isSelf && shield)
-          shield->takeWithdrawal(w.to, w.withdrawal, nowMs);
-        else
-          post->send(w.to, neighbour::kWithdrawal, Writer().put(w.withdrawal).take());
-      }
-      for (auto& g : out.grants) {
-        if (g.isSelf && shield)
-          shield->takeSendGrant(g.grant, nowMs);
-        else
-          post->send(g.to, neighbour::kSendGrant, Writer().put(g.grant).take());
-      }
-      for (auto& a : out.answers) {
-        a.stream->answer(caller::Edge::atLast(a, neighbour::steadyMs()), a.method, a.keep && !stopping);
-        writing.add(a.stream);
-      }
-      isMore = (desk && desk->flush(nowMs)) || isMore || !out.answers.empty();
-    }
-    // Only now is it known which asks have left: lines that are down end what went over them.
-    if (nowMs - warmedMs > boundMs / 20) {
-      warmedMs = nowMs;
-      for (const auto& at : edge.shields()) {
-        if (!post->isUp(at)) edge.lost(at, nowMs);
-        post->warm(at);
-      }
-      if (desk) desk->warm();
-      post->prune(nowMs);
-    }
-    if (nowMs - toldMs > boundMs / 2) {
-      toldMs = nowMs;
-      std::string list;
-      for (auto [code, count] : edge.refusals())
-        list += (list.empty() ? "" : ", ") + std::to_string(code) + " " + std::to_string(count) + " times";
-      if (!list.empty()) LOG(INFO) << "edge: Own answers: " << list << ".";
-      if (shield) figureLog.tell(edge.figures(), shield->figures());
-      overloadLog.tell(face->figures(), writing.shed());
-    }
-    writing.flush(nowMs);
-    memoryReturn.observe(memory->usedBytes());
-    auto wasRefused = std::exchange(refusalsSeen, memory->refusals()) != memory->refusals();
-    cache->leaveRoom(*memory, wasRefused ? limits.bodyBytes : limits.roomBytes);
-    if (wasRefused) face->relieve();
-    if (program.reread(nowMs)) LOG(INFO) << "edge: Settings have changed; they take effect at the next start.";
-    if (op::Program::isStopping() && !stopping) {
-      // Not ready from now on; whoever still comes is served while the platform looks elsewhere.
-      LOG(INFO) << "edge: Emptying.";
-      if (shield) shield->empty();  // other nodes ask elsewhere; its own callers are served on
-      stopping = stopTimesOf(nowMs, graceMs);
-      edge.turnAwayFrom(stopping->drainMs);
-      edge.endBy(stopping->lastAnswerMs);
-    }
-    if (!stopping) continue;
-    // The platform has found it not ready by now, or ends it soon: nobody new is taken.
-    if (!isDraining && nowMs >= stopping->drainMs) {
-      isDraining = true;
-      face->drain(boundMs / 4);
-    }
-    // What the process still holds when it ends is lost. Not sooner: the ends of idle connections would wait behind it.
-    if (nowMs >= stopping->earliestEndMs && linkShare) linkShare->lift();
-    auto isDone = edge.open() == 0 && writing.isEmpty() && (!desk || desk->isIdle());
-    if (nowMs < stopping->latestEndMs && (nowMs < stopping->earliestEndMs || !isDone)) continue;
-    // One more round answers what the face has handed over; what it still reads it refuses itself.
-    if (isRefusing) break;
-    isRefusing = true;
-    face->refuse();
+      shield_->takeFetched(fetched, nowMs);
+    for (auto& input : inbox_.take())
+      onInput(input, nowMs);
+    edge_->tick(nowMs);
+    if (shield_) shield_->tick(nowMs);
+    handOut(nowMs);
+    keepLines(nowMs);
+    tell(nowMs);
+    writing_.flush(nowMs);
+    relieve();
+    if (program_.reread(nowMs)) LOG(INFO) << "edge: Settings have changed; they take effect at the next start.";
+    if (op::Program::isStopping() && !stopping_) beginStop(nowMs);
+    if (stopping_ && mustStop(nowMs)) return;
+  }
+}
+
+auto EdgeLoop::wait() -> std::vector<upstream::Fetched> {
+  std::vector<pollfd> fds = {{inbox_.fd(), POLLIN, 0}};
+  // Deadlines are looked at every few ms while anything waits.
+  auto waitMs = isAtRest() ? settings_.boundMs / 40 : settings_.boundMs / 200;
+  // A socket that could take more is no reason to wake before the link has room for it.
+  auto roomMs = linkShare_ && !writing_.isEmpty() ? linkShare_->waitMs(neighbour::steadyMs()) : 0;
+  if (roomMs > 0) waitMs = std::min(waitMs, roomMs);
+  if (roomMs == 0) writing_.pollFor(fds);
+  if (settings_.edge.fetches) return fetcher_.run(fds, waitMs);
+  ::poll(fds.data(), fds.size(), static_cast<int>(waitMs));
+  return {};
+}
+
+auto EdgeLoop::onInput(Input& input, int64_t nowMs) -> void {
+  if (auto* request = std::get_if<caller::Request>(&input)) onRequest(std::move(*request), nowMs);
+  if (auto* message = std::get_if<neighbour::Letter>(&input)) onMessage(*message, nowMs);
+  if (auto* held = std::get_if<caller::HeldFrame>(&input)) onFrame(*held, nowMs);
+  if (auto* page = std::get_if<Page>(&input)) answerPage(page->request, nowMs);
+}
+
+auto EdgeLoop::onRequest(caller::Request request, int64_t nowMs) -> void {
+  auto isRecorded =
+      !recorder_ ||
+      recorder_->add({nowMs - recordSinceMs_, request.method, caller::header(request.headers, "host"), request.target,
+                      static_cast<int64_t>(request.body.size()), caller::has(request.headers, "idempotency-key")});
+  if (!isRecorded) {
+    LOG(INFO) << "edge: The record ends here.";
+    recorder_.reset();
   }
+  edge_->take(std::move(request), nowMs);
+}
+
+auto EdgeLoop::onMessage(const neighbour::Letter& message, int64_t nowMs) -> void {
+  if (message.kind == neighbour::kReply) return onReply(message, nowMs);
+  if (message.kind == neighbour::kPong) return edge_->heard(message.from, nowMs);
+  if (message.kind == neighbour::kSendRequest) {
+    Reader reader(message.body);
+    auto sendRequest = reader.get<neighbour::SendRequest>();
+    if (reader.done()) edge_->takeSendRequest(message.from, sendRequest);
+    return;
+  }
+  if (desk_) desk_->take(message, nowMs);
+}
+
+// Another node's answer for which there is no room is lost: whatever it answered may have run.
+auto EdgeLoop::onReply(const neighbour::Letter& message, int64_t nowMs) -> void {
+  Reader reader(message.body);
+  auto reply = reader.get<neighbour::Reply>();
+  if (!reader.done()) return;
+  if (!reply.body.draw(memory_, MemoryUse::kPeers)) {
+    reply.code = caller::kAnswerTooLarge;
+    reply.isUntouched = false;
+    reply.headers.clear();
+    reply.body = {};
+  }
+  edge_->takeReply(message.from, reply, nowMs);
+}
+
+auto EdgeLoop::onFrame(const caller::HeldFrame& held, int64_t nowMs) -> void {
+  if (held.frame->revision.configuration != edge_->revision().configuration)
+    LOG(INFO) << "edge: Configuration " << held.frame->revision.configuration
+              << " is in force; idle connections end after " << held.frame->routing.limits.idleMs << " ms.";
+  edge_->takeFrame(held, nowMs);
+  if (shield_) shield_->takeFrame(held, nowMs);
+  settings_.machine.peers = edge_->shields().size();
+  face_->limitConnections(policy::processLimitsOf(settings_.machine).connections);
+  const auto& allowed = edge_->limits();
+  auto bodyBytes = std::min<int64_t>(allowed.bodyBytes, static_cast<int64_t>(limits_.bodyBytes));
+  face_->limit(static_cast<size_t>(allowed.headerBytes), static_cast<size_t>(bodyBytes), allowed.headerMs,
+               allowed.idleMs);
+  link_->tell({edge_->revision(), {}, edge_->samples()});
+}
+
+auto EdgeLoop::answerPage(const caller::Request& request, int64_t nowMs) -> void {
+  auto isReady = edge_->isCurrent(nowMs) && !stopping_;
+  auto refusal = isReady ? caller::kOk : stopping_ ? caller::kEmptying : caller::kNotCurrent;
+  auto target = request.target == settings_.readyPath ? "/ready" : request.target;
+  auto addMore = [&](op::StatusPage& page) { addMemory(page, *memory_, *face_, writing_); };
+  auto answer = caller::pageAnswer(
+      target, refusal, [&] { return statusPage(*edge_, shield_ ? &*shield_ : nullptr, isReady, nowMs, addMore); });
+  request.stream->answer(answer, request.method, request.keep);
+  writing_.add(request.stream);
+}
+
+// A fetch request that did not leave, or that this very process answers, is a new input.
+auto EdgeLoop::handOut(int64_t nowMs) -> void {
+  while (handOutOnce(nowMs)) {
+  }
+}
+
+// True when there was anything.
+auto EdgeLoop::handOutOnce(int64_t nowMs) -> bool {
+  auto out = edge_->output();
+  for (auto& asked : out.asks) {
+    if (asked.isSelf && shield_)
+      shield_->take(asked.to, std::move(asked.ask), nowMs);
+    else if (!post_->send(asked.to, neighbour::kAsk, Writer().put(asked.ask).take()))
+      edge_->unsent(asked.ask, nowMs);
+  }
+  for (auto& withdrawn : out.withdrawals) {
+    if (withdrawn.isSelf && shield_)
+      shield_->takeWithdrawal(withdrawn.to, withdrawn.withdrawal, nowMs);
+    else
+      post_->send(withdrawn.to, neighbour::kWithdrawal, Writer().put(withdrawn.withdrawal).take());
+  }
+  for (auto& granted : out.grants) {
+    if (granted.isSelf && shield_)
+      shield_->takeSendGrant(granted.grant, nowMs);
+    else
+      post_->send(granted.to, neighbour::kSendGrant, Writer().put(granted.grant).take());
+  }
+  for (auto& answered : out.answers) {
+    const auto& answer = caller::Edge::atLast(answered, neighbour::steadyMs());
+    answered.stream->answer(answer, answered.method, answered.keep && !stopping_);
+    writing_.add(answered.stream);
+  }
+  auto hasFlushed = desk_ && desk_->flush(nowMs);
+  return hasFlushed || !out.asks.empty() || !out.grants.empty() || !out.withdrawals.empty() || !out.answers.empty();
+}
+
+// Only now is it known which fetch requests have left: lines that are down end what went over them.
+auto EdgeLoop::keepLines(int64_t nowMs) -> void {
+  if (nowMs - warmedMs_ <= settings_.boundMs / 20) return;
+  warmedMs_ = nowMs;
+  for (const auto& at : edge_->shields()) {
+    if (!post_->isUp(at)) edge_->lost(at, nowMs);
+    post_->warm(at);
+  }
+  if (desk_) desk_->warm();
+  post_->prune(nowMs);
+}
+
+auto EdgeLoop::tell(int64_t nowMs) -> void {
+  if (nowMs - toldMs_ <= settings_.boundMs / 2) return;
+  toldMs_ = nowMs;
+  std::string list;
+  for (auto [code, count] : edge_->refusals())
+    list += (list.empty() ? "" : ", ") + std::to_string(code) + " " + std::to_string(count) + " times";
+  if (!list.empty()) LOG(INFO) << "edge: Own answers: " << list << ".";
+  if (shield_) figureLog_.tell(edge_->figures(), shield_->figures());
+  overloadLog_.tell(face_->figures(), writing_.shed());
+}
+
+// Memory goes back once a crowd has left; while there is too little, the cache and whoever hardly moves give way.
+auto EdgeLoop::relieve() -> void {
+  memoryReturn_.observe(memory_->usedBytes());
+  auto refusals = memory_->refusals();
+  auto wasRefused = std::exchange(refusalsSeen_, refusals) != refusals;
+  cache_->leaveRoom(*memory_, wasRefused ? limits_.bodyBytes : limits_.roomBytes);
+  if (wasRefused) face_->relieve();
+}
+
+// Not ready from now on; whoever still comes is served while the platform looks elsewhere.
+auto EdgeLoop::beginStop(int64_t nowMs) -> void {
+  LOG(INFO) << "edge: Emptying.";
+  if (shield_) shield_->empty();  // other nodes ask elsewhere; its own callers are served on
+  stopping_ = stopTimesOf(nowMs, settings_.graceMs);
+  edge_->turnAwayFrom(stopping_->drainMs);
+  edge_->endBy(stopping_->lastAnswerMs);
+}
+
+auto EdgeLoop::mustStop(int64_t nowMs) -> bool {
+  // The platform has found it not ready by now, or ends it soon: nobody new is taken.
+  if (!isDraining_ && nowMs >= stopping_->drainMs) {
+    isDraining_ = true;
+    face_->drain(settings_.boundMs / 4);
+  }
+  // What the process still holds when it ends is lost. Not sooner: the ends of idle connections would wait behind it.
+  if (nowMs >= stopping_->earliestEndMs && linkShare_) linkShare_->lift();
+  auto isDone = isAtRest() && writing_.isEmpty();
+  if (nowMs < stopping_->latestEndMs && (nowMs < stopping_->earliestEndMs || !isDone)) return false;
+  // One more round answers what the HTTP server has handed over; what it still reads it refuses itself.
+  if (isRefusing_) return true;
+  isRefusing_ = true;
+  face_->refuse();
+  return false;
+}
+}  // namespace
+
+auto runEdge(op::Program& program) -> int {
+  auto settings = readSettings(program);
+  returnLargeBlocks();
+  EdgeLoop loop(program, std::move(settings));
+  if (!loop.open()) return 3;
+  loop.run();
   LOG(INFO) << "edge: Stopped.";
   return 0;
 }
