--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -17,6 +17,7 @@
 #include "core/registry.hpp"
 #include "neighbour/inbox.hpp"
 #include "neighbour/post.hpp"
+#include "sim/raw_upstream.hpp"
 #include "upstream/fetcher.hpp"
 
 using namespace dykestage;
@@ -437,69 +438,7 @@
 }
 
 namespace {
-// An upstream that answers each request on each connection as a function says; the bytes go out as they are.
-struct Upstream {
-  using Handle = std::function<std::string(int connection, int request, const std::string& head)>;
-  explicit Upstream(Handle handle)
-      : handle(std::move(handle)), listening(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    ::inet_pton(AF_INET, "127.0.0.1", &at.sin_addr);
-    REQUIRE(::bind(listening.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
-    REQUIRE(::listen(listening.get(), 64) == 0);
-    socklen_t size = sizeof at;
-    ::getsockname(listening.get(), reinterpret_cast<sockaddr*>(&at), &size);
-    port = ntohs(at.sin_port);
-    loop = std::thread([this] {
-      for (;;) {
-        auto fd = ::accept(listening.get(), nullptr, nullptr);
-        if (fd < 0) return;
-        serving.emplace_back([this, fd, connection = ++connections] { serve(fd, connection); });
-      }
-    });
-  }
-  ~Upstream() {
-    isOver = true;
-    ::shutdown(listening.get(), SHUT_RDWR);
-    loop.join();
-    for (auto& one : serving)
-      one.join();
-  }
-  Upstream(const Upstream&) = delete;
-  auto operator=(const Upstream&) -> Upstream& = delete;
-  auto at() const -> std::string { return "127.0.0.1:" + std::to_string(port); }
-  auto serve(int number, int connection) -> void {
-    disk::Fd fd(number);
-    std::string read;
-    for (auto request = 0; !isOver;) {
-      pollfd ready{number, POLLIN, 0};
-      if (::poll(&ready, 1, 20) == 0) continue;
-      char buffer[4096];
-      auto n = ::recv(number, buffer, sizeof buffer, 0);
-      if (n <= 0) break;
-      read.append(buffer, static_cast<size_t>(n));
-      for (auto end = read.find("\r\n\r\n"); end != std::string::npos; end = read.find("\r\n\r\n")) {
-        auto bytes = handle(connection, ++request, read.substr(0, end + 2));
-        read.erase(0, end + 4);
-        if (bytes == "close") return;
-        (void)!::send(number, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        if (!afterwards) continue;
-        std::this_thread::sleep_for(std::chrono::milliseconds(20));
-        bytes = afterwards(connection);
-        (void)!::send(number, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-      }
-    }
-    ++closed;
-  }
-  Handle handle;
-  std::function<std::string(int connection)> afterwards;  // sent a moment after an answer
-  disk::Fd listening;
-  int port = 0;
-  std::atomic<int> connections{0}, closed{0};
-  std::atomic<bool> isOver{false};
-  std::vector<std::thread> serving;
-  std::thread loop;
-};
+using Upstream = sim::RawUpstream;
 
 auto valueOf(const std::string& head, const std::string& name) -> std::string {
   auto at = head.find("\r\n" + name + ": ");
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -16,6 +16,7 @@
 
 #include "neighbour/post.hpp"
 #include "operator/program.hpp"
+#include "sim/announcer.hpp"
 #include "sim/fleet.hpp"
 #include "sim/misbehaving_clients.hpp"
 #include "sim/process_figures.hpp"
@@ -211,32 +212,19 @@
     REQUIRE(::bind(listening_.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
     REQUIRE(::listen(listening_.get(), 256) == 0);
     ::getsockname(listening_.get(), reinterpret_cast<sockaddr*>(&at), &size);
-    announcement_ = R"({"instance": "endless", "service": ")" + service + R"(", "address": "127.0.0.1:)" +
-                    std::to_string(ntohs(at.sin_port)) + R"(", "site": "north", "capacity": 200, "state": "working"})";
-    announcing_ = std::thread([this, registries] { announce(registries); });
+    announcer_ =
+        std::make_unique<Announcer>(registries, "endless", service, "127.0.0.1:" + std::to_string(ntohs(at.sin_port)));
     serving_ = std::thread([this] { serve(); });
   }
   ~EndlessUpstream() {
     isOver_ = true;
-    announcing_.join();
     serving_.join();
   }
   EndlessUpstream(const EndlessUpstream&) = delete;
   auto operator=(const EndlessUpstream&) -> EndlessUpstream& = delete;
-  auto isTaken() const -> bool { return isTaken_; }
+  auto isTaken() const -> bool { return announcer_->isTaken(); }
 
  private:
-  auto announce(const std::vector<std::string>& registries) -> void {
-    for (size_t i = 0; !isOver_; ++i) {
-      upstream::Fetch beat;
-      beat.address = registries[i % registries.size()];
-      beat.method = "POST";
-      beat.target = "/announce";
-      beat.body = announcement_;
-      if (upstream::fetchOnce(beat).status == 200) isTaken_ = true;
-      ::usleep(300000);
-    }
-  }
   auto serve() -> void {
     std::vector<std::pair<disk::Fd, bool>> connections;  // and whether a request has come
     const auto chunk = chunksOf(64 << 10, 1);
@@ -273,9 +261,9 @@
   }
 
   disk::Fd listening_;
-  std::string announcement_;
-  std::atomic<bool> isOver_{false}, isTaken_{false};
-  std::thread announcing_, serving_;
+  std::unique_ptr<Announcer> announcer_;
+  std::atomic<bool> isOver_{false};
+  std::thread serving_;
 };
 
 auto headOf(const std::string& method, const std::string& target, const std::string& host, const std::string& more = "",
