--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -80,45 +80,6 @@
   return found;
 }
 
-auto rangeOf(const std::string& value) -> std::optional<Range> {
-  if (value.rfind("bytes=", 0) != 0) return std::nullopt;
-  auto dash = value.find('-');
-  if (dash == std::string::npos || dash == 6) return std::nullopt;
-  auto first = value.substr(6, dash - 6), last = value.substr(dash + 1);
-  auto isNumber = [](const std::string& text) {
-    return text.size() <= 15 && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
-  };
-  if (!isNumber(first) || !isNumber(last)) return std::nullopt;
-  Range range{std::stoull(first), std::nullopt};
-  if (!last.empty()) range.last = std::stoull(last);
-  if (range.last && *range.last < range.first) return std::nullopt;
-  return range;
-}
-
-auto headerOf(const Range& range) -> std::string {
-  return "bytes=" + std::to_string(range.first) + "-" + (range.last ? std::to_string(*range.last) : "");
-}
-
-auto slice(Answer whole, const Range& range) -> Answer {
-  auto size = whole.body.size();
-  std::erase_if(whole.headers, [](const auto& h) {
-    auto n = lower(h.first);
-    return n == "content-length" || n == "content-range";
-  });
-  if (range.first >= size) {
-    whole.status = 416;
-    whole.headers.emplace_back("Content-Range", "bytes */" + std::to_string(size));
-    whole.body = {};
-    return whole;
-  }
-  auto last = std::min(range.last.value_or(size - 1), size - 1);
-  whole.status = 206;
-  whole.headers.emplace_back("Content-Range", "bytes " + std::to_string(range.first) + "-" + std::to_string(last) +
-                                                  "/" + std::to_string(size));
-  whole.body = whole.body.slice(range.first, last - range.first + 1);
-  return whole;
-}
-
 auto Edge::shields() const -> std::vector<std::string> {
   std::vector<std::string> list;
   for (const auto& one : fetchers_)
--- a/lib/caller/edge.hpp
+++ b/lib/caller/edge.hpp
@@ -13,6 +13,7 @@
 #include "caller/codes.hpp"
 #include "caller/face.hpp"
 #include "caller/names.hpp"
+#include "caller/range.hpp"
 #include "core/state.hpp"
 #include "neighbour/messages.hpp"
 #include "policy/cache.hpp"
@@ -56,20 +57,6 @@
   std::unordered_map<std::string, const core::Route*> routes_;  // by host and prefix
 };
 
-/// Part of a body that a request asks for: from `first` to `last`, or to the end.
-struct Range {
-  size_t first = 0;
-  std::optional<size_t> last;
-};
-/// A single range of bytes that names its first one; anything else is left to the upstream. Example:
-/// `rangeOf("bytes=5-9")`
-auto rangeOf(const std::string& value) -> std::optional<Range>;
-/// The header's value for a range. Example: `headerOf({5, 9}) == "bytes=5-9"`
-auto headerOf(const Range& range) -> std::string;
-/// The part of a whole answer that a range asks for (206), or 416. Example: `auto part = slice(std::move(whole),
-/// range);`
-auto slice(Answer whole, const Range& range) -> Answer;
-
 class Edge {
  public:
   struct Props {
