An answer whose first field is folded no longer ends the process

Seen: an upstream's answer whose first field begins with a blank or a tab, after other answers, ended the edge (SIGSEGV in libcurl's strlen, or SIGABRT in its allocator).

Cause: libcurl 7.88.1 keeps, beside the list of an answer's fields, a pointer to the last one, and frees the list at the end of a transfer without clearing the pointer. A folded line is joined to what it points at. Handles were reset and used for the next transfer, so that the first line of the next answer was joined to freed memory, read and reallocated.

Ruled out: that our callbacks are at fault; libcurl joins the line before it calls them, so that nothing there can prevent it.

Change: each transfer has a handle of its own, which ends with it; kept connections belong to the multi handle and stay.

Evidence: the new test (broken_answers, first case) ended by SIGSEGV on the code before; it passes now, 120 folded answers between sound ones. Whether libcurl reaches other stale state within one transfer is looked for by the fuzz that follows.

--- a/lib/upstream/fetcher.cpp
+++ b/lib/upstream/fetcher.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 constexpr size_t kHeadBytes = 64u << 10;
-constexpr size_t kSpare = 64;
 constexpr size_t kSmallUploadBytes = 16u << 10;  // the least that libcurl allows for its buffer
 constexpr size_t kResumeBytes = 32u << 10;       // for which there must be room before a paused answer is read on
 struct List {
@@ -167,13 +166,9 @@
 
 // NOLINTNEXTLINE(readability-function-size): split with its module in issue 17
 auto Fetcher::send(Fetch fetch, int64_t startMs, bool isFresh) -> void {
-  Easy handle(nullptr, curl_easy_cleanup);
-  if (spare_.empty()) {
-    handle.reset(curl_easy_init());
-  } else {
-    handle = std::move(spare_.back());
-    spare_.pop_back();
-  }
+  // Of this transfer alone: libcurl 7.88 keeps a pointer to the last field that it has read over the end of a transfer,
+  // and goes on from there when the next answer's first field is folded.
+  Easy handle(curl_easy_init(), curl_easy_cleanup);
   auto call = std::make_unique<Call>(this, std::move(handle));
   auto* easy = call->easy.get();
   call->fetch = std::move(fetch);
@@ -363,10 +358,6 @@
   curl_multi_remove_handle(multi_, easy);
   auto busy = busy_.find(call.fetch.address);
   if (--busy->second == 0) busy_.erase(busy);
-  if (spare_.size() < kSpare) {
-    curl_easy_reset(easy);
-    spare_.push_back(std::move(call.easy));
-  }
   return std::move(call.fetch);
 }
 
--- a/lib/upstream/fetcher.hpp
+++ b/lib/upstream/fetcher.hpp
@@ -149,7 +149,6 @@
   std::map<std::pair<std::string, int>, curl_socket_t>
       kept_;  // by address and own port: what libcurl tells of a stream
   std::unordered_map<CURL*, std::unique_ptr<Call>> calls_;
-  std::vector<Easy> spare_;
   std::shared_ptr<MemoryAccount> memory_;
   int socketBytes_ = 0;     // that the kernel may queue of an answer; 0: as the system has it
   std::set<CURL*> paused_;  // whose answers find no room
