Trailers and chunk extensions are read strictly

Seen: an answer in chunks whose trailer had a blank or a control byte in its name, no colon, or was folded, and one with a control byte in a chunk extension, passed as whole.

Cause: the decoder of chunks looked only at how a trailer's lines end, and at an extension not at all.

Change: a trailer is checked byte by byte as a field line is (nothing of it is held), an extension for control bytes. The decoder reads clients' bodies too: there such a body is answered 400.

--- a/lib/caller/chunks.cpp
+++ b/lib/caller/chunks.cpp
@@ -38,15 +38,26 @@
   // Of a trailer nothing is kept but how it ends.
   if (part_ == Part::kTrailers && line_.size() > kLineEndBytes) line_.erase(0, 1);
   if (c == '\n') return State::kMore;
-  if (part_ == Part::kTrailers) return ++trailerBytes_ > limits.trailerBytes ? State::kTooLarge : State::kMore;
+  if (part_ == Part::kTrailers) return addToTrailer(c, limits);
   return line_.size() > kMostLineBytes ? State::kBad : State::kMore;
 }
 
+auto Chunks::addToTrailer(char c, const Limits& limits) -> State {
+  if (++trailerBytes_ > limits.trailerBytes) return State::kTooLarge;
+  return c == '\r' || trailer_.add(c) ? State::kMore : State::kBad;
+}
+
+auto Chunks::endTrailer(bool isEmpty) -> State {
+  if (isEmpty) return State::kDone;
+  auto check = std::exchange(trailer_, {});
+  return check.isWhole() ? State::kMore : State::kBad;
+}
+
 auto Chunks::endLine(const Limits& limits) -> State {
   if (line_.size() < 2 || line_[line_.size() - 2] != '\r') return State::kBad;
   line_.resize(line_.size() - 2);
   auto line = std::exchange(line_, {});
-  if (part_ == Part::kTrailers) return line.empty() ? State::kDone : State::kMore;
+  if (part_ == Part::kTrailers) return endTrailer(line.empty());
   if (part_ == Part::kSize) return readSize(line, limits);
   part_ = Part::kSize;
   return line.empty() ? State::kMore : State::kBad;
@@ -57,7 +68,9 @@
   if (digits == std::string::npos) digits = line.size();
   // Behind it stands nothing, or what an extension says: nobody has to read that.
   auto rest = line.find_first_not_of(" \t", digits);
-  if (digits == 0 || digits > kMostSizeDigits || (rest != std::string::npos && line[rest] != ';')) return State::kBad;
+  if (digits == 0 || digits > kMostSizeDigits || (rest != std::string::npos && line[rest] != ';') ||
+      !isFieldValue(line))
+    return State::kBad;
   left_ = std::stoull(line.substr(0, digits), nullptr, 16);
   if (bodyBytes_ + left_ > limits.bodyBytes) return State::kTooLarge;
   part_ = left_ == 0 ? Part::kTrailers : Part::kData;
--- a/lib/caller/chunks.hpp
+++ b/lib/caller/chunks.hpp
@@ -4,6 +4,8 @@
 #include <string>
 #include <string_view>
 
+#include "caller/field_syntax.hpp"
+
 namespace dykestage::caller {
 
 /// Takes a chunked body apart, however the reads cut it. It holds one line of framing at most.
@@ -26,11 +28,14 @@
   enum class Part : uint8_t { kSize, kData, kDataEnd, kTrailers };
   auto takeData(std::string_view& bytes) -> Step;
   auto addToLine(char c, const Limits& limits) -> State;
+  auto addToTrailer(char c, const Limits& limits) -> State;
   auto endLine(const Limits& limits) -> State;
+  auto endTrailer(bool isEmpty) -> State;
   auto readSize(const std::string& line, const Limits& limits) -> State;
 
   Part part_ = Part::kSize;
   std::string line_;
+  FieldLineCheck trailer_;
   size_t left_ = 0, bodyBytes_ = 0, trailerBytes_ = 0;
 };
 
--- a/lib/caller/field_syntax.cpp
+++ b/lib/caller/field_syntax.cpp
@@ -32,6 +32,16 @@
   return text.substr(from, text.find_last_not_of(" \t") - from + 1);
 }
 
+auto FieldLineCheck::add(char c) -> bool {
+  if (part_ == Part::kValue) return isValueByte(static_cast<unsigned char>(c));
+  if (c == ':' && part_ == Part::kName) {
+    part_ = Part::kValue;
+    return true;
+  }
+  part_ = Part::kName;
+  return isTokenByte(static_cast<unsigned char>(c));
+}
+
 auto areFields(const neighbour::Headers& headers) -> bool {
   return std::all_of(headers.begin(), headers.end(),
                      [](const auto& field) { return isToken(field.first) && isFieldValue(field.second); });
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -204,7 +204,10 @@
   for (auto bad : {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
                    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
                    "GET / HTTP/1.1\r\nHost : a\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\n X: folded\r\n\r\n",
-                   "GARBAGE\r\n\r\n", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n"}) {
+                   "GARBAGE\r\n\r\n", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+                   "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1;x\x01\r\na\r\n0\r\n\r\n",
+                   "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Trailer: 1\r\n\r\n",
+                   "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer\r\n\r\n"}) {
     auto answer = raw(server.at(), bad);
     INFO(bad);
     CHECK(answer.rfind("HTTP/1.1 400 ", 0) == 0);
--- a/tests/sim/spoilt_answers.cpp
+++ b/tests/sim/spoilt_answers.cpp
@@ -146,9 +146,9 @@
   };
   const auto size = hexOf(kChunkBytes);
   const auto firstChunk = kHeadEnd + size + "\r\n";
-  for (const auto& wrong :
-       {size + "z", size + std::string(1, '\0'), size + "\x01", size + " 5", "-" + size, "0x" + size, "+" + size,
-        " " + size, std::string(), "fffffffffffffffff" + size, size + "\t5", size + "\r"})
+  for (const auto& wrong : {size + "z", size + std::string(1, '\0'), size + "\x01", size + " 5", "-" + size,
+                            "0x" + size, "+" + size, " " + size, std::string(), "fffffffffffffffff" + size,
+                            size + "\t5", size + ";x\x01y", size + ";x\x7f", size + "\r"})
     add("chunk of size " + wrong, firstChunk, kHeadEnd + wrong + "\r\n");
   add("size ended by LF", firstChunk, kHeadEnd + size + "\n");
   const auto last = "\r\n0" + kHeadEnd;
@@ -157,6 +157,10 @@
   add("data ended by LF", last, "\n0" + kHeadEnd);
   add("data longer than its size", last, "more\r\n0" + kHeadEnd);
   add("end by LF", last, "\r\n0\r\n\n");
+  for (const auto& wrong : {"X Trailer: 1", "X-Trailer : 1", "X-Trailer", ": 1", " folded: 1", "X-Trailer: 1\x01",
+                            "X-Tr\001ailer: 1", "X-Trailer: 1\r\n folded", "X-Trailer: a\rb"})
+    add(std::string("trailer ") + wrong, last, std::string("\r\n0\r\n") + wrong + kHeadEnd);
+  add("trailer ended by LF", last, "\r\n0\r\nX-Trailer: 1\n\r\n");
   list.push_back({"no last chunk", chunked.substr(0, chunked.size() - kHeadEnd.size() - 1)});
   list.push_back({"no end of trailers", chunked.substr(0, chunked.size() - 2)});
   const auto counted = countedAnswer(fields, body);
