A 206 or a 304 that was not asked for is a broken answer

Seen: an upstream answered a request without Range by a 206 with a sound Content-Range; the client got it, a part as an answer to a request for the whole. The same for a part other than the one asked for, and for a 304 to a request without a condition.

Cause: an answer was judged without a look at what its request allows.

Change: the reader of heads knows whether a request had a Range, which one, and whether it had a condition. A part must be the one asked for, with a length that fits.

--- a/lib/caller/range.cpp
+++ b/lib/caller/range.cpp
@@ -35,6 +35,23 @@
   return "bytes=" + std::to_string(range.first) + "-" + (range.last ? std::to_string(*range.last) : "");
 }
 
+auto contentRangeOf(const std::string& value) -> std::optional<ContentRange> {
+  constexpr std::string_view kUnit = "bytes ";
+  if (!value.starts_with(kUnit)) return std::nullopt;
+  auto text = std::string_view(value).substr(kUnit.size());
+  auto dash = text.find('-');
+  auto slash = text.find('/');
+  if (dash == std::string_view::npos || slash == std::string_view::npos || dash > slash) return std::nullopt;
+  auto first = numberOf(text.substr(0, dash));
+  auto last = numberOf(text.substr(dash + 1, slash - dash - 1));
+  if (!first || !last || *last < *first) return std::nullopt;
+  auto wholeText = text.substr(slash + 1);
+  if (wholeText == "*") return ContentRange{*first, *last};
+  auto whole = numberOf(wholeText);
+  if (!whole || *last >= *whole) return std::nullopt;
+  return ContentRange{*first, *last};
+}
+
 auto slice(Answer whole, const Range& range) -> Answer {
   auto size = whole.body.size();
   std::erase_if(whole.headers, [](const auto& h) {
--- a/lib/caller/range.hpp
+++ b/lib/caller/range.hpp
@@ -18,6 +18,14 @@
 /// The header's value for a range. Example: `headerOf({5, 9}) == "bytes=5-9"`
 auto headerOf(const Range& range) -> std::string;
 
+/// What a Content-Range says of the part that was sent.
+struct ContentRange {
+  uint64_t first = 0, last = 0;
+  auto size() const -> uint64_t { return last - first + 1; }
+};
+/// Reads the Content-Range of a 206; nothing where it is not sound. Example: `contentRangeOf("bytes 5-9/20")`
+auto contentRangeOf(const std::string& value) -> std::optional<ContentRange>;
+
 /// The part of a whole answer that a range asks for (206), or 416.
 /// Example: `auto part = slice(std::move(whole), range);`
 auto slice(Answer whole, const Range& range) -> Answer;
--- a/lib/upstream/answer_head.cpp
+++ b/lib/upstream/answer_head.cpp
@@ -14,6 +14,7 @@
 constexpr int kSwitchingProtocols = 101;
 constexpr int kLeastFinal = 200;
 constexpr int kNoContent = 204;
+constexpr int kPartialContent = 206;
 constexpr int kNotModified = 304;
 constexpr int kMostFinal = 599;
 
@@ -90,11 +91,28 @@
     return true;
   }
   if (status_ == kNoContent && (isChunked_ || length_.value_or(0) > 0)) return false;
+  if (status_ == kNotModified && !terms_.isConditional) return false;
+  if (status_ == kPartialContent && !isPartSound()) return false;
   framing_ = framingOf();
   state_ = State::kDone;
   return true;
 }
 
+// A part is what was asked for, or the client would take it for something else.
+auto AnswerHead::isPartSound() const -> bool {
+  constexpr std::string_view kField = "content-range";
+  if (!terms_.hasRange) return false;
+  auto isContentRange = [&](const auto& field) { return caller::isSameName(field.first, kField); };
+  auto count = std::count_if(headers_.begin(), headers_.end(), isContentRange);
+  // Several parts name their ranges in the body.
+  if (count == 0) return !terms_.range;
+  auto part = caller::contentRangeOf(caller::header(headers_, std::string(kField)));
+  if (count > 1 || !part) return false;
+  if (length_ && !terms_.isHead && *length_ != part->size()) return false;
+  if (!terms_.range) return true;
+  return part->first == terms_.range->first && part->last <= terms_.range->last.value_or(part->last);
+}
+
 auto AnswerHead::framingOf() const -> Framing {
   if (terms_.isHead || status_ == kNoContent || status_ == kNotModified) return Framing::kNone;
   if (isChunked_) return Framing::kChunked;
--- a/lib/upstream/answer_head.hpp
+++ b/lib/upstream/answer_head.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "caller/range.hpp"
 #include "neighbour/messages.hpp"
 
 namespace dykestage::upstream {
@@ -21,7 +22,10 @@
 
 /// What a request lets its answer be.
 struct AnswerTerms {
-  bool isHead = false;  // asked by HEAD: no body follows
+  bool isHead = false;                                // asked by HEAD: no body follows
+  bool isConditional = false;                         // may be answered 304
+  bool hasRange = false;                              // may be answered 206
+  std::optional<caller::Range> range = std::nullopt;  // what was asked for, if it is a single range
 };
 
 /// Reads a head line by line and decides what the answer is and where its body ends. Whatever another reader could
@@ -49,6 +53,7 @@
   auto addField(std::string_view line) -> bool;
   auto addLength(std::string_view value) -> bool;
   auto endHead() -> bool;
+  auto isPartSound() const -> bool;
   auto framingOf() const -> Framing;
   auto isProvisional() const -> bool;
 
--- a/lib/upstream/fetcher.cpp
+++ b/lib/upstream/fetcher.cpp
@@ -50,6 +50,9 @@
 auto termsOf(const Fetch& fetch) -> AnswerTerms {
   AnswerTerms terms;
   terms.isHead = fetch.method == "HEAD";
+  terms.isConditional = caller::has(fetch.headers, "if-none-match") || caller::has(fetch.headers, "if-modified-since");
+  terms.hasRange = caller::has(fetch.headers, "range");
+  terms.range = caller::rangeOf(caller::header(fetch.headers, "range"));
   return terms;
 }
 
