An answer bears its request's id alone, and a seal that says something

Seen: an answer whose head held its request's id twice, once another one's, passed; so did a success with an empty seal.

Cause: the first field of a name was looked at, and of the seal only whether it is there.

--- a/lib/upstream/fetcher.cpp
+++ b/lib/upstream/fetcher.cpp
@@ -65,8 +65,13 @@
   return unsent;
 }
 
-auto hasOtherId(const Fetch& fetch, const Headers& headers) -> bool {
-  return !fetch.tryHeader.empty() && caller::header(headers, fetch.tryHeader) != fetch.tryId;
+// True if an answer names the request that it answers, and no other.
+auto isAnswerTo(const Fetch& fetch, const Headers& headers) -> bool {
+  if (fetch.tryHeader.empty()) return true;
+  auto isOther = [&](const auto& field) {
+    return caller::isSameName(field.first, fetch.tryHeader) && field.second != fetch.tryId;
+  };
+  return caller::has(headers, fetch.tryHeader) && std::none_of(headers.begin(), headers.end(), isOther);
 }
 
 // What a success must be beyond its framing: in the encoding asked for, and sealed.
@@ -75,7 +80,7 @@
   auto encoding = caller::lower(caller::header(result.headers, "content-encoding"));
   if (!encoding.empty() && encoding != "identity" && caller::header(fetch.headers, "accept-encoding").empty())
     return false;
-  return fetch.sealHeader.empty() || caller::has(result.headers, fetch.sealHeader);
+  return fetch.sealHeader.empty() || !caller::header(result.headers, fetch.sealHeader).empty();
 }
 }  // namespace
 
@@ -335,7 +340,7 @@
   if (call.reader.state() != State::kHead) return false;
   auto state = call.reader.addLine(line);
   const auto& head = call.reader.head();
-  if (head.state() == AnswerHead::State::kDone) call.isMixed = hasOtherId(call.fetch, head.headers());
+  if (head.state() == AnswerHead::State::kDone) call.isMixed = !isAnswerTo(call.fetch, head.headers());
   return !call.isMixed && state != State::kBad && state != State::kTooLarge;
 }
 
--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -251,6 +251,14 @@
   }
 }
 
+TEST_CASE("An answer bears the id of its request alone, and a seal that says something") {
+  for (const std::string fields :
+       {"X-Try: 1\r\nX-Try: 2\r\nX-Seal: s\r\n", "X-Try: 2\r\nX-Try: 1\r\nX-Seal: s\r\n", "X-Try: 1\r\nX-Seal:\r\n"}) {
+    INFO(fields);
+    checkRefused(countedAnswer(fields, kBody), false);
+  }
+}
+
 // By hand more of them: SPOILT_HEADS=100000 broken_answers_test "Heads with*".
 TEST_CASE("Heads with one to three bytes spoilt mean what a strict reader says, or nothing") {
   constexpr uint64_t kSeed = 38;
