Edges check the answers that other processes hand on, too

Seen in a test only: a shield or another edge that has read an answer less strictly (one of an earlier release, during an upgrade) hands it on, and the edge passed it to its client and kept it.

Cause: what comes from another process was taken as it is.

Change: a status outside 200 to 599, a name that is no token, or a value with a control byte ends the request with 502 (3010). Probes whose answer is broken were handled already; a test of that is added.

--- a/lib/caller/edge.cpp
+++ b/lib/caller/edge.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 
 #include "base/host_name.hpp"
+#include "caller/field_syntax.hpp"
 #include "neighbour/post.hpp"
 
 namespace dykestage::caller {
@@ -20,6 +21,25 @@
 auto ownCodeOf(const Reply& reply) -> uint32_t {
   return reply.code == kNoService ? kNotCurrent : reply.code;
 }
+
+// What is left of a reply whose answer is broken.
+auto notWholeOf(const Reply& reply) -> Reply {
+  Reply rest;
+  rest.id = reply.id;
+  rest.attempt = reply.attempt;
+  rest.life = reply.life;
+  rest.code = kNotWhole;
+  rest.isUntouched = false;
+  rest.upstreams = reply.upstreams;
+  return rest;
+}
+
+// An upstream's answer as another process hands it on; one of an earlier release may have read it less strictly.
+auto isSoundAnswer(const Reply& reply) -> bool {
+  constexpr uint32_t kLeastFinal = 200;
+  constexpr uint32_t kMostFinal = 599;
+  return reply.status >= kLeastFinal && reply.status <= kMostFinal && areFields(reply.headers);
+}
 }  // namespace
 
 auto isWrite(const std::string& method) -> bool {
@@ -440,8 +460,9 @@
   auto* w = waiting_.get(reply.id);
   if (!w) return;
   auto isFirst = w->sends.close(reply.attempt, reply.sends);
-  if (reply.code != kOk) {
-    if (isFirst) fail(reply.id, from, reply, nowMs);
+  auto isBroken = reply.code == kOk && !isSoundAnswer(reply);
+  if (reply.code != kOk || isBroken) {
+    if (isFirst) fail(reply.id, from, isBroken ? notWholeOf(reply) : reply, nowMs);
     return;
   }
   Answer answer{static_cast<int>(reply.status), reply.headers, reply.body};
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -599,3 +599,64 @@
   CHECK(moved > 50);
   CHECK(moved < 150);
 }
+
+TEST_CASE("A broken answer that another process hands on is told as such, and not kept") {
+  const Headers kSound = {{"Seal", "s"}};
+  struct Row {
+    uint32_t status;
+    Headers headers;
+  };
+  for (const auto& row : std::vector<Row>{{0, kSound},
+                                          {99, kSound},
+                                          {600, kSound},
+                                          {200, {{"Seal", "s"}, {"X Field", "v"}}},
+                                          {200, {{"Seal", "s"}, {"X-Field ", "v"}}},
+                                          {200, {{"Seal", "s"}, {"", "v"}}},
+                                          {200, {{"Seal", "s\r"}}},
+                                          {200, {{"Seal", "s\r\nX-More: v"}}}}) {
+    INFO(row.status << " " << row.headers.back().first << ": " << row.headers.back().second);
+    Node node;
+    std::string target;
+    for (auto i = 0; node.asked.empty(); ++i)
+      node.ask("GET", target = "/covers/" + std::to_string(i));
+    node.answers.clear();
+    neighbour::Reply reply;
+    reply.id = node.asked[0].ask.id;
+    reply.attempt = node.asked[0].ask.attempt;
+    reply.life = node.asked[0].ask.life;
+    reply.isUntouched = false;
+    reply.status = row.status;
+    reply.headers = row.headers;
+    reply.body = "spoilt";
+    reply.keepMs = 10000;
+    reply.sends = 1;
+    node.edge.takeReply(node.asked[0].to, reply, 10010);
+    node.step(10010);
+    REQUIRE(node.answers.size() == 1);
+    CHECK(node.answers[0].answer.status == 502);
+    CHECK(node.answers[0].answer.body.find("spoilt") == std::string::npos);
+    node.ask("GET", target, {}, 10020);
+    CHECK(node.answers.size() == 1);  // fetched again, not answered from the cache
+    CHECK(node.asked.size() == 2);
+  }
+}
+
+TEST_CASE("A probe whose answer is broken has not found its upstream well") {
+  auto props = Node::shieldProps("e1");
+  props.probeMs = 100;
+  upstream::Shield shield(props);
+  shield.takeFrame({frameOf(), 10000}, 10000);
+  shield.tick(10000);
+  auto probes = shield.output().fetches;
+  REQUIRE(probes.size() == frameOf()->upstreams.size());
+  for (const auto& probe : probes) {
+    upstream::Fetched broken;
+    broken.id = probe.id;
+    broken.status = 200;
+    broken.fault = upstream::Fault::kNotWhole;
+    shield.takeFetched(broken, 10010);
+  }
+  REQUIRE(shield.probes().size() == probes.size());
+  for (const auto& [name, isWell] : shield.probes())
+    CHECK_FALSE(isWell);
+}
