No name of a configuration adds lines to the head of a request

Seen in a test only: a pool's name or probe path with CR LF, as JSON can hold it, was taken, and would have gone into the heads of requests and probes as lines, or a request, of its own.

Cause: they were checked for their length and first byte alone.

Change: such a configuration is refused with the place of the fault.

Before: the new rows of routing_test were taken without a fault. After: each is refused, its place named.

--- a/lib/caller/field_syntax.cpp
+++ b/lib/caller/field_syntax.cpp
@@ -26,6 +26,11 @@
   return std::all_of(text.begin(), text.end(), isValueByte);
 }
 
+auto isTarget(std::string_view text) -> bool {
+  auto isTargetByte = [](unsigned char c) { return c > ' ' && c != kDelete; };
+  return !text.empty() && std::all_of(text.begin(), text.end(), isTargetByte);
+}
+
 auto trimmed(std::string_view text) -> std::string_view {
   auto from = text.find_first_not_of(" \t");
   if (from == std::string_view::npos) return {};
--- a/lib/caller/field_syntax.hpp
+++ b/lib/caller/field_syntax.hpp
@@ -11,6 +11,8 @@
 auto isToken(std::string_view text) -> bool;
 /// True for what may be a field's value: no control byte but the tab. Example: `isFieldValue("text/plain")`
 auto isFieldValue(std::string_view text) -> bool;
+/// True for what may be a request's target: not empty, no blank and no control byte. Example: `isTarget("/health")`
+auto isTarget(std::string_view text) -> bool;
 /// Without the blanks and tabs around it. Example: `trimmed(" 5 ") == "5"`
 auto trimmed(std::string_view text) -> std::string_view;
 /// Checks a field line without its end, byte by byte, and keeps nothing of it.
--- a/lib/caller/request.cpp
+++ b/lib/caller/request.cpp
@@ -30,7 +30,7 @@
        version = line.substr(last + 1);
   isOld = version == "HTTP/1.0";
   if (!isMethod(method) || (!isOld && version != "HTTP/1.1")) return false;
-  if (std::any_of(target.begin(), target.end(), [](unsigned char c) { return c <= ' ' || c == 127; })) return false;
+  if (!isTarget(target)) return false;
   request.method = method;
   request.target = target;
   request.headers.reserve(16);
--- a/lib/operator/routing.cpp
+++ b/lib/operator/routing.cpp
@@ -1,5 +1,6 @@
 // Admin formats: the routing, that is routes, pools and limits.
 #include "base/host_name.hpp"
+#include "caller/field_syntax.hpp"
 #include "neighbour/post.hpp"
 #include "operator/changes.hpp"
 
@@ -72,7 +73,10 @@
     -> core::Pool {
   core::Pool pool;
   Fields fields(json, place, faults);
-  if (fields.text("probe", pool.probe) && !pool.probe.starts_with('/')) fields.fault("probe", "must start with /");
+  auto hasProbe = fields.text("probe", pool.probe);
+  if (hasProbe && !pool.probe.starts_with('/')) fields.fault("probe", "must start with /");
+  if (hasProbe && pool.probe.starts_with('/') && !caller::isTarget(pool.probe))
+    fields.fault("probe", "must have no blank and no control byte");
   fields.integer("connections", 0, kMaxExactInteger, pool.connections);
   fields.number("ratePerS", 0, kMaxRatePerS, pool.ratePerS);
   readSource(fields, source);
@@ -104,6 +108,7 @@
     std::string name = item->string, source;
     auto place = key + "." + name;
     if (name.empty() || name.size() > kMaxNameBytes) faults.push_back({place, "a name has 1 to 256 bytes"});
+    if (!caller::isFieldValue(name)) faults.push_back({place, "a name has no control byte"});
     if (items.count(name)) faults.push_back({place, "stands twice"});
     if (cJSON_IsNull(item)) {
       items[name] = std::nullopt;
--- a/lib/upstream/fetcher.cpp
+++ b/lib/upstream/fetcher.cpp
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <set>
 
+#include "caller/field_syntax.hpp"
 #include "caller/headers.hpp"
 #include "neighbour/post.hpp"
 
@@ -56,6 +57,15 @@
   return terms;
 }
 
+// A name or a value that would end its line adds lines, or a request, of its own.
+auto isSendable(const Fetch& fetch) -> bool {
+  auto isOneLine = [](const auto& field) {
+    return caller::isFieldValue(field.first) && caller::isFieldValue(field.second);
+  };
+  return caller::isToken(fetch.method) && caller::isTarget(fetch.target) &&
+         std::all_of(fetch.headers.begin(), fetch.headers.end(), isOneLine);
+}
+
 auto notSent(uint64_t id, int64_t tookMs) -> Fetched {
   Fetched unsent;
   unsent.id = id;
@@ -160,6 +170,10 @@
 
 auto Fetcher::start(Fetch fetch) -> void {
   auto nowMs = neighbour::steadyMs();
+  if (!isSendable(fetch)) {
+    refused_.push_back(notSent(fetch.id, 0));
+    return;
+  }
   if (hasRoom(fetch.address)) return send(std::move(fetch), nowMs, false);
   Waiting one{nextPlace_++, fetch.id, fetch.address, nowMs, nowMs + std::max<int64_t>(1, fetch.timeoutMs), nullptr};
   one.fetch = std::make_shared<Fetch>(std::move(fetch));
@@ -377,6 +391,7 @@
 }
 
 auto Fetcher::cancel(uint64_t id) -> void {
+  std::erase_if(refused_, [&](const Fetched& one) { return one.id == id; });
   auto& places = waiting_.get<ByPlace>();
   for (auto at = places.begin(); at != places.end();)
     at = at->id == id ? places.erase(at) : std::next(at);
@@ -462,7 +477,7 @@
 }
 
 auto Fetcher::ended() -> std::vector<Fetched> {
-  std::vector<Fetched> list;
+  auto list = std::exchange(refused_, {});
   auto left = 0;
   std::vector<std::string> freed;
   while (auto* message = curl_multi_info_read(multi_, &left)) {
--- a/lib/upstream/fetcher.hpp
+++ b/lib/upstream/fetcher.hpp
@@ -94,7 +94,7 @@
   /// Ends the idle streams to an address that has passed to somebody else. Example: `fetcher.drop(address);`
   auto drop(const std::string& address) -> void;
   /// Fetches under way, those that wait for their turn included. Example: `if (fetcher.open() == 0) stop();`
-  auto open() const -> size_t { return calls_.size() + waiting_.size(); }
+  auto open() const -> size_t { return calls_.size() + waiting_.size() + refused_.size(); }
 
  private:
   struct Call;
@@ -150,6 +150,7 @@
   size_t perHost_ = 0, total_ = 0;
   uint64_t nextPlace_ = 0;
   WaitingList waiting_;
+  std::vector<Fetched> refused_;  // never begun, since their heads would not be one head; not yet returned
   std::unordered_map<std::string, size_t> busy_;     // fetches that have their turn, by address
   std::unordered_map<std::string, int64_t> keepMs_;  // what upstreams told, by address
   std::map<curl_socket_t, Socket> sockets_;          // open ones
--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -294,3 +294,34 @@
   CHECK(refused > cases / 4);
   CHECK(refused < cases);
 }
+
+TEST_CASE("A request whose head would not be one head is not sent") {
+  struct Row {
+    std::string method, target;
+    upstream::Headers headers;
+  };
+  for (const auto& row : std::vector<Row>{{"GET", "/a b", {}},
+                                          {"GET", "/a\r\nX-More: 1", {}},
+                                          {"GET", "", {}},
+                                          {"GET", "/a\x7f", {}},
+                                          {"GE T", "/", {}},
+                                          {"GET", "/", {{"X-Field", "v\r\nX-More: 1"}}},
+                                          {"GET", "/", {{"X-Field", "v\n"}}},
+                                          {"GET", "/", {{"X-Field\r\nX-More", "v"}}}}) {
+    std::atomic<int> requests{0};
+    RawUpstream upstream([&](int, int, const std::string&) {
+      ++requests;
+      return countedAnswer(kFields, kBody);
+    });
+    upstream::Fetcher fetcher;
+    auto fetch = fetchFrom(upstream.at());
+    fetch.method = row.method;
+    fetch.target = row.target;
+    fetch.headers = row.headers;
+    auto answer = fetched(fetcher, std::move(fetch));
+    CHECK(answer.fault == Fault::kNotSent);
+    CHECK(answer.isUntouched);
+    CHECK(fetched(fetcher, fetchFrom(upstream.at())).fault == Fault::kNone);
+    CHECK(requests == 1);
+  }
+}
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -105,6 +105,10 @@
   refused("\"pool\": \"q\", \"weight\": 1}]}}", "\"pool\": \"q\", \"weight\": 0}]}}", "routes.b.shares the weights");
   refused("\"giveUpMs\": 800", "\"giveUpMs\": 0", "routes.a.giveUpMs");
   refused("\"giveUpMs\": 800, ", "", "routes.a.giveUpMs is missing");
+  // These go into the heads of probes and requests.
+  refused("\"probe\": \"/up\"", "\"probe\": \"/u p\"", "pools.p.probe");
+  refused("\"probe\": \"/up\"", "\"probe\": \"/up\\r\\nX-More: 1\"", "pools.p.probe");
+  refused("\"q\": {}}", "\"q\": {}, \"r\\r\\nX-More: 1\": {}}", "pools.r");
   refused("\"targetMs\": 80", "\"targetMs\": 60800", "routes.a.targetMs");
   CHECK(faultsOf(changed(kFirst, "\"targetMs\": 80", "\"targetMs\": 60799"), none).empty());
   refused("\"version\": 7, \"base\": 0", "\"version\": 7, \"base\": 7", "version");
