--- a/tests/programs/origin.cpp
+++ b/tests/programs/origin.cpp
@@ -12,6 +12,7 @@
 #include "neighbour/inbox.hpp"
 #include "neighbour/post.hpp"
 #include "operator/program.hpp"
+#include "sim/spoilt_answers.hpp"
 #include "sim/standin.hpp"
 #include "upstream/fetcher.hpp"
 
@@ -28,6 +29,7 @@
   int64_t endlessShare = 0;  // answers without a length, ending with the stream
   int64_t longShare = 0;     // answers more than the length that it names
   int64_t errorShare = 0;    // answers 500
+  int64_t spoiltShare = 0;   // answers what no strict reader takes for an answer
   bool isSilent = false;     // no beats
   bool isEmptying = false;
   bool isDeaf = false;  // health fails
@@ -62,6 +64,7 @@
   s.integer("beatMs", 50, 60000, beatMs);
   s.integer("delayMs", 0, 60000, mode.delayMs);
   s.integer("bytes", 0, 64 << 20, mode.bytes);
+  s.integer("spoilt", 0, 100, mode.spoiltShare);
   s.text("account", accountPath);
   s.integer("seed", 0, 1LL << 50, seed);
   program.ready();
@@ -100,6 +103,7 @@
       f.integer("endless", 0, 100, next.endlessShare);
       f.integer("long", 0, 100, next.longShare);
       f.integer("error", 0, 100, next.errorShare);
+      f.integer("spoilt", 0, 100, next.spoiltShare);
       f.flag("silent", next.isSilent);
       f.flag("emptying", next.isEmptying);
       f.flag("deaf", next.isDeaf);
@@ -169,6 +173,9 @@
       } else if (falls(mode.endlessShare)) {
         stream.note("HTTP/1.1 200 OK\r\n\r\n" + body);
         stream.cut();
+      } else if (falls(mode.spoiltShare)) {
+        stream.note(sim::brokenAnswer("X-Spoilt: 1\r\n", body, random));
+        stream.cut();
       } else if (falls(mode.longShare)) {
         stream.note(head + body + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil");
         stream.cut();
--- a/tests/programs/soak.cpp
+++ b/tests/programs/soak.cpp
@@ -14,6 +14,7 @@
       "  soak [--set=first=1,seeds=50,full=10]   every tenth seed with as many processes as\n"
       "  this machine bears\n"
       "  soak --set=crowds=true                  with crowds of clients that keep to no limit\n"
+      "  soak --set=spoilt=true                  with upstreams some of whose answers are broken\n"
       "  soak --set=losesAll=true                a disk is lost, and everything ends at once, twice");
   auto& s = program.settings();
   sim::Soak::Props props;
@@ -25,6 +26,7 @@
   s.integer("spanMs", 1000, 3600000, props.spanMs);
   s.flag("losesAll", props.losesAll);
   s.flag("crowds", props.hasCrowds);
+  s.flag("spoilt", props.spoilsAnswers);
   s.integer("full", 0, 100000, full);
   s.integer("processes", 1, 1000, most);
   program.ready();
--- a/tests/sim/fleet.cpp
+++ b/tests/sim/fleet.cpp
@@ -291,7 +291,7 @@
               ",\"site\":" + text(site) + ",\"http\":" + text(at(ip, 2)) + ",\"registries\":" + list(https) +
               ",\"capacity\":" + std::to_string(u.capacity) + ",\"delayMs\":" + std::to_string(u.delayMs) +
               ",\"bytes\":" + std::to_string(u.bytes) + ",\"seed\":" + std::to_string(number + 1) +
-              ",\"account\":" + text(account(name)) + "}");
+              ",\"account\":" + text(account(name)) + props_.originExtra + "}");
     }
   for (const auto& [a, siteA] : machines)
     for (const auto& [b, siteB] : machines)
--- a/tests/sim/fleet.hpp
+++ b/tests/sim/fleet.hpp
@@ -68,7 +68,8 @@
     int64_t port = 0;  // first of ten on each machine; 0 looks for free ones
     std::vector<Upstream> upstreams;
     bool hasMishaps = false;  // daemons are started with tests/mishap, which makes their machine fail when told to
-    std::string registryExtra, shieldExtra, edgeExtra;  // more settings, as JSON members with leading commas
+    std::string registryExtra, shieldExtra, edgeExtra,
+        originExtra;  // more settings, as JSON members with leading commas
   };
   /// Reads a deployment's file. Example: `Fleet::take(program.settings(), faults)`
   static auto take(op::Program& program) -> Props;
--- a/tests/sim/soak.cpp
+++ b/tests/sim/soak.cpp
@@ -23,6 +23,7 @@
 constexpr int64_t kLateMs = 500;        // past it
 constexpr uint64_t kFewLate = 8;        // so many and a quarter may not be later
 constexpr int64_t kRecoveryMs = 15000;  // then a quarter at least is served
+constexpr int kSpoiltPercent = 4;
 constexpr int kMostProcesses = 200;
 constexpr int kProcessesPerCore = 12;
 constexpr uint64_t kProcessBytes = 32u << 20;
@@ -66,6 +67,7 @@
   fleet.edges = shape.edges;
   if (fetchesItself) fleet.edgeExtra = R"(,"fetches":true)";
   if (props.hasCrowds) fleet.edgeExtra += SoakCrowds::edgeExtra({});
+  if (props.spoilsAnswers) fleet.originExtra = R"(,"spoilt":)" + std::to_string(kSpoiltPercent);
   fleet.upstreams = {{"shop", "store", shape.stores, 8, 3, 800},
                      {"till", "application", shape.applications, 8, 60, 200}};
   return fleet;
--- a/tests/sim/soak.hpp
+++ b/tests/sim/soak.hpp
@@ -30,9 +30,10 @@
     uint64_t seed = 1;
     int64_t spanMs = 20000;  // of troubles; the return to service comes on top
     SoakDefect defect = SoakDefect::kNone;
-    int processes = 0;       // about so many in all; 0: a small fleet of a size that the seed picks
-    bool hasCrowds = false;  // of clients that keep to no limit, at edges and registries
-    bool losesAll = false;   // everything ends at once and a disk is lost: in the middle, and after an acknowledgement
+    int processes = 0;           // about so many in all; 0: a small fleet of a size that the seed picks
+    bool hasCrowds = false;      // of clients that keep to no limit, at edges and registries
+    bool spoilsAnswers = false;  // some of the upstreams' answers are broken
+    bool losesAll = false;  // everything ends at once and a disk is lost: in the middle, and after an acknowledgement
   };
   struct Verdict {
     uint64_t seed = 0;
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -64,6 +64,13 @@
   }
 }
 
+TEST_CASE("Upstreams some of whose answers are broken, beside kept connections and troubles that overlap") {
+  auto props = soakOf(51);
+  props.spanMs = kLossSpanMs;
+  props.spoilsAnswers = true;
+  soakWell(props);
+}
+
 TEST_CASE("The soak bites when processes are killed and nobody tells") {
   auto verdict = soak(soakOf(21, SoakDefect::kHiddenKills));
   INFO(verdict.line());
