--- a/review/standins-2/case.py
+++ b/review/standins-2/case.py
@@ -1,4 +1,4 @@
-"""Runs a case: `case.run(folder, play)`. `play(fleet_module, record, trouble)` is a coroutine that returns the list of
+"""Runs a case: `case.run(record_path, play)`. `play(fleet_module, record, trouble)` is a coroutine that returns the list of
 what broke the rule. Exit codes: 1, the rule was broken; 0, it held; 2, the case could not run."""
 import asyncio
 import os
@@ -23,8 +23,8 @@
     return await asyncio.wait_for(play(record, trouble), LIMIT_S)
 
 
-def run(folder, play):
-    record = fleet.Record(os.path.join(folder, "record.txt"))
+def run(record_path, play):
+    record = fleet.Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"begins, {'with' if trouble else 'without'} the disruption")
     try:
